--- /dev/null
+++ b/Makefile
@@ -0,0 +1,81 @@
+CC = gcc
+PKGS = neon libmicrohttpd libzmq glib-2.0 yajl libxxhash
+BUILD ?= build
+SAN ?=
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
+CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE -Isrc -I. $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lmsgpackc -lurcu-bp -lurcu-common -lpthread -lm
+
+CORE = $(wildcard src/core/*.c)
+PARTS = $(CORE) $(wildcard src/filter/*.c src/edge/*.c src/settings/*.c src/daemon/*.c)
+CMD = $(wildcard src/cmd/*.c)
+STANDIN = $(wildcard standin/*.c)
+LOAD = $(wildcard load/*.c)
+TESTS = $(wildcard tests/test_*.c)
+OBJ = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
+
+all: deps
+	@$(MAKE) --no-print-directory build
+
+build: $(BUILD)/amaranthwall $(BUILD)/amaranthwall-standin $(BUILD)/amaranthwall-load $(BUILD)/libamaranthwall.a
+
+deps:
+	@scripts/deps.sh
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/libamaranthwall.a: $(call OBJ,$(CORE))
+	ar rcs $@ $^
+
+$(BUILD)/libparts.a: $(call OBJ,$(PARTS))
+	ar rcs $@ $^
+
+$(BUILD)/libstandin.a: $(call OBJ,$(filter-out standin/main.c,$(STANDIN)))
+	ar rcs $@ $^
+
+$(BUILD)/amaranthwall: $(call OBJ,$(CMD)) $(BUILD)/libparts.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(BUILD)/amaranthwall-standin: $(BUILD)/obj/standin/main.o $(BUILD)/libstandin.a $(BUILD)/libparts.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(BUILD)/amaranthwall-load: $(call OBJ,$(LOAD)) $(BUILD)/libstandin.a $(BUILD)/libparts.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$(BUILD)/embed: $(BUILD)/obj/examples/embed.o $(BUILD)/libamaranthwall.a
+	$(CC) $(SAN) -o $@ $^ -lxxhash
+
+$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/libstandin.a $(BUILD)/libparts.a
+	$(CC) $(SAN) -o $@ $^ -lcmocka $(LIBS)
+
+test-programs: $(patsubst tests/%.c,$(BUILD)/%,$(TESTS))
+
+demo: all
+	@scripts/demo.sh
+
+check: all
+	@scripts/check.sh
+
+soak: all
+	@scripts/soak.sh
+
+bench: all
+	@scripts/bench.sh full
+
+bench-quick: all
+	@scripts/bench.sh quick
+
+lint: deps
+	@scripts/lint.sh
+
+format:
+	clang-format -i $(wildcard src/*/*.[ch] standin/*.[ch] load/*.[ch] tests/*.[ch] examples/*.c bench/*.c)
+
+clean:
+	rm -rf build build-asan build-tsan
+
+-include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
+.SECONDARY:
+.PHONY: all build deps demo check soak bench bench-quick lint format clean test-programs
--- /dev/null
+++ b/load/main.c
@@ -0,0 +1,341 @@
+/*
+ * amaranthwall-load - open-loop load on a fleet, with every answer checked
+ *
+ * Bounded by --seconds; prints a JSON summary and exits 1 when a promise broke.
+ */
+#include <argp.h>
+#include <math.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/http_exchange.h"
+#include "load/join.h"
+#include "load/sender.h"
+
+#define MAX_IN_FLIGHT 4000
+#define THREAD_STACK (256U << 10)
+#define IDLE_STEP_MS 20
+#define DRAIN_LIMIT (120 * USEC_PER_SEC)
+
+typedef struct arguments {
+	const char *profile;
+	char **routers;
+	char **standins;
+	const char *model;
+	unsigned int seconds;
+	unsigned int seed;
+	unsigned int from_ms;
+	unsigned int to_ms;
+	bool obey;
+	double scale;
+} arguments_t;
+
+typedef struct generator {
+	const arguments_t *arguments;
+	const load_stream_t *stream;
+	const sender_options_t *options;
+	instant_t start;
+	uint32_t seed;
+	pthread_t thread;
+} generator_t;
+
+static int in_flight;
+static int over_limit;
+
+static const struct argp_option options[] = {
+	{"profile", 'p', "FILE", 0, "what load to make", 0},
+	{"routers", 'r', "IP:PORT,...", 0, "callers' addresses of the routers", 0},
+	{"standins", 'l', "IP:PORT,...", 0, "one of each stand-in process, for its log", 0},
+	{"model", 'm', "NAME", 0, "model whose fairness gap is worked out", 0},
+	{"seconds", 's', "N", 0, "how long", 0},
+	{"seed", 'e', "N", 0, "seed of all draws", 0},
+	{"from-ms", 'f', "N", 0, "start of the window that is summed up", 0},
+	{"to-ms", 't', "N", 0, "end of that window", 0},
+	{"obey", 'o', 0, 0, "wait as long as Retry-After says", 0},
+	{"scale", 'x', "F", 0, "factor on every rate", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *text, struct argp_state *state)
+{
+	arguments_t *a = state->input;
+	unsigned int number = text ? (unsigned int)strtoul(text, NULL, 10) : 0;
+
+	switch (key) {
+	case 'p':
+		a->profile = text;
+		break;
+	case 'r':
+		a->routers = g_strsplit(text, ",", -1);
+		break;
+	case 'l':
+		a->standins = g_strsplit(text, ",", -1);
+		break;
+	case 'm':
+		a->model = text;
+		break;
+	case 's':
+		a->seconds = number;
+		break;
+	case 'e':
+		a->seed = number;
+		break;
+	case 'f':
+		a->from_ms = number;
+		break;
+	case 't':
+		a->to_ms = number;
+		break;
+	case 'o':
+		a->obey = true;
+		break;
+	case 'x':
+		a->scale = g_ascii_strtod(text, NULL);
+		break;
+	case ARGP_KEY_END:
+		if (!a->profile || !a->routers)
+			argp_usage(state);
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+static const struct argp parser = {
+	options, parse_option, NULL, "Makes load on a fleet and checks every answer.", 0, 0, 0};
+
+static void sleep_until(instant_t at)
+{
+	uint64_t left = instant_left(at, clock_now());
+
+	if (left)
+		g_usleep(left);
+}
+
+static void *run_job(void *ctx)
+{
+	sender_run(ctx);
+	__atomic_sub_fetch(&in_flight, 1, __ATOMIC_RELAXED);
+	return NULL;
+}
+
+static void start_job(send_job_t *job)
+{
+	pthread_attr_t attributes;
+	pthread_t thread;
+
+	if (__atomic_add_fetch(&in_flight, 1, __ATOMIC_RELAXED) > MAX_IN_FLIGHT) {
+		__atomic_sub_fetch(&in_flight, 1, __ATOMIC_RELAXED);
+		__atomic_add_fetch(&over_limit, 1, __ATOMIC_RELAXED);
+		g_free(job);
+		return;
+	}
+	pthread_attr_init(&attributes);
+	pthread_attr_setstacksize(&attributes, THREAD_STACK);
+	pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+	if (pthread_create(&thread, &attributes, run_job, job))
+		abort();
+	pthread_attr_destroy(&attributes);
+}
+
+static double draw_normal(GRand *random)
+{
+	double u = 1.0 - g_rand_double(random);
+
+	return sqrt(-2.0 * log(u)) * cos(2.0 * G_PI * g_rand_double(random));
+}
+
+static send_job_t *draw_job(const generator_t *this, GRand *random, uint64_t number, instant_t at)
+{
+	const load_stream_t *stream = this->stream;
+	send_job_t *job = g_new0(send_job_t, 1);
+	double tokens = stream->tokens * exp(stream->sigma * draw_normal(random));
+
+	job->options = this->options;
+	job->stream = stream;
+	job->intended = at;
+	job->tokens = tokens < 1 ? 1 : (unsigned int)tokens;
+	if (job->tokens > stream->max_tokens)
+		job->tokens = stream->max_tokens;
+	if (stream->prefixes)
+		job->prefix = (unsigned int)g_rand_int_range(random, 0, (gint32)stream->prefixes);
+	job->number = number;
+	job->seed = g_rand_int(random);
+	return job;
+}
+
+/* Poisson arrivals at the stream's rate, which may swing. */
+static void *generate(void *ctx)
+{
+	generator_t *this = ctx;
+	GRand *random = g_rand_new_with_seed(this->seed);
+	instant_t end = this->start + this->arguments->seconds * USEC_PER_SEC;
+	instant_t at = this->start;
+	uint64_t number = 0;
+
+	while (at < end) {
+		unsigned int ms = (unsigned int)((at - this->start) / USEC_PER_MSEC);
+		double rate = load_stream_rate(this->stream, ms) * this->arguments->scale;
+		double wait_s = rate > 0 ? -log(1.0 - g_rand_double(random)) / rate : 1e9;
+
+		if (wait_s * 1000 > IDLE_STEP_MS && this->stream->swing_count &&
+			wait_s * 1000 > 1000) {
+			at += IDLE_STEP_MS * USEC_PER_MSEC; /* the rate may change meanwhile */
+			continue;
+		}
+		if (wait_s > 1e6)
+			break;
+		at += (uint64_t)(wait_s * USEC_PER_SEC);
+		if (at >= end)
+			break;
+		sleep_until(at);
+		start_job(draw_job(this, random, number++, at));
+	}
+	g_rand_free(random);
+	return NULL;
+}
+
+static void print_class(
+	records_t *records, const char *name, instant_t from, instant_t to, const char *separator)
+{
+	class_summary_t s;
+
+	records_summarize(records, name, from, to, &s);
+	printf("%s\n  \"%s\": {\"total\": %u, \"done\": %u, \"not_run\": %u, \"unknown\": %u, "
+	       "\"broken\": %u, \"wrong\": %u, \"refused_then_served\": %u, \"p50_first_ms\": "
+	       "%.1f, "
+	       "\"p95_first_ms\": %.1f, \"p99_first_ms\": %.1f, \"p99_end_ms\": %.1f, "
+	       "\"cost_per_s\": %.0f}",
+		separator, name ? name : "all", s.total, s.results[RESULT_DONE],
+		s.results[RESULT_NOT_RUN], s.results[RESULT_UNKNOWN], s.results[RESULT_BROKEN],
+		s.results[RESULT_WRONG], s.refused_then_served, s.p50_first, s.p95_first,
+		s.p99_first, s.p99_end, s.tokens_per_second);
+}
+
+static void print_classes(
+	records_t *records, const profile_t *profile, instant_t from, instant_t to)
+{
+	print_class(records, NULL, from, to, "");
+	for (unsigned int i = 0; i < profile->count; i++) {
+		const char *name = profile->streams[i].work_class;
+		bool seen = false;
+
+		for (unsigned int j = 0; j < i; j++)
+			seen |= !strcmp(profile->streams[j].work_class, name);
+		if (!seen)
+			print_class(records, name, from, to, ",");
+	}
+}
+
+static void print_statuses(records_t *records)
+{
+	GHashTableIter iter;
+	void *name;
+	void *count;
+	const char *separator = "";
+
+	printf(",\n  \"answers\": {");
+	g_hash_table_iter_init(&iter, records->statuses);
+	while (g_hash_table_iter_next(&iter, &name, &count)) {
+		printf("%s\"%s\": %u", separator, (char *)name, GPOINTER_TO_UINT(count));
+		separator = ", ";
+	}
+	printf("}");
+}
+
+static unsigned int count_wrong(const records_t *records)
+{
+	unsigned int wrong = 0;
+
+	for (unsigned int i = 0; i < records->list->len; i++) {
+		const record_t *r = g_ptr_array_index(records->list, i);
+
+		wrong += r->result == RESULT_WRONG;
+	}
+	return wrong;
+}
+
+/* Prints the summary; true when every promise held. */
+static bool report(
+	records_t *records, const profile_t *profile, const arguments_t *a, instant_t start)
+{
+	instant_t from = start + a->from_ms * USEC_PER_MSEC;
+	instant_t to = start + (a->to_ms ? a->to_ms : a->seconds * 1000) * USEC_PER_MSEC;
+	unsigned int wrong = count_wrong(records);
+	join_report_t join = {0};
+	double largest = 0;
+
+	printf("{");
+	print_classes(records, profile, from, to);
+	print_statuses(records);
+	if (a->model) {
+		double gap = records_fairness_gap(records, a->model, from, to, &largest);
+
+		printf(",\n  \"fairness_gap\": %.1f, \"largest_cost\": %.0f", gap, largest);
+	}
+	if (a->standins && !join_records(records, a->standins, &join)) {
+		fprintf(stderr, "a stand-in's log could not be had\n");
+		wrong++;
+	}
+	printf(",\n  \"join\": {\"executions\": %u, \"told_not_run\": %u, \"not_run_but_ran\": %u, "
+	       "\"doubled_keys\": %u, \"done_but_never_ran\": %u, \"wrong\": %u, "
+	       "\"over_limit\": %d}\n}\n",
+		join.executions, records->not_run->len, join.not_run_but_ran, join.doubled_keys,
+		join.done_but_never_ran, wrong, over_limit);
+	return !wrong && !join.not_run_but_ran && !join.doubled_keys && !join.done_but_never_ran;
+}
+
+static void run_generators(const arguments_t *a, const profile_t *profile,
+	const sender_options_t *sender, instant_t start)
+{
+	generator_t *generators = g_new0(generator_t, profile->count);
+	instant_t until;
+
+	for (unsigned int i = 0; i < profile->count; i++) {
+		generators[i] = (generator_t){.arguments = a,
+			.stream = &profile->streams[i],
+			.options = sender,
+			.start = start,
+			.seed = a->seed * 1000 + i};
+		pthread_create(&generators[i].thread, NULL, generate, &generators[i]);
+	}
+	for (unsigned int i = 0; i < profile->count; i++)
+		pthread_join(generators[i].thread, NULL);
+	until = clock_now() + DRAIN_LIMIT;
+	while (__atomic_load_n(&in_flight, __ATOMIC_RELAXED) && clock_now() < until)
+		g_usleep(5000);
+	g_free(generators);
+}
+
+int main(int argc, char **argv)
+{
+	arguments_t a = {.seconds = 5, .seed = 1, .scale = 1.0};
+	sender_options_t sender = {0};
+	profile_t *profile;
+	faults_t faults;
+	instant_t start;
+
+	argp_parse(&parser, argc, argv, 0, NULL, &a);
+	http_init();
+	faults_init(&faults, a.profile);
+	profile = profile_load(a.profile, &faults);
+	if (!profile) {
+		fputs(faults.text->str, stderr);
+		return 2;
+	}
+	sender.routers = a.routers;
+	sender.router_count = g_strv_length(a.routers);
+	sender.records = records_new();
+	sender.obey_retry_after = a.obey;
+	start = clock_now() + 50 * USEC_PER_MSEC;
+	run_generators(&a, profile, &sender, start);
+	if (__atomic_load_n(&in_flight, __ATOMIC_RELAXED)) {
+		fprintf(stderr, "requests hang\n");
+		return EXIT_FAILURE;
+	}
+	return report(sender.records, profile, &a, start) ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/load/record.c
@@ -0,0 +1,240 @@
+#include "load/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GRID (50 * USEC_PER_MSEC)
+#define MAX_WORKSPACES 256
+
+static void record_free(void *data)
+{
+	record_t *record = data;
+
+	g_free(record->key);
+	g_free(record);
+}
+
+records_t *records_new(void)
+{
+	records_t *this = g_new0(records_t, 1);
+
+	g_mutex_init(&this->lock);
+	this->list = g_ptr_array_new_with_free_func(record_free);
+	this->not_run = g_ptr_array_new_with_free_func(g_free);
+	this->statuses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return this;
+}
+
+void records_delete(records_t *this)
+{
+	g_ptr_array_unref(this->list);
+	g_ptr_array_unref(this->not_run);
+	g_hash_table_destroy(this->statuses);
+	g_mutex_clear(&this->lock);
+	g_free(this);
+}
+
+void records_add(records_t *this, record_t *record)
+{
+	g_mutex_lock(&this->lock);
+	g_ptr_array_add(this->list, record);
+	g_mutex_unlock(&this->lock);
+}
+
+void records_add_not_run(records_t *this, const char *request_id)
+{
+	g_mutex_lock(&this->lock);
+	g_ptr_array_add(this->not_run, g_strdup(request_id));
+	g_mutex_unlock(&this->lock);
+}
+
+void records_count_status(records_t *this, int status, const char *reason)
+{
+	char *key = g_strdup_printf("%d %s", status, reason);
+	unsigned int count;
+
+	g_mutex_lock(&this->lock);
+	count = GPOINTER_TO_UINT(g_hash_table_lookup(this->statuses, key));
+	g_hash_table_replace(this->statuses, key, GUINT_TO_POINTER(count + 1));
+	g_mutex_unlock(&this->lock);
+}
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	if (x == y)
+		return 0;
+	return x < y ? -1 : 1;
+}
+
+static double quantile(GArray *values, double q)
+{
+	if (!values->len)
+		return 0;
+	g_array_sort(values, compare_doubles);
+	return g_array_index(values, double, (guint)(q * (values->len - 1) + 0.5));
+}
+
+static bool in_window(const record_t *record, const char *work_class, instant_t from, instant_t to)
+{
+	if (work_class && strcmp(record->stream->work_class, work_class))
+		return false;
+	return record->intended >= from && record->intended < to;
+}
+
+void records_summarize(records_t *this, const char *work_class, instant_t from, instant_t to,
+	class_summary_t *summary)
+{
+	GArray *first = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *end = g_array_new(FALSE, FALSE, sizeof(double));
+	double tokens = 0;
+
+	memset(summary, 0, sizeof(*summary));
+	for (unsigned int i = 0; i < this->list->len; i++) {
+		const record_t *r = g_ptr_array_index(this->list, i);
+		double to_first;
+		double to_end;
+
+		if (!in_window(r, work_class, from, to))
+			continue;
+		summary->total++;
+		summary->results[r->result]++;
+		if (r->result != RESULT_DONE)
+			continue;
+		summary->refused_then_served += r->refusals > 0;
+		to_first = (double)(r->first_byte - r->intended) / 1000;
+		to_end = (double)(r->ended - r->intended) / 1000;
+		tokens += r->cost;
+		g_array_append_val(first, to_first);
+		g_array_append_val(end, to_end);
+	}
+	summary->p50_first = quantile(first, 0.50);
+	summary->p95_first = quantile(first, 0.95);
+	summary->p99_first = quantile(first, 0.99);
+	summary->p99_end = quantile(end, 0.99);
+	summary->tokens_per_second = tokens * USEC_PER_SEC / (double)(to - from);
+	g_array_unref(first);
+	g_array_unref(end);
+}
+
+/* --- fairness --------------------------------------------------------- */
+
+typedef struct grid {
+	unsigned int steps;
+	unsigned int count;
+	const char *names[MAX_WORKSPACES];
+	double *served[MAX_WORKSPACES]; /* cumulative weighted cost at each step */
+	unsigned int *waiting[MAX_WORKSPACES];
+} grid_t;
+
+static unsigned int grid_workspace(grid_t *this, const char *name)
+{
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (!strcmp(this->names[i], name))
+			return i;
+	}
+	if (this->count == MAX_WORKSPACES)
+		return MAX_WORKSPACES - 1;
+	this->names[this->count] = name;
+	this->served[this->count] = g_new0(double, this->steps + 2);
+	this->waiting[this->count] = g_new0(unsigned int, this->steps + 2);
+	return this->count++;
+}
+
+static unsigned int grid_step(const grid_t *this, instant_t at, instant_t from)
+{
+	uint64_t step = at > from ? (at - from) / GRID : 0;
+
+	return step > this->steps ? this->steps : (unsigned int)step;
+}
+
+/* Waits from its intended time to its first byte; its cost is served evenly from then on. */
+static void grid_add(grid_t *this, const record_t *r, instant_t from)
+{
+	unsigned int w = grid_workspace(this, r->stream->workspace);
+	instant_t began = r->result == RESULT_DONE ? r->first_byte : r->ended;
+	unsigned int wait_from = grid_step(this, r->intended, from);
+	unsigned int wait_to = grid_step(this, began, from);
+	unsigned int end = grid_step(this, r->ended, from);
+	double cost = (double)r->cost / r->stream->weight;
+
+	for (unsigned int s = wait_from + 1; s < wait_to; s++)
+		this->waiting[w][s]++;
+	if (r->result != RESULT_DONE)
+		return;
+	for (unsigned int s = wait_to; s <= end; s++)
+		this->served[w][s] += cost / (end - wait_to + 1);
+}
+
+static void grid_accumulate(grid_t *this)
+{
+	for (unsigned int w = 0; w < this->count; w++) {
+		for (unsigned int s = 1; s <= this->steps; s++)
+			this->served[w][s] += this->served[w][s - 1];
+	}
+}
+
+static double pair_gap(const grid_t *this, unsigned int a, unsigned int b)
+{
+	double low = 0;
+	double high = 0;
+	double gap = 0;
+	bool together = false;
+
+	for (unsigned int s = 0; s < this->steps; s++) {
+		double ahead = this->served[a][s] - this->served[b][s];
+
+		if (!this->waiting[a][s] || !this->waiting[b][s]) {
+			together = false;
+			continue;
+		}
+		if (!together)
+			low = high = ahead;
+		together = true;
+		low = ahead < low ? ahead : low;
+		high = ahead > high ? ahead : high;
+		gap = high - low > gap ? high - low : gap;
+	}
+	return gap;
+}
+
+static double grid_gap(const grid_t *this)
+{
+	double gap = 0;
+
+	for (unsigned int a = 0; a < this->count; a++) {
+		for (unsigned int b = 0; b < a; b++) {
+			double pair = pair_gap(this, a, b);
+
+			gap = pair > gap ? pair : gap;
+		}
+	}
+	return gap;
+}
+
+double records_fairness_gap(
+	records_t *this, const char *model, instant_t from, instant_t to, double *largest_cost)
+{
+	grid_t grid = {.steps = (unsigned int)((to - from) / GRID)};
+	double gap;
+
+	*largest_cost = 0;
+	for (unsigned int i = 0; i < this->list->len; i++) {
+		const record_t *r = g_ptr_array_index(this->list, i);
+
+		if (strcmp(r->stream->model, model))
+			continue;
+		grid_add(&grid, r, from);
+		if (r->cost > *largest_cost)
+			*largest_cost = r->cost;
+	}
+	grid_accumulate(&grid);
+	gap = grid_gap(&grid);
+	for (unsigned int w = 0; w < grid.count; w++) {
+		g_free(grid.served[w]);
+		g_free(grid.waiting[w]);
+	}
+	return gap;
+}
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,60 @@
+#!/bin/bash
+# Runs every test: the cmocka programs under the sanitizers, then the process
+# tests.  What KNOWN-RED.txt lists is run and printed, and not counted as a failure.
+# The last line counts.  ONLY=name runs one.
+set -u
+cd "$(dirname "$0")/.."
+passed=0
+failed=0
+known=0
+jobs=$(nproc)
+
+is_known_red() { [ -f KNOWN-RED.txt ] && grep -q "^$1 " KNOWN-RED.txt; }
+
+note() { # NAME CODE LOG
+	if [ "$2" = 0 ]; then
+		passed=$((passed + 1))
+		echo "ok    $1"
+	elif is_known_red "$1"; then
+		known=$((known + 1))
+		echo "RED   $1 (known): $(grep "^$1 " KNOWN-RED.txt)"
+	else
+		failed=$((failed + 1))
+		echo "FAIL  $1"
+		tail -40 "$3"
+	fi
+}
+
+run() { # NAME COMMAND...
+	local name=$1 log code=0
+	shift
+	[ -n "${ONLY:-}" ] && [ "$ONLY" != "$name" ] && return
+	log=$(mktemp)
+	"$@" >"$log" 2>&1 || code=$?
+	note "$name" "$code" "$log"
+	rm -f "$log"
+}
+
+asan="-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
+tsan="-fsanitize=thread"
+make --no-print-directory -j"$jobs" BUILD=build-asan SAN="$asan" build test-programs build-asan/embed >/tmp/amaranthwall-build.$$ 2>&1 ||
+	{ cat /tmp/amaranthwall-build.$$; echo "0 passed, 1 failed"; exit 1; }
+make --no-print-directory -j"$jobs" BUILD=build-tsan SAN="$tsan" build test-programs >/tmp/amaranthwall-build.$$ 2>&1 ||
+	{ cat /tmp/amaranthwall-build.$$; echo "0 passed, 1 failed"; exit 1; }
+rm -f /tmp/amaranthwall-build.$$
+
+export UBSAN_OPTIONS=print_stacktrace=1
+export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp history_size=4"
+for t in tests/test_*.c; do
+	name=$(basename "$t" .c)
+	run "$name" "build-asan/$name"
+	grep -q '^/\* threaded' "$t" && run "$name-tsan" "build-tsan/$name"
+done
+[ -f examples/embed.c ] && run embed build-asan/embed
+for t in tests/process/*.sh; do
+	[ -f "$t" ] && run "$(basename "$t" .sh)" bash "$t"
+done
+run demo scripts/demo.sh
+[ $known = 0 ] || echo "$known known red, see KNOWN-RED.txt"
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
--- /dev/null
+++ b/scripts/deps.sh
@@ -0,0 +1,14 @@
+#!/bin/bash
+# Installs the Debian packages that the build, the tests and the linter need.
+set -eu
+packages="gcc make pkg-config liburcu-dev libzmq3-dev libmicrohttpd-dev libneon27-dev
+libglib2.0-dev libyajl-dev libmsgpack-dev libxxhash-dev libcmocka-dev clang clang-format clang-tidy
+cppcheck curl procps"
+missing=""
+for p in $packages; do
+	dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q 'install ok installed' || missing="$missing $p"
+done
+[ -z "$missing" ] && exit 0
+echo "installing:$missing"
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $missing >/dev/null
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,200 @@
+# Sourced by the demo, the process tests and the benches: starts a fleet and its
+# stand-ins on loopback, and ends by id what it started.
+#
+#   BASE     first port (default 21000)      RUN     folder for settings and logs
+#   ROUTERS  number of routers (8)           POLICY  fleet, fixed, least or forward
+#   BIN      folder of the binaries (build)
+
+BASE=${BASE:-21000}
+ROUTERS=${ROUTERS:-8}
+POLICY=${POLICY:-fleet}
+BIN=${BIN:-build}
+HOST=127.0.0.1
+TOKEN=operators-secret
+PLATFORM=$HOST:$BASE
+
+caller_of() { echo "$HOST:$((BASE + 100 + $1))"; }
+operator_of() { echo "$HOST:$((BASE + 200 + $1))"; }
+peer_of() { echo "$HOST:$((BASE + 300 + $1))"; }
+engine_of() { echo "$HOST:$((BASE + 400 + $1))"; }
+service_of() { echo "$HOST:$((BASE + 500 + $1))"; }
+settings_of() { echo "$RUN/router-$1.json"; }
+all_callers() { local i s=; for i in $(seq 0 $((ROUTERS - 1))); do s="$s,$(caller_of "$i")"; done; echo "${s#,}"; }
+
+fleet_init() {
+	RUN=${RUN:-$(mktemp -d)}
+	mkdir -p "$RUN"
+	PIDS=()
+	declare -gA ROUTER_PID
+}
+
+# wait_for SECONDS COMMAND...: until the command succeeds.
+wait_for() {
+	local left=$(($1 * 20))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		left=$((left - 1))
+		[ $left -gt 0 ] || { echo "gave up waiting for: $*" >&2; return 1; }
+		sleep 0.05
+	done
+}
+
+get() { curl -s -m 5 "http://$1"; }
+post() { curl -s -m 5 -o /dev/null -d "$2" "http://$1"; }
+get_ok() { curl -sf -m 2 -o /dev/null "http://$1"; }
+
+start_platform() {
+	"$BIN/amaranthwall-standin" platform --listen "$PLATFORM" 2>"$RUN/platform.log" &
+	PIDS+=($!)
+	wait_for 10 get_ok "$PLATFORM/stats"
+}
+
+# start_engines COUNT OPTIONS...
+start_engines() {
+	local count=$1
+	shift
+	"$BIN/amaranthwall-standin" engines --listen "$(engine_of 0)" --count "$count" "$@" 2>"$RUN/engines.log" &
+	ENGINES_PID=$!
+	ENGINE_COUNT=$count
+	PIDS+=($ENGINES_PID)
+	wait_for 10 get_ok "$(engine_of $((count - 1)))/load"
+}
+
+start_services() {
+	local count=$1
+	shift
+	"$BIN/amaranthwall-standin" services --listen "$(service_of 0)" --count "$count" "$@" 2>"$RUN/services.log" &
+	SERVICES_PID=$!
+	SERVICE_COUNT=$count
+	PIDS+=($SERVICES_PID)
+	wait_for 10 get_ok "$(service_of $((count - 1)))/load"
+}
+
+all_engines() { local i; for i in $(seq 0 $((ENGINE_COUNT - 1))); do post "$(engine_of "$i")/control" "$1"; done; }
+all_services() { local i; for i in $(seq 0 $((SERVICE_COUNT - 1))); do post "$(service_of "$i")/control" "$1"; done; }
+platform_control() { post "$PLATFORM/control" "$1"; }
+list_instance() { post "$PLATFORM/control/instance" "{\"name\":\"$1\",\"address\":\"$2\",\"state\":\"$3\"}"; }
+
+write_keys() {
+	local i
+	for i in $(seq 0 $((ROUTERS - 1))); do
+		"$BIN/amaranthwall" keygen >"$RUN/key-$i"
+	done
+}
+
+public_key() { sed -n 's/^"public_key": "\(.*\)",$/\1/p' "$RUN/key-$1"; }
+secret_key() { sed -n 's/^"secret_key": "\(.*\)",$/\1/p' "$RUN/key-$1"; }
+
+write_settings() {
+	local i j comma domains="a b c"
+	[ -f "$RUN/key-0" ] || write_keys
+	for i in $(seq 0 $((ROUTERS - 1))); do
+		{
+			echo "{"
+			echo "	// written by scripts/fleet.sh"
+			echo "	\"name\": \"router-$i\", \"failure_domain\": \"domain-$((i % 3))\","
+			echo "	\"caller_address\": \"$(caller_of "$i")\", \"operator_address\": \"$(operator_of "$i")\","
+			echo "	\"peer_address\": \"$(peer_of "$i")\", \"platform_address\": \"$PLATFORM\","
+			echo "	\"operator_token\": \"$TOKEN\", \"policy\": \"$POLICY\","
+			echo "	\"store_timeout_ms\": 1000, \"drain_timeout_ms\": 60000,"
+			cat "$RUN/key-$i"
+			echo "	\"peers\": ["
+			comma=
+			for j in $(seq 0 $((ROUTERS - 1))); do
+				[ "$i" = "$j" ] && continue
+				echo "		$comma{\"name\": \"router-$j\", \"address\": \"$(peer_of "$j")\","
+				echo "		\"operator_address\": \"$(operator_of "$j")\", \"public_key\": \"$(public_key "$j")\"}"
+				comma=,
+			done
+			echo "	]"
+			echo "}"
+		} >"$(settings_of "$i")"
+	done
+}
+
+# start_router NUMBER
+start_router() {
+	"$BIN/amaranthwall" router --settings "$(settings_of "$1")" ${VERBOSE:+--verbose} 2>>"$RUN/router-$1.log" &
+	ROUTER_PID[$1]=$!
+	PIDS+=($!)
+	list_instance "router-$1" "$(operator_of "$1")" live
+}
+
+start_routers() {
+	local i
+	for i in $(seq 0 $((ROUTERS - 1))); do start_router "$i"; done
+}
+
+wait_ready() {
+	local i
+	for i in ${1:-$(seq 0 $((ROUTERS - 1)))}; do wait_for 15 get_ok "$(operator_of "$i")/ready" || return 1; done
+}
+
+members_alive() { get "$(operator_of "$1")/metrics" | sed -n 's/^amaranthwall_members_alive //p'; }
+all_see() { local i; for i in $(seq 0 $((ROUTERS - 1))); do [ "$(members_alive "$i")" = "$1" ] || return 1; done; }
+metric_of() { get "$(operator_of "$1")/metrics" | sed -n "s/^amaranthwall_$2 //p"; }
+text_version() { get "$(operator_of "$1")/status" | sed -n 's/.*"text_version":\([0-9]*\).*/\1/p'; }
+
+sha() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+# write_text FILE MODEL PLAIN SLOTS PLAIN_SLOTS [WEIGHTS...]: workspaces w0, w1, ... with tokens t-w0, ...
+write_text() {
+	local file=$1 model=$2 plain=$3 slots=$4 plain_slots=$5 i comma
+	shift 5
+	{
+		echo "{"
+		echo "	// the operators' text of $model and $plain"
+		echo "	\"services\": ["
+		echo "		{\"name\": \"$model\", \"kind\": \"model\", \"long_cost\": ${LONG_COST:-200}, \"long_share\": ${LONG_SHARE:-60}},"
+		echo "		{\"name\": \"$plain\", \"kind\": \"plain\"}"
+		echo "	],"
+		echo "	\"endpoints\": ["
+		for i in $(seq 0 $((ENGINE_COUNT - 1))); do
+			echo "		{\"name\": \"$model-$i\", \"service\": \"$model\", \"address\": \"$(engine_of "$i")\", \"slots\": $slots, \"failure_domain\": \"domain-$((i % 3))\"},"
+		done
+		comma=
+		for i in $(seq 0 $((SERVICE_COUNT - 1))); do
+			echo "		$comma{\"name\": \"$plain-$i\", \"service\": \"$plain\", \"address\": \"$(service_of "$i")\", \"slots\": $plain_slots, \"failure_domain\": \"domain-$((i % 3))\"}"
+			comma=,
+		done
+		echo "	],"
+		echo "	\"workspaces\": ["
+		comma=
+		i=0
+		for weight in ${*:-4 1 1}; do
+			echo "		$comma{\"name\": \"w$i\", \"weight\": $weight, \"tokens\": [\"sha256:$(sha "t-w$i")\"]}"
+			comma=,
+			i=$((i + 1))
+		done
+		echo "	],"
+		echo "	\"routes\": ["
+		echo "		{\"path\": \"/v1/chat/completions\", \"method\": \"POST\", \"service\": \"by-model\", \"repeatable\": true, \"deadline_ms\": ${DEADLINE_MS:-10000}, \"first_byte_ms\": 1800},"
+		echo "		{\"path\": \"/orders\", \"method\": \"POST\", \"service\": \"$plain\", \"repeatable\": false, \"key\": \"required\", \"deadline_ms\": 5000, \"first_byte_ms\": 1000},"
+		echo "		{\"path\": \"/once\", \"method\": \"POST\", \"service\": \"$plain\", \"repeatable\": false, \"key\": \"optional\", \"deadline_ms\": 5000},"
+		echo "		{\"path\": \"/stock/*\", \"service\": \"$plain\", \"repeatable\": true, \"deadline_ms\": 5000}"
+		echo "	]"
+		echo "}"
+	} >"$file"
+}
+
+put_text() { "$BIN/amaranthwall" fleet put "$1" --settings "$(settings_of 0)" --expect "$2" "${@:3}"; }
+
+# stop_router NUMBER: planned stop; gives its exit code.
+stop_router() {
+	local code=0
+	kill -TERM "${ROUTER_PID[$1]}" 2>/dev/null
+	wait "${ROUTER_PID[$1]}" || code=$?
+	return $code
+}
+
+kill_router() {
+	kill -KILL "${ROUTER_PID[$1]}"
+	wait "${ROUTER_PID[$1]}" 2>/dev/null
+}
+
+stop_all() {
+	local pid
+	for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+	wait 2>/dev/null
+	PIDS=()
+}
--- /dev/null
+++ b/src/cmd/fleet_client.c
@@ -0,0 +1,173 @@
+#include "cmd/fleet_client.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "edge/http_exchange.h"
+
+#define STORE_TRIES 5
+#define STORE_PAUSE_US 200000
+#define PAGE_TIMEOUT_MS 2000
+#define MAX_PAGE (64U << 20)
+
+bool fleet_client_open(fleet_client_t *this, const char *settings_path)
+{
+	platform_http_options_t options;
+	faults_t faults;
+
+	memset(this, 0, sizeof(*this));
+	faults_init(&faults, settings_path);
+	this->settings = router_settings_load(settings_path, &faults);
+	if (!this->settings)
+		fputs(faults.text->str, stderr);
+	faults_clear(&faults);
+	if (!this->settings)
+		return false;
+	http_init();
+	options = (platform_http_options_t){
+		this->settings->platform_address, this->settings->store_timeout_ms};
+	this->platform = platform_http_new(&options);
+	return true;
+}
+
+void fleet_client_close(fleet_client_t *this)
+{
+	platform_delete(this->platform);
+	router_settings_delete(this->settings);
+}
+
+store_result_t fleet_client_read(fleet_client_t *this, text_row_t *row, uint64_t *row_version)
+{
+	store_result_t result = STORE_LOST;
+	table_row_t table_row;
+
+	for (int i = 0; i < STORE_TRIES && result == STORE_LOST; i++) {
+		if (i)
+			g_usleep(STORE_PAUSE_US);
+		result = this->platform->ops->read(this->platform, TEXT_KEY, &table_row);
+	}
+	if (result != STORE_OK)
+		return result;
+	*row_version = table_row.version;
+	if (!text_row_decode(table_row.value, row))
+		result = STORE_LOST;
+	table_row_clear(&table_row);
+	return result;
+}
+
+static store_result_t write_once(fleet_client_t *this, const text_row_t *row, uint64_t expected_row)
+{
+	char *value = text_row_encode(row);
+	char *history = text_history_key(row->number);
+	table_write_t writes[] = {
+		{.key = TEXT_KEY, .value = value, .expected = expected_row},
+		{.key = history, .value = value, .expected = 0},
+	};
+	store_result_t result =
+		this->platform->ops->transact(this->platform, writes, ARRAY_LEN(writes));
+
+	g_free(history);
+	g_free(value);
+	return result;
+}
+
+/*
+ * A write whose reply was lost, or that met a conflict, may have won after all:
+ * the history row of its number tells by the change number which write it was.
+ */
+static put_result_t judge(fleet_client_t *this, const text_row_t *row, uint64_t *winner)
+{
+	char *key = text_history_key(row->number);
+	store_result_t result = STORE_LOST;
+	put_result_t verdict = PUT_LOST;
+	table_row_t table_row;
+	text_row_t stands;
+
+	for (int i = 0; i < STORE_TRIES && result == STORE_LOST; i++) {
+		if (i)
+			g_usleep(STORE_PAUSE_US);
+		result = this->platform->ops->read(this->platform, key, &table_row);
+	}
+	g_free(key);
+	if (result != STORE_OK)
+		return PUT_LOST;
+	if (text_row_decode(table_row.value, &stands)) {
+		verdict = strcmp(stands.change, row->change) ? PUT_CONFLICT : PUT_ACCEPTED;
+		*winner = stands.number;
+		text_row_clear(&stands);
+	}
+	table_row_clear(&table_row);
+	return verdict;
+}
+
+static put_result_t write_and_judge(
+	fleet_client_t *this, const text_row_t *row, uint64_t expected_row, uint64_t *winner)
+{
+	put_result_t verdict = PUT_LOST;
+
+	for (int i = 0; i < STORE_TRIES && verdict == PUT_LOST; i++) {
+		store_result_t result = write_once(this, row, expected_row);
+
+		if (result == STORE_OK)
+			return PUT_ACCEPTED;
+		verdict = judge(this, row, winner);
+	}
+	return verdict;
+}
+
+put_result_t fleet_client_put(fleet_client_t *this, const char *text, uint64_t expected,
+	uint64_t *version, uint64_t *winner)
+{
+	uint64_t row_version = 0;
+	text_row_t stands = {0};
+	store_result_t result = fleet_client_read(this, &stands, &row_version);
+	text_row_t row = {.number = expected + 1, .text = (char *)text};
+	put_result_t verdict;
+
+	if (result == STORE_LOST)
+		return PUT_LOST;
+	*winner = stands.number;
+	text_row_clear(&stands);
+	if (*winner != expected)
+		return PUT_CONFLICT;
+	row.change = g_uuid_string_random();
+	verdict = write_and_judge(this, &row, row_version, winner);
+	*version = row.number;
+	g_free(row.change);
+	return verdict;
+}
+
+unsigned int fleet_client_routers(const fleet_client_t *this)
+{
+	return this->settings->peer_count + 1;
+}
+
+const char *fleet_client_name(const fleet_client_t *this, unsigned int router)
+{
+	return router ? this->settings->peers[router - 1].name : this->settings->name;
+}
+
+GString *fleet_client_page(fleet_client_t *this, unsigned int router, const char *path)
+{
+	char *bearer = g_strconcat("Bearer ", this->settings->operator_token, NULL);
+	http_header_t header = {"Authorization", bearer};
+	http_options_t options = {
+		.address = router ? this->settings->peers[router - 1].operator_address
+				  : this->settings->operator_address,
+		.method = "GET",
+		.path = path,
+		.headers = &header,
+		.header_count = 1,
+		.connect_timeout_ms = PAGE_TIMEOUT_MS,
+		.read_timeout_ms = PAGE_TIMEOUT_MS,
+	};
+	GString *page = g_string_new(NULL);
+	int status = 0;
+
+	if (http_call(&options, MAX_PAGE, page, &status) != HTTP_OK || status != 200) {
+		g_string_free(page, TRUE);
+		page = NULL;
+	}
+	g_free(bearer);
+	return page;
+}
--- /dev/null
+++ b/src/cmd/main.c
@@ -0,0 +1,48 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/commands.h"
+
+const char *argp_program_version = "amaranthwall 0.1.0";
+
+static const command_t commands[] = {
+	{"router", "run one router", command_router},
+	{"fleet", "check, get, put, status or history of the operators' text", command_fleet},
+	{"report", "service-level burn over all routers", command_report},
+	{"keygen", "make a key pair for the peer socket", command_keygen},
+};
+
+static void print_usage(FILE *out)
+{
+	fprintf(out, "Usage: amaranthwall COMMAND [OPTION...]\n\nCommands:\n");
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		fprintf(out, "  %-8s %s\n", commands[i].name, commands[i].summary);
+	fprintf(out, "\n\"amaranthwall COMMAND --help\" tells the options.\n"
+		     "Exit codes: 0 good, 1 failed, 2 bad settings or text, 3 conflict,\n"
+		     "4 out of reach, 64 wrong usage.\n");
+}
+
+int main(int argc, char **argv)
+{
+	if (argc > 1 && (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-?"))) {
+		print_usage(stdout);
+		return EXIT_GOOD;
+	}
+	if (argc > 1 && (!strcmp(argv[1], "--version") || !strcmp(argv[1], "-V"))) {
+		puts(argp_program_version);
+		return EXIT_GOOD;
+	}
+	for (size_t i = 0; argc > 1 && i < sizeof(commands) / sizeof(commands[0]); i++) {
+		if (!strcmp(argv[1], commands[i].name)) {
+			char *name = malloc(strlen(argv[1]) + sizeof("amaranthwall "));
+
+			sprintf(name, "amaranthwall %s", argv[1]);
+			argv[1] = name;
+			return commands[i].run(argc - 1, argv + 1);
+		}
+	}
+	print_usage(stderr);
+	return EXIT_USAGE;
+}
--- /dev/null
+++ b/src/core/member.c
@@ -0,0 +1,138 @@
+#include "core/member.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+void members_init(members_t *this, const allocator_t *allocator, id_t32 self)
+{
+	memset(this, 0, sizeof(*this));
+	this->allocator = allocator;
+	this->list = allocator_new(allocator, MEMBER_MAX, sizeof(member_t));
+	this->list[0].id = self;
+	this->list[0].state = MEMBER_ALIVE;
+	this->list[0].dead_at = INSTANT_NEVER;
+	this->list[0].suspect_at = INSTANT_NEVER;
+	this->count = 1;
+	this->view = 1;
+}
+
+void members_clear(members_t *this)
+{
+	allocator_delete(this->allocator, this->list);
+}
+
+unsigned int members_add(members_t *this, id_t32 id)
+{
+	int slot = members_find(this, id);
+
+	if (slot >= 0 || this->count == MEMBER_MAX)
+		return slot >= 0 ? (unsigned int)slot : 0;
+	this->list[this->count].id = id;
+	this->list[this->count].state = MEMBER_UNHEARD;
+	return this->count++;
+}
+
+int members_find(const members_t *this, id_t32 id)
+{
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (this->list[i].id == id)
+			return (int)i;
+	}
+	return -1;
+}
+
+bool member_is_alive(const member_t *member)
+{
+	return member->state == MEMBER_ALIVE || member->state == MEMBER_SUSPECT;
+}
+
+hear_result_t members_hear(
+	members_t *this, unsigned int slot, uint64_t incarnation, uint64_t seq, instant_t now)
+{
+	member_t *member = &this->list[slot];
+	bool restarted = incarnation > member->incarnation;
+
+	if (incarnation < member->incarnation)
+		return HEAR_OLD;
+	if (!restarted && seq <= member->seq)
+		return HEAR_OLD;
+	if (!member_is_alive(member))
+		this->view++;
+	if (restarted)
+		member->stopping = false;
+	member->incarnation = incarnation;
+	member->seq = seq;
+	member->state = MEMBER_ALIVE;
+	member->suspect_at = now + MEMBER_SUSPECT_AFTER;
+	member->dead_at = now + MEMBER_DEAD_AFTER;
+	return restarted ? HEAR_RESTARTED : HEAR_NEW;
+}
+
+void members_set_stopping(members_t *this, unsigned int slot, bool stopping)
+{
+	if (this->list[slot].stopping == stopping)
+		return;
+	this->list[slot].stopping = stopping;
+	this->view++;
+}
+
+void members_set_listed_gone(members_t *this, unsigned int slot, bool gone)
+{
+	this->list[slot].listed_gone = gone;
+}
+
+bool members_tick(members_t *this, instant_t now)
+{
+	uint64_t before = this->view;
+
+	for (unsigned int i = 1; i < this->count; i++) {
+		member_t *member = &this->list[i];
+
+		if (member->state == MEMBER_ALIVE && now >= member->suspect_at)
+			member->state = MEMBER_SUSPECT;
+		if (member->state == MEMBER_SUSPECT && now >= member->dead_at) {
+			member->state = MEMBER_DEAD;
+			this->view++;
+		}
+	}
+	return this->view != before;
+}
+
+unsigned int members_alive(const members_t *this)
+{
+	unsigned int alive = 0;
+
+	for (unsigned int i = 0; i < this->count; i++)
+		alive += member_is_alive(&this->list[i]);
+	return alive;
+}
+
+unsigned int members_expected(const members_t *this)
+{
+	unsigned int expected = 0;
+
+	for (unsigned int i = 0; i < this->count; i++)
+		expected += !this->list[i].listed_gone;
+	return expected;
+}
+
+unsigned int members_owner(const members_t *this, id_t32 replica)
+{
+	unsigned int best = 0;
+	uint64_t best_weight = 0;
+
+	for (unsigned int i = 0; i < this->count; i++) {
+		const member_t *member = &this->list[i];
+		id_t32 pair[2] = {member->id, replica};
+		uint64_t weight;
+
+		if (!member_is_alive(member) || member->stopping)
+			continue;
+		weight = XXH64(pair, sizeof(pair), 0);
+		if (weight >= best_weight) {
+			best_weight = weight;
+			best = i;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/src/core/node.c
@@ -0,0 +1,577 @@
+#include "core/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/node_internal.h"
+
+#define HEARTBEAT (1 * USEC_PER_SEC)
+#define SWEEP_INTERVAL (25 * USEC_PER_MSEC)
+#define FORMER_WAIT (3 * USEC_PER_SEC)
+#define DOWN_FIRST (250 * USEC_PER_MSEC)
+#define DOWN_DOUBLINGS 5
+#define DOWN_PACE_FACTOR 50
+#define COST_WEIGHT 0.1
+#define MIN_RATIO 0.01
+#define MAX_RATIO 4.0
+#define DEFAULT_MAX_MEMBERS 64
+
+/* --- looking up ------------------------------------------------------- */
+
+pool_t *node_find_pool(const node_t *this, id_t32 id)
+{
+	for (unsigned int i = 0; i < this->pool_count; i++) {
+		if (this->pools[i]->id == id)
+			return this->pools[i];
+	}
+	return NULL;
+}
+
+/* Where `id` stands, or would stand, in the sorted list of replicas. */
+static unsigned int replica_position(const node_t *this, id_t32 id)
+{
+	unsigned int low = 0;
+	unsigned int high = this->replica_count;
+
+	while (low < high) {
+		unsigned int middle = (low + high) / 2;
+
+		if (this->replicas[middle]->id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+replica_t *node_find_replica(const node_t *this, id_t32 id)
+{
+	unsigned int at = replica_position(this, id);
+
+	if (at < this->replica_count && this->replicas[at]->id == id)
+		return this->replicas[at];
+	return NULL;
+}
+
+static unsigned int workspace_position(const node_t *this, id_t32 id)
+{
+	unsigned int low = 0;
+	unsigned int high = this->workspace_count;
+
+	while (low < high) {
+		unsigned int middle = (low + high) / 2;
+
+		if (this->workspaces[middle]->id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+workspace_share_t *node_find_workspace(const node_t *this, id_t32 id)
+{
+	unsigned int at = workspace_position(this, id);
+
+	if (at < this->workspace_count && this->workspaces[at]->id == id)
+		return this->workspaces[at];
+	return NULL;
+}
+
+lane_t *node_find_lane(node_t *this, id_t32 pool_id, id_t32 workspace_id)
+{
+	pool_t *pool = node_find_pool(this, pool_id);
+	workspace_share_t *workspace = node_find_workspace(this, workspace_id);
+
+	if (!pool || !workspace)
+		return NULL;
+	return pool_lane(pool, this->allocator, workspace, this->options.max_members);
+}
+
+/* --- actions ---------------------------------------------------------- */
+
+void node_push(node_t *this, const node_action_t *action)
+{
+	if (this->action_count == ACTION_RING)
+		abort(); /* the embedder did not drain */
+	this->actions[(this->action_first + this->action_count++) % ACTION_RING] = *action;
+}
+
+bool node_next_action(node_t *this, node_action_t *action)
+{
+	if (!this->action_count)
+		return false;
+	*action = this->actions[this->action_first];
+	this->action_first = (this->action_first + 1) % ACTION_RING;
+	this->action_count--;
+	return true;
+}
+
+void node_send_by(node_t *this, unsigned int slot, instant_t at)
+{
+	this->peers[slot]->send_at = instant_min(this->peers[slot]->send_at, at);
+}
+
+/* xorshift64*: the seed comes from the embedder, the sequence is part of the verdict. */
+uint64_t node_random(node_t *this)
+{
+	this->random ^= this->random >> 12;
+	this->random ^= this->random << 25;
+	this->random ^= this->random >> 27;
+	return this->random * 2685821657736338717ULL >> 16;
+}
+
+/* --- life ------------------------------------------------------------- */
+
+node_t *node_new(const node_options_t *options, instant_t now)
+{
+	const allocator_t *allocator = options->allocator ? options->allocator : &allocator_default;
+	node_t *this = allocator_new(allocator, 1, sizeof(*this));
+
+	this->allocator = allocator;
+	this->options = *options;
+	if (!this->options.max_members || this->options.max_members > MEMBER_MAX)
+		this->options.max_members = DEFAULT_MAX_MEMBERS;
+	this->policy = policy_find(options->policy);
+	this->random = options->seed ? options->seed : 1;
+	this->former_until = now + FORMER_WAIT;
+	members_init(&this->members, allocator, options->self);
+	this->peers = allocator_new(allocator, this->options.max_members, sizeof(peer_t *));
+	return this;
+}
+
+static void replica_delete(const node_t *this, replica_t *replica)
+{
+	allocator_delete(this->allocator, replica->holds);
+	allocator_delete(this->allocator, replica->unseen);
+	allocator_delete(this->allocator, replica);
+}
+
+void node_delete(node_t *this)
+{
+	const allocator_t *allocator;
+
+	if (!this)
+		return;
+	allocator = this->allocator;
+	for (unsigned int i = 0; i < this->pool_count; i++) {
+		pool_clear(this->pools[i], allocator);
+		allocator_delete(allocator, this->pools[i]);
+	}
+	for (unsigned int i = 0; i < this->replica_count; i++)
+		replica_delete(this, this->replicas[i]);
+	for (unsigned int i = 0; i < this->workspace_count; i++)
+		allocator_delete(allocator, this->workspaces[i]);
+	for (unsigned int i = 1; i < this->members.count; i++)
+		allocator_delete(allocator, this->peers[i]);
+	allocator_delete(allocator, this->pools);
+	allocator_delete(allocator, this->replicas);
+	allocator_delete(allocator, this->workspaces);
+	allocator_delete(allocator, this->peers);
+	members_clear(&this->members);
+	allocator_delete(allocator, this);
+}
+
+unsigned int node_add_peer(node_t *this, id_t32 peer)
+{
+	unsigned int slot;
+
+	if (this->members.count == this->options.max_members)
+		abort(); /* max_members is the embedder's promise */
+	slot = members_add(&this->members, peer);
+	if (!this->peers[slot])
+		this->peers[slot] = allocator_new(this->allocator, 1, sizeof(peer_t));
+	return slot;
+}
+
+/* --- the plan --------------------------------------------------------- */
+
+/* Puts `item` at `at` in a list of pointers. */
+static void *insert_at(
+	const node_t *this, void *list, unsigned int count, unsigned int at, void *item)
+{
+	void **grown =
+		allocator_grow(this->allocator, list, count, (size_t)count + 1, sizeof(void *));
+
+	memmove(grown + at + 1, grown + at, (count - at) * sizeof(void *));
+	grown[at] = item;
+	return grown;
+}
+
+static void set_workspace(node_t *this, const plan_workspace_t *plan)
+{
+	workspace_share_t *workspace = node_find_workspace(this, plan->id);
+
+	if (!workspace) {
+		workspace = allocator_new(this->allocator, 1, sizeof(*workspace));
+		workspace->id = plan->id;
+		workspace->index = this->workspace_count;
+		this->workspaces = insert_at(this, this->workspaces, this->workspace_count,
+			workspace_position(this, plan->id), workspace);
+		this->workspace_count++;
+	}
+	workspace->weight = plan->weight;
+}
+
+static void set_pool(node_t *this, const plan_pool_t *plan)
+{
+	pool_t *pool = node_find_pool(this, plan->id);
+
+	if (!pool) {
+		pool = allocator_new(this->allocator, 1, sizeof(*pool));
+		pool->id = plan->id;
+		CDS_INIT_LIST_HEAD(&pool->listed);
+		pool->peers = allocator_new(
+			this->allocator, this->options.max_members, sizeof(*pool->peers));
+		this->pools =
+			insert_at(this, this->pools, this->pool_count, this->pool_count, pool);
+		this->pool_count++;
+	}
+	pool->long_cost = plan->long_cost;
+	pool->long_share = plan->long_share;
+	pool->is_retired = false;
+}
+
+static replica_t *replica_new(node_t *this, id_t32 id)
+{
+	replica_t *replica = allocator_new(this->allocator, 1, sizeof(*replica));
+
+	replica->id = id;
+	replica->holds =
+		allocator_new(this->allocator, this->options.max_members, sizeof(*replica->holds));
+	replica->unseen =
+		allocator_new(this->allocator, this->options.max_members, sizeof(*replica->unseen));
+	replica->owner = MEMBER_MAX;
+	return replica;
+}
+
+static void set_replica(node_t *this, const plan_replica_t *plan)
+{
+	replica_t *replica = node_find_replica(this, plan->id);
+	pool_t *pool = node_find_pool(this, plan->pool);
+
+	if (!pool)
+		return;
+	if (!replica) {
+		replica = replica_new(this, plan->id);
+		this->replicas = insert_at(this, this->replicas, this->replica_count,
+			replica_position(this, plan->id), replica);
+		this->replica_count++;
+		pool_add_replica(pool, this->allocator, replica);
+	}
+	replica->slots = plan->slots;
+	replica->is_retired = false;
+}
+
+static void pump(node_t *this, pool_t *pool, instant_t now)
+{
+	this->policy->pump(this, pool, now);
+}
+
+static void pump_all(node_t *this, instant_t now)
+{
+	for (unsigned int i = 0; i < this->pool_count; i++)
+		pump(this, this->pools[i], now);
+}
+
+void node_set_plan(node_t *this, const plan_t *plan, instant_t now)
+{
+	if (plan->version < this->plan_version)
+		return;
+	for (unsigned int i = 0; i < this->pool_count; i++)
+		this->pools[i]->is_retired = true;
+	for (unsigned int i = 0; i < this->replica_count; i++)
+		this->replicas[i]->is_retired = true;
+	for (unsigned int i = 0; i < this->workspace_count; i++)
+		this->workspaces[i]->weight = 0;
+	for (unsigned int i = 0; i < plan->workspace_count; i++)
+		set_workspace(this, &plan->workspaces[i]);
+	for (unsigned int i = 0; i < plan->pool_count; i++)
+		set_pool(this, &plan->pools[i]);
+	for (unsigned int i = 0; i < plan->replica_count; i++)
+		set_replica(this, &plan->replicas[i]);
+	this->plan_version = plan->version;
+	if (plan->version > this->known_version)
+		this->known_version = plan->version;
+	owner_view_changed(this, now);
+	pump_all(this, now);
+}
+
+void node_set_listed_gone(node_t *this, id_t32 router, bool gone)
+{
+	int slot = members_find(&this->members, router);
+
+	if (slot > 0)
+		members_set_listed_gone(&this->members, (unsigned int)slot, gone);
+}
+
+void node_set_leaving(node_t *this, id_t32 id, bool leaving, instant_t now)
+{
+	replica_t *replica = node_find_replica(this, id);
+
+	if (!replica || replica->is_listed_leaving == leaving)
+		return;
+	replica->is_listed_leaving = leaving;
+	for (unsigned int slot = 1; leaving && slot < this->members.count; slot++)
+		node_send_by(this, slot, now);
+	router_give_back(this, replica, replica_idle(replica), now);
+}
+
+void node_load_report(node_t *this, id_t32 id, unsigned int running, instant_t now)
+{
+	replica_t *replica = node_find_replica(this, id);
+
+	if (!replica)
+		return;
+	replica->reported_running = running;
+	replica->sent_since_report = 0;
+	pump(this, replica->pool, now);
+}
+
+void node_stop(node_t *this, instant_t now)
+{
+	this->is_stopping = true;
+	members_set_stopping(&this->members, 0, true);
+	for (unsigned int slot = 1; slot < this->members.count; slot++)
+		node_send_by(this, slot, now);
+	owner_view_changed(this, now);
+	pump_all(this, now);
+}
+
+unsigned int node_replica_limit(const node_t *this, const replica_t *replica, instant_t now)
+{
+	unsigned int alive = members_alive(&this->members);
+	unsigned int expected = members_expected(&this->members);
+	double median = pool_median_pace(replica->pool);
+	unsigned int limit = limit_slots(&replica->limit, replica->slots, median, now);
+
+	/* More of the fleet is out of sight than in it: others may own this replica too. */
+	if (alive * 2 <= expected && expected > 1)
+		limit = limit * alive / expected;
+	return limit ? limit : 1;
+}
+
+/* --- requests --------------------------------------------------------- */
+
+void node_arrive(node_t *this, node_request_t *request, instant_t now)
+{
+	pool_t *pool = node_find_pool(this, request->pool);
+	lane_t *lane = node_find_lane(this, request->pool, request->workspace);
+
+	this->stats.arrived++;
+	request->arrived = now;
+	request->lane = lane;
+	request->bound_owner = MEMBER_MAX;
+	if (!lane || !pool_has_replica(pool, now)) {
+		router_reject(this, request, REASON_NO_ENDPOINT, 1);
+		return;
+	}
+	if (router_is_overloaded(lane, request, now)) {
+		router_reject(this, request, REASON_OVERLOADED, router_retry_after(lane, now));
+		return;
+	}
+	router_enqueue(this, request, now);
+	pump(this, pool, now);
+}
+
+void node_progress(node_t *this, node_request_t *request, uint32_t cost, double pace, instant_t now)
+{
+	replica_t *replica = request->replica;
+
+	limit_observe(&replica->limit, pace, now);
+	if (cost > request->charged) {
+		share_charge(request->lane, (int64_t)cost - request->charged);
+		request->charged = cost;
+	}
+	if (request->work_class == WORK_SHORT && cost > request->lane->pool->long_cost) {
+		request->work_class = WORK_LONG;
+		replica->busy_long++;
+	}
+}
+
+static void learn(lane_t *lane, const node_request_t *request, uint32_t cost)
+{
+	double ratio = request->hint ? (double)cost / request->hint : lane->cost_ratio;
+
+	lane->mean_cost += COST_WEIGHT * (cost - lane->mean_cost);
+	lane->cost_ratio += COST_WEIGHT * (ratio - lane->cost_ratio);
+	if (lane->cost_ratio < MIN_RATIO)
+		lane->cost_ratio = MIN_RATIO;
+	if (lane->cost_ratio > MAX_RATIO)
+		lane->cost_ratio = MAX_RATIO;
+}
+
+/* A replica that failed rests for a while, longer each time. */
+static void note_health(replica_t *replica, end_kind_t kind, instant_t now)
+{
+	unsigned int doublings;
+
+	if (kind == END_DONE)
+		replica->failures = 0;
+	if (kind != END_REFUSED && kind != END_BROKEN)
+		return;
+	doublings = replica->failures < DOWN_DOUBLINGS ? replica->failures : DOWN_DOUBLINGS;
+	replica->failures++;
+	if (kind == END_REFUSED || replica->failures > 1)
+		replica->down_until = now + (DOWN_FIRST << doublings);
+	if (kind == END_REFUSED)
+		limit_observe(
+			&replica->limit, DOWN_PACE_FACTOR * pool_median_pace(replica->pool), now);
+}
+
+void node_end(node_t *this, node_request_t *request, end_kind_t kind, uint32_t cost, instant_t now)
+{
+	replica_t *replica = request->replica;
+	lane_t *lane = request->lane;
+
+	if (kind == END_REFUSED)
+		cost = 0;
+	share_charge(lane, (int64_t)cost - request->charged);
+	if (kind == END_DONE)
+		learn(lane, request, cost);
+	note_health(replica, kind, now);
+	replica->busy--;
+	replica->busy_long -= request->work_class == WORK_LONG;
+	this->running--;
+	request->state = REQUEST_OVER;
+	this->policy->freed(this, replica, now);
+	pump(this, replica->pool, now);
+}
+
+void node_cancel(node_t *this, node_request_t *request, instant_t now)
+{
+	if (request->state != REQUEST_WAITING)
+		return;
+	router_dequeue(request);
+	request->state = REQUEST_OVER;
+	pump(this, request->lane->pool, now);
+}
+
+/* --- time ------------------------------------------------------------- */
+
+static bool lane_is_told(const node_t *this, const lane_t *lane)
+{
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		const lane_demand_t *demand = lane->demand ? &lane->demand[i] : NULL;
+
+		if (!member_is_alive(&this->members.list[i]))
+			continue;
+		if (lane->peers[i].told_served != (uint32_t)lane->own_served)
+			return false;
+		if (demand && memcmp(demand->asked, demand->told_asked, sizeof(demand->asked)))
+			return false;
+	}
+	return true;
+}
+
+/* What has been told to everybody needs no more looking at. */
+static void sweep(node_t *this, pool_t *pool)
+{
+	lane_t *lane;
+	lane_t *after;
+
+	cds_list_for_each_entry_safe (lane, after, &pool->listed, link) {
+		if (!lane->is_awake && lane_is_told(this, lane))
+			lane_unlist(lane);
+	}
+}
+
+static void tick_members(node_t *this, instant_t now)
+{
+	bool was_alive[MEMBER_MAX];
+
+	for (unsigned int i = 0; i < this->members.count; i++)
+		was_alive[i] = member_is_alive(&this->members.list[i]);
+	members_tick(&this->members, now);
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		if (was_alive[i] && !member_is_alive(&this->members.list[i]))
+			owner_forget(this, i);
+	}
+	if (this->owned_view != this->members.view)
+		owner_view_changed(this, now);
+}
+
+static instant_t tick_peers(node_t *this, instant_t now)
+{
+	instant_t next = INSTANT_NEVER;
+
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		node_action_t action = {.kind = ACTION_SEND, .slot = i};
+		peer_t *peer = this->peers[i];
+
+		if (peer->send_queued)
+			continue;
+		if (peer->send_at > now) {
+			next = instant_min(next, peer->send_at);
+			continue;
+		}
+		peer->send_queued = true;
+		node_push(this, &action);
+	}
+	return next;
+}
+
+instant_t node_tick(node_t *this, instant_t now)
+{
+	instant_t next = now + SWEEP_INTERVAL;
+
+	if (now >= this->next_sweep) {
+		this->next_sweep = now + SWEEP_INTERVAL;
+		tick_members(this, now);
+		for (unsigned int i = 0; i < this->pool_count; i++) {
+			pump(this, this->pools[i], now);
+			sweep(this, this->pools[i]);
+		}
+	}
+	for (unsigned int i = 0; i < this->pool_count; i++)
+		router_expire(this, this->pools[i], now, &next);
+	return instant_min(next, tick_peers(this, now));
+}
+
+/* --- looking in ------------------------------------------------------- */
+
+unsigned int node_waiting(const node_t *this)
+{
+	unsigned int waiting = 0;
+
+	for (unsigned int i = 0; i < this->pool_count; i++)
+		waiting += this->pools[i]->waiting;
+	return waiting;
+}
+
+unsigned int node_running(const node_t *this)
+{
+	return this->running;
+}
+
+const node_stats_t *node_stats(const node_t *this)
+{
+	return &this->stats;
+}
+
+const members_t *node_members(const node_t *this)
+{
+	return &this->members;
+}
+
+uint64_t node_known_version(const node_t *this)
+{
+	return this->known_version;
+}
+
+void node_each_lane(const node_t *this,
+	void (*each)(void *ctx, id_t32 pool, id_t32 workspace, double level, unsigned int waiting),
+	void *ctx)
+{
+	for (unsigned int i = 0; i < this->pool_count; i++) {
+		const pool_t *pool = this->pools[i];
+
+		for (unsigned int w = 0; w < pool->lane_capacity; w++) {
+			const lane_t *lane = pool->lanes[w];
+
+			if (lane)
+				each(ctx, pool->id, lane->workspace->id, share_level(lane),
+					lane_waiting(lane));
+		}
+	}
+}
--- /dev/null
+++ b/src/core/node_owner.c
@@ -0,0 +1,373 @@
+#include "core/node_internal.h"
+
+#include <string.h>
+
+#define REBUILD_TIME (400 * USEC_PER_MSEC)
+#define LEND_DIVISOR 4	       /* of the even share of a router, lent ahead of need */
+#define LEND_RESERVE_DIVISOR 4 /* of the slots, kept back from lending */
+#define CLEAR_DELAY (5 * USEC_PER_MSEC)
+
+static unsigned int outstanding(const node_t *this, const replica_t *replica)
+{
+	unsigned int total = 0;
+
+	for (unsigned int i = 0; i < this->members.count; i++)
+		total += replica->holds[i].held + replica->unseen[i];
+	return total;
+}
+
+static unsigned int free_slots(const node_t *this, const replica_t *replica, instant_t now)
+{
+	unsigned int limit;
+	unsigned int out;
+
+	if (replica->owner || now < replica->rebuild_until || !replica_is_usable(replica, now))
+		return 0;
+	limit = node_replica_limit(this, replica, now);
+	out = outstanding(this, replica);
+	return limit > out ? limit - out : 0;
+}
+
+static replica_t *freest(const node_t *this, const pool_t *pool, instant_t now)
+{
+	replica_t *best = NULL;
+	double best_room = 0;
+
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		replica_t *replica = pool->replicas[i];
+		double room = (double)free_slots(this, replica, now) / replica->slots;
+
+		if (room > best_room) {
+			best = replica;
+			best_room = room;
+		}
+	}
+	return best;
+}
+
+typedef struct owned {
+	unsigned int slots;
+	unsigned int free;
+	unsigned int out_long;
+} owned_t;
+
+static owned_t count_owned(const node_t *this, const pool_t *pool, instant_t now)
+{
+	owned_t owned = {0};
+
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		const replica_t *replica = pool->replicas[i];
+
+		if (replica->owner || !replica_is_usable(replica, now))
+			continue;
+		owned.slots += replica->slots;
+		owned.free += free_slots(this, replica, now);
+		owned.out_long += replica->unseen_long;
+		for (unsigned int s = 0; s < this->members.count; s++)
+			owned.out_long += replica->holds[s].held_long;
+	}
+	return owned;
+}
+
+static bool long_allowed(const pool_t *pool, const owned_t *owned)
+{
+	return owned->out_long == 0 || owned->out_long * 100 < owned->slots * pool->long_share;
+}
+
+static lane_t *next_lane(const pool_t *pool, bool allow_long, work_class_t *work_class)
+{
+	lane_t *best = NULL;
+	double best_level = 0;
+	lane_t *lane;
+
+	cds_list_for_each_entry (lane, &pool->listed, link) {
+		bool wants_long = allow_long && lane->wanted_count[WORK_LONG];
+		double level = share_level(lane);
+
+		if (!lane->wanted_count[WORK_SHORT] && !wants_long)
+			continue;
+		if (best && level >= best_level)
+			continue;
+		best = lane;
+		best_level = level;
+		*work_class = lane->wanted_count[WORK_SHORT] ? WORK_SHORT : WORK_LONG;
+	}
+	return best;
+}
+
+static unsigned int still_wanted(const lane_demand_t *demand, work_class_t c)
+{
+	return demand->wanted[c] > demand->unseen[c] ? demand->wanted[c] - demand->unseen[c] : 0;
+}
+
+/* Changes the demand of one router and keeps the lane's sum in step. */
+static void adjust(lane_t *lane, unsigned int slot, work_class_t c, int wanted, int unseen)
+{
+	lane_demand_t *demand = &lane->demand[slot];
+
+	lane->wanted_count[c] -= still_wanted(demand, c);
+	demand->wanted[c] = (uint16_t)(demand->wanted[c] + wanted);
+	demand->unseen[c] = (uint16_t)(demand->unseen[c] + unseen);
+	lane->wanted_count[c] += still_wanted(demand, c);
+	if (lane_wanted(lane))
+		share_wake(lane);
+	else if (!lane_waiting(lane))
+		share_sleep(lane);
+}
+
+void owner_set_wanted(
+	node_t *this, lane_t *lane, unsigned int slot, const uint32_t wanted[WORK_CLASSES])
+{
+	lane_demand_t *demand = lane_demand(lane, this->allocator, this->options.max_members);
+
+	for (int c = 0; c < WORK_CLASSES; c++) {
+		int capped = wanted[c] > UINT16_MAX ? UINT16_MAX : (int)wanted[c];
+
+		adjust(lane, slot, (work_class_t)c, capped - demand[slot].wanted[c], 0);
+	}
+}
+
+void owner_set_hold(replica_t *replica, unsigned int slot, const hold_entry_t *hold)
+{
+	replica->holds[slot] = *hold;
+}
+
+static int next_router(node_t *this, lane_t *lane, work_class_t c)
+{
+	unsigned int count = this->members.count;
+
+	for (unsigned int k = 0; k < count; k++) {
+		unsigned int slot = (lane->next_router + k) % count;
+
+		if (!still_wanted(&lane->demand[slot], c))
+			continue;
+		lane->next_router = (slot + 1) % count;
+		return (int)slot;
+	}
+	return -1;
+}
+
+/* Remembers a grant until it is acknowledged. */
+static void log_grant(peer_t *peer, const grant_record_t *record)
+{
+	unsigned int at = (peer->grants.first + peer->grants.count) % GRANT_LOG_SIZE;
+
+	peer->grants.entry[at] = *record;
+	peer->grants.count++;
+}
+
+static bool has_room(const peer_t *peer)
+{
+	return peer->grants.count < GRANT_LOG_SIZE && peer->pending_count < MESSAGE_MAX_ENTRIES;
+}
+
+static void give(node_t *this, unsigned int slot, replica_t *replica, lane_t *lane,
+	work_class_t work_class, instant_t now)
+{
+	grant_entry_t grant = {
+		.replica = replica->id,
+		.workspace = lane ? lane->workspace->id : 0,
+		.work_class = work_class,
+		.count = 1,
+	};
+	grant_record_t record = {
+		.replica = replica, .lane = lane, .work_class = work_class, .count = 1};
+	peer_t *peer = this->peers[slot];
+
+	this->stats.grants_sent++;
+	if (!slot) {
+		router_take_grant(this, 0, &grant, now);
+		return;
+	}
+	record.seq = ++peer->grant_seq;
+	log_grant(peer, &record);
+	peer->pending[peer->pending_count++] = grant;
+	replica->unseen[slot]++;
+	if (lane) {
+		replica->unseen_long += work_class == WORK_LONG;
+		lane->provisional += (uint64_t)lane->mean_cost;
+		adjust(lane, slot, work_class, 0, 1);
+	} else {
+		replica->pool->peers[slot].unseen_open++;
+	}
+	node_send_by(this, slot, now);
+}
+
+static void forget_grant(node_t *this, unsigned int slot, const grant_record_t *record)
+{
+	replica_t *replica = record->replica;
+	lane_t *lane = record->lane;
+
+	if (replica->unseen[slot])
+		replica->unseen[slot]--;
+	if (!lane) {
+		pool_peer_t *peer = &replica->pool->peers[slot];
+
+		peer->unseen_open -= peer->unseen_open > 0;
+		return;
+	}
+	if (record->work_class == WORK_LONG && replica->unseen_long)
+		replica->unseen_long--;
+	if (lane->provisional >= (uint64_t)lane->mean_cost)
+		lane->provisional -= (uint64_t)lane->mean_cost;
+	else
+		lane->provisional = 0;
+	if (lane->demand[slot].unseen[record->work_class])
+		adjust(lane, slot, record->work_class, 0, -1);
+}
+
+void owner_acknowledge(node_t *this, unsigned int slot, uint64_t seq)
+{
+	peer_t *peer = this->peers[slot];
+
+	while (peer->grants.count) {
+		grant_record_t *record = &peer->grants.entry[peer->grants.first];
+
+		if (record->seq > seq)
+			return;
+		forget_grant(this, slot, record);
+		peer->grants.first = (peer->grants.first + 1) % GRANT_LOG_SIZE;
+		peer->grants.count--;
+	}
+}
+
+void owner_forget(node_t *this, unsigned int slot)
+{
+	static const uint32_t none[WORK_CLASSES];
+
+	owner_acknowledge(this, slot, UINT64_MAX);
+	this->peers[slot]->pending_count = 0;
+	for (unsigned int i = 0; i < this->replica_count; i++) {
+		memset(&this->replicas[i]->holds[slot], 0, sizeof(hold_entry_t));
+		this->replicas[i]->unseen[slot] = 0;
+	}
+	for (unsigned int i = 0; i < this->pool_count; i++) {
+		pool_t *pool = this->pools[i];
+
+		memset(&pool->peers[slot], 0, sizeof(pool_peer_t));
+		for (unsigned int w = 0; w < pool->lane_capacity; w++) {
+			if (pool->lanes[w] && pool->lanes[w]->demand)
+				owner_set_wanted(this, pool->lanes[w], slot, none);
+		}
+	}
+}
+
+static void grant_wanted(node_t *this, pool_t *pool, instant_t now)
+{
+	for (;;) {
+		owned_t owned = count_owned(this, pool, now);
+		work_class_t work_class = WORK_SHORT;
+		replica_t *replica = freest(this, pool, now);
+		lane_t *lane;
+		int slot;
+
+		if (!replica)
+			return;
+		lane = next_lane(pool, long_allowed(pool, &owned), &work_class);
+		if (!lane)
+			return;
+		slot = next_router(this, lane, work_class);
+		if (slot < 0 || (slot && !has_room(this->peers[slot])))
+			return;
+		share_advance(lane);
+		give(this, (unsigned int)slot, replica, lane, work_class, now);
+	}
+}
+
+static unsigned int lent_to(const pool_t *pool, unsigned int slot)
+{
+	unsigned int lent = pool->peers[slot].unseen_open;
+
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		if (!pool->replicas[i]->owner)
+			lent += pool->replicas[i]->holds[slot].idle;
+	}
+	return lent;
+}
+
+/* Slots that nobody asks for stand ready at the routers, so that a request need not ask. */
+static void lend(node_t *this, pool_t *pool, instant_t now)
+{
+	owned_t owned = count_owned(this, pool, now);
+	unsigned int alive = members_alive(&this->members);
+	unsigned int allowance = owned.slots / (LEND_DIVISOR * alive);
+	unsigned int reserve = owned.slots / LEND_RESERVE_DIVISOR;
+
+	if (!allowance)
+		allowance = 1;
+	for (unsigned int slot = 0; slot < this->members.count; slot++) {
+		const member_t *member = &this->members.list[slot];
+
+		if (!member_is_alive(member) || member->stopping)
+			continue;
+		for (unsigned int lent = lent_to(pool, slot); lent < allowance; lent++) {
+			replica_t *replica = owned.free > reserve ? freest(this, pool, now) : NULL;
+
+			if (!replica || (slot && !has_room(this->peers[slot])))
+				return;
+			give(this, slot, replica, NULL, WORK_SHORT, now);
+			owned.free--;
+		}
+	}
+}
+
+/* Routers that keep idle slots of ours, or wait, hear when the need begins and ends. */
+static void tell_contended(node_t *this, pool_t *pool, bool contended, instant_t now)
+{
+	pool->is_contended = contended;
+	for (unsigned int slot = 1; slot < this->members.count; slot++) {
+		pool_peer_t *peer = &pool->peers[slot];
+
+		if (peer->told_contended == contended ||
+			!member_is_alive(&this->members.list[slot]))
+			continue;
+		node_send_by(this, slot, contended ? now : now + CLEAR_DELAY);
+	}
+	if (contended)
+		router_give_back_idle(this, pool, 0, now);
+}
+
+static bool is_wanted(const pool_t *pool)
+{
+	lane_t *lane;
+
+	cds_list_for_each_entry (lane, &pool->listed, link) {
+		if (lane_wanted(lane))
+			return true;
+	}
+	return false;
+}
+
+void owner_pump(node_t *this, pool_t *pool, instant_t now)
+{
+	bool contended;
+
+	if (!this->policy->has_owners)
+		return;
+	grant_wanted(this, pool, now);
+	contended = is_wanted(pool);
+	if (contended != pool->is_contended) {
+		tell_contended(this, pool, contended, now);
+		if (contended)
+			grant_wanted(this, pool, now);
+	}
+	if (!contended && this->policy->lends)
+		lend(this, pool, now);
+}
+
+/* Works out the owners anew; what changes hands is reported and rebuilt. */
+void owner_view_changed(node_t *this, instant_t now)
+{
+	for (unsigned int i = 0; i < this->replica_count; i++) {
+		replica_t *replica = this->replicas[i];
+		unsigned int owner = members_owner(&this->members, replica->id);
+
+		if (owner == replica->owner)
+			continue;
+		replica->owner = owner;
+		replica->rebuild_until = now + REBUILD_TIME;
+		memset(replica->holds, 0, this->options.max_members * sizeof(*replica->holds));
+		router_report(this, replica, now, now);
+	}
+	this->owned_view = this->members.view;
+}
--- /dev/null
+++ b/src/core/node_router.c
@@ -0,0 +1,492 @@
+#include "core/node_internal.h"
+
+#define ASK_DELAY (1 * USEC_PER_MSEC)
+#define REPORT_DELAY (20 * USEC_PER_MSEC)
+#define MAX_ASKED_PER_LANE 64
+#define MAX_WAITING_PER_LANE 4096
+#define CONTENDED_PENALTY 4.0
+#define IDLE_KEPT_DIVISOR 4 /* one router keeps at most a quarter of its even share idle */
+#define BORROW_DIVISOR 2    /* of an even share, while the owner is silent */
+#define DRAIN_INTERVAL (1 * USEC_PER_SEC)
+#define DRAIN_WEIGHT 0.5
+#define MIN_DRAINED 4
+#define MAX_RETRY_AFTER_S 120
+
+static node_request_t *lane_head(lane_t *lane, work_class_t work_class)
+{
+	if (cds_list_empty(&lane->waiting[work_class]))
+		return NULL;
+	return cds_list_first_entry(&lane->waiting[work_class], node_request_t, link);
+}
+
+/* The class whose head waits longest; WORK_CLASSES when none may start. */
+static work_class_t lane_next_class(lane_t *lane, bool allow_long)
+{
+	node_request_t *short_head = lane_head(lane, WORK_SHORT);
+	node_request_t *long_head = allow_long ? lane_head(lane, WORK_LONG) : NULL;
+
+	if (!short_head && !long_head)
+		return WORK_CLASSES;
+	if (!long_head)
+		return WORK_SHORT;
+	if (!short_head)
+		return WORK_LONG;
+	return short_head->arrived <= long_head->arrived ? WORK_SHORT : WORK_LONG;
+}
+
+lane_t *router_next_lane(pool_t *pool, bool allow_long, work_class_t *work_class)
+{
+	lane_t *best = NULL;
+	double best_level = 0;
+	lane_t *lane;
+
+	cds_list_for_each_entry (lane, &pool->listed, link) {
+		work_class_t next = lane_next_class(lane, allow_long);
+		double level = share_level(lane);
+
+		if (next == WORK_CLASSES || (best && level >= best_level))
+			continue;
+		best = lane;
+		best_level = level;
+		*work_class = next;
+	}
+	return best;
+}
+
+bool router_long_allowed(const pool_t *pool)
+{
+	unsigned int held = 0;
+	unsigned int busy_long = 0;
+
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		held += pool->replicas[i]->held;
+		busy_long += pool->replicas[i]->busy_long;
+	}
+	return busy_long == 0 || busy_long * 100 < held * pool->long_share;
+}
+
+static void count_drained(lane_t *lane, instant_t now)
+{
+	double seconds;
+
+	lane->drained++;
+	if (!lane->drain_until) {
+		lane->drain_until = now + DRAIN_INTERVAL;
+		return;
+	}
+	if (now < lane->drain_until)
+		return;
+	seconds = (double)(now - lane->drain_until + DRAIN_INTERVAL) / USEC_PER_SEC;
+	if (lane->drain_rate > 0)
+		lane->drain_rate += DRAIN_WEIGHT * (lane->drained / seconds - lane->drain_rate);
+	else
+		lane->drain_rate = lane->drained / seconds;
+	lane->drained = 0;
+	lane->drain_until = now + DRAIN_INTERVAL;
+}
+
+static uint32_t predict_cost(const lane_t *lane, const node_request_t *request)
+{
+	double cost = request->hint ? request->hint * lane->cost_ratio : lane->mean_cost;
+
+	return cost < 1 ? 1 : (uint32_t)cost;
+}
+
+void router_enqueue(node_t *this, node_request_t *request, instant_t now)
+{
+	lane_t *lane = request->lane;
+	uint32_t predicted = predict_cost(lane, request);
+
+	request->work_class = predicted > lane->pool->long_cost ? WORK_LONG : WORK_SHORT;
+	request->state = REQUEST_WAITING;
+	cds_list_add_tail(&request->link, &lane->waiting[request->work_class]);
+	lane->waiting_count[request->work_class]++;
+	lane->pool->waiting++;
+	share_wake(lane);
+}
+
+void router_dequeue(node_request_t *request)
+{
+	lane_t *lane = request->lane;
+
+	cds_list_del(&request->link);
+	lane->waiting_count[request->work_class]--;
+	lane->pool->waiting--;
+	if (!lane_waiting(lane) && !lane_wanted(lane))
+		share_sleep(lane);
+}
+
+void router_reject(
+	node_t *this, node_request_t *request, reason_t reason, unsigned int retry_after_s)
+{
+	node_action_t action = {
+		.kind = ACTION_REJECT,
+		.request = request,
+		.reason = reason,
+		.retry_after_s = retry_after_s,
+	};
+
+	request->state = REQUEST_OVER;
+	this->stats.rejected++;
+	node_push(this, &action);
+}
+
+void router_start(
+	node_t *this, lane_t *lane, work_class_t work_class, replica_t *replica, instant_t now)
+{
+	node_request_t *request = lane_head(lane, work_class);
+	node_action_t action = {
+		.kind = ACTION_START,
+		.request = request,
+		.replica = replica->id,
+	};
+
+	share_advance(lane);
+	router_dequeue(request);
+	request->charged = predict_cost(lane, request);
+	request->replica = replica;
+	request->state = REQUEST_RUNNING;
+	request->started = now;
+	share_charge(lane, request->charged);
+	count_drained(lane, now);
+	replica->busy++;
+	replica->busy_long += work_class == WORK_LONG;
+	replica->sent_since_report++;
+	prefix_memory_add(&replica->prefixes, request->prefix);
+	this->running++;
+	this->stats.started++;
+	node_push(this, &action);
+}
+
+/* More is better: a cached prefix first, then a quick replica, then room. */
+static double idle_score(const replica_t *replica, uint64_t prefix, double median, instant_t now)
+{
+	double score = 1.0 / limit_slowness(&replica->limit, median, now);
+
+	if (prefix_memory_has(&replica->prefixes, prefix))
+		score += 0.5;
+	return score + 0.01 * replica_idle(replica);
+}
+
+/* While the owner is silent, a small fixed share may be used without asking. */
+static void borrow(node_t *this, replica_t *replica, instant_t now)
+{
+	const member_t *owner = &this->members.list[replica->owner];
+	unsigned int share;
+
+	if (owner->state != MEMBER_SUSPECT)
+		return;
+	share = replica->slots / (BORROW_DIVISOR * members_expected(&this->members));
+	if (!share)
+		share = 1;
+	if (replica->held < share)
+		replica->held = share;
+}
+
+static replica_t *idle_replica(node_t *this, pool_t *pool, uint64_t prefix, instant_t now)
+{
+	double median = pool_median_pace(pool);
+	replica_t *best = NULL;
+	double best_score = 0;
+
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		replica_t *replica = pool->replicas[i];
+		double score;
+
+		if (!replica_is_usable(replica, now))
+			continue;
+		borrow(this, replica, now);
+		if (!replica_idle(replica))
+			continue;
+		score = idle_score(replica, prefix, median, now);
+		if (!best || score > best_score) {
+			best = replica;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+void router_use_idle(node_t *this, pool_t *pool, instant_t now)
+{
+	while (pool->waiting) {
+		work_class_t work_class = WORK_SHORT;
+		lane_t *lane = router_next_lane(pool, router_long_allowed(pool), &work_class);
+		replica_t *replica;
+
+		if (!lane)
+			return;
+		replica = idle_replica(this, pool, lane_head(lane, work_class)->prefix, now);
+		if (!replica)
+			return;
+		router_start(this, lane, work_class, replica, now);
+		router_report(this, replica, now + REPORT_DELAY, now);
+	}
+}
+
+/* What router_ask() weighs for each owner. */
+typedef struct owner_view {
+	unsigned int slots;
+	unsigned int asked;
+	bool contended;
+} owner_view_t;
+
+static void view_owners(node_t *this, pool_t *pool, owner_view_t *owners, instant_t now)
+{
+	lane_t *lane;
+
+	for (unsigned int i = 0; i < this->members.count; i++)
+		owners[i] = (owner_view_t){
+			.contended = i ? pool->peers[i].contended : pool->is_contended};
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		replica_t *replica = pool->replicas[i];
+
+		if (replica_is_usable(replica, now) &&
+			this->members.list[replica->owner].state == MEMBER_ALIVE)
+			owners[replica->owner].slots += replica->slots;
+	}
+	cds_list_for_each_entry (lane, &pool->listed, link) {
+		for (unsigned int i = 0; lane->demand && i < this->members.count; i++)
+			owners[i].asked += lane->demand[i].asked[WORK_SHORT] +
+					   lane->demand[i].asked[WORK_LONG];
+	}
+}
+
+static double owner_burden(const owner_view_t *owner, unsigned int more)
+{
+	double burden = (double)(owner->asked + more) / owner->slots;
+
+	return owner->contended ? burden * CONTENDED_PENALTY : burden;
+}
+
+/* The owner where one more request would wait least, -1 when there is none. */
+static int least_burdened(node_t *this, const owner_view_t *owners)
+{
+	unsigned int start = (unsigned int)(node_random(this) % this->members.count);
+	int best = -1;
+
+	for (unsigned int k = 0; k < this->members.count; k++) {
+		unsigned int i = (start + k) % this->members.count;
+
+		if (!owners[i].slots)
+			continue;
+		if (best < 0 || owner_burden(&owners[i], 1) < owner_burden(&owners[best], 1))
+			best = (int)i;
+	}
+	return best;
+}
+
+/* The owner where an ask of the lane is worth least, -1 when it asks nowhere. */
+static int most_burdened(
+	node_t *this, const lane_t *lane, work_class_t c, const owner_view_t *owners)
+{
+	int best = -1;
+
+	for (unsigned int i = 0; i < this->members.count; i++) {
+		if (!lane->demand[i].asked[c])
+			continue;
+		if (!owners[i].slots)
+			return (int)i;
+		if (best < 0 || owner_burden(&owners[i], 0) > owner_burden(&owners[best], 0))
+			best = (int)i;
+	}
+	return best;
+}
+
+static unsigned int lane_asked(node_t *this, const lane_t *lane, work_class_t c)
+{
+	unsigned int asked = 0;
+
+	for (unsigned int i = 0; i < this->members.count; i++)
+		asked += lane->demand[i].asked[c];
+	return asked;
+}
+
+/* Passes on what changed at the owner in `slot`; the own owner side hears at once. */
+static void tell_asked(node_t *this, lane_t *lane, unsigned int slot, instant_t now)
+{
+	lane_demand_t *demand = &lane->demand[slot];
+	uint32_t wanted[WORK_CLASSES] = {demand->asked[WORK_SHORT], demand->asked[WORK_LONG]};
+
+	if (slot)
+		node_send_by(this, slot, now + ASK_DELAY);
+	else
+		owner_set_wanted(this, lane, 0, wanted);
+}
+
+static void move_ask(node_t *this, lane_t *lane, work_class_t c, owner_view_t *owners, int slot,
+	int step, instant_t now)
+{
+	lane->demand[slot].asked[c] = (uint16_t)(lane->demand[slot].asked[c] + step);
+	owners[slot].asked += (unsigned int)step;
+	tell_asked(this, lane, (unsigned int)slot, now);
+}
+
+static void ask_for_lane(
+	node_t *this, lane_t *lane, work_class_t c, owner_view_t *owners, instant_t now)
+{
+	unsigned int want = lane->waiting_count[c];
+	unsigned int asked;
+	int from;
+	int to;
+
+	if (want > MAX_ASKED_PER_LANE)
+		want = MAX_ASKED_PER_LANE;
+	if (!want && !lane->demand)
+		return;
+	lane_demand(lane, this->allocator, this->options.max_members);
+	asked = lane_asked(this, lane, c);
+	for (; asked > want; asked--) {
+		from = most_burdened(this, lane, c, owners);
+		move_ask(this, lane, c, owners, from, -1, now);
+	}
+	for (; asked < want; asked++) {
+		to = least_burdened(this, owners);
+		if (to < 0)
+			return;
+		move_ask(this, lane, c, owners, to, 1, now);
+	}
+	/* One step towards an owner that has room, or away from one that is gone. */
+	from = most_burdened(this, lane, c, owners);
+	to = least_burdened(this, owners);
+	if (from < 0 || to < 0 || from == to)
+		return;
+	if (owners[from].slots && (owners[to].contended || !owners[from].contended))
+		return;
+	move_ask(this, lane, c, owners, from, -1, now);
+	move_ask(this, lane, c, owners, to, 1, now);
+}
+
+void router_ask(node_t *this, pool_t *pool, instant_t now)
+{
+	owner_view_t owners[MEMBER_MAX];
+	lane_t *lane;
+
+	if (cds_list_empty(&pool->listed))
+		return;
+	view_owners(this, pool, owners, now);
+	cds_list_for_each_entry (lane, &pool->listed, link) {
+		for (int c = 0; c < WORK_CLASSES; c++)
+			ask_for_lane(this, lane, (work_class_t)c, owners, now);
+	}
+}
+
+void router_report(node_t *this, replica_t *replica, instant_t at, instant_t now)
+{
+	hold_entry_t hold = {
+		.replica = replica->id,
+		.held = replica->held,
+		.idle = replica_idle(replica),
+		.held_long = replica->busy_long,
+	};
+
+	if (!this->policy->has_owners)
+		return;
+	if (replica->owner == 0) {
+		owner_set_hold(replica, 0, &hold);
+		return;
+	}
+	replica->report_due = true;
+	node_send_by(this, replica->owner, at);
+}
+
+void router_give_back(node_t *this, replica_t *replica, unsigned int count, instant_t now)
+{
+	bool contended = replica->owner ? replica->pool->peers[replica->owner].contended : true;
+
+	if (!count)
+		return;
+	replica->held -= count;
+	this->stats.grants_returned += count;
+	router_report(this, replica, contended ? now + ASK_DELAY : now + REPORT_DELAY, now);
+}
+
+void router_give_back_idle(node_t *this, pool_t *pool, unsigned int slot, instant_t now)
+{
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		if (pool->replicas[i]->owner == slot)
+			router_give_back(
+				this, pool->replicas[i], replica_idle(pool->replicas[i]), now);
+	}
+}
+
+/* A grant answers one ask, whether or not something still waits for it. */
+static void settle_ask(node_t *this, lane_t *lane, work_class_t c, unsigned int from)
+{
+	lane_demand_t *demand = lane_demand(lane, this->allocator, this->options.max_members);
+
+	if (demand[from].asked[c])
+		demand[from].asked[c]--;
+	if (!from)
+		tell_asked(this, lane, 0, 0);
+}
+
+void router_take_grant(node_t *this, unsigned int from, const grant_entry_t *grant, instant_t now)
+{
+	replica_t *replica = node_find_replica(this, grant->replica);
+	work_class_t work_class = grant->work_class == WORK_LONG ? WORK_LONG : WORK_SHORT;
+	lane_t *lane;
+
+	if (!replica)
+		return;
+	replica->held += grant->count;
+	this->stats.grants_received += grant->count;
+	router_report(this, replica, now + REPORT_DELAY, now);
+	lane = grant->workspace ? node_find_lane(this, replica->pool->id, grant->workspace) : NULL;
+	for (unsigned int i = 0; lane && i < grant->count; i++) {
+		settle_ask(this, lane, work_class, from);
+		if (lane_head(lane, work_class) && replica_is_usable(replica, now))
+			router_start(this, lane, work_class, replica, now);
+	}
+}
+
+/* Where the drain is known: will the request's turn come after its deadline? */
+bool router_is_overloaded(const lane_t *lane, const node_request_t *request, instant_t now)
+{
+	unsigned int waiting = lane_waiting(lane);
+	double seconds_left = (double)instant_left(request->deadline, now) / USEC_PER_SEC;
+
+	if (waiting >= MAX_WAITING_PER_LANE)
+		return true;
+	if (lane->drain_rate <= 0 || waiting < MIN_DRAINED)
+		return false;
+	return waiting / lane->drain_rate > seconds_left;
+}
+
+/* Callers that were refused and told when to come back hold a place in line. */
+unsigned int router_retry_after(lane_t *lane, instant_t now)
+{
+	double rate = lane->drain_rate > 0 ? lane->drain_rate : 1.0;
+	double gone = (double)instant_left(now, lane->promised_at) / USEC_PER_SEC * rate;
+	double seconds;
+
+	lane->promised = lane->promised > gone ? lane->promised - gone : 0;
+	lane->promised += 1;
+	lane->promised_at = now;
+	seconds = (lane_waiting(lane) / 2.0 + lane->promised) / rate;
+	if (seconds > MAX_RETRY_AFTER_S)
+		return MAX_RETRY_AFTER_S;
+	return (unsigned int)seconds + 1;
+}
+
+void router_expire(node_t *this, pool_t *pool, instant_t now, instant_t *next)
+{
+	lane_t *lane;
+
+	cds_list_for_each_entry (lane, &pool->listed, link) {
+		for (int c = 0; c < WORK_CLASSES; c++) {
+			node_request_t *request;
+			node_request_t *after;
+
+			cds_list_for_each_entry_safe (request, after, &lane->waiting[c], link) {
+				if (request->deadline > now) {
+					*next = instant_min(*next, request->deadline);
+					continue;
+				}
+				router_dequeue(request);
+				router_reject(this, request, REASON_DEADLINE,
+					router_retry_after(lane, now));
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/core/order.c
@@ -0,0 +1,164 @@
+#include "core/order.h"
+
+#include <string.h>
+
+void order_init(order_t *this, uint64_t attempt, uint64_t body_hash)
+{
+	memset(this, 0, sizeof(*this));
+	this->attempt = attempt;
+	this->body_hash = body_hash;
+	this->step = STEP_CLAIM;
+}
+
+static order_action_t end(order_t *this, reason_t reason)
+{
+	this->step = STEP_ENDED;
+	this->reason = reason;
+	return ORDER_DO_ANSWER;
+}
+
+static order_action_t claim(order_t *this, uint64_t expected)
+{
+	this->step = STEP_CLAIM;
+	this->expected = expected;
+	return ORDER_DO_CLAIM;
+}
+
+order_verdict_t order_judge(const order_row_t *row, uint64_t body_hash, reason_t *reason)
+{
+	*reason = REASON_NONE;
+	if (row->state == ROW_ABSENT)
+		return ORDER_FREE;
+	if (row->body_hash != body_hash) {
+		*reason = REASON_KEY_CONFLICT;
+		return ORDER_REFUSE;
+	}
+	switch (row->state) {
+	case ROW_WITHDRAWN:
+		return ORDER_FREE;
+	case ROW_DONE:
+		return ORDER_REPLAY;
+	case ROW_STARTED:
+		*reason = row->holder_is_alive ? REASON_IN_PROGRESS : REASON_MAY_HAVE_RUN;
+		return ORDER_REFUSE;
+	default:
+		*reason = REASON_MAY_HAVE_RUN;
+		return ORDER_REFUSE;
+	}
+}
+
+static order_action_t judge_row(order_t *this, const order_row_t *row)
+{
+	reason_t reason;
+
+	switch (order_judge(row, this->body_hash, &reason)) {
+	case ORDER_FREE:
+		return claim(this, row->version);
+	case ORDER_REPLAY:
+		end(this, REASON_NONE);
+		return ORDER_DO_REPLAY;
+	default:
+		return end(this, reason);
+	}
+}
+
+/* The store is out of reach: nothing was sent, so the order has not run. */
+static order_action_t give_up_claim(order_t *this)
+{
+	this->withdraw = true;
+	return end(this, REASON_STORE_DOWN);
+}
+
+static order_action_t claim_lost(order_t *this)
+{
+	if (++this->tries >= ORDER_STORE_TRIES)
+		return give_up_claim(this);
+	this->step = STEP_CHECK_CLAIM;
+	return ORDER_DO_READ;
+}
+
+static order_action_t claimed(order_t *this, uint64_t version)
+{
+	this->step = STEP_SEND;
+	this->expected = version;
+	this->tries = 0;
+	return ORDER_DO_SEND;
+}
+
+static order_action_t step_claim(order_t *this, order_event_t event, const order_row_t *row)
+{
+	switch (event) {
+	case ORDER_BEGIN:
+		return claim(this, 0);
+	case ORDER_WRITTEN:
+		return claimed(this, row->version);
+	case ORDER_CONFLICT:
+		this->step = STEP_CHECK_CLAIM;
+		return ORDER_DO_READ;
+	default:
+		return claim_lost(this);
+	}
+}
+
+static order_action_t step_check_claim(order_t *this, order_event_t event, const order_row_t *row)
+{
+	if (event != ORDER_ROW)
+		return claim_lost(this);
+	if (row->state == ROW_STARTED && row->attempt == this->attempt)
+		return claimed(this, row->version);
+	if (++this->tries >= ORDER_STORE_TRIES)
+		return give_up_claim(this);
+	return judge_row(this, row);
+}
+
+static order_action_t step_send(order_t *this, order_event_t event)
+{
+	switch (event) {
+	case ORDER_ANSWERED:
+		this->step = STEP_FINISH;
+		return ORDER_DO_FINISH;
+	case ORDER_NOT_SENT:
+		this->withdraw = true;
+		return end(this, REASON_ENDPOINT_REFUSED);
+	default:
+		this->step = STEP_FINISH;
+		this->reason = REASON_MAY_HAVE_RUN;
+		return ORDER_DO_SETTLE;
+	}
+}
+
+/* The end is known whatever the store says; the caller gets it. */
+static order_action_t step_finish(order_t *this, order_event_t event)
+{
+	if (event != ORDER_WRITTEN && event != ORDER_CONFLICT) {
+		if (++this->tries < ORDER_STORE_TRIES)
+			return this->reason == REASON_NONE ? ORDER_DO_FINISH : ORDER_DO_SETTLE;
+		this->finish_later = true;
+	}
+	return end(this, this->reason);
+}
+
+order_action_t order_step(order_t *this, order_event_t event, const order_row_t *row)
+{
+	switch (this->step) {
+	case STEP_CLAIM:
+		return step_claim(this, event, row);
+	case STEP_CHECK_CLAIM:
+		return step_check_claim(this, event, row);
+	case STEP_SEND:
+		return step_send(this, event);
+	case STEP_FINISH:
+		return step_finish(this, event);
+	default:
+		return ORDER_DO_ANSWER;
+	}
+}
+
+bool order_withdraw(const order_t *this, const order_row_t *row, uint64_t *expected)
+{
+	*expected = row->version;
+	/* An absent row needs the tombstone too: our claim may still be under way. */
+	if (row->state == ROW_ABSENT)
+		return true;
+	return row->state == ROW_STARTED && row->attempt == this->attempt;
+}
--- /dev/null
+++ b/src/core/share.c
@@ -0,0 +1,70 @@
+#include "core/share.h"
+
+double share_level(const lane_t *lane)
+{
+	uint64_t served = lane->own_served + lane->former_served + lane->remote_served;
+	unsigned int weight = lane->workspace->weight ? lane->workspace->weight : 1;
+
+	return (double)(served + lane->provisional) / weight + lane->lift;
+}
+
+void share_wake(lane_t *lane)
+{
+	double behind = lane->pool->virtual_time - share_level(lane);
+
+	lane_list(lane);
+	if (lane->is_awake)
+		return;
+	lane->is_awake = true;
+	if (behind > 0)
+		lane->lift += behind;
+}
+
+void share_sleep(lane_t *lane)
+{
+	lane->is_awake = false;
+}
+
+void share_charge(lane_t *lane, int64_t cost)
+{
+	lane_list(lane);
+	if (cost < 0 && (uint64_t)-cost > lane->own_served)
+		lane->own_served = 0;
+	else
+		lane->own_served += (uint64_t)cost;
+}
+
+void share_advance(lane_t *lane)
+{
+	double level = share_level(lane);
+
+	if (level > lane->pool->virtual_time)
+		lane->pool->virtual_time = level;
+}
+
+void share_hear(lane_t *lane, unsigned int slot, uint64_t cost)
+{
+	lane_peer_t *peer = &lane->peers[slot];
+	int32_t step = (int32_t)((uint32_t)cost - peer->served);
+
+	peer->served = (uint32_t)cost;
+	if (step < 0 && (uint64_t) - (int64_t)step > lane->remote_served)
+		lane->remote_served = 0;
+	else
+		lane->remote_served += (uint64_t)(int64_t)step;
+}
+
+void share_peer_restarted(lane_t *lane, unsigned int slot)
+{
+	lane_peer_t *peer = &lane->peers[slot];
+
+	peer->former += peer->served;
+	peer->served = 0;
+	peer->told_served = 0;
+}
+
+void share_former(lane_t *lane, uint64_t cost)
+{
+	if (cost > lane->former_served)
+		lane->former_served = cost;
+}
--- /dev/null
+++ b/src/core/share.h
@@ -0,0 +1,29 @@
+#ifndef CORE_SHARE_H
+#define CORE_SHARE_H
+/*
+ * share - who is next: the lane that has been served least for its weight
+ *
+ * A lane's level is the cost that the whole fleet has served it, over its
+ * weight, plus a lift.  Each router counts only what it served itself; the
+ * others' counters arrive in messages.  A lane that wakes from idleness is
+ * lifted to the pool's virtual time, so that idleness banks no credit.
+ */
+#include "core/pool.h"
+
+double share_level(const lane_t *lane);
+/* The lane has work waiting, here or at a peer. */
+void share_wake(lane_t *lane);
+/* Nothing of it waits any more. */
+void share_sleep(lane_t *lane);
+/* This router serves `cost` more, or less when a prediction is corrected. */
+void share_charge(lane_t *lane, int64_t cost);
+/* The pool's virtual time follows the lane that is served next. */
+void share_advance(lane_t *lane);
+/* The counter of the peer in `slot` now stands at `cost`. */
+void share_hear(lane_t *lane, unsigned int slot, uint64_t cost);
+/* The peer in `slot` restarted: its counter begins again at nothing. */
+void share_peer_restarted(lane_t *lane, unsigned int slot);
+/* A peer remembers `cost` of this router's earlier incarnations. */
+void share_former(lane_t *lane, uint64_t cost);
+
+#endif
--- /dev/null
+++ b/src/daemon/cancel_watch.c
@@ -0,0 +1,162 @@
+#include "daemon/cancel_watch.h"
+
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+
+#include "edge/http_exchange.h"
+
+#define POLL_PAUSE (50 * USEC_PER_MSEC)
+#define CANCEL_TIMEOUT_MS 1000
+
+typedef struct watched {
+	uint64_t number;
+	int fd;
+	char *endpoint;
+	char *request_id;
+	bool gone;
+	bool told;
+} watched_t;
+
+struct cancel_watch {
+	GMutex lock;
+	GCond wake;
+	GHashTable *watched; /* number -> watched_t */
+	uint64_t next;
+	bool quit;
+	pthread_t thread;
+};
+
+static void watched_delete(void *data)
+{
+	watched_t *watched = data;
+
+	g_free(watched->endpoint);
+	g_free(watched->request_id);
+	g_free(watched);
+}
+
+bool caller_is_gone(int fd)
+{
+	struct pollfd item = {.fd = fd, .events = POLLRDHUP};
+
+	return poll(&item, 1, 0) > 0 && (item.revents & (POLLHUP | POLLRDHUP | POLLERR));
+}
+
+static void cancel(const char *endpoint, const char *request_id)
+{
+	char *path = g_strdup_printf("/v1/streams/%s/cancel", request_id);
+	GString *answer = g_string_new(NULL);
+	http_options_t options = {
+		.address = endpoint,
+		.method = "POST",
+		.path = path,
+		.connect_timeout_ms = CANCEL_TIMEOUT_MS,
+		.read_timeout_ms = CANCEL_TIMEOUT_MS,
+	};
+	int status;
+
+	http_call(&options, 4096, answer, &status);
+	g_string_free(answer, TRUE);
+	g_free(path);
+}
+
+/* The next one gone and not yet told; its texts are copied out. */
+static bool take_gone(cancel_watch_t *this, char **endpoint, char **request_id)
+{
+	GHashTableIter iter;
+	void *value;
+	bool found = false;
+
+	g_hash_table_iter_init(&iter, this->watched);
+	while (!found && g_hash_table_iter_next(&iter, NULL, &value)) {
+		watched_t *watched = value;
+
+		if (watched->told || !caller_is_gone(watched->fd))
+			continue;
+		watched->gone = true;
+		watched->told = true;
+		*endpoint = g_strdup(watched->endpoint);
+		*request_id = g_strdup(watched->request_id);
+		found = true;
+	}
+	return found;
+}
+
+static void *run(void *ctx)
+{
+	cancel_watch_t *this = ctx;
+
+	g_mutex_lock(&this->lock);
+	while (!this->quit) {
+		char *endpoint;
+		char *request_id;
+
+		if (!take_gone(this, &endpoint, &request_id)) {
+			g_cond_wait_until(&this->wake, &this->lock,
+				g_get_monotonic_time() + (gint64)POLL_PAUSE);
+			continue;
+		}
+		g_mutex_unlock(&this->lock);
+		cancel(endpoint, request_id);
+		g_free(endpoint);
+		g_free(request_id);
+		g_mutex_lock(&this->lock);
+	}
+	g_mutex_unlock(&this->lock);
+	return NULL;
+}
+
+cancel_watch_t *cancel_watch_new(void)
+{
+	cancel_watch_t *this = g_new0(cancel_watch_t, 1);
+
+	g_mutex_init(&this->lock);
+	g_cond_init(&this->wake);
+	this->watched = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, watched_delete);
+	pthread_create(&this->thread, NULL, run, this);
+	return this;
+}
+
+void cancel_watch_delete(cancel_watch_t *this)
+{
+	g_mutex_lock(&this->lock);
+	this->quit = true;
+	g_cond_signal(&this->wake);
+	g_mutex_unlock(&this->lock);
+	pthread_join(this->thread, NULL);
+	g_hash_table_destroy(this->watched);
+	g_cond_clear(&this->wake);
+	g_mutex_clear(&this->lock);
+	g_free(this);
+}
+
+uint64_t cancel_watch_add(
+	cancel_watch_t *this, int caller_fd, const char *endpoint, const char *request_id)
+{
+	watched_t *watched = g_new0(watched_t, 1);
+	uint64_t number;
+
+	watched->fd = caller_fd;
+	watched->endpoint = g_strdup(endpoint);
+	watched->request_id = g_strdup(request_id);
+	g_mutex_lock(&this->lock);
+	number = ++this->next;
+	watched->number = number;
+	g_hash_table_insert(this->watched, &watched->number, watched);
+	g_mutex_unlock(&this->lock);
+	return number;
+}
+
+bool cancel_watch_remove(cancel_watch_t *this, uint64_t number)
+{
+	watched_t *watched;
+	bool gone;
+
+	g_mutex_lock(&this->lock);
+	watched = g_hash_table_lookup(this->watched, &number);
+	gone = watched && watched->gone;
+	g_hash_table_remove(this->watched, &number);
+	g_mutex_unlock(&this->lock);
+	return gone;
+}
--- /dev/null
+++ b/src/daemon/decider.c
@@ -0,0 +1,580 @@
+#include "daemon/decider.h"
+
+#include <pthread.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "daemon/event_queue.h"
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "edge/message_codec.h"
+
+#define MAX_WAIT (1 * USEC_PER_SEC)
+
+typedef enum event_kind {
+	EVENT_ARRIVE,
+	EVENT_CANCEL,
+	EVENT_PROGRESS,
+	EVENT_END,
+	EVENT_DISCARD,
+	EVENT_TEXT,
+	EVENT_LEAVING,
+	EVENT_LISTED_GONE,
+	EVENT_LOAD,
+	EVENT_CUT,
+	EVENT_STOP_PLANNED,
+	EVENT_CALL,
+	EVENT_QUIT,
+	EVENT_KINDS,
+} event_kind_t;
+
+typedef struct event {
+	struct cds_wfcq_node queue_node;
+	event_kind_t kind;
+	ticket_t *ticket;
+	end_kind_t end;
+	uint32_t cost;
+	double pace;
+	id_t32 id;
+	bool flag;
+	fleet_text_t *text;
+	void (*call)(decider_t *this, GString *out);
+	GString *out;
+	int done_fd;
+} event_t;
+
+struct decider {
+	decider_options_t options;
+	node_t *node;
+	peer_socket_t *socket;
+	event_queue_t queue;
+	pthread_t thread;
+	bool quit;
+	message_t message;
+	char wire[MESSAGE_CODEC_MAX];
+	uint64_t bad_messages;
+	uint64_t forged_messages;
+
+	pthread_mutex_t view_lock;
+	member_view_t view[MEMBER_MAX];
+	unsigned int view_count;
+	uint64_t view_version;
+};
+
+/* --- events, in the deciding thread ----------------------------------- */
+
+static void on_arrive(decider_t *this, event_t *event, instant_t now)
+{
+	node_arrive(this->node, &event->ticket->node, now);
+}
+
+static void signal_ticket(ticket_t *ticket)
+{
+	event_fd_signal(ticket->decided_fd);
+}
+
+static void on_cancel(decider_t *this, event_t *event, instant_t now)
+{
+	ticket_t *ticket = event->ticket;
+
+	if (ticket->node.state != REQUEST_WAITING)
+		return; /* a decision is on its way already */
+	node_cancel(this->node, &ticket->node, now);
+	ticket->reason = REASON_CALLER_GONE;
+	signal_ticket(ticket);
+}
+
+static void on_progress(decider_t *this, event_t *event, instant_t now)
+{
+	node_progress(this->node, &event->ticket->node, event->cost, event->pace, now);
+}
+
+static void ticket_delete(ticket_t *ticket)
+{
+	close(ticket->decided_fd);
+	g_free(ticket);
+}
+
+static void on_end(decider_t *this, event_t *event, instant_t now)
+{
+	node_end(this->node, &event->ticket->node, event->end, event->cost, now);
+	ticket_delete(event->ticket);
+}
+
+static void on_discard(decider_t *this, event_t *event, instant_t now)
+{
+	ticket_delete(event->ticket);
+}
+
+static void on_text(decider_t *this, event_t *event, instant_t now)
+{
+	const fleet_text_t *text = event->text;
+	plan_pool_t *pools = g_new0(plan_pool_t, text->service_count + 1);
+	plan_replica_t *replicas = g_new0(plan_replica_t, text->endpoint_count + 1);
+	plan_workspace_t *workspaces = g_new0(plan_workspace_t, text->workspace_count + 1);
+	plan_t plan = {text->version, pools, text->service_count, replicas, text->endpoint_count,
+		workspaces, text->workspace_count};
+
+	for (unsigned int i = 0; i < text->service_count; i++)
+		pools[i] = (plan_pool_t){text->services[i].id, text->services[i].long_cost,
+			text->services[i].long_share};
+	for (unsigned int i = 0; i < text->endpoint_count; i++)
+		replicas[i] = (plan_replica_t){text->endpoints[i].id,
+			text->services[text->endpoints[i].service].id, text->endpoints[i].slots};
+	for (unsigned int i = 0; i < text->workspace_count; i++)
+		workspaces[i] =
+			(plan_workspace_t){text->workspaces[i].id, text->workspaces[i].weight};
+	node_set_plan(this->node, &plan, now);
+	g_free(pools);
+	g_free(replicas);
+	g_free(workspaces);
+	fleet_text_put(event->text);
+}
+
+static void on_leaving(decider_t *this, event_t *event, instant_t now)
+{
+	node_set_leaving(this->node, event->id, event->flag, now);
+}
+
+static void on_listed_gone(decider_t *this, event_t *event, instant_t now)
+{
+	node_set_listed_gone(this->node, event->id, event->flag);
+}
+
+static void on_load(decider_t *this, event_t *event, instant_t now)
+{
+	node_load_report(this->node, event->id, event->cost, now);
+}
+
+static void on_cut(decider_t *this, event_t *event, instant_t now)
+{
+	const router_settings_t *settings = this->options.settings;
+
+	for (unsigned int i = 0; i < settings->peer_count; i++) {
+		if (!event->id || name_id(settings->peers[i].name) == event->id)
+			peer_socket_cut(this->socket, i, event->flag);
+	}
+}
+
+static void on_stop_planned(decider_t *this, event_t *event, instant_t now)
+{
+	node_stop(this->node, now);
+}
+
+static void on_call(decider_t *this, event_t *event, instant_t now)
+{
+	event->call(this, event->out);
+	event_fd_signal(event->done_fd);
+}
+
+static void on_quit(decider_t *this, event_t *event, instant_t now)
+{
+	this->quit = true;
+}
+
+static void (*const on_event[EVENT_KINDS])(decider_t *, event_t *, instant_t) = {
+	[EVENT_ARRIVE] = on_arrive,
+	[EVENT_CANCEL] = on_cancel,
+	[EVENT_PROGRESS] = on_progress,
+	[EVENT_END] = on_end,
+	[EVENT_DISCARD] = on_discard,
+	[EVENT_TEXT] = on_text,
+	[EVENT_LEAVING] = on_leaving,
+	[EVENT_LISTED_GONE] = on_listed_gone,
+	[EVENT_LOAD] = on_load,
+	[EVENT_CUT] = on_cut,
+	[EVENT_STOP_PLANNED] = on_stop_planned,
+	[EVENT_CALL] = on_call,
+	[EVENT_QUIT] = on_quit,
+};
+
+/* --- actions ---------------------------------------------------------- */
+
+static ticket_t *ticket_of(node_request_t *request)
+{
+	return caa_container_of(request, ticket_t, node);
+}
+
+static void send_to(decider_t *this, unsigned int slot)
+{
+	size_t size;
+
+	node_message(this->node, slot, &this->message, clock_now());
+	size = message_encode(&this->message, this->wire);
+	peer_socket_send(this->socket, slot - 1, this->wire, size);
+}
+
+static void act(decider_t *this, const node_action_t *action)
+{
+	switch (action->kind) {
+	case ACTION_START:
+		ticket_of(action->request)->started = true;
+		ticket_of(action->request)->replica = action->replica;
+		signal_ticket(ticket_of(action->request));
+		break;
+	case ACTION_REJECT:
+		ticket_of(action->request)->reason = action->reason;
+		ticket_of(action->request)->retry_after_s = action->retry_after_s;
+		signal_ticket(ticket_of(action->request));
+		break;
+	case ACTION_SEND:
+		send_to(this, action->slot);
+		break;
+	case ACTION_FETCH_TEXT:
+		this->options.on_version(this->options.ctx, action->version);
+		break;
+	}
+}
+
+static void drain_actions(decider_t *this)
+{
+	node_action_t action;
+
+	while (node_next_action(this->node, &action))
+		act(this, &action);
+}
+
+static void drain_events(decider_t *this)
+{
+	struct cds_wfcq_node *queue_node;
+
+	event_fd_drain(this->queue.fd);
+	while ((queue_node = event_queue_pop(&this->queue))) {
+		event_t *event = caa_container_of(queue_node, event_t, queue_node);
+
+		on_event[event->kind](this, event, clock_now());
+		g_free(event);
+		drain_actions(this);
+	}
+}
+
+static void drain_messages(decider_t *this)
+{
+	id_t32 sender;
+	size_t size;
+
+	while (peer_socket_receive(this->socket, this->wire, sizeof(this->wire), &size, &sender)) {
+		if (!message_decode(this->wire, size, &this->message))
+			this->bad_messages++;
+		else if (this->message.from != sender)
+			this->forged_messages++;
+		else
+			node_hear(this->node, &this->message, clock_now());
+		drain_actions(this);
+	}
+}
+
+static void publish_view(decider_t *this)
+{
+	const members_t *members = node_members(this->node);
+
+	if (members->view == this->view_version)
+		return;
+	pthread_mutex_lock(&this->view_lock);
+	for (unsigned int i = 0; i < members->count; i++)
+		this->view[i] = (member_view_t){members->list[i].id,
+			i ? members->list[i].incarnation : this->options.incarnation,
+			member_is_alive(&members->list[i])};
+	this->view_count = members->count;
+	pthread_mutex_unlock(&this->view_lock);
+	this->view_version = members->view;
+}
+
+static void *run(void *ctx)
+{
+	decider_t *this = ctx;
+
+	while (!this->quit) {
+		instant_t now;
+		instant_t next;
+
+		drain_events(this);
+		drain_messages(this);
+		now = clock_now();
+		next = node_tick(this->node, now);
+		drain_actions(this);
+		publish_view(this);
+		if (next > now && !this->quit)
+			peer_socket_wait(this->socket, this->queue.fd,
+				next - now < MAX_WAIT ? next - now : MAX_WAIT);
+	}
+	return NULL;
+}
+
+/* --- life ------------------------------------------------------------- */
+
+static peer_socket_t *open_socket(const router_settings_t *settings)
+{
+	peer_address_t *peers = g_new0(peer_address_t, settings->peer_count + 1);
+	peer_socket_options_t options = {
+		.bind_address = settings->peer_address,
+		.public_key = settings->public_key,
+		.secret_key = settings->secret_key,
+		.peers = peers,
+		.peer_count = settings->peer_count,
+	};
+	peer_socket_t *socket;
+
+	for (unsigned int i = 0; i < settings->peer_count; i++)
+		peers[i] = (peer_address_t){name_id(settings->peers[i].name),
+			settings->peers[i].address, settings->peers[i].public_key};
+	socket = peer_socket_new(&options);
+	g_free(peers);
+	return socket;
+}
+
+decider_t *decider_new(const decider_options_t *options)
+{
+	const router_settings_t *settings = options->settings;
+	decider_t *this = g_new0(decider_t, 1);
+	node_options_t node_options = {
+		.self = name_id(settings->name),
+		.incarnation = options->incarnation,
+		.seed = options->seed,
+		.policy = settings->policy,
+		.max_members = settings->peer_count + 2,
+	};
+
+	this->options = *options;
+	pthread_mutex_init(&this->view_lock, NULL);
+	this->socket = open_socket(settings);
+	if (!this->socket) {
+		pthread_mutex_destroy(&this->view_lock);
+		g_free(this);
+		return NULL;
+	}
+	this->node = node_new(&node_options, clock_now());
+	for (unsigned int i = 0; i < settings->peer_count; i++)
+		node_add_peer(this->node, name_id(settings->peers[i].name));
+	event_queue_init(&this->queue);
+	pthread_create(&this->thread, NULL, run, this);
+	return this;
+}
+
+static event_t *event_new(event_kind_t kind)
+{
+	event_t *event = g_new0(event_t, 1);
+
+	event->kind = kind;
+	return event;
+}
+
+static void post(decider_t *this, event_t *event)
+{
+	event_queue_push(&this->queue, &event->queue_node);
+}
+
+void decider_delete(decider_t *this)
+{
+	if (!this)
+		return;
+	post(this, event_new(EVENT_QUIT));
+	pthread_join(this->thread, NULL);
+	node_delete(this->node);
+	peer_socket_delete(this->socket);
+	event_queue_clear(&this->queue);
+	pthread_mutex_destroy(&this->view_lock);
+	g_free(this);
+}
+
+/* --- calls from other threads ----------------------------------------- */
+
+ticket_t *ticket_new(void)
+{
+	ticket_t *ticket = g_new0(ticket_t, 1);
+
+	ticket->decided_fd = event_fd_new();
+	return ticket;
+}
+
+static void post_ticket(decider_t *this, event_kind_t kind, ticket_t *ticket)
+{
+	event_t *event = event_new(kind);
+
+	event->ticket = ticket;
+	post(this, event);
+}
+
+void decider_arrive(decider_t *this, ticket_t *ticket)
+{
+	post_ticket(this, EVENT_ARRIVE, ticket);
+}
+
+void decider_cancel(decider_t *this, ticket_t *ticket)
+{
+	post_ticket(this, EVENT_CANCEL, ticket);
+}
+
+void decider_progress(decider_t *this, ticket_t *ticket, uint32_t cost, double pace)
+{
+	event_t *event = event_new(EVENT_PROGRESS);
+
+	event->ticket = ticket;
+	event->cost = cost;
+	event->pace = pace;
+	post(this, event);
+}
+
+void decider_end(decider_t *this, ticket_t *ticket, end_kind_t kind, uint32_t cost)
+{
+	event_t *event = event_new(EVENT_END);
+
+	event->ticket = ticket;
+	event->end = kind;
+	event->cost = cost;
+	post(this, event);
+}
+
+void decider_discard(decider_t *this, ticket_t *ticket)
+{
+	post_ticket(this, EVENT_DISCARD, ticket);
+}
+
+void decider_set_text(decider_t *this, fleet_text_t *text)
+{
+	event_t *event = event_new(EVENT_TEXT);
+
+	event->text = fleet_text_get(text);
+	post(this, event);
+}
+
+static void post_flag(decider_t *this, event_kind_t kind, id_t32 id, bool flag)
+{
+	event_t *event = event_new(kind);
+
+	event->id = id;
+	event->flag = flag;
+	post(this, event);
+}
+
+void decider_set_leaving(decider_t *this, id_t32 replica, bool leaving)
+{
+	post_flag(this, EVENT_LEAVING, replica, leaving);
+}
+
+void decider_set_listed_gone(decider_t *this, id_t32 router, bool gone)
+{
+	post_flag(this, EVENT_LISTED_GONE, router, gone);
+}
+
+void decider_cut(decider_t *this, id_t32 peer, bool cut)
+{
+	post_flag(this, EVENT_CUT, peer, cut);
+}
+
+void decider_load_report(decider_t *this, id_t32 replica, unsigned int running)
+{
+	event_t *event = event_new(EVENT_LOAD);
+
+	event->id = replica;
+	event->cost = running;
+	post(this, event);
+}
+
+void decider_stop_planned(decider_t *this)
+{
+	post(this, event_new(EVENT_STOP_PLANNED));
+}
+
+bool decider_is_alive(decider_t *this, id_t32 id, uint64_t incarnation)
+{
+	bool alive = false;
+
+	pthread_mutex_lock(&this->view_lock);
+	for (unsigned int i = 0; i < this->view_count; i++) {
+		if (this->view[i].id == id)
+			alive = this->view[i].alive && this->view[i].incarnation == incarnation;
+	}
+	pthread_mutex_unlock(&this->view_lock);
+	return alive;
+}
+
+static void call_in_thread(decider_t *this, void (*call)(decider_t *, GString *), GString *out)
+{
+	struct pollfd done = {.fd = event_fd_new(), .events = POLLIN};
+	event_t *event = event_new(EVENT_CALL);
+
+	event->call = call;
+	event->out = out;
+	event->done_fd = done.fd;
+	post(this, event);
+	while (poll(&done, 1, -1) < 1)
+		;
+	event_fd_drain(done.fd);
+	close(done.fd);
+}
+
+static const char *member_state_name(const member_t *member)
+{
+	static const char *const names[] = {"unheard", "alive", "suspect", "dead"};
+
+	return names[member->state];
+}
+
+static void append_lane(
+	void *ctx, id_t32 pool, id_t32 workspace, double level, unsigned int waiting)
+{
+	GString *out = ctx;
+
+	g_string_append_printf(out,
+		"%s{\"pool\":%u,\"workspace\":%u,\"level\":%.1f,\"waiting\":%u}",
+		out->str[out->len - 1] == '[' ? "" : ",", pool, workspace, level, waiting);
+}
+
+static void write_status(decider_t *this, GString *out)
+{
+	const members_t *members = node_members(this->node);
+
+	g_string_append_printf(out,
+		"\"waiting\":%u,\"running\":%u,\"known_version\":%" G_GUINT64_FORMAT
+		",\"members\":[",
+		node_waiting(this->node), node_running(this->node), node_known_version(this->node));
+	for (unsigned int i = 1; i < members->count; i++)
+		g_string_append_printf(out, "%s{\"name\":\"%s\",\"state\":\"%s\"}",
+			i > 1 ? "," : "", this->options.settings->peers[i - 1].name,
+			member_state_name(&members->list[i]));
+	g_string_append(out, "],\"lanes\":[");
+	node_each_lane(this->node, append_lane, out);
+	g_string_append_c(out, ']');
+}
+
+void decider_status(decider_t *this, GString *out)
+{
+	call_in_thread(this, write_status, out);
+}
+
+static void metric(GString *out, const char *name, uint64_t value)
+{
+	g_string_append_printf(out, "amaranthwall_%s %" G_GUINT64_FORMAT "\n", name, value);
+}
+
+static void write_metrics(decider_t *this, GString *out)
+{
+	const node_stats_t *stats = node_stats(this->node);
+	const peer_socket_stats_t *socket = peer_socket_stats(this->socket);
+
+	metric(out, "requests_arrived_total", stats->arrived);
+	metric(out, "requests_started_total", stats->started);
+	metric(out, "requests_rejected_total", stats->rejected);
+	metric(out, "requests_waiting", node_waiting(this->node));
+	metric(out, "requests_running", node_running(this->node));
+	metric(out, "grants_sent_total", stats->grants_sent);
+	metric(out, "grants_received_total", stats->grants_received);
+	metric(out, "grants_returned_total", stats->grants_returned);
+	metric(out, "members_alive", members_alive(node_members(this->node)));
+	metric(out, "peer_messages_sent_total", socket->sent);
+	metric(out, "peer_messages_received_total", socket->received);
+	metric(out, "peer_bytes_sent_total", socket->sent_bytes);
+	metric(out, "peer_bytes_received_total", socket->received_bytes);
+	metric(out, "peer_messages_not_sent_total", socket->not_sent);
+	metric(out, "peer_keys_refused_total", socket->refused_keys);
+	metric(out, "peer_messages_bad_total", this->bad_messages);
+	metric(out, "peer_messages_forged_total", this->forged_messages);
+	metric(out, "peer_messages_old_total", stats->dropped_messages);
+}
+
+void decider_metrics(decider_t *this, GString *out)
+{
+	call_in_thread(this, write_metrics, out);
+}
--- /dev/null
+++ b/src/daemon/event_queue.c
@@ -0,0 +1,70 @@
+#include "daemon/event_queue.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+/* The race detector can't see through liburcu's inline assembly. */
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *address);
+void __tsan_release(void *address);
+#define HANDOVER_ACQUIRE(address) __tsan_acquire(address)
+#define HANDOVER_RELEASE(address) __tsan_release(address)
+#else
+#define HANDOVER_ACQUIRE(address) ((void)(address))
+#define HANDOVER_RELEASE(address) ((void)(address))
+#endif
+
+int event_fd_new(void)
+{
+	int fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+
+	if (fd < 0)
+		abort(); /* no descriptor left: nothing could be decided any more */
+	return fd;
+}
+
+void event_fd_signal(int fd)
+{
+	uint64_t one = 1;
+	ssize_t written = write(fd, &one, sizeof(one));
+
+	(void)written; /* full means signalled already */
+}
+
+void event_fd_drain(int fd)
+{
+	uint64_t count;
+	ssize_t got = read(fd, &count, sizeof(count));
+
+	(void)got; /* empty means drained already */
+}
+
+void event_queue_init(event_queue_t *this)
+{
+	cds_wfcq_init(&this->head, &this->tail);
+	this->fd = event_fd_new();
+}
+
+void event_queue_clear(event_queue_t *this)
+{
+	close(this->fd);
+}
+
+void event_queue_push(event_queue_t *this, struct cds_wfcq_node *node)
+{
+	cds_wfcq_node_init(node);
+	HANDOVER_RELEASE(node);
+	cds_wfcq_enqueue(&this->head, &this->tail, node);
+	event_fd_signal(this->fd);
+}
+
+struct cds_wfcq_node *event_queue_pop(event_queue_t *this)
+{
+	struct cds_wfcq_node *node = __cds_wfcq_dequeue_blocking(&this->head, &this->tail);
+
+	if (node)
+		HANDOVER_ACQUIRE(node);
+	return node;
+}
--- /dev/null
+++ b/src/daemon/router.c
@@ -0,0 +1,151 @@
+#include "daemon/router.h"
+
+#include <urcu/uatomic.h>
+
+#include "daemon/operator_port.h"
+#include "edge/clock.h"
+#include "edge/http_exchange.h"
+#include "edge/log.h"
+#include "filter/accept.h"
+
+#define STOP_POLL_MS 10
+#define STOP_NOTICE_MS 300 /* for the balancer to see that this router is unready */
+#define SETTLE_MS 5000
+
+static const char *const counter_names[COUNT_KINDS] = {
+	[COUNT_REQUESTS] = "caller_requests_total",
+	[COUNT_DONE] = "outcome_done_total",
+	[COUNT_NOT_RUN] = "outcome_not_run_total",
+	[COUNT_UNKNOWN] = "outcome_unknown_total",
+	[COUNT_RETRIES] = "endpoint_retries_total",
+	[COUNT_RESUMES] = "stream_resumes_total",
+	[COUNT_CROSSED] = "crossed_answers_total",
+	[COUNT_CALLERS_GONE] = "callers_gone_total",
+	[COUNT_ORDERS_REPLAYED] = "orders_replayed_total",
+};
+
+const char *router_counter_name(router_counter_t counter)
+{
+	return counter_names[counter];
+}
+
+void router_count(router_t *this, router_counter_t counter)
+{
+	uatomic_inc(&this->counters[counter]);
+}
+
+bool router_is_stopping(router_t *this)
+{
+	return uatomic_read(&this->stopping) != 0;
+}
+
+bool router_is_ready(router_t *this)
+{
+	return !router_is_stopping(this) && snapshot_version(&this->snapshot) != 0;
+}
+
+static void on_version(void *ctx, uint64_t version)
+{
+	router_t *this = ctx;
+
+	if (this->watcher)
+		watcher_hear_version(this->watcher, version);
+}
+
+static bool start_parts(router_t *this)
+{
+	const router_settings_t *settings = this->settings;
+	platform_http_options_t platform_options = {
+		settings->platform_address, settings->store_timeout_ms};
+	decider_options_t decider_options = {
+		.settings = settings,
+		.incarnation = this->incarnation,
+		.seed = this->incarnation,
+		.on_version = on_version,
+		.ctx = this,
+	};
+	watcher_options_t watcher_options = {.settings = settings, .snapshot = &this->snapshot};
+
+	this->platform = platform_http_new(&platform_options);
+	this->writer = (order_writer_t){this->platform, settings->name, this->incarnation};
+	this->decider = decider_new(&decider_options);
+	if (!this->decider) {
+		log_warn("start-failed", "what=peer_address address=%s", settings->peer_address);
+		return false;
+	}
+	this->settler = settler_new(&this->writer);
+	this->cancel_watch = cancel_watch_new();
+	watcher_options.platform = this->platform;
+	watcher_options.decider = this->decider;
+	this->watcher = watcher_new(&watcher_options);
+	this->operator_port = operator_port_new(this);
+	if (!this->operator_port) {
+		log_warn("start-failed", "what=operator_address address=%s",
+			settings->operator_address);
+		return false;
+	}
+	this->accept = accept_new(this);
+	if (!this->accept) {
+		log_warn(
+			"start-failed", "what=caller_address address=%s", settings->caller_address);
+		return false;
+	}
+	return true;
+}
+
+router_t *router_new(const router_settings_t *settings)
+{
+	router_t *this = g_new0(router_t, 1);
+
+	this->settings = settings;
+	this->incarnation = (uint64_t)g_get_real_time();
+	snapshot_init(&this->snapshot);
+	this->burn = burn_new();
+	if (!start_parts(this)) {
+		router_delete(this);
+		return NULL;
+	}
+	log_notice("started", "callers=%s operators=%s peers=%s domain=%s policy=%s",
+		settings->caller_address, settings->operator_address, settings->peer_address,
+		settings->failure_domain, settings->policy);
+	return this;
+}
+
+unsigned int router_stop(router_t *this)
+{
+	instant_t until = clock_now() + this->settings->drain_timeout_ms * USEC_PER_MSEC;
+	unsigned int left;
+
+	uatomic_set(&this->stopping, 1);
+	log_notice("stopping", "active=%d", uatomic_read(&this->active));
+	g_usleep(STOP_NOTICE_MS * USEC_PER_MSEC);
+	decider_stop_planned(this->decider);
+	while (uatomic_read(&this->active) && clock_now() < until)
+		g_usleep(STOP_POLL_MS * USEC_PER_MSEC);
+	left = (unsigned int)uatomic_read(&this->active);
+	accept_quiesce(this->accept);
+	g_usleep(STOP_POLL_MS * USEC_PER_MSEC);
+	left += settler_delete(this->settler, SETTLE_MS);
+	this->settler = NULL;
+	log_notice("stopped", "left=%u", left);
+	return left;
+}
+
+void router_delete(router_t *this)
+{
+	if (!this)
+		return;
+	accept_delete(this->accept);
+	operator_port_delete(this->operator_port);
+	if (this->watcher)
+		watcher_delete(this->watcher);
+	if (this->cancel_watch)
+		cancel_watch_delete(this->cancel_watch);
+	if (this->settler)
+		settler_delete(this->settler, 0);
+	decider_delete(this->decider);
+	platform_delete(this->platform);
+	burn_delete(this->burn);
+	snapshot_clear(&this->snapshot);
+	g_free(this);
+}
--- /dev/null
+++ b/src/daemon/watcher.c
@@ -0,0 +1,287 @@
+#include "daemon/watcher.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/http_exchange.h"
+#include "edge/log.h"
+#include "settings/text_row.h"
+
+#define FLEET_POLL (250 * USEC_PER_MSEC) /* between two polls of the whole fleet */
+#define RETRY_PAUSE (500 * USEC_PER_MSEC)
+#define LOAD_PAUSE (250 * USEC_PER_MSEC)
+#define PEER_TIMEOUT_MS 1000
+#define MAX_TEXT (16U << 20)
+
+struct watcher {
+	watcher_options_t options;
+	GMutex lock;
+	GCond wake;
+	uint64_t heard_version;
+	GHashTable *leaving; /* endpoint names */
+	bool quit;
+	pthread_t thread;
+	pthread_t load_thread;
+	bool polls_load;
+};
+
+/* --- the fleet text --------------------------------------------------- */
+
+static void apply(watcher_t *this, const text_row_t *row)
+{
+	faults_t faults;
+	fleet_text_t *text;
+
+	if (row->number <= snapshot_version(this->options.snapshot))
+		return;
+	faults_init(&faults, "fleet-text");
+	text = fleet_text_new(row->text, row->number, &faults);
+	if (!text) {
+		log_warn("text-refused", "version=%" G_GUINT64_FORMAT " faults=%u", row->number,
+			faults.count);
+	} else {
+		fleet_text_get(text);
+		if (snapshot_set(this->options.snapshot, text)) {
+			decider_set_text(this->options.decider, text);
+			log_notice("text-applied", "version=%" G_GUINT64_FORMAT, row->number);
+		}
+		fleet_text_put(text);
+	}
+	faults_clear(&faults);
+}
+
+static bool fetch_from_table(watcher_t *this)
+{
+	platform_t *platform = this->options.platform;
+	text_row_t text;
+	table_row_t row;
+	store_result_t result = platform->ops->read(platform, TEXT_KEY, &row);
+
+	if (result == STORE_OK && text_row_decode(row.value, &text)) {
+		apply(this, &text);
+		text_row_clear(&text);
+	}
+	if (result == STORE_OK)
+		table_row_clear(&row);
+	return result != STORE_LOST;
+}
+
+static bool fetch_from_peer(watcher_t *this, const peer_settings_t *peer)
+{
+	const router_settings_t *settings = this->options.settings;
+	char *bearer = g_strconcat("Bearer ", settings->operator_token, NULL);
+	http_header_t header = {"Authorization", bearer};
+	http_options_t options = {
+		.address = peer->operator_address,
+		.method = "GET",
+		.path = "/fleet/text",
+		.headers = &header,
+		.header_count = 1,
+		.connect_timeout_ms = PEER_TIMEOUT_MS,
+		.read_timeout_ms = PEER_TIMEOUT_MS,
+	};
+	GString *answer = g_string_new(NULL);
+	text_row_t row;
+	int status = 0;
+	bool good = http_call(&options, MAX_TEXT, answer, &status) == HTTP_OK && status == 200 &&
+		    text_row_decode(answer->str, &row);
+
+	if (good) {
+		apply(this, &row);
+		text_row_clear(&row);
+	}
+	g_string_free(answer, TRUE);
+	g_free(bearer);
+	return good;
+}
+
+static void fetch_from_peers(watcher_t *this)
+{
+	const router_settings_t *settings = this->options.settings;
+	uint64_t heard;
+
+	g_mutex_lock(&this->lock);
+	heard = this->heard_version;
+	g_mutex_unlock(&this->lock);
+	for (unsigned int i = 0; i < settings->peer_count; i++) {
+		uint64_t have = snapshot_version(this->options.snapshot);
+
+		if (have && have >= heard)
+			return;
+		fetch_from_peer(this, &settings->peers[i]);
+	}
+}
+
+/* --- the instance list ------------------------------------------------ */
+
+static bool router_is_listed(const GArray *instances, const char *name)
+{
+	for (unsigned int i = 0; i < instances->len; i++) {
+		if (!strcmp(g_array_index(instances, instance_t, i).name, name))
+			return true;
+	}
+	return false;
+}
+
+static void apply_instances(watcher_t *this, const GArray *instances)
+{
+	const router_settings_t *settings = this->options.settings;
+
+	g_mutex_lock(&this->lock);
+	g_hash_table_remove_all(this->leaving);
+	for (unsigned int i = 0; i < instances->len; i++) {
+		const instance_t *instance = &g_array_index(instances, instance_t, i);
+
+		if (instance->state == INSTANCE_LEAVING)
+			g_hash_table_add(this->leaving, g_strdup(instance->name));
+	}
+	g_mutex_unlock(&this->lock);
+	for (unsigned int i = 0; i < instances->len; i++) {
+		const instance_t *instance = &g_array_index(instances, instance_t, i);
+
+		decider_set_leaving(this->options.decider, name_id(instance->name),
+			instance->state == INSTANCE_LEAVING);
+	}
+	for (unsigned int i = 0; i < settings->peer_count && instances->len; i++)
+		decider_set_listed_gone(this->options.decider, name_id(settings->peers[i].name),
+			!router_is_listed(instances, settings->peers[i].name));
+}
+
+static void poll_instances(watcher_t *this)
+{
+	platform_t *platform = this->options.platform;
+	GArray *instances = instances_new();
+
+	if (platform->ops->instances(platform, instances) == STORE_OK)
+		apply_instances(this, instances);
+	g_array_unref(instances);
+}
+
+/* --- load reports, for the policy that chooses by them ------------------ */
+
+static void poll_load(watcher_t *this, const endpoint_t *endpoint)
+{
+	http_options_t options = {
+		.address = endpoint->address,
+		.method = "GET",
+		.path = "/load",
+		.connect_timeout_ms = PEER_TIMEOUT_MS,
+		.read_timeout_ms = PEER_TIMEOUT_MS,
+	};
+	GString *answer = g_string_new(NULL);
+	int status = 0;
+
+	if (http_call(&options, 4096, answer, &status) == HTTP_OK && status == 200) {
+		jsondoc_t *doc = jsondoc_new(answer->str, answer->len);
+
+		if (!doc->error)
+			decider_load_report(this->options.decider, endpoint->id,
+				(unsigned int)json_get_int(doc->root, "running", 0));
+		jsondoc_delete(doc);
+	}
+	g_string_free(answer, TRUE);
+}
+
+static bool sleep_until(watcher_t *this, instant_t at)
+{
+	bool quit;
+
+	g_mutex_lock(&this->lock);
+	while (!this->quit &&
+		g_cond_wait_until(&this->wake, &this->lock,
+			g_get_monotonic_time() + (gint64)instant_left(at, clock_now()))) {
+		if (this->heard_version > snapshot_version(this->options.snapshot))
+			break;
+	}
+	quit = this->quit;
+	g_mutex_unlock(&this->lock);
+	return !quit;
+}
+
+static void *run_load(void *ctx)
+{
+	watcher_t *this = ctx;
+	instant_t next = clock_now();
+
+	do {
+		fleet_text_t *text = snapshot_get(this->options.snapshot);
+
+		for (unsigned int i = 0; text && i < text->endpoint_count; i++)
+			poll_load(this, &text->endpoints[i]);
+		fleet_text_put(text);
+		next = clock_now() + LOAD_PAUSE;
+	} while (sleep_until(this, next));
+	return NULL;
+}
+
+/* --- the thread ------------------------------------------------------- */
+
+static void *run(void *ctx)
+{
+	watcher_t *this = ctx;
+	unsigned int routers = this->options.settings->peer_count + 1;
+	uint64_t interval = routers * FLEET_POLL;
+	instant_t next;
+
+	do {
+		bool reached = fetch_from_table(this);
+		uint64_t have;
+
+		if (!reached)
+			fetch_from_peers(this);
+		poll_instances(this);
+		have = snapshot_version(this->options.snapshot);
+		next = clock_now() + (reached && have ? interval : RETRY_PAUSE);
+	} while (sleep_until(this, next));
+	return NULL;
+}
+
+watcher_t *watcher_new(const watcher_options_t *options)
+{
+	watcher_t *this = g_new0(watcher_t, 1);
+
+	this->options = *options;
+	g_mutex_init(&this->lock);
+	g_cond_init(&this->wake);
+	this->leaving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	this->polls_load = !strcmp(options->settings->policy, "least");
+	pthread_create(&this->thread, NULL, run, this);
+	if (this->polls_load)
+		pthread_create(&this->load_thread, NULL, run_load, this);
+	return this;
+}
+
+void watcher_delete(watcher_t *this)
+{
+	g_mutex_lock(&this->lock);
+	this->quit = true;
+	g_cond_broadcast(&this->wake);
+	g_mutex_unlock(&this->lock);
+	pthread_join(this->thread, NULL);
+	if (this->polls_load)
+		pthread_join(this->load_thread, NULL);
+	g_hash_table_destroy(this->leaving);
+	g_cond_clear(&this->wake);
+	g_mutex_clear(&this->lock);
+	g_free(this);
+}
+
+void watcher_hear_version(watcher_t *this, uint64_t version)
+{
+	g_mutex_lock(&this->lock);
+	if (version > this->heard_version)
+		this->heard_version = version;
+	g_cond_broadcast(&this->wake);
+	g_mutex_unlock(&this->lock);
+}
+
+bool watcher_is_leaving(watcher_t *this, const char *endpoint)
+{
+	bool leaving;
+
+	g_mutex_lock(&this->lock);
+	leaving = g_hash_table_contains(this->leaving, endpoint);
+	g_mutex_unlock(&this->lock);
+	return leaving;
+}
--- /dev/null
+++ b/src/edge/peer_socket.c
@@ -0,0 +1,257 @@
+#include "edge/peer_socket.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define QUEUE_LIMIT 64
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 1000
+#define MAX_MESSAGE 65536
+#define HANDSHAKE_MS 5000
+#define KEY_SIZE 32
+#define Z85_KEY_SIZE 41
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define ZAP_FRAMES 16
+
+typedef struct peer_link {
+	peer_address_t address;
+	uint8_t key[KEY_SIZE];
+	void *push;
+	bool cut;
+} peer_link_t;
+
+struct peer_socket {
+	void *context;
+	void *pull;
+	void *zap;
+	peer_link_t *links;
+	unsigned int count;
+	peer_socket_stats_t stats;
+};
+
+static void set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void set_common(void *socket)
+{
+	set_int(socket, ZMQ_LINGER, 0);
+	set_int(socket, ZMQ_SNDHWM, QUEUE_LIMIT);
+	set_int(socket, ZMQ_RCVHWM, QUEUE_LIMIT * 4);
+	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+}
+
+static bool bind_pull(peer_socket_t *this, const peer_socket_options_t *options)
+{
+	char *endpoint = g_strdup_printf("tcp://%s", options->bind_address);
+	int64_t max = MAX_MESSAGE;
+	bool bound;
+
+	this->pull = zmq_socket(this->context, ZMQ_PULL);
+	set_common(this->pull);
+	set_int(this->pull, ZMQ_CURVE_SERVER, 1);
+	zmq_setsockopt(this->pull, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+	zmq_setsockopt(this->pull, ZMQ_CURVE_SECRETKEY, options->secret_key,
+		strlen(options->secret_key) + 1);
+	bound = zmq_bind(this->pull, endpoint) == 0;
+	g_free(endpoint);
+	return bound;
+}
+
+static bool connect_link(
+	peer_socket_t *this, peer_link_t *link, const peer_socket_options_t *options)
+{
+	char *endpoint = g_strdup_printf("tcp://%s", link->address.address);
+	bool connected;
+
+	link->push = zmq_socket(this->context, ZMQ_PUSH);
+	set_common(link->push);
+	set_int(link->push, ZMQ_IMMEDIATE, 1);
+	set_int(link->push, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_int(link->push, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	zmq_setsockopt(link->push, ZMQ_CURVE_SERVERKEY, link->address.public_key, Z85_KEY_SIZE);
+	zmq_setsockopt(link->push, ZMQ_CURVE_PUBLICKEY, options->public_key, Z85_KEY_SIZE);
+	zmq_setsockopt(link->push, ZMQ_CURVE_SECRETKEY, options->secret_key, Z85_KEY_SIZE);
+	connected = zmq_connect(link->push, endpoint) == 0;
+	g_free(endpoint);
+	return connected;
+}
+
+peer_socket_t *peer_socket_new(const peer_socket_options_t *options)
+{
+	peer_socket_t *this = g_new0(peer_socket_t, 1);
+
+	this->context = zmq_ctx_new();
+	this->zap = zmq_socket(this->context, ZMQ_REP);
+	this->links = g_new0(peer_link_t, options->peer_count + 1);
+	if (zmq_bind(this->zap, ZAP_ENDPOINT) || !bind_pull(this, options))
+		goto fail;
+	for (unsigned int i = 0; i < options->peer_count; i++) {
+		peer_link_t *link = &this->links[this->count++];
+
+		link->address = options->peers[i];
+		if (!zmq_z85_decode(link->key, link->address.public_key))
+			goto fail;
+		if (!connect_link(this, link, options))
+			goto fail;
+	}
+	return this;
+fail:
+	peer_socket_delete(this);
+	return NULL;
+}
+
+void peer_socket_delete(peer_socket_t *this)
+{
+	if (!this)
+		return;
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (this->links[i].push)
+			zmq_close(this->links[i].push);
+	}
+	if (this->pull)
+		zmq_close(this->pull);
+	zmq_close(this->zap);
+	zmq_ctx_term(this->context);
+	g_free(this->links);
+	g_free(this);
+}
+
+bool peer_socket_send(peer_socket_t *this, unsigned int peer, const char *data, size_t size)
+{
+	peer_link_t *link = &this->links[peer];
+
+	if (link->cut || zmq_send(link->push, data, size, ZMQ_DONTWAIT) < 0) {
+		this->stats.not_sent++;
+		return false;
+	}
+	this->stats.sent++;
+	this->stats.sent_bytes += size;
+	return true;
+}
+
+/* The last frames of a ZAP request: mechanism and the client's key. */
+static const peer_link_t *find_key(const peer_socket_t *this, zmq_msg_t *frames, int count)
+{
+	if (count < 7 || zmq_msg_size(&frames[6]) != KEY_SIZE)
+		return NULL;
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (!memcmp(this->links[i].key, zmq_msg_data(&frames[6]), KEY_SIZE))
+			return &this->links[i];
+	}
+	return NULL;
+}
+
+static int receive_frames(void *socket, zmq_msg_t *frames)
+{
+	int count = 0;
+
+	do {
+		zmq_msg_init(&frames[count]);
+		if (zmq_msg_recv(&frames[count], socket, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&frames[count]);
+			return count;
+		}
+		count++;
+	} while (zmq_msg_more(&frames[count - 1]) && count < ZAP_FRAMES);
+	return count;
+}
+
+static void answer_zap(peer_socket_t *this, zmq_msg_t *frames, int count)
+{
+	const peer_link_t *link = find_key(this, frames, count);
+	char user[16] = "";
+
+	if (link)
+		snprintf(user, sizeof(user), "%u", link->address.id);
+	else
+		this->stats.refused_keys++;
+	zmq_send(this->zap, "1.0", 3, ZMQ_SNDMORE);
+	zmq_send(this->zap, zmq_msg_data(&frames[1]), zmq_msg_size(&frames[1]), ZMQ_SNDMORE);
+	zmq_send(this->zap, link ? "200" : "400", 3, ZMQ_SNDMORE);
+	zmq_send(this->zap, "", 0, ZMQ_SNDMORE);
+	zmq_send(this->zap, user, strlen(user), ZMQ_SNDMORE);
+	zmq_send(this->zap, "", 0, 0);
+}
+
+/* Decides on new connections: only the peers' keys are let in. */
+static void serve_zap(peer_socket_t *this)
+{
+	zmq_msg_t frames[ZAP_FRAMES];
+	int count;
+
+	while ((count = receive_frames(this->zap, frames)) > 0) {
+		if (count >= 2)
+			answer_zap(this, frames, count);
+		for (int i = 0; i < count; i++)
+			zmq_msg_close(&frames[i]);
+	}
+}
+
+static bool is_cut(const peer_socket_t *this, id_t32 sender)
+{
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (this->links[i].address.id == sender)
+			return this->links[i].cut;
+	}
+	return true;
+}
+
+bool peer_socket_receive(
+	peer_socket_t *this, char *buffer, size_t size, size_t *received, id_t32 *sender)
+{
+	zmq_msg_t frame;
+	const char *user;
+	bool good = false;
+
+	serve_zap(this);
+	while (!good) {
+		zmq_msg_init(&frame);
+		if (zmq_msg_recv(&frame, this->pull, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&frame);
+			return false;
+		}
+		user = zmq_msg_gets(&frame, "User-Id");
+		*sender = user ? (id_t32)strtoul(user, NULL, 10) : 0;
+		good = !zmq_msg_more(&frame) && zmq_msg_size(&frame) <= size &&
+		       !is_cut(this, *sender);
+		if (good) {
+			*received = zmq_msg_size(&frame);
+			memcpy(buffer, zmq_msg_data(&frame), *received);
+			this->stats.received++;
+			this->stats.received_bytes += *received;
+		}
+		zmq_msg_close(&frame);
+	}
+	return true;
+}
+
+void peer_socket_wait(peer_socket_t *this, int fd, uint64_t timeout)
+{
+	zmq_pollitem_t items[] = {
+		{.socket = this->pull, .events = ZMQ_POLLIN},
+		{.socket = this->zap, .events = ZMQ_POLLIN},
+		{.fd = fd, .events = ZMQ_POLLIN},
+	};
+
+	zmq_poll(items, ARRAY_LEN(items), (long)((timeout + 999) / 1000));
+}
+
+void peer_socket_cut(peer_socket_t *this, unsigned int peer, bool cut)
+{
+	this->links[peer].cut = cut;
+}
+
+const peer_socket_stats_t *peer_socket_stats(const peer_socket_t *this)
+{
+	return &this->stats;
+}
+
+bool peer_socket_keygen(char *public_key, char *secret_key)
+{
+	return zmq_curve_keypair(public_key, secret_key) == 0;
+}
--- /dev/null
+++ b/src/filter/account.c
@@ -0,0 +1,76 @@
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "filter/request.h"
+
+static router_counter_t outcome_counter(outcome_t outcome)
+{
+	switch (outcome) {
+	case OUTCOME_DONE:
+		return COUNT_DONE;
+	case OUTCOME_NOT_RUN:
+		return COUNT_NOT_RUN;
+	default:
+		return COUNT_UNKNOWN;
+	}
+}
+
+/* The caller's own mistakes and departures spend no error budget. */
+static bool spends_budget(reason_t reason)
+{
+	int status = reason_info(reason)->status;
+
+	return status >= 500 || reason == REASON_OVERLOADED;
+}
+
+static void record_burn(request_t *request)
+{
+	burn_sample_t sample;
+	uint64_t wait;
+
+	if (!request->service || !request->workspace || !request->route ||
+		request->reason == REASON_CALLER_GONE)
+		return;
+	wait = request->first_byte ? request->first_byte - request->arrived : 0;
+	sample = (burn_sample_t){
+		.service = request->service->name,
+		.workspace = request->workspace->name,
+		.success = request->route->success,
+		.failed = spends_budget(request->reason),
+		.late = wait > request->route->first_byte_ms * USEC_PER_MSEC,
+	};
+	burn_record(request->router->burn, &sample, clock_now());
+}
+
+static void end_ticket(request_t *request)
+{
+	if (request->is_stream && request->stream_ended)
+		request_end_ticket(request, END_DONE);
+	else
+		request_end_ticket(request, request->broken ? END_BROKEN : END_STOPPED);
+}
+
+static reason_t run(request_t *request)
+{
+	const reason_info_t *info = reason_info(request->reason);
+
+	if (request->accounted)
+		return REASON_NONE;
+	request->accounted = true;
+	end_ticket(request);
+	if (request->watch && cancel_watch_remove(request->router->cancel_watch, request->watch))
+		router_count(request->router, COUNT_CALLERS_GONE);
+	router_count(request->router, COUNT_REQUESTS);
+	router_count(request->router, outcome_counter(info->outcome));
+	record_burn(request);
+	log_info("request",
+		"id=%s workspace=%s service=%s endpoint=%s outcome=%s reason=%s cost=%u "
+		"ms=%" G_GUINT64_FORMAT,
+		request->id, request->workspace ? request->workspace->name : "-",
+		request->service ? request->service->name : "-",
+		request->endpoint ? request->endpoint->name : "-", outcome_name(info->outcome),
+		info->name, request->cost,
+		(guint64)((clock_now() - request->arrived) / USEC_PER_MSEC));
+	return REASON_NONE;
+}
+
+const filter_t account_filter = {"account", run};
--- /dev/null
+++ b/src/filter/dispatch.c
@@ -0,0 +1,135 @@
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "filter/request.h"
+
+#define MAX_ATTEMPTS 4
+#define CONNECT_TIMEOUT_MS 1000
+#define READ_TIMEOUT_MS 60000
+#define MAX_HEADERS 6
+#define HTTP_UNAVAILABLE 503
+
+/* Woken after its time was up: whoever holds the ticket knows that no byte has left. */
+static bool slept_past_deadline(const request_t *request)
+{
+	const uint64_t grace = USEC_PER_SEC;
+
+	return clock_now() > request->deadline + grace;
+}
+
+static reason_t get_slot(request_t *request)
+{
+	reason_t reason = queue_filter.run(request);
+
+	if (reason != REASON_NONE)
+		return reason;
+	reason = place_filter.run(request);
+	if (reason == REASON_NONE && slept_past_deadline(request)) {
+		request->retry_after_s = 1;
+		reason = REASON_DEADLINE;
+	}
+	if (reason != REASON_NONE)
+		request_end_ticket(request, END_STOPPED);
+	return reason;
+}
+
+static http_result_t begin(request_t *request)
+{
+	const char *type = request_header(request, "Content-Type");
+	const char *accept = request_header(request, "Accept");
+	http_header_t headers[MAX_HEADERS] = {{"X-Request-Id", request->id}};
+	unsigned int count = 1;
+	http_options_t options = {
+		.address = request->endpoint->address,
+		.method = request->method,
+		.path = request->path,
+		.headers = headers,
+		.body = request->body->str,
+		.body_len = request->body->len,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.read_timeout_ms = READ_TIMEOUT_MS,
+	};
+
+	if (type)
+		headers[count++] = (http_header_t){"Content-Type", type};
+	if (accept)
+		headers[count++] = (http_header_t){"Accept", accept};
+	if (request->key)
+		headers[count++] = (http_header_t){"Idempotency-Key", request->key};
+	options.header_count = count;
+	request->exchange_open = true;
+	return http_exchange_begin(&request->exchange, &options);
+}
+
+/* The answer bears this request's id, or none. */
+static bool answer_is_ours(request_t *request)
+{
+	const char *id = http_exchange_header(&request->exchange, "X-Request-Id");
+
+	if (!id || !strcmp(id, request->id))
+		return true;
+	router_count(request->router, COUNT_CROSSED);
+	log_warn("answer-crossed", "id=%s endpoint=%s", request->id, request->endpoint->name);
+	return false;
+}
+
+static http_result_t try_once(request_t *request)
+{
+	http_result_t result = begin(request);
+
+	if (result == HTTP_OK && !answer_is_ours(request))
+		result = HTTP_BROKEN;
+	if (result == HTTP_OK && request->route->repeatable &&
+		request->exchange.status == HTTP_UNAVAILABLE)
+		result = HTTP_NOT_SENT; /* refused: another endpoint may take it */
+	return result;
+}
+
+http_result_t request_send(request_t *this)
+{
+	http_result_t result = HTTP_NOT_SENT;
+
+	while (this->attempts < MAX_ATTEMPTS) {
+		if (!this->ticket) {
+			this->reason = get_slot(this);
+			if (this->reason != REASON_NONE)
+				return HTTP_NOT_SENT;
+		}
+		this->attempts++;
+		result = try_once(this);
+		if (result == HTTP_OK)
+			return result;
+		log_warn("endpoint-failed", "id=%s endpoint=%s sent=%d attempt=%u", this->id,
+			this->endpoint->name, result != HTTP_NOT_SENT, this->attempts);
+		request_close_exchange(this);
+		request_end_ticket(this, result == HTTP_NOT_SENT ? END_REFUSED : END_BROKEN);
+		if (result != HTTP_NOT_SENT && !this->route->repeatable)
+			return result;
+		router_count(this->router, COUNT_RETRIES);
+	}
+	this->reason = REASON_ENDPOINT_REFUSED;
+	return result;
+}
+
+static reason_t run(request_t *request)
+{
+	http_result_t result;
+
+	/* The slot comes before the claim: a waiting order has written nothing yet. */
+	request->reason = get_slot(request);
+	if (request->reason != REASON_NONE)
+		return request->reason;
+	if (request_is_order(request))
+		return order_run(request);
+	request->watch = cancel_watch_add(request->router->cancel_watch, request->caller_fd,
+		request->endpoint->address, request->id);
+	result = request_send(request);
+	if (result == HTTP_OK)
+		return REASON_NONE;
+	if (result == HTTP_NOT_SENT)
+		return request->reason;
+	return REASON_ENDPOINT_BROKEN;
+}
+
+const filter_t dispatch_filter = {"dispatch", run};
--- /dev/null
+++ b/src/filter/order_run.c
@@ -0,0 +1,152 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "filter/request.h"
+
+/* What the protocol's actions work on. */
+typedef struct order_run {
+	request_t *request;
+	order_t order;
+	char *row_key;
+	order_record_t record;
+} order_run_t;
+
+bool request_is_order(const request_t *this)
+{
+	return !this->route->repeatable && this->key;
+}
+
+static uint64_t body_hash(const request_t *request)
+{
+	uint64_t seed = XXH64(request->path, strlen(request->path), 0);
+
+	return XXH64(request->body->str, request->body->len, seed);
+}
+
+static store_result_t read_record(request_t *request, const char *key, order_record_t *record)
+{
+	store_result_t result = order_store_read(request->router->platform, key, record);
+
+	if (result == STORE_OK && record->holder)
+		record->row.holder_is_alive = decider_is_alive(
+			request->router->decider, name_id(record->holder), record->incarnation);
+	return result;
+}
+
+static reason_t replay(request_t *request, order_record_t *record)
+{
+	if (order_store_fetch(request->router->platform, record) != STORE_OK) {
+		/* It ran; only its answer is out of reach. */
+		request->retry_after_s = 1;
+		return REASON_IN_PROGRESS;
+	}
+	order_answer_clear(&request->answer);
+	request->answer = record->answer;
+	record->answer = (order_answer_t){0};
+	request->replayed = true;
+	router_count(request->router, COUNT_ORDERS_REPLAYED);
+	return REASON_NONE;
+}
+
+reason_t order_run_check(request_t *request)
+{
+	char *key = order_key(request->workspace->name, request->key);
+	order_record_t record;
+	reason_t reason = REASON_STORE_DOWN;
+
+	if (read_record(request, key, &record) == STORE_OK) {
+		order_verdict_t verdict = order_judge(&record.row, body_hash(request), &reason);
+
+		if (verdict == ORDER_REPLAY)
+			reason = replay(request, &record);
+	}
+	order_record_clear(&record);
+	g_free(key);
+	return reason;
+}
+
+static order_event_t write_row(order_run_t *this, row_state_t state)
+{
+	request_t *request = this->request;
+	uint64_t version = 0;
+	store_result_t result = order_store_write(&request->router->writer, this->row_key,
+		&this->order, state, &request->answer, this->order.expected, &version);
+
+	this->record.row = (order_row_t){.state = state, .version = version};
+	if (result == STORE_OK)
+		return ORDER_WRITTEN;
+	return result == STORE_CONFLICT ? ORDER_CONFLICT : ORDER_REPLY_LOST;
+}
+
+static order_event_t read_row(order_run_t *this)
+{
+	order_record_clear(&this->record);
+	if (read_record(this->request, this->row_key, &this->record) != STORE_OK)
+		return ORDER_READ_FAILED;
+	return ORDER_ROW;
+}
+
+static order_event_t send_order(order_run_t *this)
+{
+	request_t *request = this->request;
+	http_result_t result = HTTP_NOT_SENT;
+
+	/* A thread that was frozen since its claim knows that no byte has left. */
+	if (clock_now() > request->deadline + USEC_PER_SEC) {
+		request->reason = REASON_DEADLINE;
+		return ORDER_NOT_SENT;
+	}
+	result = request_send(request);
+	if (result == HTTP_OK)
+		result = request_receive(request);
+	if (result == HTTP_OK)
+		return ORDER_ANSWERED;
+	return result == HTTP_NOT_SENT ? ORDER_NOT_SENT : ORDER_BROKEN;
+}
+
+static order_event_t perform(order_run_t *this, order_action_t action)
+{
+	switch (action) {
+	case ORDER_DO_CLAIM:
+		return write_row(this, ROW_STARTED);
+	case ORDER_DO_READ:
+		return read_row(this);
+	case ORDER_DO_SEND:
+		return send_order(this);
+	case ORDER_DO_FINISH:
+		return write_row(this, ROW_DONE);
+	default:
+		return write_row(this, ROW_UNKNOWN);
+	}
+}
+
+reason_t order_run(request_t *request)
+{
+	order_run_t this = {.request = request};
+	order_action_t action;
+	reason_t reason;
+
+	this.row_key = order_key(request->workspace->name, request->key);
+	order_init(
+		&this.order, ((uint64_t)g_random_int() << 32) | g_random_int(), body_hash(request));
+	action = order_step(&this.order, ORDER_BEGIN, NULL);
+	while (action != ORDER_DO_ANSWER && action != ORDER_DO_REPLAY) {
+		order_event_t event = perform(&this, action);
+
+		action = order_step(&this.order, event, &this.record.row);
+	}
+	reason = this.order.reason;
+	if (action == ORDER_DO_REPLAY)
+		reason = replay(request, &this.record);
+	if (this.order.withdraw || this.order.finish_later)
+		settler_add(request->router->settler, this.row_key, &this.order,
+			this.order.withdraw ? NULL : &request->answer);
+	if (reason == REASON_ENDPOINT_REFUSED && request->reason != REASON_NONE)
+		reason = request->reason; /* why no byte was sent */
+	request_end_ticket(request, END_STOPPED);
+	order_record_clear(&this.record);
+	g_free(this.row_key);
+	return reason;
+}
--- /dev/null
+++ b/src/settings/faults.c
@@ -0,0 +1,103 @@
+#include "settings/faults.h"
+
+#include <stdarg.h>
+
+void faults_init(faults_t *this, const char *file)
+{
+	this->file = file;
+	this->text = g_string_new(NULL);
+	this->count = 0;
+}
+
+void faults_clear(faults_t *this)
+{
+	g_string_free(this->text, TRUE);
+	this->text = NULL;
+}
+
+void faults_add(faults_t *this, unsigned int line, const char *format, ...)
+{
+	va_list args;
+
+	g_string_append_printf(this->text, "%s:%u: ", this->file, line);
+	va_start(args, format);
+	g_string_append_vprintf(this->text, format, args);
+	va_end(args);
+	g_string_append_c(this->text, '\n');
+	this->count++;
+}
+
+void faults_unknown_keys(faults_t *this, const json_value_t *object)
+{
+	for (const json_value_t *v = object->first; v; v = v->next) {
+		if (object->type == JSON_OBJECT && !v->used)
+			faults_add(this, v->line, "%s: unknown key", v->key);
+		else
+			faults_unknown_keys(this, v);
+	}
+}
+
+static bool expect(faults_t *this, json_value_t *object, const char *key, json_value_t *v,
+	bool required, bool right, const char *want)
+{
+	if (!v && required)
+		faults_add(this, object->line, "%s: missing; give %s", key, want);
+	else if (v && !right)
+		faults_add(this, v->line, "%s: wrong type; give %s", key, want);
+	return v && right;
+}
+
+const char *faults_string(
+	faults_t *this, json_value_t *object, const char *key, const char *fallback)
+{
+	json_value_t *v = json_get(object, key);
+	bool right = v && v->type == JSON_STRING && v->string[0];
+
+	if (!expect(this, object, key, v, !fallback, right, "a text that is not empty"))
+		return fallback ? fallback : "";
+	return v->string;
+}
+
+int64_t faults_int(faults_t *this, json_value_t *object, const char *key, int64_t fallback,
+	int64_t min, int64_t max)
+{
+	json_value_t *v = json_get(object, key);
+	bool required = fallback == FAULTS_REQUIRED_INT;
+	int64_t instead = required ? min : fallback;
+
+	if (!expect(this, object, key, v, required, v && v->type == JSON_INTEGER, "a whole number"))
+		return instead;
+	if (v->integer < min || v->integer > max) {
+		faults_add(this, v->line,
+			"%s: %" G_GINT64_FORMAT " is out of range; give %" G_GINT64_FORMAT
+			" to %" G_GINT64_FORMAT,
+			key, v->integer, min, max);
+		return instead;
+	}
+	return v->integer;
+}
+
+bool faults_bool(faults_t *this, json_value_t *object, const char *key, bool fallback)
+{
+	json_value_t *v = json_get(object, key);
+
+	if (!expect(this, object, key, v, false, v && v->type == JSON_BOOL, "true or false"))
+		return fallback;
+	return v->integer != 0;
+}
+
+double faults_number(faults_t *this, json_value_t *object, const char *key, double fallback,
+	double min, double max)
+{
+	json_value_t *v = json_get(object, key);
+	bool right = v && (v->type == JSON_NUMBER || v->type == JSON_INTEGER);
+
+	if (!expect(this, object, key, v, false, right, "a number"))
+		return fallback;
+	if (v->number < min || v->number > max) {
+		faults_add(this, v->line, "%s: %g is out of range; give %g to %g", key, v->number,
+			min, max);
+		return fallback;
+	}
+	return v->number;
+}
--- /dev/null
+++ b/src/settings/fleet_text.c
@@ -0,0 +1,393 @@
+#include "settings/fleet_text.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "settings/router_settings.h"
+
+#define TOKEN_PREFIX "sha256:"
+#define TOKEN_HEX 64
+#define MAX_WEIGHT 10000
+
+id_t32 name_id(const char *name)
+{
+	id_t32 id = XXH32(name, strlen(name), 0);
+
+	return id ? id : 1; /* 0 stands for "none" on the wire */
+}
+
+typedef void (*read_item_t)(fleet_text_t *this, faults_t *faults, json_value_t *v, unsigned int i);
+
+/* Counts the list `key` and calls `read` for each of its objects. */
+static void read_list(fleet_text_t *this, faults_t *faults, json_value_t *root, const char *key,
+	void **items, size_t size, unsigned int *count, read_item_t read)
+{
+	json_value_t *list = json_get(root, key);
+	unsigned int i = 0;
+
+	if (!list || list->type != JSON_ARRAY) {
+		faults_add(faults, list ? list->line : root->line, "%s: give a list", key);
+		return;
+	}
+	*items = g_malloc0_n(list->count + 1, size);
+	*count = list->count;
+	for (json_value_t *v = list->first; v; v = v->next, i++) {
+		if (v->type != JSON_OBJECT)
+			faults_add(faults, v->line, "%s: each must be an object", key);
+		read(this, faults, v, i);
+	}
+}
+
+static service_kind_t read_kind(faults_t *faults, json_value_t *v)
+{
+	const char *kind = faults_string(faults, v, "kind", FAULTS_REQUIRED_STRING);
+
+	if (*kind && strcmp(kind, "model") && strcmp(kind, "plain"))
+		faults_add(faults, v->line, "kind: \"%s\" is unknown; give model or plain", kind);
+	return strcmp(kind, "plain") ? SERVICE_MODEL : SERVICE_PLAIN;
+}
+
+static void read_service(fleet_text_t *this, faults_t *faults, json_value_t *v, unsigned int i)
+{
+	service_t *service = &this->services[i];
+
+	service->name = g_strdup(faults_string(faults, v, "name", FAULTS_REQUIRED_STRING));
+	service->id = name_id(service->name);
+	service->kind = read_kind(faults, v);
+	service->long_cost = (unsigned int)faults_int(faults, v, "long_cost", 400, 1, 1000000000);
+	service->long_share = (unsigned int)faults_int(faults, v, "long_share", 60, 1, 100);
+	json_get(v, "depends_on"); /* read once every name is known */
+}
+
+static void read_depends(fleet_text_t *this, faults_t *faults, json_value_t *v, service_t *service)
+{
+	json_value_t *list = json_get(v, "depends_on");
+
+	if (!list)
+		return;
+	if (list->type != JSON_ARRAY) {
+		faults_add(faults, list->line, "depends_on: give a list of names");
+		return;
+	}
+	service->depends_on = g_new0(unsigned int, list->count + 1);
+	for (json_value_t *name = list->first; name; name = name->next) {
+		int index = name->type == JSON_STRING ? fleet_text_service(this, name->string) : -1;
+
+		if (index < 0)
+			faults_add(faults, name->line, "depends_on: no service is named \"%s\"",
+				name->string ? name->string : "?");
+		else
+			service->depends_on[service->depends_count++] = (unsigned int)index;
+	}
+}
+
+static void read_all_depends(fleet_text_t *this, faults_t *faults, json_value_t *root)
+{
+	json_value_t *list = json_get(root, "services");
+	unsigned int i = 0;
+
+	if (!list || list->type != JSON_ARRAY)
+		return;
+	for (json_value_t *v = list->first; v; v = v->next, i++)
+		read_depends(this, faults, v, &this->services[i]);
+}
+
+/* Depth-first search; `state` is 0 unseen, 1 on the path, 2 finished. */
+static bool on_cycle(const fleet_text_t *this, unsigned int at, unsigned char *state)
+{
+	const service_t *service = &this->services[at];
+
+	if (state[at])
+		return state[at] == 1;
+	state[at] = 1;
+	for (unsigned int i = 0; i < service->depends_count; i++) {
+		if (on_cycle(this, service->depends_on[i], state))
+			return true;
+	}
+	state[at] = 2;
+	return false;
+}
+
+static void check_cycles(const fleet_text_t *this, faults_t *faults)
+{
+	unsigned char *state = g_malloc0(this->service_count + 1);
+
+	for (unsigned int i = 0; i < this->service_count; i++) {
+		if (on_cycle(this, i, state)) {
+			faults_add(faults, 1, "depends_on: %s is on a cycle of services",
+				this->services[i].name);
+			break;
+		}
+	}
+	g_free(state);
+}
+
+static void read_endpoint(fleet_text_t *this, faults_t *faults, json_value_t *v, unsigned int i)
+{
+	endpoint_t *endpoint = &this->endpoints[i];
+	const char *service = faults_string(faults, v, "service", FAULTS_REQUIRED_STRING);
+	int index = fleet_text_service(this, service);
+	char ip[64];
+	uint16_t port;
+
+	endpoint->name = g_strdup(faults_string(faults, v, "name", FAULTS_REQUIRED_STRING));
+	endpoint->id = name_id(endpoint->name);
+	endpoint->address = g_strdup(faults_string(faults, v, "address", FAULTS_REQUIRED_STRING));
+	endpoint->failure_domain = g_strdup(faults_string(faults, v, "failure_domain", "-"));
+	endpoint->slots = (unsigned int)faults_int(faults, v, "slots", 8, 1, 10000);
+	endpoint->fencing = faults_bool(faults, v, "fencing", false);
+	if (index < 0 && *service)
+		faults_add(faults, v->line, "service: no service is named \"%s\"", service);
+	endpoint->service = index < 0 ? 0 : (unsigned int)index;
+	if (*endpoint->address && !address_split(endpoint->address, ip, sizeof(ip), &port))
+		faults_add(faults, v->line,
+			"address: \"%s\" is no address; give IP:PORT in numbers",
+			endpoint->address);
+}
+
+static bool token_valid(const char *token)
+{
+	size_t prefix = strlen(TOKEN_PREFIX);
+
+	if (strncmp(token, TOKEN_PREFIX, prefix) || strlen(token) != prefix + TOKEN_HEX)
+		return false;
+	return strspn(token + prefix, "0123456789abcdef") == TOKEN_HEX;
+}
+
+static void read_tokens(fleet_text_t *this, faults_t *faults, json_value_t *v, workspace_t *ws)
+{
+	json_value_t *list = json_get(v, "tokens");
+	unsigned int count = 0;
+
+	if (!list || list->type != JSON_ARRAY || !list->count) {
+		faults_add(faults, v->line, "tokens: give a list of \"sha256:HEX\"");
+		ws->tokens = g_new0(char *, 1);
+		return;
+	}
+	ws->tokens = g_new0(char *, list->count + 1);
+	for (json_value_t *t = list->first; t; t = t->next) {
+		if (t->type != JSON_STRING || !token_valid(t->string)) {
+			faults_add(faults, t->line,
+				"tokens: give \"sha256:\" and 64 hex digits, "
+				"never the token itself");
+			continue;
+		}
+		if (!g_hash_table_insert(this->by_token, t->string, ws))
+			faults_add(faults, t->line, "tokens: this token stands twice");
+		ws->tokens[count++] = g_strdup(t->string);
+	}
+}
+
+static void read_workspace(fleet_text_t *this, faults_t *faults, json_value_t *v, unsigned int i)
+{
+	workspace_t *ws = &this->workspaces[i];
+
+	ws->name = g_strdup(faults_string(faults, v, "name", FAULTS_REQUIRED_STRING));
+	ws->id = name_id(ws->name);
+	ws->weight = (unsigned int)faults_int(faults, v, "weight", 1, 1, MAX_WEIGHT);
+	read_tokens(this, faults, v, ws);
+}
+
+static key_rule_t read_key_rule(faults_t *faults, json_value_t *v, bool repeatable)
+{
+	const char *key = faults_string(faults, v, "key", repeatable ? "none" : "required");
+
+	if (!strcmp(key, "required"))
+		return KEY_REQUIRED;
+	if (!strcmp(key, "optional"))
+		return KEY_OPTIONAL;
+	if (strcmp(key, "none"))
+		faults_add(faults, v->line,
+			"key: \"%s\" is unknown; give required, optional or none", key);
+	return KEY_NONE;
+}
+
+static void read_route(fleet_text_t *this, faults_t *faults, json_value_t *v, unsigned int i)
+{
+	route_t *route = &this->routes[i];
+	const char *service = faults_string(faults, v, "service", FAULTS_REQUIRED_STRING);
+
+	route->method = g_strdup(faults_string(faults, v, "method", "*"));
+	route->path = g_strdup(faults_string(faults, v, "path", FAULTS_REQUIRED_STRING));
+	route->repeatable = faults_bool(faults, v, "repeatable", false);
+	route->key = read_key_rule(faults, v, route->repeatable);
+	route->deadline_ms = (unsigned int)faults_int(faults, v, "deadline_ms", 0, 0, 3600000);
+	route->cost = (unsigned int)faults_int(faults, v, "cost", 0, 0, 1000000);
+	route->first_byte_ms =
+		(unsigned int)faults_int(faults, v, "first_byte_ms", 1800, 1, 3600000);
+	route->success = faults_number(faults, v, "success", 0.99, 0.5, 0.99999);
+	route->service = strcmp(service, "by-model") ? fleet_text_service(this, service) : -1;
+	if (*route->path && route->path[0] != '/')
+		faults_add(faults, v->line, "path: \"%s\" must begin with /", route->path);
+	if (*service && route->service < 0 && strcmp(service, "by-model"))
+		faults_add(faults, v->line, "service: no service is named \"%s\"", service);
+	if (route->service >= 0 && this->services[route->service].kind == SERVICE_MODEL)
+		faults_add(
+			faults, v->line, "service: \"%s\" is a model; give \"by-model\"", service);
+}
+
+typedef struct named {
+	const char *kind;
+	const char *name;
+	id_t32 id;
+} named_t;
+
+static int named_compare(const void *a, const void *b)
+{
+	const named_t *x = a;
+	const named_t *y = b;
+
+	if (x->id != y->id)
+		return x->id < y->id ? -1 : 1;
+	return 0;
+}
+
+static void check_names(const fleet_text_t *this, faults_t *faults)
+{
+	unsigned int total = this->service_count + this->endpoint_count + this->workspace_count;
+	named_t *all = g_new0(named_t, total + 1);
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < this->service_count; i++)
+		all[n++] = (named_t){"service", this->services[i].name, this->services[i].id};
+	for (unsigned int i = 0; i < this->endpoint_count; i++)
+		all[n++] = (named_t){"endpoint", this->endpoints[i].name, this->endpoints[i].id};
+	for (unsigned int i = 0; i < this->workspace_count; i++)
+		all[n++] = (named_t){"workspace", this->workspaces[i].name, this->workspaces[i].id};
+	qsort(all, n, sizeof(*all), named_compare);
+	for (unsigned int i = 1; i < n; i++) {
+		if (all[i].id == all[i - 1].id)
+			faults_add(faults, 1,
+				"name: %s \"%s\" and %s \"%s\" are the same or share an id; "
+				"rename one",
+				all[i - 1].kind, all[i - 1].name, all[i].kind, all[i].name);
+	}
+	g_free(all);
+}
+
+static void read_text(fleet_text_t *this, faults_t *faults, json_value_t *root)
+{
+	read_list(this, faults, root, "services", (void **)&this->services, sizeof(service_t),
+		&this->service_count, read_service);
+	read_all_depends(this, faults, root);
+	read_list(this, faults, root, "endpoints", (void **)&this->endpoints, sizeof(endpoint_t),
+		&this->endpoint_count, read_endpoint);
+	read_list(this, faults, root, "workspaces", (void **)&this->workspaces, sizeof(workspace_t),
+		&this->workspace_count, read_workspace);
+	read_list(this, faults, root, "routes", (void **)&this->routes, sizeof(route_t),
+		&this->route_count, read_route);
+	faults_unknown_keys(faults, root);
+	check_cycles(this, faults);
+	check_names(this, faults);
+}
+
+fleet_text_t *fleet_text_new(const char *source, uint64_t version, faults_t *faults)
+{
+	fleet_text_t *this = g_new0(fleet_text_t, 1);
+	jsondoc_t *doc = jsondoc_new(source, strlen(source));
+
+	urcu_ref_init(&this->ref);
+	this->version = version;
+	this->source = g_strdup(source);
+	this->by_token = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	if (doc->error || doc->root->type != JSON_OBJECT)
+		faults_add(faults, 1, "%s", doc->error ? doc->error : "give one object {...}");
+	else
+		read_text(this, faults, doc->root);
+	g_hash_table_remove_all(this->by_token);
+	jsondoc_delete(doc);
+	if (faults->count) {
+		fleet_text_put(this);
+		return NULL;
+	}
+	for (unsigned int i = 0; i < this->workspace_count; i++) {
+		for (char **t = this->workspaces[i].tokens; *t; t++)
+			g_hash_table_insert(this->by_token, *t, &this->workspaces[i]);
+	}
+	return this;
+}
+
+static void fleet_text_delete(struct urcu_ref *ref)
+{
+	fleet_text_t *this = caa_container_of(ref, fleet_text_t, ref);
+
+	for (unsigned int i = 0; i < this->service_count; i++) {
+		g_free(this->services[i].name);
+		g_free(this->services[i].depends_on);
+	}
+	for (unsigned int i = 0; i < this->endpoint_count; i++) {
+		g_free(this->endpoints[i].name);
+		g_free(this->endpoints[i].address);
+		g_free(this->endpoints[i].failure_domain);
+	}
+	for (unsigned int i = 0; i < this->workspace_count; i++) {
+		g_free(this->workspaces[i].name);
+		g_strfreev(this->workspaces[i].tokens);
+	}
+	for (unsigned int i = 0; i < this->route_count; i++) {
+		g_free(this->routes[i].method);
+		g_free(this->routes[i].path);
+	}
+	g_hash_table_destroy(this->by_token);
+	g_free(this->services);
+	g_free(this->endpoints);
+	g_free(this->workspaces);
+	g_free(this->routes);
+	g_free(this->source);
+	g_free(this);
+}
+
+fleet_text_t *fleet_text_get(fleet_text_t *this)
+{
+	urcu_ref_get(&this->ref);
+	return this;
+}
+
+void fleet_text_put(fleet_text_t *this)
+{
+	if (this)
+		urcu_ref_put(&this->ref, fleet_text_delete);
+}
+
+const workspace_t *fleet_text_identify(const fleet_text_t *this, const char *token)
+{
+	char *hex = g_compute_checksum_for_string(G_CHECKSUM_SHA256, token, -1);
+	char *hashed = g_strconcat(TOKEN_PREFIX, hex, NULL);
+	const workspace_t *ws = g_hash_table_lookup(this->by_token, hashed);
+
+	g_free(hashed);
+	g_free(hex);
+	return ws;
+}
+
+static bool path_matches(const char *pattern, const char *path)
+{
+	size_t len = strlen(pattern);
+
+	if (len && pattern[len - 1] == '*')
+		return !strncmp(pattern, path, len - 1);
+	return !strcmp(pattern, path);
+}
+
+const route_t *fleet_text_route(const fleet_text_t *this, const char *method, const char *path)
+{
+	for (unsigned int i = 0; i < this->route_count; i++) {
+		const route_t *route = &this->routes[i];
+
+		if (strcmp(route->method, "*") && strcmp(route->method, method))
+			continue;
+		if (path_matches(route->path, path))
+			return route;
+	}
+	return NULL;
+}
+
+int fleet_text_service(const fleet_text_t *this, const char *name)
+{
+	for (unsigned int i = 0; i < this->service_count; i++) {
+		if (!strcmp(this->services[i].name, name))
+			return (int)i;
+	}
+	return -1;
+}
--- /dev/null
+++ b/src/settings/jsondoc.c
@@ -0,0 +1,250 @@
+#include "settings/jsondoc.h"
+
+#include <string.h>
+#include <yajl/yajl_parse.h>
+
+typedef struct builder {
+	jsondoc_t *doc;
+	yajl_handle parser;
+	const char *text;
+	size_t scanned; /* bytes already counted for `line` */
+	unsigned int line;
+	json_value_t *stack[JSONDOC_MAX_DEPTH];
+	unsigned int depth;
+	char *key;
+} builder_t;
+
+static unsigned int builder_line(builder_t *this)
+{
+	size_t at = yajl_get_bytes_consumed(this->parser);
+
+	for (; this->scanned < at; this->scanned++)
+		this->line += this->text[this->scanned] == '\n';
+	return this->line;
+}
+
+static int builder_fail(builder_t *this, const char *why, const char *name)
+{
+	if (!this->doc->error)
+		this->doc->error = g_strdup_printf("line %u: %s%s", builder_line(this), why, name);
+	return 0;
+}
+
+static bool has_key(const json_value_t *object, const char *key)
+{
+	for (const json_value_t *v = object->first; v; v = v->next) {
+		if (!strcmp(v->key, key))
+			return true;
+	}
+	return false;
+}
+
+static json_value_t *builder_add(builder_t *this, json_type_t type)
+{
+	json_value_t *value = g_new0(json_value_t, 1);
+	json_value_t *parent = this->depth ? this->stack[this->depth - 1] : NULL;
+
+	value->type = type;
+	value->line = builder_line(this);
+	value->key = this->key;
+	this->key = NULL;
+	if (!parent) {
+		this->doc->root = value;
+		return value;
+	}
+	if (parent->last)
+		parent->last->next = value;
+	else
+		parent->first = value;
+	parent->last = value;
+	parent->count++;
+	return value;
+}
+
+static int on_null(void *ctx)
+{
+	builder_add(ctx, JSON_NULL);
+	return 1;
+}
+
+static int on_boolean(void *ctx, int truth)
+{
+	builder_add(ctx, JSON_BOOL)->integer = truth;
+	return 1;
+}
+
+static int on_integer(void *ctx, long long number)
+{
+	json_value_t *value = builder_add(ctx, JSON_INTEGER);
+
+	value->integer = number;
+	value->number = (double)number;
+	return 1;
+}
+
+static int on_double(void *ctx, double number)
+{
+	builder_add(ctx, JSON_NUMBER)->number = number;
+	return 1;
+}
+
+static int on_string(void *ctx, const unsigned char *text, size_t len)
+{
+	if (memchr(text, 0, len))
+		return builder_fail(ctx, "a string holds a zero byte", "");
+	builder_add(ctx, JSON_STRING)->string = g_strndup((const char *)text, len);
+	return 1;
+}
+
+static int builder_open(builder_t *this, json_type_t type)
+{
+	json_value_t *value;
+
+	if (this->depth == JSONDOC_MAX_DEPTH)
+		return builder_fail(this, "nested too deeply", "");
+	value = builder_add(this, type);
+	this->stack[this->depth++] = value;
+	return 1;
+}
+
+static int on_start_map(void *ctx)
+{
+	return builder_open(ctx, JSON_OBJECT);
+}
+
+static int on_start_array(void *ctx)
+{
+	return builder_open(ctx, JSON_ARRAY);
+}
+
+static int on_end(void *ctx)
+{
+	builder_t *this = ctx;
+
+	this->depth--;
+	return 1;
+}
+
+static int on_map_key(void *ctx, const unsigned char *text, size_t len)
+{
+	builder_t *this = ctx;
+
+	g_free(this->key);
+	this->key = g_strndup((const char *)text, len);
+	if (has_key(this->stack[this->depth - 1], this->key))
+		return builder_fail(this, "duplicate key ", this->key);
+	return 1;
+}
+
+static const yajl_callbacks callbacks = {
+	.yajl_null = on_null,
+	.yajl_boolean = on_boolean,
+	.yajl_integer = on_integer,
+	.yajl_double = on_double,
+	.yajl_string = on_string,
+	.yajl_start_map = on_start_map,
+	.yajl_map_key = on_map_key,
+	.yajl_end_map = on_end,
+	.yajl_start_array = on_start_array,
+	.yajl_end_array = on_end,
+};
+
+static void builder_report(builder_t *this)
+{
+	unsigned char *why;
+
+	if (this->doc->error)
+		return;
+	why = yajl_get_error(this->parser, 0, NULL, 0);
+	g_strstrip((char *)why);
+	builder_fail(this, (const char *)why, "");
+	yajl_free_error(this->parser, why);
+}
+
+jsondoc_t *jsondoc_new(const char *text, size_t len)
+{
+	jsondoc_t *this = g_new0(jsondoc_t, 1);
+	builder_t builder = {.doc = this, .text = text, .line = 1};
+
+	builder.parser = yajl_alloc(&callbacks, NULL, &builder);
+	yajl_config(builder.parser, yajl_allow_comments, 1);
+	if (yajl_parse(builder.parser, (const unsigned char *)text, len) != yajl_status_ok)
+		builder_report(&builder);
+	else if (yajl_complete_parse(builder.parser) != yajl_status_ok)
+		builder_report(&builder);
+	else if (!this->root)
+		this->error = g_strdup("line 1: the text is empty");
+	yajl_free(builder.parser);
+	g_free(builder.key);
+	return this;
+}
+
+static void value_delete(json_value_t *this)
+{
+	while (this) {
+		json_value_t *next = this->next;
+
+		value_delete(this->first);
+		g_free(this->key);
+		g_free(this->string);
+		g_free(this);
+		this = next;
+	}
+}
+
+void jsondoc_delete(jsondoc_t *this)
+{
+	if (!this)
+		return;
+	value_delete(this->root);
+	g_free(this->error);
+	g_free(this);
+}
+
+json_value_t *json_get(json_value_t *object, const char *key)
+{
+	if (!object || object->type != JSON_OBJECT)
+		return NULL;
+	for (json_value_t *v = object->first; v; v = v->next) {
+		if (!strcmp(v->key, key)) {
+			v->used = true;
+			return v;
+		}
+	}
+	return NULL;
+}
+
+const char *json_get_string(json_value_t *object, const char *key, const char *fallback)
+{
+	json_value_t *v = json_get(object, key);
+
+	return v && v->type == JSON_STRING ? v->string : fallback;
+}
+
+int64_t json_get_int(json_value_t *object, const char *key, int64_t fallback)
+{
+	json_value_t *v = json_get(object, key);
+
+	return v && v->type == JSON_INTEGER ? v->integer : fallback;
+}
+
+bool json_get_bool(json_value_t *object, const char *key, bool fallback)
+{
+	json_value_t *v = json_get(object, key);
+
+	return v && v->type == JSON_BOOL ? v->integer != 0 : fallback;
+}
+
+void json_quote(GString *out, const char *text)
+{
+	g_string_append_c(out, '"');
+	for (const unsigned char *p = (const unsigned char *)text; *p; p++) {
+		if (*p == '"' || *p == '\\')
+			g_string_append_printf(out, "\\%c", *p);
+		else if (*p < 0x20)
+			g_string_append_printf(out, "\\u%04x", *p);
+		else
+			g_string_append_c(out, (char)*p);
+	}
+	g_string_append_c(out, '"');
+}
--- /dev/null
+++ b/src/settings/router_settings.c
@@ -0,0 +1,186 @@
+#include "settings/router_settings.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_CHARS 40
+
+bool address_split(const char *address, char *ip, size_t ip_size, uint16_t *port)
+{
+	const char *colon = strrchr(address, ':');
+	struct in_addr parsed;
+	char *end;
+	long number;
+
+	if (!colon || (size_t)(colon - address) >= ip_size)
+		return false;
+	memcpy(ip, address, (size_t)(colon - address));
+	ip[colon - address] = '\0';
+	number = strtol(colon + 1, &end, 10);
+	if (end == colon + 1 || *end || number < 0 || number > UINT16_MAX)
+		return false;
+	*port = (uint16_t)number;
+	return inet_pton(AF_INET, ip, &parsed) == 1;
+}
+
+static char *read_address(faults_t *faults, json_value_t *object, const char *key)
+{
+	const char *text = faults_string(faults, object, key, FAULTS_REQUIRED_STRING);
+	json_value_t *v = json_get(object, key);
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port;
+
+	if (*text && !address_split(text, ip, sizeof(ip), &port))
+		faults_add(faults, v->line, "%s: \"%s\" is no address; give IP:PORT in numbers",
+			key, text);
+	return g_strdup(text);
+}
+
+static char *read_key(faults_t *faults, json_value_t *object, const char *key)
+{
+	const char *text = faults_string(faults, object, key, FAULTS_REQUIRED_STRING);
+	json_value_t *v = json_get(object, key);
+
+	if (*text && strlen(text) != KEY_CHARS)
+		faults_add(faults, v->line,
+			"%s: a key has %d characters; make one with "
+			"\"amaranthwall keygen\"",
+			key, KEY_CHARS);
+	return g_strdup(text);
+}
+
+static void read_peer(faults_t *faults, json_value_t *v, peer_settings_t *peer)
+{
+	peer->name = g_strdup(faults_string(faults, v, "name", FAULTS_REQUIRED_STRING));
+	peer->address = read_address(faults, v, "address");
+	peer->operator_address = read_address(faults, v, "operator_address");
+	peer->public_key = read_key(faults, v, "public_key");
+}
+
+static void read_peers(router_settings_t *this, faults_t *faults, json_value_t *root)
+{
+	json_value_t *peers = json_get(root, "peers");
+	unsigned int i = 0;
+
+	if (!peers)
+		return;
+	if (peers->type != JSON_ARRAY) {
+		faults_add(faults, peers->line, "peers: wrong type; give a list");
+		return;
+	}
+	this->peers = g_new0(peer_settings_t, peers->count);
+	this->peer_count = peers->count;
+	for (json_value_t *v = peers->first; v; v = v->next, i++) {
+		if (v->type == JSON_OBJECT) {
+			read_peer(faults, v, &this->peers[i]);
+			continue;
+		}
+		faults_add(faults, v->line, "peers: each must be an object");
+		v->used = true;
+	}
+	for (i = 0; i < this->peer_count; i++) {
+		for (unsigned int j = 0; j < i; j++) {
+			if (!g_strcmp0(this->peers[i].name, this->peers[j].name))
+				faults_add(faults, peers->line, "peers: %s stands twice",
+					this->peers[i].name);
+		}
+	}
+}
+
+static void read_policy(router_settings_t *this, faults_t *faults, json_value_t *root)
+{
+	static const char *const policies[] = {"fleet", "fixed", "least", "forward", NULL};
+	const char *text = faults_string(faults, root, "policy", "fleet");
+
+	if (!g_strv_contains(policies, text))
+		faults_add(faults, json_get(root, "policy")->line,
+			"policy: \"%s\" is unknown; give fleet, fixed, least or forward", text);
+	this->policy = g_strdup(text);
+}
+
+static void read_root(router_settings_t *this, faults_t *faults, json_value_t *root)
+{
+	this->name = g_strdup(faults_string(faults, root, "name", FAULTS_REQUIRED_STRING));
+	this->failure_domain =
+		g_strdup(faults_string(faults, root, "failure_domain", FAULTS_REQUIRED_STRING));
+	this->caller_address = read_address(faults, root, "caller_address");
+	this->operator_address = read_address(faults, root, "operator_address");
+	this->peer_address = read_address(faults, root, "peer_address");
+	this->platform_address = read_address(faults, root, "platform_address");
+	this->public_key = read_key(faults, root, "public_key");
+	this->secret_key = read_key(faults, root, "secret_key");
+	this->operator_token =
+		g_strdup(faults_string(faults, root, "operator_token", FAULTS_REQUIRED_STRING));
+	read_policy(this, faults, root);
+	this->max_connections =
+		(unsigned int)faults_int(faults, root, "max_connections", 2000, 1, 20000);
+	this->max_body_bytes =
+		(unsigned int)faults_int(faults, root, "max_body_bytes", 4 << 20, 1024, 64 << 20);
+	this->max_answer_bytes = (unsigned int)faults_int(
+		faults, root, "max_answer_bytes", 16 << 20, 1024, 256 << 20);
+	this->idle_timeout_ms =
+		(unsigned int)faults_int(faults, root, "idle_timeout_ms", 30000, 1000, 3600000);
+	this->drain_timeout_ms =
+		(unsigned int)faults_int(faults, root, "drain_timeout_ms", 600000, 0, 3600000);
+	this->store_timeout_ms =
+		(unsigned int)faults_int(faults, root, "store_timeout_ms", 2000, 1000, 60000);
+	this->default_deadline_ms =
+		(unsigned int)faults_int(faults, root, "default_deadline_ms", 10000, 10, 3600000);
+	read_peers(this, faults, root);
+	faults_unknown_keys(faults, root);
+}
+
+router_settings_t *router_settings_load(const char *path, faults_t *faults)
+{
+	router_settings_t *this = NULL;
+	jsondoc_t *doc = NULL;
+	GError *error = NULL;
+	char *text = NULL;
+	gsize len = 0;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		faults_add(faults, 0, "%s", error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	doc = jsondoc_new(text, len);
+	if (doc->error || doc->root->type != JSON_OBJECT) {
+		faults_add(faults, 1, "%s", doc->error ? doc->error : "give one object {...}");
+		goto out;
+	}
+	this = g_new0(router_settings_t, 1);
+	read_root(this, faults, doc->root);
+	if (faults->count) {
+		router_settings_delete(this);
+		this = NULL;
+	}
+out:
+	jsondoc_delete(doc);
+	g_free(text);
+	return this;
+}
+
+void router_settings_delete(router_settings_t *this)
+{
+	if (!this)
+		return;
+	for (unsigned int i = 0; i < this->peer_count; i++) {
+		g_free(this->peers[i].name);
+		g_free(this->peers[i].address);
+		g_free(this->peers[i].operator_address);
+		g_free(this->peers[i].public_key);
+	}
+	g_free(this->peers);
+	g_free(this->name);
+	g_free(this->failure_domain);
+	g_free(this->caller_address);
+	g_free(this->operator_address);
+	g_free(this->peer_address);
+	g_free(this->platform_address);
+	g_free(this->public_key);
+	g_free(this->secret_key);
+	g_free(this->operator_token);
+	g_free(this->policy);
+	g_free(this);
+}
--- /dev/null
+++ b/src/settings/text_row.c
@@ -0,0 +1,44 @@
+#include "settings/text_row.h"
+
+#include <string.h>
+
+#include "settings/jsondoc.h"
+
+char *text_row_encode(const text_row_t *row)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_printf(out, "{\"number\":%" G_GUINT64_FORMAT ",\"change\":", row->number);
+	json_quote(out, row->change);
+	g_string_append(out, ",\"text\":");
+	json_quote(out, row->text);
+	g_string_append_c(out, '}');
+	return g_string_free(out, FALSE);
+}
+
+bool text_row_decode(const char *value, text_row_t *row)
+{
+	jsondoc_t *doc = jsondoc_new(value, strlen(value));
+	bool good = !doc->error && doc->root->type == JSON_OBJECT;
+
+	memset(row, 0, sizeof(*row));
+	if (good) {
+		row->number = (uint64_t)json_get_int(doc->root, "number", 0);
+		row->change = g_strdup(json_get_string(doc->root, "change", ""));
+		row->text = g_strdup(json_get_string(doc->root, "text", ""));
+	}
+	jsondoc_delete(doc);
+	return good && row->number;
+}
+
+void text_row_clear(text_row_t *row)
+{
+	g_free(row->change);
+	g_free(row->text);
+	memset(row, 0, sizeof(*row));
+}
+
+char *text_history_key(uint64_t number)
+{
+	return g_strdup_printf(TEXT_HISTORY_PREFIX "%012" G_GUINT64_FORMAT, number);
+}
--- /dev/null
+++ b/standin/main.c
@@ -0,0 +1,195 @@
+/*
+ * amaranthwall-standin - stand-ins of the platform, the engines and the plain services
+ *
+ * Runs until SIGTERM or SIGINT. For tests and benches only.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/http_exchange.h"
+#include "settings/router_settings.h"
+#include "standin/engine_standin.h"
+#include "standin/platform_standin.h"
+#include "standin/service_standin.h"
+
+typedef struct arguments {
+	const char *role;
+	const char *listen;
+	unsigned int count;
+	unsigned int slots;
+	unsigned int token_us;
+	unsigned int prefill_us;
+	unsigned int work_ms;
+	unsigned int cache;
+	unsigned int lag_ms;
+	unsigned int seed;
+	unsigned int fencing;
+} arguments_t;
+
+static const struct argp_option options[] = {
+	{"listen", 'l', "IP:PORT", 0, "first address; further replicas take the next ports", 0},
+	{"count", 'n', "N", 0, "replicas", 0},
+	{"slots", 's', "N", 0, "requests at once for each replica", 0},
+	{"token-us", 't', "US", 0, "time between tokens", 0},
+	{"prefill-us", 'p', "US", 0, "time for each prompt token that is not cached", 0},
+	{"work-ms", 'w', "MS", 0, "time of a plain call", 0},
+	{"cache", 'c', "N", 0, "prefixes that an engine caches", 0},
+	{"lag-ms", 'g', "MS", 0, "lag of the load report", 0},
+	{"seed", 'r', "N", 0, "seed of the faults", 0},
+	{"fencing", 'f', "0|1", 0, "refuse orders with an old fencing number", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *text, struct argp_state *state)
+{
+	arguments_t *a = state->input;
+	unsigned int number = text ? (unsigned int)strtoul(text, NULL, 10) : 0;
+
+	switch (key) {
+	case 'l':
+		a->listen = text;
+		break;
+	case 'n':
+		a->count = number;
+		break;
+	case 's':
+		a->slots = number;
+		break;
+	case 't':
+		a->token_us = number;
+		break;
+	case 'p':
+		a->prefill_us = number;
+		break;
+	case 'w':
+		a->work_ms = number;
+		break;
+	case 'c':
+		a->cache = number;
+		break;
+	case 'g':
+		a->lag_ms = number;
+		break;
+	case 'r':
+		a->seed = number;
+		break;
+	case 'f':
+		a->fencing = number;
+		break;
+	case ARGP_KEY_ARG:
+		a->role = text;
+		break;
+	case ARGP_KEY_END:
+		if (!a->role || !a->listen)
+			argp_usage(state);
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+static const struct argp parser = {options, parse_option, "platform|engines|services",
+	"Stand-ins for tests and benches.", 0, 0, 0};
+
+static char *address_at(const char *first, unsigned int offset)
+{
+	char ip[64];
+	uint16_t port;
+
+	if (!address_split(first, ip, sizeof(ip), &port))
+		return g_strdup(first);
+	return g_strdup_printf("%s:%u", ip, port + offset);
+}
+
+static replica_t *start_engine(
+	const arguments_t *a, exec_log_t *log, const char *address, unsigned int i)
+{
+	engine_options_t o = {
+		.address = address,
+		.log = log,
+		.slots = a->slots,
+		.token_us = a->token_us,
+		.prefill_us = a->prefill_us,
+		.cache_prefixes = a->cache,
+		.load_lag_ms = a->lag_ms,
+		.fencing = a->fencing,
+		.seed = a->seed + i,
+	};
+	engine_standin_t *engine = engine_standin_new(&o);
+
+	return engine ? engine_standin_replica(engine) : NULL;
+}
+
+static replica_t *start_service(
+	const arguments_t *a, exec_log_t *log, const char *address, unsigned int i)
+{
+	service_options_t o = {
+		.address = address,
+		.log = log,
+		.slots = a->slots,
+		.work_ms = a->work_ms,
+		.load_lag_ms = a->lag_ms,
+		.seed = a->seed + i,
+	};
+	service_standin_t *service = service_standin_new(&o);
+
+	return service ? service_standin_replica(service) : NULL;
+}
+
+static int run_replicas(const arguments_t *a, sigset_t *stop)
+{
+	replica_t **replicas = g_new0(replica_t *, a->count);
+	struct timespec pause = {0, LOAD_SAMPLE_MS * 1000000L};
+	exec_log_t *log = exec_log_new();
+	bool engines = !strcmp(a->role, "engines");
+
+	for (unsigned int i = 0; i < a->count; i++) {
+		char *address = address_at(a->listen, i);
+
+		replicas[i] = engines ? start_engine(a, log, address, i)
+				      : start_service(a, log, address, i);
+		if (!replicas[i]) {
+			fprintf(stderr, "cannot listen on %s\n", address);
+			return EXIT_FAILURE;
+		}
+		g_free(address);
+	}
+	while (sigtimedwait(stop, NULL, &pause) < 0) {
+		for (unsigned int i = 0; i < a->count; i++)
+			replica_sample(replicas[i]);
+	}
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	arguments_t a = {.count = 1,
+		.slots = 8,
+		.token_us = 5000,
+		.prefill_us = 100,
+		.work_ms = 10,
+		.cache = 16,
+		.lag_ms = 500,
+		.seed = 1};
+	sigset_t stop;
+	int number;
+
+	argp_parse(&parser, argc, argv, 0, NULL, &a);
+	http_init();
+	sigemptyset(&stop);
+	sigaddset(&stop, SIGTERM);
+	sigaddset(&stop, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &stop, NULL);
+	if (strcmp(a.role, "platform"))
+		return run_replicas(&a, &stop);
+	if (!platform_standin_new(a.listen)) {
+		fprintf(stderr, "cannot listen on %s\n", a.listen);
+		return EXIT_FAILURE;
+	}
+	sigwait(&stop, &number);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standin/replica.c
@@ -0,0 +1,166 @@
+#include "standin/replica.h"
+
+#include <string.h>
+
+#include "settings/jsondoc.h"
+
+struct exec_log {
+	GMutex lock;
+	GString *lines;
+};
+
+exec_log_t *exec_log_new(void)
+{
+	exec_log_t *this = g_new0(exec_log_t, 1);
+
+	g_mutex_init(&this->lock);
+	this->lines = g_string_new(NULL);
+	return this;
+}
+
+void exec_log_delete(exec_log_t *this)
+{
+	g_mutex_clear(&this->lock);
+	g_string_free(this->lines, TRUE);
+	g_free(this);
+}
+
+void exec_log_add(exec_log_t *this, const char *request_id, const char *key)
+{
+	g_mutex_lock(&this->lock);
+	g_string_append_printf(
+		this->lines, "%s %s\n", request_id ? request_id : "-", key ? key : "-");
+	g_mutex_unlock(&this->lock);
+}
+
+static enum MHD_Result exec_log_answer(exec_log_t *this, server_call_t *call)
+{
+	enum MHD_Result result;
+
+	g_mutex_lock(&this->lock);
+	result = server_answer(call, 200, "text/plain", this->lines->str, this->lines->len);
+	g_mutex_unlock(&this->lock);
+	return result;
+}
+
+void replica_init(replica_t *this, exec_log_t *log, unsigned int slots, unsigned int load_lag_ms,
+	uint32_t seed)
+{
+	memset(this, 0, sizeof(*this));
+	g_mutex_init(&this->lock);
+	g_cond_init(&this->freed);
+	this->log = log;
+	this->slots = slots;
+	this->load_lag_ms = load_lag_ms;
+	this->random = g_rand_new_with_seed(seed);
+	this->faults.slow_percent = 100;
+}
+
+void replica_clear(replica_t *this)
+{
+	g_rand_free(this->random);
+	g_cond_clear(&this->freed);
+	g_mutex_clear(&this->lock);
+}
+
+void replica_enter(replica_t *this)
+{
+	g_mutex_lock(&this->lock);
+	this->waiting++;
+	while (this->running >= this->slots)
+		g_cond_wait(&this->freed, &this->lock);
+	this->waiting--;
+	this->running++;
+	this->served++;
+	g_mutex_unlock(&this->lock);
+}
+
+void replica_leave(replica_t *this)
+{
+	g_mutex_lock(&this->lock);
+	this->running--;
+	g_cond_signal(&this->freed);
+	g_mutex_unlock(&this->lock);
+}
+
+void replica_sample(replica_t *this)
+{
+	g_mutex_lock(&this->lock);
+	this->samples[this->sampled++ % LOAD_SAMPLES] = this->running + this->waiting;
+	g_mutex_unlock(&this->lock);
+}
+
+replica_faults_t replica_get_faults(replica_t *this)
+{
+	replica_faults_t faults;
+
+	g_mutex_lock(&this->lock);
+	faults = this->faults;
+	g_mutex_unlock(&this->lock);
+	return faults;
+}
+
+bool replica_draw(replica_t *this, unsigned int per_mille)
+{
+	bool drawn;
+
+	g_mutex_lock(&this->lock);
+	drawn = (unsigned int)g_rand_int_range(this->random, 0, 1000) < per_mille;
+	g_mutex_unlock(&this->lock);
+	return drawn;
+}
+
+static unsigned int get_uint(json_value_t *v, const char *key, unsigned int now)
+{
+	return (unsigned int)json_get_int(v, key, now);
+}
+
+static enum MHD_Result control(replica_t *this, server_call_t *call)
+{
+	jsondoc_t *doc = jsondoc_new(call->body->str, call->body->len);
+	replica_faults_t *f = &this->faults;
+	json_value_t *v = doc->root;
+
+	g_mutex_lock(&this->lock);
+	if (!doc->error) {
+		f->slow_percent = get_uint(v, "slow_percent", f->slow_percent);
+		f->cut_per_mille = get_uint(v, "cut_per_mille", f->cut_per_mille);
+		f->cross_per_mille = get_uint(v, "cross_per_mille", f->cross_per_mille);
+		f->drop_per_mille = get_uint(v, "drop_per_mille", f->drop_per_mille);
+		f->lose_per_mille = get_uint(v, "lose_per_mille", f->lose_per_mille);
+		f->late_ms = get_uint(v, "late_ms", (unsigned int)f->late_ms);
+		f->refuse = json_get_bool(v, "refuse", f->refuse);
+	}
+	g_mutex_unlock(&this->lock);
+	jsondoc_delete(doc);
+	return server_json(call, 200, g_string_new("{}"));
+}
+
+static enum MHD_Result load(replica_t *this, server_call_t *call)
+{
+	unsigned int back = this->load_lag_ms / LOAD_SAMPLE_MS + 1;
+	GString *out = g_string_new(NULL);
+	unsigned int running = 0;
+
+	g_mutex_lock(&this->lock);
+	if (this->sampled >= back && back <= LOAD_SAMPLES)
+		running = this->samples[(this->sampled - back) % LOAD_SAMPLES];
+	g_string_printf(out,
+		"{\"running\":%u,\"slots\":%u,\"served\":%" G_GUINT64_FORMAT ",\"now\":%u}",
+		running, this->slots, this->served, this->running);
+	g_mutex_unlock(&this->lock);
+	return server_json(call, 200, out);
+}
+
+bool replica_answer(replica_t *this, server_call_t *call, enum MHD_Result *result)
+{
+	if (!strcmp(call->path, "/control"))
+		*result = control(this, call);
+	else if (!strcmp(call->path, "/load"))
+		*result = load(this, call);
+	else if (!strcmp(call->path, "/log"))
+		*result = exec_log_answer(this->log, call);
+	else
+		return false;
+	return true;
+}
