--- /dev/null
+++ b/bench/run.sh
@@ -0,0 +1,65 @@
+#!/bin/bash
+# One bench run: run.sh DEPLOYMENT POLICY SEED OUTPUT.json, on the ports from BASE.
+set -u
+cd "$(dirname "$0")/.."
+deployment=$1
+POLICY=$2
+seed=$3
+output=$4
+. scripts/fleet.sh
+fleet_init
+trap stop_all EXIT
+
+case $deployment in
+ligas) model=pattern plain=desk engines=10 slots=8 services=4 weights="8 4 4 2 2 1 1 1 1 1 1 1 1 1 1 1" ;;
+mesob) model=advisor plain=shop engines=20 slots=4 services=3 weights="6 6 3 2 1 1 1 1 1 1 1 1 1 1 1 1" ;;
+esac
+start_platform
+start_engines $engines --slots $slots --token-us 10000 --prefill-us 100 --cache 8 --lag-ms 500 --seed "$seed"
+start_services $services --slots 8 --work-ms 15 --seed "$seed"
+write_settings
+start_routers
+DEADLINE_MS=4000 LONG_COST=150 write_text "$RUN/text.json" $model $plain $slots 8 $weights
+put_text "$RUN/text.json" 0 --wait >/dev/null || exit 1
+wait_ready && wait_for 15 all_see "$ROUTERS" || exit 1
+bash bench/profile.sh "$deployment" >"$RUN/profile.json"
+
+sum_metric() { local i s=0 v; for i in $(seq 0 $((ROUTERS - 1))); do v=$(metric_of "$i" "$1"); s=$((s + ${v:-0})); done; echo $s; }
+cpu_ticks() { local i s=0; for i in $(seq 0 $((ROUTERS - 1))); do s=$((s + $(awk '{print $14+$15}' "/proc/${ROUTER_PID[$i]}/stat"))); done; echo $s; }
+traffic() { echo "$(sum_metric peer_messages_sent_total) $(sum_metric peer_bytes_sent_total) $(sum_metric peer_wire_bytes_total) $(sum_metric caller_requests_total) $(cpu_ticks)"; }
+
+slow_two() { # a fifth of the replicas
+	local i
+	for i in $(seq 0 $((engines / 5 - 1))); do post "$(engine_of $((i * 5)))/control" "{\"slow_percent\":$1}"; done
+}
+
+build/amaranthwall-load --profile "$RUN/profile.json" --routers "$(all_callers)" \
+	--standins "$(engine_of 0),$(service_of 0)" --model $model --seconds 19 --seed "$seed" \
+	--span calm:1000:3500 --span crest:3500:5500 --span slowed:7500:10500 --span stragglers:11000:14000 --span full:16000:19000 \
+	>"$RUN/load.json" 2>"$RUN/load.err" &
+load=$!
+started=$(date +%s%3N)
+at() { local left=$((started + $1 - $(date +%s%3N))); [ $left -le 0 ] || sleep "$(awk "BEGIN{print $left/1000}")"; }
+at 1000
+calm_from=$(traffic)
+at 3500
+calm_to=$(traffic)
+at 7500
+slow_two 1000
+at 10500
+slow_two 100
+at 16000
+full_from=$(traffic)
+at 19000
+full_to=$(traffic)
+code=0
+wait $load || code=$?
+[ $code = 0 ] || { echo "$deployment $POLICY $seed: load exited $code" >&2; head -5 "$RUN/load.err" >&2; }
+{
+	echo "{\"deployment\":\"$deployment\",\"policy\":\"$POLICY\",\"seed\":$seed,\"routers\":$ROUTERS,"
+	echo "\"traffic\":{\"fields\":[\"messages\",\"payload\",\"wire\",\"requests\",\"cpu_ticks\"],\"calm_s\":2.5,\"full_s\":3,"
+	echo "\"calm_from\":[${calm_from// /,}],\"calm_to\":[${calm_to// /,}],\"full_from\":[${full_from// /,}],\"full_to\":[${full_to// /,}]},"
+	echo "\"load\":"
+	cat "$RUN/load.json"
+	echo "}"
+} >"$output"
--- a/load/main.c
+++ b/load/main.c
@@ -18,17 +18,27 @@
 #define MAX_IN_FLIGHT 4000
 #define THREAD_STACK (256U << 10)
 #define IDLE_STEP_MS 20
+#define MAX_SPANS 16
 #define DRAIN_LIMIT (120 * USEC_PER_SEC)
 
+/* A part of the run that is summed up by itself. */
+typedef struct span {
+	char *name;
+	unsigned int from_ms;
+	unsigned int to_ms;
+	double busy_us;
+	double slots;
+} span_t;
+
 typedef struct arguments {
+	span_t spans[MAX_SPANS];
+	unsigned int span_count;
 	const char *profile;
 	char **routers;
 	char **standins;
 	const char *model;
 	unsigned int seconds;
 	unsigned int seed;
-	unsigned int from_ms;
-	unsigned int to_ms;
 	bool obey;
 	double scale;
 } arguments_t;
@@ -52,13 +62,26 @@
 	{"model", 'm', "NAME", 0, "model whose fairness gap is worked out", 0},
 	{"seconds", 's', "N", 0, "how long", 0},
 	{"seed", 'e', "N", 0, "seed of all draws", 0},
-	{"from-ms", 'f', "N", 0, "start of the window that is summed up", 0},
-	{"to-ms", 't', "N", 0, "end of that window", 0},
+	{"span", 'w', "NAME:FROM:TO", 0, "a part to sum up by itself, in ms; may be repeated", 0},
 	{"obey", 'o', 0, 0, "wait as long as Retry-After says", 0},
 	{"scale", 'x', "F", 0, "factor on every rate", 0},
 	{0},
 };
 
+static void add_span(arguments_t *a, const char *text, struct argp_state *state)
+{
+	char **parts = g_strsplit(text, ":", 3);
+	span_t *span = &a->spans[a->span_count];
+
+	if (g_strv_length(parts) != 3 || a->span_count == MAX_SPANS)
+		argp_error(state, "--span: \"%s\" is not NAME:FROM:TO", text);
+	span->name = g_strdup(parts[0]);
+	span->from_ms = (unsigned int)strtoul(parts[1], NULL, 10);
+	span->to_ms = (unsigned int)strtoul(parts[2], NULL, 10);
+	a->span_count++;
+	g_strfreev(parts);
+}
+
 static error_t parse_option(int key, char *text, struct argp_state *state)
 {
 	arguments_t *a = state->input;
@@ -83,11 +106,8 @@
 	case 'e':
 		a->seed = number;
 		break;
-	case 'f':
-		a->from_ms = number;
-		break;
-	case 't':
-		a->to_ms = number;
+	case 'w':
+		add_span(a, text, state);
 		break;
 	case 'o':
 		a->obey = true;
@@ -259,24 +279,40 @@
 	return wrong;
 }
 
-/* Prints the summary; true when every promise held. */
-static bool report(
-	records_t *records, const profile_t *profile, const arguments_t *a, instant_t start)
+static void print_span(records_t *records, const profile_t *profile, const arguments_t *a,
+		       const span_t *span, instant_t start)
 {
-	instant_t from = start + a->from_ms * USEC_PER_MSEC;
-	instant_t to = start + (a->to_ms ? a->to_ms : a->seconds * 1000) * USEC_PER_MSEC;
-	unsigned int wrong = count_wrong(records);
-	join_report_t join = {0};
+	instant_t from = start + span->from_ms * USEC_PER_MSEC;
+	instant_t to = start + span->to_ms * USEC_PER_MSEC;
 	double largest = 0;
 
-	printf("{");
 	print_classes(records, profile, from, to);
-	print_statuses(records);
 	if (a->model) {
 		double gap = records_fairness_gap(records, a->model, from, to, &largest);
 
 		printf(",\n  \"fairness_gap\": %.1f, \"largest_cost\": %.0f", gap, largest);
 	}
+	if (span->slots > 0)
+		printf(",\n  \"utilisation\": %.4f",
+		       span->busy_us / span->slots / (double)(to - from));
+}
+
+/* Prints the summary; true when every promise held. */
+static bool report(records_t *records, const profile_t *profile, const arguments_t *a,
+		   instant_t start)
+{
+	span_t whole = {.to_ms = a->seconds * 1000};
+	unsigned int wrong = count_wrong(records);
+	join_report_t join = {0};
+
+	printf("{");
+	print_span(records, profile, a, &whole, start);
+	print_statuses(records);
+	for (unsigned int i = 0; i < a->span_count; i++) {
+		printf(",\n\"span_%s\": {", a->spans[i].name);
+		print_span(records, profile, a, &a->spans[i], start);
+		printf("}");
+	}
 	if (a->standins && !join_records(records, a->standins, &join)) {
 		fprintf(stderr, "a stand-in's log could not be had\n");
 		wrong++;
@@ -284,11 +320,56 @@
 	printf(",\n  \"join\": {\"executions\": %u, \"told_not_run\": %u, \"not_run_but_ran\": %u, "
 	       "\"doubled_keys\": %u, \"done_but_never_ran\": %u, \"wrong\": %u, "
 	       "\"over_limit\": %d}\n}\n",
-		join.executions, records->not_run->len, join.not_run_but_ran, join.doubled_keys,
-		join.done_but_never_ran, wrong, over_limit);
+	       join.executions, records->not_run->len, join.not_run_but_ran, join.doubled_keys,
+	       join.done_but_never_ran, wrong, over_limit);
 	return !wrong && !join.not_run_but_ran && !join.doubled_keys && !join.done_but_never_ran;
 }
 
+/* The slot time that the first stand-in process has used so far. */
+static double read_busy(const arguments_t *a, double *slots)
+{
+	http_options_t request = {.address = a->standins[0],
+				  .method = "GET",
+				  .path = "/busy",
+				  .connect_timeout_ms = 1000,
+				  .read_timeout_ms = 2000};
+	GString *answer = g_string_new(NULL);
+	double busy = 0;
+	int status = 0;
+
+	if (http_call(&request, 4096, answer, &status) == HTTP_OK && status == 200) {
+		jsondoc_t *doc = jsondoc_new(answer->str, answer->len);
+
+		busy = (double)json_get_int(doc->root, "busy_us", 0);
+		*slots = (double)json_get_int(doc->root, "slots", 0);
+		jsondoc_delete(doc);
+	}
+	g_string_free(answer, TRUE);
+	return busy;
+}
+
+typedef struct busy_watch {
+	arguments_t *arguments;
+	instant_t start;
+} busy_watch_t;
+
+static void *watch_busy(void *ctx)
+{
+	busy_watch_t *this = ctx;
+	arguments_t *a = this->arguments;
+
+	for (unsigned int i = 0; i < a->span_count; i++) {
+		span_t *span = &a->spans[i];
+		double before;
+
+		sleep_until(this->start + span->from_ms * USEC_PER_MSEC);
+		before = read_busy(a, &span->slots);
+		sleep_until(this->start + span->to_ms * USEC_PER_MSEC);
+		span->busy_us = read_busy(a, &span->slots) - before;
+	}
+	return NULL;
+}
+
 static void run_generators(const arguments_t *a, const profile_t *profile,
 	const sender_options_t *sender, instant_t start)
 {
@@ -317,6 +398,8 @@
 	sender_options_t sender = {0};
 	profile_t *profile;
 	faults_t faults;
+	busy_watch_t busy;
+	pthread_t watcher;
 	instant_t start;
 	bool good;
 
@@ -333,7 +416,12 @@
 	sender.records = records_new();
 	sender.obey_retry_after = a.obey;
 	start = clock_now() + 50 * USEC_PER_MSEC;
+	busy = (busy_watch_t){&a, start};
+	if (a.standins && a.span_count)
+		pthread_create(&watcher, NULL, watch_busy, &busy);
 	run_generators(&a, profile, &sender, start);
+	if (a.standins && a.span_count)
+		pthread_join(watcher, NULL);
 	if (__atomic_load_n(&in_flight, __ATOMIC_RELAXED)) {
 		fprintf(stderr, "requests hang\n");
 		return EXIT_FAILURE;
@@ -342,6 +430,8 @@
 	records_delete(sender.records);
 	profile_delete(profile);
 	faults_clear(&faults);
+	for (unsigned int i = 0; i < a.span_count; i++)
+		g_free(a.spans[i].name);
 	g_strfreev(a.routers);
 	g_strfreev(a.standins);
 	return good ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/load/record.c
+++ b/load/record.c
@@ -143,10 +143,16 @@
 	return this->count++;
 }
 
-static unsigned int grid_step(const grid_t *this, instant_t at, instant_t from)
+/* The step of `at`, which may lie outside the grid. */
+static int64_t grid_step(instant_t at, instant_t from)
 {
-	uint64_t step = at > from ? (at - from) / GRID : 0;
+	return ((int64_t)at - (int64_t)from) / (int64_t)GRID;
+}
 
+static unsigned int clamp_step(const grid_t *this, int64_t step)
+{
+	if (step < 0)
+		return 0;
 	return step > this->steps ? this->steps : (unsigned int)step;
 }
 
@@ -154,18 +160,17 @@
 static void grid_add(grid_t *this, const record_t *r, instant_t from)
 {
 	unsigned int w = grid_workspace(this, r->stream->workspace);
-	instant_t began = r->result == RESULT_DONE ? r->first_byte : r->ended;
-	unsigned int wait_from = grid_step(this, r->intended, from);
-	unsigned int wait_to = grid_step(this, began, from);
-	unsigned int end = grid_step(this, r->ended, from);
-	double cost = (double)r->cost / r->stream->weight;
+	int64_t began = grid_step(r->result == RESULT_DONE ? r->first_byte : r->ended, from);
+	int64_t end = grid_step(r->ended, from);
+	double cost = (double)r->cost / r->stream->weight / (double)(end - began + 1);
+	unsigned int s = clamp_step(this, grid_step(r->intended, from) + 1);
 
-	for (unsigned int s = wait_from + 1; s < wait_to; s++)
+	for (; s < clamp_step(this, began); s++)
 		this->waiting[w][s]++;
-	if (r->result != RESULT_DONE)
+	if (r->result != RESULT_DONE || end < 0)
 		return;
-	for (unsigned int s = wait_to; s <= end; s++)
-		this->served[w][s] += cost / (end - wait_to + 1);
+	for (s = clamp_step(this, began); s <= clamp_step(this, end) && s < this->steps; s++)
+		this->served[w][s] += cost;
 }
 
 static void grid_accumulate(grid_t *this)
--- a/standin/replica.c
+++ b/standin/replica.c
@@ -2,11 +2,16 @@
 
 #include <string.h>
 
+#include "edge/clock.h"
 #include "settings/jsondoc.h"
 
 struct exec_log {
 	GMutex lock;
 	GString *lines;
+	unsigned int slots;
+	unsigned int running;
+	uint64_t busy_us; /* slot time used up to `busy_at` */
+	instant_t busy_at;
 };
 
 exec_log_t *exec_log_new(void)
@@ -33,6 +38,42 @@
 	g_mutex_unlock(&this->lock);
 }
 
+void exec_log_add_slots(exec_log_t *this, unsigned int slots)
+{
+	g_mutex_lock(&this->lock);
+	this->slots += slots;
+	g_mutex_unlock(&this->lock);
+}
+
+/* Adds up the slot time since the last change; the lock is held. */
+static void exec_log_count(exec_log_t *this)
+{
+	instant_t now = clock_now();
+
+	this->busy_us += (now - this->busy_at) * this->running;
+	this->busy_at = now;
+}
+
+static void exec_log_run(exec_log_t *this, int step)
+{
+	g_mutex_lock(&this->lock);
+	exec_log_count(this);
+	this->running += (unsigned int)step;
+	g_mutex_unlock(&this->lock);
+}
+
+static enum MHD_Result exec_log_busy(exec_log_t *this, server_call_t *call)
+{
+	GString *out = g_string_new(NULL);
+
+	g_mutex_lock(&this->lock);
+	exec_log_count(this);
+	g_string_printf(out, "{\"busy_us\":%" G_GUINT64_FORMAT ",\"slots\":%u,\"running\":%u}",
+			(guint64)this->busy_us, this->slots, this->running);
+	g_mutex_unlock(&this->lock);
+	return server_json(call, 200, out);
+}
+
 static enum MHD_Result exec_log_answer(exec_log_t *this, server_call_t *call)
 {
 	enum MHD_Result result;
@@ -54,6 +95,7 @@
 	this->load_lag_ms = load_lag_ms;
 	this->random = g_rand_new_with_seed(seed);
 	this->faults.slow_percent = 100;
+	exec_log_add_slots(log, slots);
 }
 
 void replica_clear(replica_t *this)
@@ -73,10 +115,12 @@
 	this->running++;
 	this->served++;
 	g_mutex_unlock(&this->lock);
+	exec_log_run(this->log, 1);
 }
 
 void replica_leave(replica_t *this)
 {
+	exec_log_run(this->log, -1);
 	g_mutex_lock(&this->lock);
 	this->running--;
 	g_cond_signal(&this->freed);
@@ -158,6 +202,8 @@
 		*result = control(this, call);
 	else if (!strcmp(call->path, "/load"))
 		*result = load(this, call);
+	else if (!strcmp(call->path, "/busy"))
+		*result = exec_log_busy(this->log, call);
 	else if (!strcmp(call->path, "/log"))
 		*result = exec_log_answer(this->log, call);
 	else
--- a/standin/replica.h
+++ b/standin/replica.h
@@ -18,6 +18,8 @@
 exec_log_t *exec_log_new(void);
 void exec_log_delete(exec_log_t *this);
 void exec_log_add(exec_log_t *this, const char *request_id, const char *key);
+/* The process now has `slots` more slots in all. */
+void exec_log_add_slots(exec_log_t *this, unsigned int slots);
 
 typedef struct replica_faults {
 	unsigned int slow_percent;    /* of the usual time, 100 by default */
@@ -54,7 +56,7 @@
 void replica_sample(replica_t *this);
 replica_faults_t replica_get_faults(replica_t *this);
 bool replica_draw(replica_t *this, unsigned int per_mille);
-/* Answers /control, /load and /log; false when the path is another. */
+/* Answers /control, /load, /log and /busy (slot time of the whole process); false when the path is another. */
 bool replica_answer(replica_t *this, server_call_t *call, enum MHD_Result *result);
 
 #endif
