Bench: full load for 7.5 s, drafts of at most 150 tokens, shares of each workspace

Cause: over 3 s with costs up to 300 the gap was mostly one request's cost, so the policies could not be told apart.

--- a/bench/profile.sh
+++ b/bench/profile.sh
@@ -4,7 +4,7 @@
 #
 # Time line in ms: 1000-3500 calm, 3500-5500 crest (3x within a moment),
 # 7500-10500 two in ten replicas slowed (by bench/run.sh), 11000-14000 calm
-# with stragglers, 15000-19000 all backlogged.
+# with stragglers, 14500-23000 all backlogged.
 deployment=$1
 case $deployment in
 ligas) model=pattern; weights=(8 4 4 2 2 1 1 1 1 1 1 1 1 1 1 1); unit=1.0 ;;
@@ -21,11 +21,11 @@
 	[ "$w" -lt 3 ] && large="$crest, "
 	draft=$(awk "BEGIN{print 1.6 * $weight * $unit}")
 	quick=$(awk "BEGIN{print 1.8 * $weight * $unit}")
-	echo "$comma{\"name\": \"draft-w$w\", \"class\": \"draft\", $common, \"kind\": \"stream\", \"rate\": $draft, \"tokens\": 50, \"sigma\": 0.8, \"max_tokens\": 300, \"prefixes\": 4, \"deadline_ms\": 4000, \"swing\": [$large{\"from_ms\": 15000, \"to_ms\": 19000, \"factor\": 4}]}"
+	echo "$comma{\"name\": \"draft-w$w\", \"class\": \"draft\", $common, \"kind\": \"stream\", \"rate\": $draft, \"tokens\": 50, \"sigma\": 0.6, \"max_tokens\": 150, \"prefixes\": 4, \"deadline_ms\": 4000, \"swing\": [$large{\"from_ms\": 14500, \"to_ms\": 23000, \"factor\": 4}]}"
 	comma=,
 	class=quick-small
 	[ "$w" -lt 3 ] && class=quick-large
-	echo ",{\"name\": \"quick-w$w\", \"class\": \"$class\", $common, \"kind\": \"stream\", \"rate\": $quick, \"tokens\": 6, \"sigma\": 0.4, \"max_tokens\": 32, \"deadline_ms\": 4000, \"swing\": [$large{\"from_ms\": 15000, \"to_ms\": 19000, \"factor\": 3}]}"
+	echo ",{\"name\": \"quick-w$w\", \"class\": \"$class\", $common, \"kind\": \"stream\", \"rate\": $quick, \"tokens\": 6, \"sigma\": 0.4, \"max_tokens\": 32, \"deadline_ms\": 4000, \"swing\": [$large{\"from_ms\": 14500, \"to_ms\": 23000, \"factor\": 3}]}"
 done
 # Stragglers: rare, and many times longer than everything else.
 for w in 0 1; do
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -34,8 +34,8 @@
 }
 
 build/amaranthwall-load --profile "$RUN/profile.json" --routers "$(all_callers)" \
-	--standins "$(engine_of 0),$(service_of 0)" --model $model --seconds 19 --seed "$seed" \
-	--span calm:1000:3500 --span crest:3500:5500 --span slowed:7500:10500 --span stragglers:11000:14000 --span full:16000:19000 \
+	--standins "$(engine_of 0),$(service_of 0)" --model $model --seconds 23 --seed "$seed" \
+	--span calm:1000:3500 --span crest:3500:5500 --span slowed:7500:10500 --span stragglers:11000:14000 --span full:15500:23000 \
 	>"$RUN/load.json" 2>"$RUN/load.err" &
 load=$!
 started=$(date +%s%3N)
@@ -48,16 +48,16 @@
 slow_two 1000
 at 10500
 slow_two 100
-at 16000
+at 15500
 full_from=$(traffic)
-at 19000
+at 23000
 full_to=$(traffic)
 code=0
 wait $load || code=$?
 [ $code = 0 ] || { echo "$deployment $POLICY $seed: load exited $code" >&2; head -5 "$RUN/load.err" >&2; }
 {
 	echo "{\"deployment\":\"$deployment\",\"policy\":\"$POLICY\",\"seed\":$seed,\"routers\":$ROUTERS,"
-	echo "\"traffic\":{\"fields\":[\"messages\",\"payload\",\"wire\",\"requests\",\"cpu_ticks\"],\"calm_s\":2.5,\"full_s\":3,"
+	echo "\"traffic\":{\"fields\":[\"messages\",\"payload\",\"wire\",\"requests\",\"cpu_ticks\"],\"calm_s\":2.5,\"full_s\":7.5,"
 	echo "\"calm_from\":[${calm_from// /,}],\"calm_to\":[${calm_to// /,}],\"full_from\":[${full_from// /,}],\"full_to\":[${full_to// /,}]},"
 	echo "\"load\":"
 	cat "$RUN/load.json"
--- a/load/main.c
+++ b/load/main.c
@@ -290,7 +290,10 @@
 	if (a->model) {
 		double gap = records_fairness_gap(records, a->model, from, to, &largest);
 
-		printf(",\n  \"fairness_gap\": %.1f, \"largest_cost\": %.0f", gap, largest);
+		printf(",\n  \"fairness_gap\": %.1f, \"largest_cost\": %.0f,\n  \"shares\": {",
+		       gap, largest);
+		records_print_shares(records, a->model, from, to);
+		printf("}");
 	}
 	if (span->slots > 0)
 		printf(",\n  \"utilisation\": %.4f",
--- a/load/record.c
+++ b/load/record.c
@@ -1,5 +1,6 @@
 #include "load/record.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -219,27 +220,60 @@
 	return gap;
 }
 
-double records_fairness_gap(
-	records_t *this, const char *model, instant_t from, instant_t to, double *largest_cost)
+/* Adds all requests of `model`; returns the largest weighted cost among them. */
+static double grid_fill(grid_t *this, records_t *records, const char *model, instant_t from,
+	instant_t to)
 {
-	grid_t grid = {.steps = (unsigned int)((to - from) / GRID)};
-	double gap;
+	double largest = 0;
 
-	*largest_cost = 0;
-	for (unsigned int i = 0; i < this->list->len; i++) {
-		const record_t *r = g_ptr_array_index(this->list, i);
+	memset(this, 0, sizeof(*this));
+	this->steps = (unsigned int)((to - from) / GRID);
+	for (unsigned int i = 0; i < records->list->len; i++) {
+		const record_t *r = g_ptr_array_index(records->list, i);
 
 		if (strcmp(r->stream->model, model))
 			continue;
-		grid_add(&grid, r, from);
-		if (r->cost > *largest_cost)
-			*largest_cost = r->cost;
+		grid_add(this, r, from);
+		if (r->ended > from && (double)r->cost / r->stream->weight > largest)
+			largest = (double)r->cost / r->stream->weight;
 	}
-	grid_accumulate(&grid);
-	gap = grid_gap(&grid);
+	grid_accumulate(this);
+	return largest;
+}
+
+static void grid_clear(grid_t *this)
+{
+	for (unsigned int w = 0; w < this->count; w++) {
+		g_free(this->served[w]);
+		g_free(this->waiting[w]);
+	}
+}
+
+void records_print_shares(records_t *this, const char *model, instant_t from, instant_t to)
+{
+	grid_t grid;
+
+	grid_fill(&grid, this, model, from, to);
 	for (unsigned int w = 0; w < grid.count; w++) {
-		g_free(grid.served[w]);
-		g_free(grid.waiting[w]);
+		unsigned int waiting = 0;
+
+		for (unsigned int s = 0; s < grid.steps; s++)
+			waiting += grid.waiting[w][s] > 0;
+		printf("%s\"%s\": [%.1f, %.2f]", w ? ", " : "", grid.names[w],
+			grid.steps ? grid.served[w][grid.steps - 1] : 0,
+			(double)waiting / grid.steps);
 	}
+	grid_clear(&grid);
+}
+
+double records_fairness_gap(
+	records_t *this, const char *model, instant_t from, instant_t to, double *largest_cost)
+{
+	grid_t grid;
+	double gap;
+
+	*largest_cost = grid_fill(&grid, this, model, from, to);
+	gap = grid_gap(&grid);
+	grid_clear(&grid);
 	return gap;
 }
--- a/load/record.h
+++ b/load/record.h
@@ -54,9 +54,12 @@
 
 void records_summarize(records_t *this, const char *work_class, instant_t from, instant_t to,
 	class_summary_t *summary);
+/* Prints, for each workspace, its weighted cost served and the part of the time it waited. */
+void records_print_shares(records_t *this, const char *model, instant_t from, instant_t to);
 /*
  * The largest difference in weighted cost served to two workspaces of `model`
- * over any window in which both had work waiting all the time.
+ * over any window in which both had work waiting all the time; and the
+ * largest weighted cost of one request.
  */
 double records_fairness_gap(
 	records_t *this, const char *model, instant_t from, instant_t to, double *largest_cost);
