Fair share: charge work as it is served, not as predicted when placed

Cause: a workspace with long work under way was charged for it when it was placed; in the calm the pool's virtual time rose to that level and forgave the debt, and the work went on being served for seconds. Two such workspaces got 2608 and 2033 weighted units in 7.5 s, the others 1568 to 1761.

Ruled out: disagreement between owners (the others were within a tenth), late counters (the same shares under forward).

--- a/src/core/node_owner.c
+++ b/src/core/node_owner.c
@@ -185,7 +185,7 @@
 	replica->unseen[slot]++;
 	if (lane) {
 		replica->unseen_long += work_class == WORK_LONG;
-		lane->provisional += (uint64_t)lane->mean_cost;
+		lane->provisional += share_placement_charge((uint32_t)lane->mean_cost);
 		adjust(lane, slot, work_class, 0, 1);
 	} else {
 		replica->pool->peers[slot].unseen_open++;
@@ -197,6 +197,7 @@
 {
 	replica_t *replica = record->replica;
 	lane_t *lane = record->lane;
+	uint32_t charge;
 
 	if (replica->unseen[slot])
 		replica->unseen[slot]--;
@@ -208,10 +209,8 @@
 	}
 	if (record->work_class == WORK_LONG && replica->unseen_long)
 		replica->unseen_long--;
-	if (lane->provisional >= (uint64_t)lane->mean_cost)
-		lane->provisional -= (uint64_t)lane->mean_cost;
-	else
-		lane->provisional = 0;
+	charge = share_placement_charge((uint32_t)lane->mean_cost);
+	lane->provisional -= charge < lane->provisional ? charge : lane->provisional;
 	if (lane->demand[slot].unseen[record->work_class])
 		adjust(lane, slot, record->work_class, 0, -1);
 }
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -143,7 +143,7 @@
 
 	share_advance(lane);
 	router_dequeue(request);
-	request->charged = predict_cost(lane, request);
+	request->charged = share_placement_charge(predict_cost(lane, request));
 	request->replica = replica;
 	request->state = REQUEST_RUNNING;
 	request->started = now;
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -1,5 +1,10 @@
 #include "core/share.h"
 
+uint32_t share_placement_charge(uint32_t predicted)
+{
+	return predicted < SHARE_PLACEMENT_MAX ? predicted : SHARE_PLACEMENT_MAX;
+}
+
 double share_level(const lane_t *lane)
 {
 	uint64_t served = lane->own_served + lane->former_served + lane->remote_served;
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -10,6 +10,11 @@
  */
 #include "core/pool.h"
 
+/* Cost units at most that a request is charged before any of it was served. */
+#define SHARE_PLACEMENT_MAX 16
+
+/* What a request of `predicted` cost is charged when it is placed. */
+uint32_t share_placement_charge(uint32_t predicted);
 double share_level(const lane_t *lane);
 /* The lane has work waiting, here or at a peer. */
 void share_wake(lane_t *lane);
