Control traffic: report what owners need at once, the rest with the next message

Cause: in the calm each request cost 1.5 messages out: every use of a lent slot was reported after 20 ms and every grant acknowledged after 50 ms, though the owner acts on neither unless the router has no idle slot left.

Change: use and acknowledgement wait up to 500 ms for another message; a slot given back goes after 20 ms, at once when the owner is contended. Broken connections are heard of from ZeroMQ's monitor, so a killed peer is dead after 0.4 s instead of 2.5 s. The kernel's counters give the wire bytes.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -68,6 +68,14 @@
 	return restarted ? HEAR_RESTARTED : HEAR_NEW;
 }
 
+void members_link_broken(members_t *this, unsigned int slot, instant_t now)
+{
+	member_t *member = &this->list[slot];
+
+	member->suspect_at = instant_min(member->suspect_at, now);
+	member->dead_at = instant_min(member->dead_at, now + MEMBER_BROKEN_DEAD_AFTER);
+}
+
 void members_set_stopping(members_t *this, unsigned int slot, bool stopping)
 {
 	if (this->list[slot].stopping == stopping)
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -13,6 +13,7 @@
 
 #define MEMBER_MAX 512
 #define MEMBER_SUSPECT_AFTER (1200 * USEC_PER_MSEC)
+#define MEMBER_BROKEN_DEAD_AFTER (400 * USEC_PER_MSEC) /* once its connection broke */
 #define MEMBER_DEAD_AFTER (2500 * USEC_PER_MSEC)
 
 typedef enum member_state {
@@ -55,6 +56,8 @@
 int members_find(const members_t *this, id_t32 id);
 hear_result_t members_hear(
 	members_t *this, unsigned int slot, uint64_t incarnation, uint64_t seq, instant_t now);
+/* The connection to a peer broke: it is suspect, and dead soon unless heard again. */
+void members_link_broken(members_t *this, unsigned int slot, instant_t now);
 void members_set_stopping(members_t *this, unsigned int slot, bool stopping);
 void members_set_listed_gone(members_t *this, unsigned int slot, bool gone);
 /* Moves silent peers on; true when the view changed. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -511,6 +511,12 @@
 	return next;
 }
 
+void node_link_broken(node_t *this, unsigned int slot, instant_t now)
+{
+	members_link_broken(&this->members, slot, now);
+	node_send_by(this, slot, now);
+}
+
 instant_t node_tick(node_t *this, instant_t now)
 {
 	instant_t next = now + SWEEP_INTERVAL;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -149,6 +149,8 @@
 
 /* Takes a peer's message; false when it was dropped. */
 bool node_hear(node_t *this, const message_t *message, instant_t now);
+/* The connection to the peer in `slot` broke: unless it is heard again soon, it is gone. */
+void node_link_broken(node_t *this, unsigned int slot, instant_t now);
 /* Does what is due; returns when to call again at the latest. */
 instant_t node_tick(node_t *this, instant_t now);
 
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -5,7 +5,7 @@
 #define HEARTBEAT (1 * USEC_PER_SEC)
 #define LEAVING_REMEMBERED (30 * USEC_PER_SEC)
 #define LEAVING_REPEATED (5 * USEC_PER_SEC)
-#define FETCH_PAUSE (1 * USEC_PER_SEC)
+#define ACK_DELAY (500 * USEC_PER_MSEC)
 
 /* --- writing ---------------------------------------------------------- */
 
@@ -61,6 +61,7 @@
 		if (replica->owner != slot || !replica->report_due || SECTION_FULL(&message->holds))
 			continue;
 		replica->report_due = false;
+		replica->return_due = false;
 		message->holds.entry[message->holds.count++] = (hold_entry_t){
 			.replica = replica->id,
 			.held = replica->held,
@@ -280,7 +281,7 @@
 		router_take_grant(this, slot, &message->grants.entry[i], now);
 	if (message->grant_seq > peer->grant_received) {
 		peer->grant_received = message->grant_seq;
-		node_send_by(this, slot, now + 50 * USEC_PER_MSEC);
+		node_send_by(this, slot, now + ACK_DELAY);
 	}
 }
 
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -1,7 +1,9 @@
 #include "core/node_internal.h"
 
 #define ASK_DELAY (1 * USEC_PER_MSEC)
-#define REPORT_DELAY (20 * USEC_PER_MSEC)
+#define NEED_DELAY (5 * USEC_PER_MSEC)	/* when nothing of the owner's is idle here any more */
+#define RETURN_DELAY (20 * USEC_PER_MSEC)
+#define REPORT_DELAY (500 * USEC_PER_MSEC) /* what the owner need not know soon */
 #define MAX_ASKED_PER_LANE 64
 #define MAX_WAITING_PER_LANE 4096
 #define CONTENDED_PENALTY 4.0
@@ -207,6 +209,18 @@
 	return best;
 }
 
+/* The owner lends more when it hears that its idle slots here are used up. */
+static uint64_t report_delay(const replica_t *replica)
+{
+	const pool_t *pool = replica->pool;
+
+	for (unsigned int i = 0; i < pool->replica_count; i++) {
+		if (pool->replicas[i]->owner == replica->owner && replica_idle(pool->replicas[i]))
+			return REPORT_DELAY;
+	}
+	return NEED_DELAY;
+}
+
 void router_use_idle(node_t *this, pool_t *pool, instant_t now)
 {
 	while (pool->waiting) {
@@ -220,7 +234,7 @@
 		if (!replica)
 			return;
 		router_start(this, lane, work_class, replica, now);
-		router_report(this, replica, now + REPORT_DELAY, now);
+		router_report(this, replica, now + report_delay(replica), now);
 	}
 }
 
@@ -397,16 +411,21 @@
 	if (!count)
 		return;
 	replica->held -= count;
+	replica->return_due = replica->owner != 0;
 	this->stats.grants_returned += count;
-	router_report(this, replica, contended ? now + ASK_DELAY : now + REPORT_DELAY, now);
+	router_report(this, replica, contended ? now : now + RETURN_DELAY, now);
 }
 
 void router_give_back_idle(node_t *this, pool_t *pool, unsigned int slot, instant_t now)
 {
 	for (unsigned int i = 0; i < pool->replica_count; i++) {
-		if (pool->replicas[i]->owner == slot)
-			router_give_back(
-				this, pool->replicas[i], replica_idle(pool->replicas[i]), now);
+		replica_t *replica = pool->replicas[i];
+
+		if (replica->owner != slot)
+			continue;
+		router_give_back(this, replica, replica_idle(replica), now);
+		if (slot && replica->return_due) /* given back a moment ago, and needed now */
+			node_send_by(this, slot, now);
 	}
 }
 
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -2,6 +2,7 @@
 
 #include "core/node_internal.h"
 
+#define KEPT_REPORT_DELAY (500 * USEC_PER_MSEC)
 #define KEPT_DIVISOR 4 /* of this router's even share of an owner's slots, kept idle */
 
 static unsigned int kept_idle(const node_t *this, const pool_t *pool, unsigned int owner)
@@ -52,7 +53,7 @@
 		    idle <= kept_idle(this, replica->pool, replica->owner);
 
 	if (keep || !replica_idle(replica))
-		router_report(this, replica, now, now);
+		router_report(this, replica, now + KEPT_REPORT_DELAY, now);
 	else
 		router_give_back(this, replica, 1, now);
 }
--- a/src/daemon/decider.c
+++ b/src/daemon/decider.c
@@ -265,6 +265,15 @@
 	}
 }
 
+/* A peer whose process ended breaks its connection long before its silence shows. */
+static void drain_broken(decider_t *this)
+{
+	unsigned int peer;
+
+	while (peer_socket_next_broken(this->socket, &peer))
+		node_link_broken(this->node, peer + 1, clock_now());
+}
+
 static void publish_view(decider_t *this)
 {
 	const members_t *members = node_members(this->node);
@@ -291,6 +300,7 @@
 
 		drain_events(this);
 		drain_messages(this);
+		drain_broken(this);
 		now = clock_now();
 		next = node_tick(this->node, now);
 		drain_actions(this);
@@ -567,6 +577,8 @@
 	metric(out, "peer_messages_received_total", socket->received);
 	metric(out, "peer_bytes_sent_total", socket->sent_bytes);
 	metric(out, "peer_bytes_received_total", socket->received_bytes);
+	metric(out, "peer_wire_bytes_total", socket->wire_bytes);
+	metric(out, "peer_wire_segments_total", socket->wire_segments);
 	metric(out, "peer_messages_not_sent_total", socket->not_sent);
 	metric(out, "peer_keys_refused_total", socket->refused_keys);
 	metric(out, "peer_messages_bad_total", this->bad_messages);
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -1,6 +1,8 @@
 #include "edge/peer_socket.h"
 
 #include <glib.h>
+#include <netinet/in.h>
+#include <linux/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,11 +17,16 @@
 #define Z85_KEY_SIZE 41
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
 #define ZAP_FRAMES 16
+#define MAX_CONNECTIONS 1024
+#define HEADER_BYTES 52 /* IP, TCP and its usual options */
 
 typedef struct peer_link {
 	peer_address_t address;
 	uint8_t key[KEY_SIZE];
 	void *push;
+	void *monitor;
+	int fd; /* of the connection, -1 without one */
+	bool broken;
 	bool cut;
 } peer_link_t;
 
@@ -27,6 +34,9 @@
 	void *context;
 	void *pull;
 	void *zap;
+	void *monitor;			 /* of what connects to us */
+	int accepted[MAX_CONNECTIONS]; /* their descriptors */
+	unsigned int accepted_count;
 	peer_link_t *links;
 	unsigned int count;
 	peer_socket_stats_t stats;
@@ -45,6 +55,21 @@
 	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
 }
 
+/* A socket that tells when connections of `socket` begin and end. */
+static void *open_monitor(peer_socket_t *this, void *socket, const char *name)
+{
+	char *endpoint = g_strdup_printf("inproc://monitor-%s", name);
+	void *monitor = zmq_socket(this->context, ZMQ_PAIR);
+
+	set_int(monitor, ZMQ_LINGER, 0);
+	zmq_socket_monitor(socket, endpoint,
+		ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_CONNECTED | ZMQ_EVENT_ACCEPTED |
+			ZMQ_EVENT_DISCONNECTED);
+	zmq_connect(monitor, endpoint);
+	g_free(endpoint);
+	return monitor;
+}
+
 static bool bind_pull(peer_socket_t *this, const peer_socket_options_t *options)
 {
 	char *endpoint = g_strdup_printf("tcp://%s", options->bind_address);
@@ -52,6 +77,7 @@
 	bool bound;
 
 	this->pull = zmq_socket(this->context, ZMQ_PULL);
+	this->monitor = open_monitor(this, this->pull, "pull");
 	set_common(this->pull);
 	set_int(this->pull, ZMQ_CURVE_SERVER, 1);
 	zmq_setsockopt(this->pull, ZMQ_MAXMSGSIZE, &max, sizeof(max));
@@ -69,6 +95,8 @@
 	bool connected;
 
 	link->push = zmq_socket(this->context, ZMQ_PUSH);
+	link->monitor = open_monitor(this, link->push, link->address.address);
+	link->fd = -1;
 	set_common(link->push);
 	set_int(link->push, ZMQ_IMMEDIATE, 1);
 	set_int(link->push, ZMQ_RECONNECT_IVL, RECONNECT_MS);
@@ -110,11 +138,17 @@
 	if (!this)
 		return;
 	for (unsigned int i = 0; i < this->count; i++) {
-		if (this->links[i].push)
-			zmq_close(this->links[i].push);
+		if (!this->links[i].push)
+			continue;
+		zmq_socket_monitor(this->links[i].push, NULL, 0);
+		zmq_close(this->links[i].push);
+		zmq_close(this->links[i].monitor);
 	}
-	if (this->pull)
+	if (this->pull) {
+		zmq_socket_monitor(this->pull, NULL, 0);
 		zmq_close(this->pull);
+		zmq_close(this->monitor);
+	}
 	zmq_close(this->zap);
 	zmq_ctx_term(this->context);
 	g_free(this->links);
@@ -246,8 +280,87 @@
 	this->links[peer].cut = cut;
 }
 
-const peer_socket_stats_t *peer_socket_stats(const peer_socket_t *this)
+/* The next event of a monitor: its kind and descriptor; false when there is none. */
+static bool next_event(void *monitor, uint16_t *event, int *fd)
+{
+	uint8_t head[6];
+	uint32_t value;
+
+	if (zmq_recv(monitor, head, sizeof(head), ZMQ_DONTWAIT) != (int)sizeof(head))
+		return false;
+	zmq_recv(monitor, NULL, 0, ZMQ_DONTWAIT); /* the address */
+	memcpy(event, head, sizeof(*event));
+	memcpy(&value, head + sizeof(*event), sizeof(value));
+	*fd = (int)value;
+	return true;
+}
+
+static void follow_link(peer_link_t *link)
+{
+	uint16_t event;
+	int fd;
+
+	while (next_event(link->monitor, &event, &fd)) {
+		link->broken |= event == ZMQ_EVENT_DISCONNECTED;
+		link->fd = event == ZMQ_EVENT_DISCONNECTED ? -1 : fd;
+	}
+}
+
+static void forget_accepted(peer_socket_t *this, int fd)
+{
+	for (unsigned int i = 0; i < this->accepted_count; i++) {
+		if (this->accepted[i] == fd)
+			this->accepted[i--] = this->accepted[--this->accepted_count];
+	}
+}
+
+static void follow_accepted(peer_socket_t *this)
+{
+	uint16_t event;
+	int fd;
+
+	while (next_event(this->monitor, &event, &fd)) {
+		forget_accepted(this, fd);
+		if (event == ZMQ_EVENT_ACCEPTED && this->accepted_count < MAX_CONNECTIONS)
+			this->accepted[this->accepted_count++] = fd;
+	}
+}
+
+bool peer_socket_next_broken(peer_socket_t *this, unsigned int *peer)
+{
+	follow_accepted(this);
+	for (unsigned int i = 0; i < this->count; i++) {
+		follow_link(&this->links[i]);
+		if (!this->links[i].broken)
+			continue;
+		this->links[i].broken = false;
+		*peer = i;
+		return true;
+	}
+	return false;
+}
+
+static void add_wire(peer_socket_stats_t *stats, int fd)
+{
+	struct tcp_info info = {0};
+	socklen_t size = sizeof(info);
+	uint64_t segments;
+
+	if (fd < 0 || getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size))
+		return;
+	segments = (uint64_t)info.tcpi_segs_out + info.tcpi_segs_in;
+	stats->wire_segments += segments;
+	stats->wire_bytes += info.tcpi_bytes_sent + info.tcpi_bytes_received + segments * HEADER_BYTES;
+}
+
+const peer_socket_stats_t *peer_socket_stats(peer_socket_t *this)
 {
+	this->stats.wire_bytes = 0;
+	this->stats.wire_segments = 0;
+	for (unsigned int i = 0; i < this->accepted_count; i++)
+		add_wire(&this->stats, this->accepted[i]);
+	for (unsigned int i = 0; i < this->count; i++)
+		add_wire(&this->stats, this->links[i].fd);
 	return &this->stats;
 }
 
--- a/src/edge/peer_socket.h
+++ b/src/edge/peer_socket.h
@@ -34,6 +34,8 @@
 	uint64_t received_bytes;
 	uint64_t not_sent; /* no connection, or its queue was full */
 	uint64_t refused_keys;
+	uint64_t wire_bytes;	/* kernel's count over the open connections, both ways, with headers */
+	uint64_t wire_segments; /* likewise */
 } peer_socket_stats_t;
 
 /* NULL when the address can't be bound. */
@@ -45,11 +47,13 @@
 /* The next message, false when none waits; `sender` is who owns its key. */
 bool peer_socket_receive(
 	peer_socket_t *this, char *buffer, size_t size, size_t *received, id_t32 *sender);
+/* A peer whose connection broke since the last call; false when there is none. */
+bool peer_socket_next_broken(peer_socket_t *this, unsigned int *peer);
 /* Sleeps until a message, `fd` readable, or `timeout` microseconds. */
 void peer_socket_wait(peer_socket_t *this, int fd, uint64_t timeout);
 /* Stops or resumes the exchange with one peer; for tests of network partitions. */
 void peer_socket_cut(peer_socket_t *this, unsigned int peer, bool cut);
-const peer_socket_stats_t *peer_socket_stats(const peer_socket_t *this);
+const peer_socket_stats_t *peer_socket_stats(peer_socket_t *this);
 /* Makes a key pair in Z85; each buffer holds 41 bytes. */
 bool peer_socket_keygen(char *public_key, char *secret_key);
 
