Long and short: three classes, and a bounded handicap for longer work

Cause: at the crest a small workspace's quick question stood behind the charge of its own draft, and at full load quick answers waited as long as drafts.

Ruled out: late grants (the owners' queues were in order of level), and the cap on long work (drafts are below long_cost).

Change: work up to a fifth of long_cost is short, up to long_cost medium; the rank is the level plus half or all of long_cost. What has waited half its time goes with the short, so nobody's drafts starve behind his own questions.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -21,7 +21,8 @@
 
 typedef enum work_class {
 	WORK_SHORT,
-	WORK_LONG,
+	WORK_MEDIUM,
+	WORK_LONG, /* may hold only a part of the slots */
 	WORK_CLASSES,
 } work_class_t;
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -383,7 +383,7 @@
 		share_charge(request->lane, (int64_t)cost - request->charged);
 		request->charged = cost;
 	}
-	if (request->work_class == WORK_SHORT && cost > request->lane->pool->long_cost) {
+	if (request->work_class != WORK_LONG && cost > request->lane->pool->long_cost) {
 		request->work_class = WORK_LONG;
 		replica->busy_long++;
 	}
--- a/src/core/node_owner.c
+++ b/src/core/node_owner.c
@@ -77,20 +77,21 @@
 static lane_t *next_lane(const pool_t *pool, bool allow_long, work_class_t *work_class)
 {
 	lane_t *best = NULL;
-	double best_level = 0;
+	double best_rank = 0;
 	lane_t *lane;
 
-	cds_list_for_each_entry (lane, &pool->listed, link) {
-		bool wants_long = allow_long && lane->wanted_count[WORK_LONG];
-		double level = share_level(lane);
-
-		if (!lane->wanted_count[WORK_SHORT] && !wants_long)
-			continue;
-		if (best && level >= best_level)
-			continue;
-		best = lane;
-		best_level = level;
-		*work_class = lane->wanted_count[WORK_SHORT] ? WORK_SHORT : WORK_LONG;
+	cds_list_for_each_entry(lane, &pool->listed, link) {
+		for (int c = 0; c < WORK_CLASSES; c++) {
+			double rank = share_rank(lane, (work_class_t)c);
+
+			if (!lane->wanted_count[c] || (c == WORK_LONG && !allow_long))
+				continue;
+			if (best && rank >= best_rank)
+				continue;
+			best = lane;
+			best_rank = rank;
+			*work_class = (work_class_t)c;
+		}
 	}
 	return best;
 }
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -4,6 +4,7 @@
 #define NEED_DELAY (5 * USEC_PER_MSEC)	/* when nothing of the owner's is idle here any more */
 #define RETURN_DELAY (20 * USEC_PER_MSEC)
 #define REPORT_DELAY (500 * USEC_PER_MSEC) /* what the owner need not know soon */
+#define SHORT_DIVISOR 5 /* of long_cost, up to which work is short */
 #define MAX_ASKED_PER_LANE 64
 #define MAX_WAITING_PER_LANE 4096
 #define CONTENDED_PENALTY 4.0
@@ -21,36 +22,24 @@
 	return cds_list_first_entry(&lane->waiting[work_class], node_request_t, link);
 }
 
-/* The class whose head waits longest; WORK_CLASSES when none may start. */
-static work_class_t lane_next_class(lane_t *lane, bool allow_long)
-{
-	node_request_t *short_head = lane_head(lane, WORK_SHORT);
-	node_request_t *long_head = allow_long ? lane_head(lane, WORK_LONG) : NULL;
-
-	if (!short_head && !long_head)
-		return WORK_CLASSES;
-	if (!long_head)
-		return WORK_SHORT;
-	if (!short_head)
-		return WORK_LONG;
-	return short_head->arrived <= long_head->arrived ? WORK_SHORT : WORK_LONG;
-}
-
 lane_t *router_next_lane(pool_t *pool, bool allow_long, work_class_t *work_class)
 {
 	lane_t *best = NULL;
-	double best_level = 0;
+	double best_rank = 0;
 	lane_t *lane;
 
-	cds_list_for_each_entry (lane, &pool->listed, link) {
-		work_class_t next = lane_next_class(lane, allow_long);
-		double level = share_level(lane);
-
-		if (next == WORK_CLASSES || (best && level >= best_level))
-			continue;
-		best = lane;
-		best_level = level;
-		*work_class = next;
+	cds_list_for_each_entry(lane, &pool->listed, link) {
+		for (int c = 0; c < WORK_CLASSES; c++) {
+			double rank = share_rank(lane, (work_class_t)c);
+
+			if (!lane->waiting_count[c] || (c == WORK_LONG && !allow_long))
+				continue;
+			if (best && rank >= best_rank)
+				continue;
+			best = lane;
+			best_rank = rank;
+			*work_class = (work_class_t)c;
+		}
 	}
 	return best;
 }
@@ -94,12 +83,19 @@
 	return cost < 1 ? 1 : (uint32_t)cost;
 }
 
+static work_class_t classify(const pool_t *pool, uint32_t predicted)
+{
+	if (predicted > pool->long_cost)
+		return WORK_LONG;
+	return predicted > pool->long_cost / SHORT_DIVISOR ? WORK_MEDIUM : WORK_SHORT;
+}
+
 void router_enqueue(node_t *this, node_request_t *request, instant_t now)
 {
 	lane_t *lane = request->lane;
 	uint32_t predicted = predict_cost(lane, request);
 
-	request->work_class = predicted > lane->pool->long_cost ? WORK_LONG : WORK_SHORT;
+	request->work_class = classify(lane->pool, predicted);
 	request->state = REQUEST_WAITING;
 	cds_list_add_tail(&request->link, &lane->waiting[request->work_class]);
 	lane->waiting_count[request->work_class]++;
@@ -245,6 +241,15 @@
 	bool contended;
 } owner_view_t;
 
+static unsigned int demand_asked(const lane_demand_t *demand)
+{
+	unsigned int asked = 0;
+
+	for (int c = 0; c < WORK_CLASSES; c++)
+		asked += demand->asked[c];
+	return asked;
+}
+
 static void view_owners(node_t *this, pool_t *pool, owner_view_t *owners, instant_t now)
 {
 	lane_t *lane;
@@ -261,8 +266,7 @@
 	}
 	cds_list_for_each_entry (lane, &pool->listed, link) {
 		for (unsigned int i = 0; lane->demand && i < this->members.count; i++)
-			owners[i].asked += lane->demand[i].asked[WORK_SHORT] +
-					   lane->demand[i].asked[WORK_LONG];
+			owners[i].asked += demand_asked(&lane->demand[i]);
 	}
 }
 
@@ -320,8 +324,10 @@
 static void tell_asked(node_t *this, lane_t *lane, unsigned int slot, instant_t now)
 {
 	lane_demand_t *demand = &lane->demand[slot];
-	uint32_t wanted[WORK_CLASSES] = {demand->asked[WORK_SHORT], demand->asked[WORK_LONG]};
+	uint32_t wanted[WORK_CLASSES];
 
+	for (int c = 0; c < WORK_CLASSES; c++)
+		wanted[c] = demand->asked[c];
 	if (slot)
 		node_send_by(this, slot, now + ASK_DELAY);
 	else
@@ -443,7 +449,7 @@
 void router_take_grant(node_t *this, unsigned int from, const grant_entry_t *grant, instant_t now)
 {
 	replica_t *replica = node_find_replica(this, grant->replica);
-	work_class_t work_class = grant->work_class == WORK_LONG ? WORK_LONG : WORK_SHORT;
+	work_class_t work_class = (work_class_t)grant->work_class;
 	lane_t *lane;
 
 	if (!replica)
@@ -488,24 +494,48 @@
 	return (unsigned int)seconds + 1;
 }
 
+/* Work of medium length that has waited half its time goes with the short. */
+static void promote(node_request_t *request)
+{
+	lane_t *lane = request->lane;
+
+	cds_list_del(&request->link);
+	lane->waiting_count[request->work_class]--;
+	request->work_class = WORK_SHORT;
+	lane->waiting_count[WORK_SHORT]++;
+	cds_list_add_tail(&request->link, &lane->waiting[WORK_SHORT]);
+}
+
+static instant_t half_time(const node_request_t *request)
+{
+	return request->arrived + (request->deadline - request->arrived) / 2;
+}
+
+/* Looks at one waiting request; returns when to look again. */
+static instant_t check_time(node_t *this, node_request_t *request, instant_t now)
+{
+	if (request->deadline <= now) {
+		router_dequeue(request);
+		router_reject(this, request, REASON_DEADLINE,
+			router_retry_after(request->lane, now));
+		return INSTANT_NEVER;
+	}
+	if (request->work_class == WORK_MEDIUM && half_time(request) <= now)
+		promote(request);
+	return request->deadline;
+}
+
 void router_expire(node_t *this, pool_t *pool, instant_t now, instant_t *next)
 {
 	lane_t *lane;
 
-	cds_list_for_each_entry (lane, &pool->listed, link) {
-		for (int c = 0; c < WORK_CLASSES; c++) {
+	cds_list_for_each_entry(lane, &pool->listed, link) {
+		for (int c = WORK_CLASSES - 1; c >= 0; c--) {
 			node_request_t *request;
 			node_request_t *after;
 
-			cds_list_for_each_entry_safe (request, after, &lane->waiting[c], link) {
-				if (request->deadline > now) {
-					*next = instant_min(*next, request->deadline);
-					continue;
-				}
-				router_dequeue(request);
-				router_reject(this, request, REASON_DEADLINE,
-					router_retry_after(lane, now));
-			}
+			cds_list_for_each_entry_safe(request, after, &lane->waiting[c], link)
+				*next = instant_min(*next, check_time(this, request, now));
 		}
 	}
 }
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -97,8 +97,10 @@
 		}
 	}
 	for (unsigned int i = 0; i < this->members.count; i++) {
-		uint32_t wanted[WORK_CLASSES] = {demand[i].asked[0], demand[i].asked[1]};
+		uint32_t wanted[WORK_CLASSES];
 
+		for (int c = 0; c < WORK_CLASSES; c++)
+			wanted[c] = demand[i].asked[c];
 		if (!i)
 			owner_set_wanted(this, lane, 0, wanted);
 		else if (memcmp(demand[i].asked, demand[i].told_asked, sizeof(demand[i].asked)))
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -129,14 +129,23 @@
 	return n ? sorted[(n - 1) / 2] : 0;
 }
 
+static unsigned int sum_classes(const unsigned int counts[WORK_CLASSES])
+{
+	unsigned int sum = 0;
+
+	for (int c = 0; c < WORK_CLASSES; c++)
+		sum += counts[c];
+	return sum;
+}
+
 unsigned int lane_waiting(const lane_t *this)
 {
-	return this->waiting_count[WORK_SHORT] + this->waiting_count[WORK_LONG];
+	return sum_classes(this->waiting_count);
 }
 
 unsigned int lane_wanted(const lane_t *this)
 {
-	return this->wanted_count[WORK_SHORT] + this->wanted_count[WORK_LONG];
+	return sum_classes(this->wanted_count);
 }
 
 void lane_list(lane_t *this)
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -13,6 +13,16 @@
 	return (double)(served + lane->provisional) / weight + lane->lift;
 }
 
+double share_rank(const lane_t *lane, work_class_t work_class)
+{
+	static const double handicap[WORK_CLASSES] = {
+		[WORK_MEDIUM] = 0.5, /* of the pool's long_cost */
+		[WORK_LONG] = 1.0,
+	};
+
+	return share_level(lane) + handicap[work_class] * lane->pool->long_cost;
+}
+
 void share_wake(lane_t *lane)
 {
 	double behind = lane->pool->virtual_time - share_level(lane);
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -15,6 +15,11 @@
 
 /* What a request of `predicted` cost is charged when it is placed. */
 uint32_t share_placement_charge(uint32_t predicted);
+/*
+ * Where work of a class stands in line, lower first: the lane's level, and for
+ * longer work a bounded handicap, so that short work is not stuck behind it.
+ */
+double share_rank(const lane_t *lane, work_class_t work_class);
 double share_level(const lane_t *lane);
 /* The lane has work waiting, here or at a peer. */
 void share_wake(lane_t *lane);
--- a/src/edge/message_codec.c
+++ b/src/edge/message_codec.c
@@ -6,7 +6,7 @@
 
 #define HEAD_FIELDS 9
 #define SECTIONS 7
-#define ASK_FIELDS 4
+#define ASK_FIELDS (2 + WORK_CLASSES)
 #define HOLD_FIELDS 5
 #define GRANT_FIELDS 4
 #define SERVED_FIELDS 3
@@ -47,7 +47,9 @@
 	for (unsigned int i = 0; i < m->asks.count; i++) {
 		const ask_entry_t *e = &m->asks.entry[i];
 
-		PACK(e->pool, e->workspace, e->waiting[WORK_SHORT], e->waiting[WORK_LONG]);
+		PACK(e->pool, e->workspace);
+		for (int c = 0; c < WORK_CLASSES; c++)
+			msgpack_pack_uint32(packer, e->waiting[c]);
 	}
 }
 
@@ -163,8 +165,11 @@
 {
 	ask_entry_t *e = entry;
 
-	return get_u32(&at[0], &e->pool) && get_u32(&at[1], &e->workspace) &&
-	       get_u32(&at[2], &e->waiting[WORK_SHORT]) && get_u32(&at[3], &e->waiting[WORK_LONG]);
+	for (int c = 0; c < WORK_CLASSES; c++) {
+		if (!get_u32(&at[2 + c], &e->waiting[c]))
+			return false;
+	}
+	return get_u32(&at[0], &e->pool) && get_u32(&at[1], &e->workspace);
 }
 
 static bool unpack_hold(const msgpack_object *at, void *entry)
