--- /dev/null
+++ b/bench/summary.c
@@ -0,0 +1,264 @@
+/*
+ * summary - one table and build/bench.json from the results of bench/run.sh
+ *
+ * Usage: summary OUTPUT.json RUN.json...  The table shows median [range] over
+ * the seeds for each deployment, measure and policy.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/types.h"
+#include "settings/jsondoc.h"
+
+#define MAX_RUNS 400
+#define MAX_POLICIES 8
+
+typedef struct run {
+	jsondoc_t *doc;
+	const char *deployment;
+	const char *policy;
+	int64_t seed;
+} run_t;
+
+typedef struct measure {
+	const char *name;
+	const char *unit;
+	const char *span;  /* within the load's summary */
+	const char *group; /* class within the span, NULL for the span itself */
+	const char *member;
+	const char *traffic; /* for what the routers counted: "calm" or "full" */
+	int field;	     /* of the traffic counters */
+	bool per_request;
+} measure_t;
+
+enum traffic_field {
+	FIELD_MESSAGES,
+	FIELD_PAYLOAD,
+	FIELD_WIRE,
+	FIELD_REQUESTS,
+	FIELD_TICKS,
+};
+
+static const measure_t measures[] = {
+	{"calm: p95 first byte, short, small workspaces", "ms", "span_calm", "quick-small",
+		"p95_first_ms", NULL, 0, false},
+	{"crest: p95 first byte, short, small workspaces", "ms", "span_crest", "quick-small",
+		"p95_first_ms", NULL, 0, false},
+	{"calm: p99 first byte, short, small workspaces", "ms", "span_calm", "quick-small",
+		"p99_first_ms", NULL, 0, false},
+	{"slowed: p99 first byte, short, small workspaces", "ms", "span_slowed", "quick-small",
+		"p99_first_ms", NULL, 0, false},
+	{"slowed: p99 first byte, drafts", "ms", "span_slowed", "draft", "p99_first_ms", NULL, 0,
+		false},
+	{"stragglers: p99 first byte, short, small workspaces", "ms", "span_stragglers",
+		"quick-small", "p99_first_ms", NULL, 0, false},
+	{"full: fairness gap", "weighted cost", "span_full", NULL, "fairness_gap", NULL, 0, false},
+	{"full: largest weighted cost of a request", "weighted cost", "span_full", NULL,
+		"largest_cost", NULL, 0, false},
+	{"full: utilisation", "share", "span_full", NULL, "utilisation", NULL, 0, false},
+	{"full: p95 first byte, short, small workspaces", "ms", "span_full", "quick-small",
+		"p95_first_ms", NULL, 0, false},
+	{"full: told not run", "requests", "span_full", "all", "not_run", NULL, 0, false},
+	{"calm: control on the wire, both ways", "B/s a router", NULL, NULL, NULL, "calm",
+		FIELD_WIRE, false},
+	{"calm: requests", "1/s a router", NULL, NULL, NULL, "calm", FIELD_REQUESTS, false},
+	{"full: control on the wire, both ways", "B/s a router", NULL, NULL, NULL, "full",
+		FIELD_WIRE, false},
+	{"full: control on the wire a request", "B", NULL, NULL, NULL, "full", FIELD_WIRE, true},
+	{"full: messages sent a request", "1", NULL, NULL, NULL, "full", FIELD_MESSAGES, true},
+	{"full: processor time of a router, data path included", "% of a core", NULL, NULL, NULL,
+		"full", FIELD_TICKS, false},
+	{"promises broken", "requests", NULL, "join", "wrong", NULL, 0, false},
+	{"told not run, but ran", "requests", NULL, "join", "not_run_but_ran", NULL, 0, false},
+};
+
+static double number_at(json_value_t *list, int index)
+{
+	json_value_t *v = list ? list->first : NULL;
+
+	while (v && index--)
+		v = v->next;
+	return v ? v->number : 0;
+}
+
+static double traffic_step(json_value_t *traffic, const char *when, int field)
+{
+	char *from = g_strconcat(when, "_from", NULL);
+	char *to = g_strconcat(when, "_to", NULL);
+	double step =
+		number_at(json_get(traffic, to), field) - number_at(json_get(traffic, from), field);
+
+	g_free(from);
+	g_free(to);
+	return step;
+}
+
+static double read_traffic(const run_t *run, const measure_t *m)
+{
+	json_value_t *traffic = json_get(run->doc->root, "traffic");
+	char *seconds_key = g_strconcat(m->traffic, "_s", NULL);
+	json_value_t *seconds = json_get(traffic, seconds_key);
+	double routers = (double)json_get_int(run->doc->root, "routers", 1);
+	double step = traffic_step(traffic, m->traffic, m->field);
+
+	g_free(seconds_key);
+	if (m->per_request)
+		return step / traffic_step(traffic, m->traffic, FIELD_REQUESTS);
+	return step / (seconds ? seconds->number : 1) / routers;
+}
+
+static double read_measure(const run_t *run, const measure_t *m)
+{
+	json_value_t *v = json_get(run->doc->root, "load");
+
+	if (m->traffic)
+		return read_traffic(run, m);
+	if (m->span)
+		v = json_get(v, m->span);
+	if (m->group)
+		v = json_get(v, m->group);
+	v = json_get(v, m->member);
+	return v ? v->number : 0;
+}
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	if (x == y)
+		return 0;
+	return x < y ? -1 : 1;
+}
+
+static unsigned int collect(const run_t *runs, unsigned int count, const char *deployment,
+	const char *policy, const measure_t *m, double *values)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		if (!strcmp(runs[i].deployment, deployment) && !strcmp(runs[i].policy, policy))
+			values[n++] = read_measure(&runs[i], m);
+	}
+	qsort(values, n, sizeof(*values), compare);
+	return n;
+}
+
+static unsigned int distinct(
+	const run_t *runs, unsigned int count, bool policies, const char **names)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		const char *name = policies ? runs[i].policy : runs[i].deployment;
+		unsigned int j = 0;
+
+		while (j < n && strcmp(names[j], name))
+			j++;
+		if (j == n && n < MAX_POLICIES)
+			names[n++] = name;
+	}
+	return n;
+}
+
+static void print_table(const run_t *runs, unsigned int count, const char *deployment,
+	const char **policies, unsigned int policy_count)
+{
+	double values[MAX_RUNS];
+
+	printf("\n%s\n%-54s %-14s", deployment, "measure, median [lowest, highest] over seeds",
+		"unit");
+	for (unsigned int p = 0; p < policy_count; p++)
+		printf(" %26s", policies[p]);
+	printf("\n");
+	for (unsigned int i = 0; i < ARRAY_LEN(measures); i++) {
+		printf("%-54s %-14s", measures[i].name, measures[i].unit);
+		for (unsigned int p = 0; p < policy_count; p++) {
+			unsigned int n =
+				collect(runs, count, deployment, policies[p], &measures[i], values);
+			int digits = n && values[n - 1] < 2 ? 3 : 0;
+			char cell[64] = "-";
+
+			if (n)
+				snprintf(cell, sizeof(cell), "%.*f [%.*f, %.*f]", digits,
+					values[n / 2], digits, values[0], digits, values[n - 1]);
+			printf(" %26s", cell);
+		}
+		printf("\n");
+	}
+}
+
+static void write_json(const char *path, const run_t *runs, unsigned int count)
+{
+	FILE *out = fopen(path, "w");
+
+	if (!out) {
+		perror(path);
+		exit(EXIT_FAILURE);
+	}
+	fprintf(out, "[");
+	for (unsigned int i = 0; i < count; i++) {
+		for (unsigned int m = 0; m < ARRAY_LEN(measures); m++)
+			fprintf(out,
+				"%s\n{\"deployment\":\"%s\",\"policy\":\"%s\",\"seed\":%lld,"
+				"\"measure\":\"%s\",\"value\":%g,\"unit\":\"%s\"}",
+				i || m ? "," : "", runs[i].deployment, runs[i].policy,
+				(long long)runs[i].seed, measures[m].name,
+				read_measure(&runs[i], &measures[m]), measures[m].unit);
+	}
+	fprintf(out, "\n]\n");
+	fclose(out);
+}
+
+static bool read_run(const char *path, run_t *run)
+{
+	char *text = NULL;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, NULL))
+		return false;
+	run->doc = jsondoc_new(text, len);
+	g_free(text);
+	if (run->doc->error) {
+		fprintf(stderr, "%s: %s (run failed)\n", path, run->doc->error);
+		jsondoc_delete(run->doc);
+		return false;
+	}
+	run->deployment = json_get_string(run->doc->root, "deployment", "?");
+	run->policy = json_get_string(run->doc->root, "policy", "?");
+	run->seed = json_get_int(run->doc->root, "seed", 0);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	const char *deployments[MAX_POLICIES];
+	const char *policies[MAX_POLICIES];
+	run_t *runs = g_new0(run_t, MAX_RUNS);
+	unsigned int count = 0;
+	unsigned int failed = 0;
+	unsigned int deployment_count;
+	unsigned int policy_count;
+
+	if (argc < 3) {
+		fprintf(stderr, "usage: summary OUTPUT.json RUN.json...\n");
+		return 64;
+	}
+	for (int i = 2; i < argc && count < MAX_RUNS; i++) {
+		if (read_run(argv[i], &runs[count]))
+			count++;
+		else
+			failed++;
+	}
+	deployment_count = distinct(runs, count, false, deployments);
+	policy_count = distinct(runs, count, true, policies);
+	for (unsigned int d = 0; d < deployment_count; d++)
+		print_table(runs, count, deployments[d], policies, policy_count);
+	write_json(argv[1], runs, count);
+	printf("\n%u runs, %u failed\n", count, failed);
+	for (unsigned int i = 0; i < count; i++)
+		jsondoc_delete(runs[i].doc);
+	g_free(runs);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/load/main.c
+++ b/load/main.c
@@ -280,7 +280,7 @@
 }
 
 static void print_span(records_t *records, const profile_t *profile, const arguments_t *a,
-		       const span_t *span, instant_t start)
+	const span_t *span, instant_t start)
 {
 	instant_t from = start + span->from_ms * USEC_PER_MSEC;
 	instant_t to = start + span->to_ms * USEC_PER_MSEC;
@@ -290,19 +290,19 @@
 	if (a->model) {
 		double gap = records_fairness_gap(records, a->model, from, to, &largest);
 
-		printf(",\n  \"fairness_gap\": %.1f, \"largest_cost\": %.0f,\n  \"shares\": {",
-		       gap, largest);
+		printf(",\n  \"fairness_gap\": %.1f, \"largest_cost\": %.0f,\n  \"shares\": {", gap,
+			largest);
 		records_print_shares(records, a->model, from, to);
 		printf("}");
 	}
 	if (span->slots > 0)
 		printf(",\n  \"utilisation\": %.4f",
-		       span->busy_us / span->slots / (double)(to - from));
+			span->busy_us / span->slots / (double)(to - from));
 }
 
 /* Prints the summary; true when every promise held. */
-static bool report(records_t *records, const profile_t *profile, const arguments_t *a,
-		   instant_t start)
+static bool report(
+	records_t *records, const profile_t *profile, const arguments_t *a, instant_t start)
 {
 	span_t whole = {.to_ms = a->seconds * 1000};
 	unsigned int wrong = count_wrong(records);
@@ -323,8 +323,8 @@
 	printf(",\n  \"join\": {\"executions\": %u, \"told_not_run\": %u, \"not_run_but_ran\": %u, "
 	       "\"doubled_keys\": %u, \"done_but_never_ran\": %u, \"wrong\": %u, "
 	       "\"over_limit\": %d}\n}\n",
-	       join.executions, records->not_run->len, join.not_run_but_ran, join.doubled_keys,
-	       join.done_but_never_ran, wrong, over_limit);
+		join.executions, records->not_run->len, join.not_run_but_ran, join.doubled_keys,
+		join.done_but_never_ran, wrong, over_limit);
 	return !wrong && !join.not_run_but_ran && !join.doubled_keys && !join.done_but_never_ran;
 }
 
@@ -332,10 +332,10 @@
 static double read_busy(const arguments_t *a, double *slots)
 {
 	http_options_t request = {.address = a->standins[0],
-				  .method = "GET",
-				  .path = "/busy",
-				  .connect_timeout_ms = 1000,
-				  .read_timeout_ms = 2000};
+		.method = "GET",
+		.path = "/busy",
+		.connect_timeout_ms = 1000,
+		.read_timeout_ms = 2000};
 	GString *answer = g_string_new(NULL);
 	double busy = 0;
 	int status = 0;
--- a/load/record.c
+++ b/load/record.c
@@ -221,8 +221,8 @@
 }
 
 /* Adds all requests of `model`; returns the largest weighted cost among them. */
-static double grid_fill(grid_t *this, records_t *records, const char *model, instant_t from,
-	instant_t to)
+static double grid_fill(
+	grid_t *this, records_t *records, const char *model, instant_t from, instant_t to)
 {
 	double largest = 0;
 
--- a/src/core/limit.c
+++ b/src/core/limit.c
@@ -2,42 +2,47 @@
 
 #define PACE_WEIGHT 0.3
 
-static void observe(double *mean, instant_t *stale_at, double pace, instant_t now)
+static void blend(double *mean, double pace)
 {
 	if (pace <= 0)
 		return;
-	if (*mean <= 0 || now >= *stale_at)
+	if (*mean <= 0)
 		*mean = pace;
 	else
 		*mean += PACE_WEIGHT * (pace - *mean);
-	*stale_at = now + LIMIT_MEMORY;
 }
 
 void limit_observe(limit_t *this, double pace, instant_t now)
 {
-	observe(&this->pace, &this->stale_at, pace, now);
+	if (pace <= 0)
+		return;
+	if (now >= this->own_stale_at)
+		this->own_pace = 0;
+	blend(&this->own_pace, pace);
+	blend(&this->pace, pace);
+	this->own_stale_at = now + LIMIT_MEMORY;
 }
 
-void limit_observe_peer(limit_t *this, double pace, instant_t now)
+void limit_observe_peer(limit_t *this, double pace)
 {
-	observe(&this->peer_pace, &this->peer_stale_at, pace, now);
+	blend(&this->pace, pace);
 }
 
-double limit_slowness(const limit_t *this, double median, instant_t now)
+double limit_own_pace(const limit_t *this, instant_t now)
 {
-	double own = now < this->stale_at ? this->pace : 0;
-	double peer = now < this->peer_stale_at ? this->peer_pace : 0;
-	double pace = own > peer ? own : peer;
+	return now < this->own_stale_at ? this->own_pace : 0;
+}
 
-	if (median <= 0 || pace <= median * LIMIT_TOLERANCE)
+double limit_slowness(const limit_t *this, double median)
+{
+	if (median <= 0 || this->pace <= median * LIMIT_TOLERANCE)
 		return 1.0;
-	return pace / median;
+	return this->pace / median;
 }
 
-unsigned int limit_slots(const limit_t *this, unsigned int slots, double median, instant_t now)
+unsigned int limit_slots(const limit_t *this, unsigned int slots, double median)
 {
-	double slowness = limit_slowness(this, median, now);
-	unsigned int limit = (unsigned int)((double)slots / slowness);
+	unsigned int limit = (unsigned int)((double)slots / limit_slowness(this, median));
 
 	return limit ? limit : 1;
 }
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -4,8 +4,8 @@
  * limit - how many requests a replica may run at once, by the pace that routers see
  *
  * Pace is microseconds a cost unit.  A replica slower than its pool's median by
- * LIMIT_TOLERANCE loses slots in proportion, down to one, which probes it.
- * Without fresh observations a bad pace is forgotten after LIMIT_MEMORY.
+ * LIMIT_TOLERANCE loses slots in proportion, down to one.  What runs in that
+ * one probes it: a slow replica stays so until somebody sees it quick again.
  */
 #include "core/types.h"
 
@@ -13,16 +13,18 @@
 #define LIMIT_MEMORY (1500 * USEC_PER_MSEC)
 
 typedef struct limit {
-	double pace;	  /* 0: unknown */
-	double peer_pace; /* the slowest that a peer reported lately */
-	instant_t stale_at;
-	instant_t peer_stale_at;
+	double pace;	 /* as seen by all, 0: unknown */
+	double own_pace; /* as seen here, for telling others */
+	instant_t own_stale_at;
 } limit_t;
 
 void limit_observe(limit_t *this, double pace, instant_t now);
-void limit_observe_peer(limit_t *this, double pace, instant_t now);
-/* How much slower than `median`, 1.0 at most the tolerance. */
-double limit_slowness(const limit_t *this, double median, instant_t now);
-unsigned int limit_slots(const limit_t *this, unsigned int slots, double median, instant_t now);
+/* A peer sees `pace`, 0 when it saw none lately. */
+void limit_observe_peer(limit_t *this, double pace);
+/* What was seen here lately, 0 for nothing. */
+double limit_own_pace(const limit_t *this, instant_t now);
+/* How much slower than `median`; 1.0 within the tolerance. */
+double limit_slowness(const limit_t *this, double median);
+unsigned int limit_slots(const limit_t *this, unsigned int slots, double median);
 
 #endif
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -343,7 +343,7 @@
 	unsigned int alive = members_alive(&this->members);
 	unsigned int expected = members_expected(&this->members);
 	double median = pool_median_pace(replica->pool);
-	unsigned int limit = limit_slots(&replica->limit, replica->slots, median, now);
+	unsigned int limit = limit_slots(&replica->limit, replica->slots, median);
 
 	/* More of the fleet is out of sight than in it: others may own this replica too. */
 	if (alive * 2 <= expected && expected > 1)
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -67,7 +67,7 @@
 			.held = replica->held,
 			.idle = replica_idle(replica),
 			.held_long = replica->busy_long,
-			.pace = now < replica->limit.stale_at ? (uint32_t)replica->limit.pace : 0,
+			.pace = (uint32_t)limit_own_pace(&replica->limit, now),
 		};
 	}
 }
@@ -195,7 +195,7 @@
 		if (!replica || replica->owner)
 			continue;
 		owner_set_hold(replica, slot, hold);
-		limit_observe_peer(&replica->limit, hold->pace, now);
+		limit_observe_peer(&replica->limit, hold->pace);
 	}
 }
 
--- a/src/core/node_owner.c
+++ b/src/core/node_owner.c
@@ -80,7 +80,7 @@
 	double best_rank = 0;
 	lane_t *lane;
 
-	cds_list_for_each_entry(lane, &pool->listed, link) {
+	cds_list_for_each_entry (lane, &pool->listed, link) {
 		for (int c = 0; c < WORK_CLASSES; c++) {
 			double rank = share_rank(lane, (work_class_t)c);
 
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -1,10 +1,10 @@
 #include "core/node_internal.h"
 
 #define ASK_DELAY (1 * USEC_PER_MSEC)
-#define NEED_DELAY (5 * USEC_PER_MSEC)	/* when nothing of the owner's is idle here any more */
+#define NEED_DELAY (5 * USEC_PER_MSEC) /* when nothing of the owner's is idle here any more */
 #define RETURN_DELAY (20 * USEC_PER_MSEC)
 #define REPORT_DELAY (500 * USEC_PER_MSEC) /* what the owner need not know soon */
-#define SHORT_DIVISOR 5 /* of long_cost, up to which work is short */
+#define SHORT_DIVISOR 5			   /* of long_cost, up to which work is short */
 #define MAX_ASKED_PER_LANE 64
 #define MAX_WAITING_PER_LANE 4096
 #define CONTENDED_PENALTY 4.0
@@ -28,7 +28,7 @@
 	double best_rank = 0;
 	lane_t *lane;
 
-	cds_list_for_each_entry(lane, &pool->listed, link) {
+	cds_list_for_each_entry (lane, &pool->listed, link) {
 		for (int c = 0; c < WORK_CLASSES; c++) {
 			double rank = share_rank(lane, (work_class_t)c);
 
@@ -157,9 +157,9 @@
 }
 
 /* More is better: a cached prefix first, then a quick replica, then room. */
-static double idle_score(const replica_t *replica, uint64_t prefix, double median, instant_t now)
+static double idle_score(const replica_t *replica, uint64_t prefix, double median)
 {
-	double score = 1.0 / limit_slowness(&replica->limit, median, now);
+	double score = 1.0 / limit_slowness(&replica->limit, median);
 
 	if (prefix_memory_has(&replica->prefixes, prefix))
 		score += 0.5;
@@ -196,7 +196,7 @@
 		borrow(this, replica, now);
 		if (!replica_idle(replica))
 			continue;
-		score = idle_score(replica, prefix, median, now);
+		score = idle_score(replica, prefix, median);
 		if (!best || score > best_score) {
 			best = replica;
 			best_score = score;
@@ -516,8 +516,8 @@
 {
 	if (request->deadline <= now) {
 		router_dequeue(request);
-		router_reject(this, request, REASON_DEADLINE,
-			router_retry_after(request->lane, now));
+		router_reject(
+			this, request, REASON_DEADLINE, router_retry_after(request->lane, now));
 		return INSTANT_NEVER;
 	}
 	if (request->work_class == WORK_MEDIUM && half_time(request) <= now)
@@ -529,12 +529,12 @@
 {
 	lane_t *lane;
 
-	cds_list_for_each_entry(lane, &pool->listed, link) {
+	cds_list_for_each_entry (lane, &pool->listed, link) {
 		for (int c = WORK_CLASSES - 1; c >= 0; c--) {
 			node_request_t *request;
 			node_request_t *after;
 
-			cds_list_for_each_entry_safe(request, after, &lane->waiting[c], link)
+			cds_list_for_each_entry_safe (request, after, &lane->waiting[c], link)
 				*next = instant_min(*next, check_time(this, request, now));
 		}
 	}
--- a/src/core/pool.h
+++ b/src/core/pool.h
@@ -97,8 +97,8 @@
 	unsigned int held;
 	unsigned int busy;
 	unsigned int busy_long;
-	bool report_due; /* the owner has yet to hear of a change */
-	bool return_due; /* and that is a slot given back */
+	bool report_due;      /* the owner has yet to hear of a change */
+	bool return_due;      /* and that is a slot given back */
 	instant_t down_until; /* refused or broken lately */
 	unsigned int failures;
 
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -34,7 +34,7 @@
 	void *context;
 	void *pull;
 	void *zap;
-	void *monitor;			 /* of what connects to us */
+	void *monitor;		       /* of what connects to us */
 	int accepted[MAX_CONNECTIONS]; /* their descriptors */
 	unsigned int accepted_count;
 	peer_link_t *links;
@@ -350,7 +350,8 @@
 		return;
 	segments = (uint64_t)info.tcpi_segs_out + info.tcpi_segs_in;
 	stats->wire_segments += segments;
-	stats->wire_bytes += info.tcpi_bytes_sent + info.tcpi_bytes_received + segments * HEADER_BYTES;
+	stats->wire_bytes +=
+		info.tcpi_bytes_sent + info.tcpi_bytes_received + segments * HEADER_BYTES;
 }
 
 const peer_socket_stats_t *peer_socket_stats(peer_socket_t *this)
--- a/src/edge/peer_socket.h
+++ b/src/edge/peer_socket.h
@@ -34,7 +34,7 @@
 	uint64_t received_bytes;
 	uint64_t not_sent; /* no connection, or its queue was full */
 	uint64_t refused_keys;
-	uint64_t wire_bytes;	/* kernel's count over the open connections, both ways, with headers */
+	uint64_t wire_bytes; /* kernel's count over the open connections, both ways, with headers */
 	uint64_t wire_segments; /* likewise */
 } peer_socket_stats_t;
 
--- a/standin/replica.c
+++ b/standin/replica.c
@@ -69,7 +69,7 @@
 	g_mutex_lock(&this->lock);
 	exec_log_count(this);
 	g_string_printf(out, "{\"busy_us\":%" G_GUINT64_FORMAT ",\"slots\":%u,\"running\":%u}",
-			(guint64)this->busy_us, this->slots, this->running);
+		(guint64)this->busy_us, this->slots, this->running);
 	g_mutex_unlock(&this->lock);
 	return server_json(call, 200, out);
 }
--- a/standin/replica.h
+++ b/standin/replica.h
@@ -56,7 +56,8 @@
 void replica_sample(replica_t *this);
 replica_faults_t replica_get_faults(replica_t *this);
 bool replica_draw(replica_t *this, unsigned int per_mille);
-/* Answers /control, /load, /log and /busy (slot time of the whole process); false when the path is another. */
+/* Answers /control, /load, /log and /busy (slot time of the whole process); false when the path is
+ * another. */
 bool replica_answer(replica_t *this, server_call_t *call, enum MHD_Result *result);
 
 #endif
