Answers: 'not run' is said only of what was never sent

Cause: a repeatable request whose first attempt ran and broke was sent again, and when no slot came free in time it was told 'not run' with the reason of the last attempt.

Ruled out: late execution at the stand-in (the runs were before the answers).

--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -35,7 +35,9 @@
 	REASON_NOT_READY,
 	REASON_ENDPOINT_REFUSED,
 	REASON_ENDPOINT_BROKEN,
-	REASON_CALLER_GONE,
+	REASON_CALLER_GONE, /* before anything was sent */
+	REASON_CALLER_LEFT, /* after it was sent */
+	REASON_GAVE_UP,
 	REASON_COUNT,
 } reason_t;
 
--- a/src/filter/account.c
+++ b/src/filter/account.c
@@ -28,7 +28,7 @@
 	uint64_t wait;
 
 	if (!request->service || !request->workspace || !request->route ||
-		request->reason == REASON_CALLER_GONE)
+		request->reason == REASON_CALLER_GONE || request->reason == REASON_CALLER_LEFT)
 		return;
 	wait = request->first_byte ? request->first_byte - request->arrived : 0;
 	sample = (burn_sample_t){
@@ -56,6 +56,10 @@
 	if (request->accounted)
 		return REASON_NONE;
 	request->accounted = true;
+	if (request->is_stream && request->reason == REASON_NONE && !request->stream_ended) {
+		request->reason = REASON_CALLER_LEFT;
+		info = reason_info(request->reason);
+	}
 	end_ticket(request);
 	if (request->watch && cancel_watch_remove(request->router->cancel_watch, request->watch))
 		router_count(request->router, COUNT_CALLERS_GONE);
--- a/src/filter/dispatch.c
+++ b/src/filter/dispatch.c
@@ -81,8 +81,13 @@
 	if (result == HTTP_OK && !answer_is_ours(request))
 		result = HTTP_BROKEN;
 	if (result == HTTP_OK && request->route->repeatable &&
-		request->exchange.status == HTTP_UNAVAILABLE)
-		result = HTTP_NOT_SENT; /* refused: another endpoint may take it */
+		request->exchange.status == HTTP_UNAVAILABLE) {
+		/* Refused: another endpoint may take it. Only of engines it is known not to have
+		 * run. */
+		request->may_have_run |= request->service->kind != SERVICE_MODEL;
+		return HTTP_NOT_SENT;
+	}
+	request->may_have_run |= result == HTTP_BROKEN;
 	return result;
 }
 
--- a/src/filter/relay.c
+++ b/src/filter/relay.c
@@ -68,6 +68,7 @@
 	this->cost = this->service->kind == SERVICE_MODEL ? completion_tokens(body) : this->hint;
 	if (result == HTTP_OK && this->service->kind == SERVICE_MODEL)
 		report_pace(this, this->ticket ? this->arrived : began);
+	this->may_have_run |= result != HTTP_OK;
 	request_close_exchange(this);
 	request_end_ticket(this, result == HTTP_OK ? END_DONE : END_BROKEN);
 	return result;
@@ -208,11 +209,14 @@
 {
 	const reason_info_t *info = reason_info(REASON_ENDPOINT_BROKEN);
 
+	request->broken = true;
+	request->reason = REASON_CALLER_LEFT;
+	if (caller_is_gone(request->caller_fd))
+		return;
 	g_string_append_printf(request->out,
 		"event: error\ndata: {\"type\":\"%s\",\"detail\":\"%s\",\"outcome\":\"%s\","
 		"\"request_id\":\"%s\"}\n\n",
 		info->name, info->detail, outcome_name(info->outcome), request->id);
-	request->broken = true;
 	request->reason = REASON_ENDPOINT_BROKEN;
 }
 
@@ -221,7 +225,7 @@
 {
 	g_string_truncate(request->out, 0);
 	request->out_at = 0;
-	while (!request->out->len) {
+	while (!request->out->len && !request->broken) {
 		if (read_some(request))
 			continue;
 		if (request->out->len)
@@ -243,6 +247,8 @@
 		if (request->stream_ended)
 			return 0;
 		fill(request);
+		if (request->broken && !request->out->len)
+			return -1;
 		report_progress(request, false);
 	}
 	left = request->out->len - request->out_at;
@@ -260,7 +266,7 @@
 	request->out = g_string_new(NULL);
 	fill(request);
 	if (request->broken)
-		return REASON_ENDPOINT_BROKEN;
+		return request->reason;
 	request->first_byte = clock_now();
 	request->told_at = request->first_byte;
 	report_progress(request, true);
--- a/src/filter/request.c
+++ b/src/filter/request.c
@@ -54,7 +54,15 @@
 	return MHD_lookup_connection_value(this->connection, MHD_HEADER_KIND, name);
 }
 
-void request_run(request_t *this)
+/* "Not run" is said only of what was never sent. */
+static reason_t truthful(const request_t *this)
+{
+	if (!this->may_have_run || reason_info(this->reason)->outcome != OUTCOME_NOT_RUN)
+		return this->reason;
+	return this->reason == REASON_CALLER_GONE ? REASON_CALLER_LEFT : REASON_GAVE_UP;
+}
+
+static void run_pipeline(request_t *this)
 {
 	for (unsigned int i = 0; i < ARRAY_LEN(pipeline); i++) {
 		this->reason = pipeline[i]->run(this);
@@ -63,6 +71,12 @@
 	}
 }
 
+void request_run(request_t *this)
+{
+	run_pipeline(this);
+	this->reason = truthful(this);
+}
+
 void request_end_ticket(request_t *this, end_kind_t kind)
 {
 	if (!this->ticket)
--- a/src/filter/request.h
+++ b/src/filter/request.h
@@ -46,8 +46,9 @@
 	http_exchange_t exchange;
 	bool exchange_open;
 	unsigned int attempts;
-	GString *events; /* of a stream, not yet whole */
-	GString *out;	 /* of a stream, to be read by the caller */
+	bool may_have_run; /* an attempt was sent and brought no whole answer */
+	GString *events;   /* of a stream, not yet whole */
+	GString *out;	   /* of a stream, to be read by the caller */
 	size_t out_at;
 	uint32_t next_event;
 	unsigned int resumes;
--- a/tests/process/promises.sh
+++ b/tests/process/promises.sh
@@ -2,7 +2,7 @@
 # Orders at most once, "not run" is true, whole answers: load with every answer
 # checked, a failure brought about in its midst, then what callers were told is
 # joined with what the stand-ins ran, after all stragglers.
-# cases: calm kill freeze cut store-down store-slow store-loses engine-cuts engine-crosses endpoint-loses endpoint-slow restart flood kill+store-loses cut+freeze store-down+stop cut+store-down refuse
+# cases: overload+engine-cuts calm kill freeze cut store-down store-slow store-loses engine-cuts engine-crosses endpoint-loses endpoint-slow restart flood kill+store-loses cut+freeze store-down+stop cut+store-down refuse
 set -u
 cd "$(dirname "$0")/../.."
 BIN=${BIN:-build-asan}
@@ -40,6 +40,7 @@
 	endpoint-slow) post "$(engine_of 0)/control" '{"slow_percent":1000}'; post "$(service_of 0)/control" '{"slow_percent":3000}' ;;
 	refuse) post "$(engine_of 1)/control" '{"refuse":true}'; sleep 2; post "$(engine_of 1)/control" '{"refuse":false}' ;;
 	flood) ;;
+	overload) all_engines '{"slow_percent":1500}' ;;
 	esac
 }
 
