Fair share: a lane is idle only when nothing of it waits anywhere

Ruled out: a shorter pause (it would have to follow the length of the work: a backlogged lane asks at one owner only now and then).

Change: a router tells with its asks whether more of the lane waits with it; a lane sleeps when no router has any, and is lifted when it wakes, at once.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -33,6 +33,7 @@
 	id_t32 pool;
 	id_t32 workspace;
 	uint32_t waiting[WORK_CLASSES];
+	uint32_t backlogged; /* it has some waiting, for whatever owner */
 } ask_entry_t;
 
 /* Slots of the receiver's replica that the sender has. */
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -116,6 +116,8 @@
 void owner_pump(node_t *this, pool_t *pool, instant_t now);
 void owner_set_wanted(node_t *this, lane_t *lane, unsigned int slot,
 	const uint32_t wanted[WORK_CLASSES], instant_t now);
+/* The router in `slot` has some of the lane waiting, whomever it asks. */
+void owner_set_backlogged(lane_t *lane, unsigned int slot, bool backlogged);
 void owner_set_hold(replica_t *replica, unsigned int slot, const hold_entry_t *hold);
 void owner_acknowledge(node_t *this, unsigned int slot, uint64_t seq, instant_t now);
 void owner_forget(node_t *this, unsigned int slot, instant_t now);
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -16,11 +16,13 @@
 {
 	lane_demand_t *demand = lane->demand ? &lane->demand[slot] : NULL;
 	bool full = message->flags & MESSAGE_FULL;
+	bool backlogged = lane_waiting(lane) > 0;
 	ask_entry_t *ask;
 
 	if (!demand)
 		return;
-	if (!full && !memcmp(demand->asked, demand->told_asked, sizeof(demand->asked)))
+	if (!full && backlogged == demand->told_backlogged &&
+		!memcmp(demand->asked, demand->told_asked, sizeof(demand->asked)))
 		return;
 	if (SECTION_FULL(&message->asks)) {
 		message->flags &= ~(uint32_t)MESSAGE_FULL;
@@ -31,7 +33,9 @@
 	ask->workspace = lane->workspace->id;
 	for (int c = 0; c < WORK_CLASSES; c++)
 		ask->waiting[c] = demand->asked[c];
+	ask->backlogged = backlogged;
 	memcpy(demand->told_asked, demand->asked, sizeof(demand->asked));
+	demand->told_backlogged = backlogged;
 }
 
 static void write_served(lane_t *lane, unsigned int slot, message_t *message)
@@ -204,22 +208,31 @@
 		this->replicas[i]->report_due |= this->replicas[i]->owner == slot;
 }
 
-/* The peer holds and wants nothing but what its full message names. */
-static void forget_reported(node_t *this, unsigned int slot, instant_t now)
+/* The peer holds nothing, and waits at no pool, but what its full message names. */
+static void forget_reported(node_t *this, unsigned int slot)
 {
-	static const uint32_t none[WORK_CLASSES];
-
 	for (unsigned int i = 0; i < this->replica_count; i++)
 		memset(&this->replicas[i]->holds[slot], 0, sizeof(hold_entry_t));
+	for (unsigned int i = 0; i < this->pool_count; i++) {
+		this->pools[i]->peers[slot].contended = false;
+		this->pools[i]->peers[slot].waiting = 0;
+	}
+}
+
+/* Likewise for what it asks, once that was read: a lane must not seem idle meanwhile. */
+static void forget_unmentioned(node_t *this, unsigned int slot, instant_t now)
+{
+	static const uint32_t none[WORK_CLASSES];
+
 	for (unsigned int i = 0; i < this->pool_count; i++) {
 		lane_t *lane;
 		lane_t *after;
 
-		this->pools[i]->peers[slot].contended = false;
-		this->pools[i]->peers[slot].waiting = 0;
-		cds_list_for_each_entry_safe (lane, after, &this->pools[i]->listed, link) {
-			if (lane->demand)
-				owner_set_wanted(this, lane, slot, none, now);
+		cds_list_for_each_entry_safe(lane, after, &this->pools[i]->listed, link) {
+			if (!lane->demand || lane->demand[slot].mentioned)
+				continue;
+			owner_set_wanted(this, lane, slot, none, now);
+			owner_set_backlogged(lane, slot, false);
 		}
 	}
 }
@@ -260,8 +273,20 @@
 		const ask_entry_t *ask = &message->asks.entry[i];
 		lane_t *lane = node_find_lane(this, ask->pool, ask->workspace);
 
+		if (!lane)
+			continue;
+		owner_set_wanted(this, lane, slot, ask->waiting, now);
+		owner_set_backlogged(lane, slot, ask->backlogged);
+		lane->demand[slot].mentioned = true;
+	}
+	if (message->flags & MESSAGE_FULL)
+		forget_unmentioned(this, slot, now);
+	for (unsigned int i = 0; i < message->asks.count; i++) {
+		const ask_entry_t *ask = &message->asks.entry[i];
+		lane_t *lane = node_find_lane(this, ask->pool, ask->workspace);
+
 		if (lane)
-			owner_set_wanted(this, lane, slot, ask->waiting, now);
+			lane->demand[slot].mentioned = false;
 	}
 }
 
@@ -365,7 +390,7 @@
 	if (message->ack_incarnation == this->options.incarnation)
 		owner_acknowledge(this, from, message->grant_ack, now);
 	if (message->flags & MESSAGE_FULL)
-		forget_reported(this, from, now);
+		forget_reported(this, from);
 	read_holds(this, from, message, now);
 	read_asks(this, from, message, now);
 	read_counters(this, from, message);
--- a/src/core/node_owner.c
+++ b/src/core/node_owner.c
@@ -116,10 +116,10 @@
 	lane->wanted_count[c] += step;
 	lane->pool->peers[slot].wanted += step;
 	lane->pool->wanted += step;
-	if (lane_wanted(lane))
-		share_wake(lane, now);
-	else if (!lane_waiting(lane))
-		share_sleep(lane, now);
+	if (lane_is_backlogged(lane))
+		share_wake(lane);
+	else
+		share_sleep(lane);
 }
 
 void owner_set_wanted(node_t *this, lane_t *lane, unsigned int slot,
@@ -134,6 +134,20 @@
 	}
 }
 
+void owner_set_backlogged(lane_t *lane, unsigned int slot, bool backlogged)
+{
+	lane_demand_t *demand = &lane->demand[slot];
+
+	if (demand->backlogged == backlogged)
+		return;
+	demand->backlogged = backlogged;
+	lane->backlogged_routers += backlogged ? 1 : -1U;
+	if (lane_is_backlogged(lane))
+		share_wake(lane);
+	else
+		share_sleep(lane);
+}
+
 void owner_set_hold(replica_t *replica, unsigned int slot, const hold_entry_t *hold)
 {
 	replica->holds[slot] = *hold;
@@ -252,8 +266,10 @@
 		pool_t *pool = this->pools[i];
 
 		for (unsigned int w = 0; w < pool->lane_capacity; w++) {
-			if (pool->lanes[w] && pool->lanes[w]->demand)
+			if (pool->lanes[w] && pool->lanes[w]->demand) {
 				owner_set_wanted(this, pool->lanes[w], slot, none, now);
+				owner_set_backlogged(pool->lanes[w], slot, false);
+			}
 		}
 		memset(&pool->peers[slot], 0, sizeof(pool_peer_t));
 	}
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -100,7 +100,7 @@
 	cds_list_add_tail(&request->link, &lane->waiting[request->work_class]);
 	lane->waiting_count[request->work_class]++;
 	lane->pool->waiting++;
-	share_wake(lane, now);
+	share_wake(lane);
 }
 
 void router_dequeue(node_request_t *request, instant_t now)
@@ -110,8 +110,8 @@
 	cds_list_del(&request->link);
 	lane->waiting_count[request->work_class]--;
 	lane->pool->waiting--;
-	if (!lane_waiting(lane) && !lane_wanted(lane))
-		share_sleep(lane, now);
+	if (!lane_is_backlogged(lane))
+		share_sleep(lane);
 }
 
 void router_reject(
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -148,6 +148,11 @@
 	return sum_classes(this->wanted_count);
 }
 
+bool lane_is_backlogged(const lane_t *this)
+{
+	return lane_waiting(this) || lane_wanted(this) || this->backlogged_routers;
+}
+
 void lane_list(lane_t *this)
 {
 	if (this->is_listed)
--- a/src/core/pool.h
+++ b/src/core/pool.h
@@ -36,6 +36,9 @@
 	uint16_t told_asked[WORK_CLASSES];
 	uint16_t wanted[WORK_CLASSES]; /* the peer's, at our slots, as reported */
 	uint16_t unseen[WORK_CLASSES]; /* granted to the peer, not acknowledged */
+	bool backlogged;		       /* the peer has more waiting, for whatever owner */
+	bool told_backlogged;	       /* likewise of us */
+	bool mentioned;		       /* in the message being read */
 } lane_demand_t;
 
 typedef struct lane {
@@ -51,7 +54,6 @@
 	uint64_t provisional;	/* granted to others and not yet reported as served */
 	double lift;		/* level given at the last waking */
 	bool is_awake;
-	instant_t idle_at; /* asleep from then on counts as idle */
 
 	/* In the pool's list while something of it waits or is still to be told. */
 	struct cds_list_head link;
@@ -70,6 +72,7 @@
 
 	/* owner side */
 	unsigned int wanted_count[WORK_CLASSES]; /* by all routers, less what was granted */
+	unsigned int backlogged_routers;
 	unsigned int next_router;		 /* where the next grant starts looking */
 } lane_t;
 
@@ -159,6 +162,8 @@
 double pool_median_pace(const pool_t *this);
 unsigned int lane_waiting(const lane_t *this);
 unsigned int lane_wanted(const lane_t *this);
+/* Something of it waits, here or at a peer. */
+bool lane_is_backlogged(const lane_t *this);
 void lane_list(lane_t *this);
 void lane_unlist(lane_t *this);
 
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -23,7 +23,7 @@
 	return share_level(lane) + handicap[work_class] * lane->pool->long_cost;
 }
 
-void share_wake(lane_t *lane, instant_t now)
+void share_wake(lane_t *lane)
 {
 	double behind = lane->pool->virtual_time - share_level(lane);
 
@@ -31,16 +31,13 @@
 	if (lane->is_awake)
 		return;
 	lane->is_awake = true;
-	if (now >= lane->idle_at && behind > 0)
+	if (behind > 0)
 		lane->lift += behind;
 }
 
-void share_sleep(lane_t *lane, instant_t now)
+void share_sleep(lane_t *lane)
 {
-	if (!lane->is_awake)
-		return;
 	lane->is_awake = false;
-	lane->idle_at = now + SHARE_IDLE_GRACE;
 }
 
 void share_bound(lane_t *lane)
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -10,8 +10,6 @@
  */
 #include "core/pool.h"
 
-/* A lane that has nothing waiting for less than this has not been idle. */
-#define SHARE_IDLE_GRACE (1 * USEC_PER_SEC)
 /* Furthest that a level may be from the virtual time, in long_costs of the pool. */
 #define SHARE_MEMORY 8
 /* Cost units at most that a request is charged before any of it was served. */
@@ -26,9 +24,9 @@
 double share_rank(const lane_t *lane, work_class_t work_class);
 double share_level(const lane_t *lane);
 /* The lane has work waiting, here or at a peer. */
-void share_wake(lane_t *lane, instant_t now);
+void share_wake(lane_t *lane);
 /* Nothing of it waits any more. */
-void share_sleep(lane_t *lane, instant_t now);
+void share_sleep(lane_t *lane);
 /*
  * Keeps the lane's level within SHARE_MEMORY of the pool's virtual time, so
  * that what a partition or a late counter left unequal is made up for only so far.
--- a/src/edge/message_codec.c
+++ b/src/edge/message_codec.c
@@ -6,7 +6,7 @@
 
 #define HEAD_FIELDS 9
 #define SECTIONS 7
-#define ASK_FIELDS (2 + WORK_CLASSES)
+#define ASK_FIELDS (3 + WORK_CLASSES)
 #define HOLD_FIELDS 5
 #define GRANT_FIELDS 4
 #define SERVED_FIELDS 3
@@ -50,6 +50,7 @@
 		PACK(e->pool, e->workspace);
 		for (int c = 0; c < WORK_CLASSES; c++)
 			msgpack_pack_uint32(packer, e->waiting[c]);
+		PACK(e->backlogged);
 	}
 }
 
@@ -169,7 +170,8 @@
 		if (!get_u32(&at[2 + c], &e->waiting[c]))
 			return false;
 	}
-	return get_u32(&at[0], &e->pool) && get_u32(&at[1], &e->workspace);
+	return get_u32(&at[0], &e->pool) && get_u32(&at[1], &e->workspace) &&
+		get_u32(&at[2 + WORK_CLASSES], &e->backlogged);
 }
 
 static bool unpack_hold(const msgpack_object *at, void *entry)
