--- a/load/profile.c
+++ b/load/profile.c
@@ -78,7 +78,8 @@
 	doc = jsondoc_new(text, len);
 	list = doc->error ? NULL : json_get(doc->root, "streams");
 	if (!list || list->type != JSON_ARRAY) {
-		faults_add(faults, 1, "%s", doc->error ? doc->error : "streams: give a list");
+		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
+			doc->error ? doc->error : "streams: give a list");
 		goto out;
 	}
 	this->streams = g_new0(load_stream_t, list->count + 1);
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -50,7 +50,9 @@
 	run "$name" "build-asan/$name"
 	grep -q '^/\* threaded' "$t" && run "$name-tsan" "build-tsan/$name"
 done
-[ -f examples/embed.c ] && run embed build-asan/embed
+run embed build-asan/embed
+run fuzz-message scripts/fuzz.sh message
+run fuzz-text scripts/fuzz.sh text
 # A process test lists its cases in a line "# cases: a b"; each runs on ports of its own, some at a time.
 run_process_tests() {
 	local dir base=20000 t name c
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -458,9 +458,8 @@
 			continue;
 		if (lane->peers[i].told_served != (uint32_t)lane->own_served)
 			return false;
-		if (demand && (demand->told_backlogged ||
-				      memcmp(demand->asked, demand->told_asked,
-					      sizeof(demand->asked))))
+		if (demand && (demand->told_backlogged || memcmp(demand->asked, demand->told_asked,
+								  sizeof(demand->asked))))
 			return false;
 	}
 	return true;
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -228,7 +228,7 @@
 		lane_t *lane;
 		lane_t *after;
 
-		cds_list_for_each_entry_safe(lane, after, &this->pools[i]->listed, link) {
+		cds_list_for_each_entry_safe (lane, after, &this->pools[i]->listed, link) {
 			if (!lane->demand || lane->demand[slot].mentioned)
 				continue;
 			owner_set_wanted(this, lane, slot, none, now);
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -5,6 +5,9 @@
 #define RETURN_DELAY (20 * USEC_PER_MSEC)
 #define REPORT_DELAY (500 * USEC_PER_MSEC) /* what the owner need not know soon */
 #define SHORT_DIVISOR 5			   /* of long_cost, up to which work is short */
+/* A few short requests ask two owners each, for whichever has a free slot first. */
+#define FEW_WAITING 2
+#define SHORT_ASKS 2
 #define MAX_ASKED_PER_LANE 64
 #define MAX_WAITING_PER_LANE 4096
 #define CONTENDED_PENALTY 4.0
@@ -350,6 +353,8 @@
 	int from;
 	int to;
 
+	if (c == WORK_SHORT && want <= FEW_WAITING)
+		want *= SHORT_ASKS;
 	if (want > MAX_ASKED_PER_LANE)
 		want = MAX_ASKED_PER_LANE;
 	if (!want && !lane->demand)
@@ -452,8 +457,8 @@
 	work_class_t work_class = (work_class_t)grant->work_class;
 	lane_t *lane;
 
-	if (!replica)
-		return;
+	if (!replica || grant->count > replica->slots)
+		return; /* no owner gives more than there are */
 	replica->held += grant->count;
 	this->stats.grants_received += grant->count;
 	router_report(this, replica, now + REPORT_DELAY, now);
--- a/src/core/pool.h
+++ b/src/core/pool.h
@@ -36,7 +36,7 @@
 	uint16_t told_asked[WORK_CLASSES];
 	uint16_t wanted[WORK_CLASSES]; /* the peer's, at our slots, as reported */
 	uint16_t unseen[WORK_CLASSES]; /* granted to the peer, not acknowledged */
-	bool backlogged;		       /* the peer has more waiting, for whatever owner */
+	bool backlogged;	       /* the peer has more waiting, for whatever owner */
 	bool told_backlogged;	       /* likewise of us */
 	bool mentioned;		       /* in the message being read */
 } lane_demand_t;
@@ -73,7 +73,7 @@
 	/* owner side */
 	unsigned int wanted_count[WORK_CLASSES]; /* by all routers, less what was granted */
 	unsigned int backlogged_routers;
-	unsigned int next_router;		 /* where the next grant starts looking */
+	unsigned int next_router; /* where the next grant starts looking */
 } lane_t;
 
 /* What one peer and this router told each other about a pool. */
--- a/src/edge/message_codec.c
+++ b/src/edge/message_codec.c
@@ -171,7 +171,7 @@
 			return false;
 	}
 	return get_u32(&at[0], &e->pool) && get_u32(&at[1], &e->workspace) &&
-		get_u32(&at[2 + WORK_CLASSES], &e->backlogged);
+	       get_u32(&at[2 + WORK_CLASSES], &e->backlogged);
 }
 
 static bool unpack_hold(const msgpack_object *at, void *entry)
@@ -249,13 +249,43 @@
 	       UNPACK(&at[6], LEAVING_FIELDS, m->leaving, unpack_leaving);
 }
 
+/* Bytes of the item that begins with `head`, or 0 when messages have no such item. */
+static size_t item_size(uint8_t head)
+{
+	if (head <= 0x7f || (head >= 0x90 && head <= 0x9f))
+		return 1; /* small number, small array */
+	if (head >= 0xcc && head <= 0xcf)
+		return 1 + ((size_t)1 << (head - 0xcc)); /* number of 1 to 8 bytes */
+	return head == 0xdc ? 3 : 0;			 /* array of up to 65535 */
+}
+
+/*
+ * Numbers and arrays only, and no array that claims more items than there are
+ * bytes: the library makes room for as many as are claimed before it reads them.
+ */
+static bool is_plain(const uint8_t *data, size_t size)
+{
+	size_t at = 0;
+
+	while (at < size) {
+		size_t item = item_size(data[at]);
+
+		if (!item || at + item > size)
+			return false;
+		if (data[at] == 0xdc && (size_t)(data[at + 1] << 8 | data[at + 2]) > size)
+			return false;
+		at += item;
+	}
+	return true;
+}
+
 bool message_decode(const char *data, size_t size, message_t *message)
 {
 	msgpack_unpacked unpacked;
 	size_t used = 0;
 	bool good;
 
-	if (size > MESSAGE_CODEC_MAX)
+	if (size > MESSAGE_CODEC_MAX || !is_plain((const uint8_t *)data, size))
 		return false;
 	memset(message, 0, sizeof(*message));
 	msgpack_unpacked_init(&unpacked);
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -326,11 +326,17 @@
 	}
 }
 
-bool peer_socket_next_broken(peer_socket_t *this, unsigned int *peer)
+static void follow_all(peer_socket_t *this)
 {
 	follow_accepted(this);
-	for (unsigned int i = 0; i < this->count; i++) {
+	for (unsigned int i = 0; i < this->count; i++)
 		follow_link(&this->links[i]);
+}
+
+bool peer_socket_next_broken(peer_socket_t *this, unsigned int *peer)
+{
+	follow_all(this);
+	for (unsigned int i = 0; i < this->count; i++) {
 		if (!this->links[i].broken)
 			continue;
 		this->links[i].broken = false;
@@ -356,6 +362,7 @@
 
 const peer_socket_stats_t *peer_socket_stats(peer_socket_t *this)
 {
+	follow_all(this);
 	this->stats.wire_bytes = 0;
 	this->stats.wire_segments = 0;
 	for (unsigned int i = 0; i < this->accepted_count; i++)
--- a/src/settings/fleet_text.c
+++ b/src/settings/fleet_text.c
@@ -292,7 +292,8 @@
 	this->source = g_strdup(source);
 	this->by_token = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
 	if (doc->error || doc->root->type != JSON_OBJECT)
-		faults_add(faults, 1, "%s", doc->error ? doc->error : "give one object {...}");
+		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
+			doc->error ? doc->error : "give one object {...}");
 	else
 		read_text(this, faults, doc->root);
 	g_hash_table_remove_all(this->by_token);
--- a/src/settings/jsondoc.c
+++ b/src/settings/jsondoc.c
@@ -25,8 +25,10 @@
 
 static int builder_fail(builder_t *this, const char *why, const char *name)
 {
-	if (!this->doc->error)
-		this->doc->error = g_strdup_printf("line %u: %s%s", builder_line(this), why, name);
+	if (this->doc->error)
+		return 0;
+	this->doc->error = g_strconcat(why, name, NULL);
+	this->doc->error_line = builder_line(this);
 	return 0;
 }
 
@@ -166,6 +168,11 @@
 	jsondoc_t *this = g_new0(jsondoc_t, 1);
 	builder_t builder = {.doc = this, .text = text, .line = 1};
 
+	if (!len) {
+		this->error = g_strdup("the text is empty");
+		this->error_line = 1;
+		return this;
+	}
 	builder.parser = yajl_alloc(&callbacks, NULL, &builder);
 	yajl_config(builder.parser, yajl_allow_comments, 1);
 	if (yajl_parse(builder.parser, (const unsigned char *)text, len) != yajl_status_ok)
@@ -173,7 +180,7 @@
 	else if (yajl_complete_parse(builder.parser) != yajl_status_ok)
 		builder_report(&builder);
 	else if (!this->root)
-		this->error = g_strdup("line 1: the text is empty");
+		builder_fail(&builder, "the text is empty", "");
 	yajl_free(builder.parser);
 	g_free(builder.key);
 	return this;
--- a/src/settings/jsondoc.h
+++ b/src/settings/jsondoc.h
@@ -40,7 +40,8 @@
 
 typedef struct jsondoc {
 	json_value_t *root;
-	char *error; /* NULL when the text was read; else "line N: why" */
+	char *error; /* NULL when the text was read */
+	unsigned int error_line;
 } jsondoc_t;
 
 /* Parses `len` bytes.  Always returns a document; see its error. */
--- a/src/settings/router_settings.c
+++ b/src/settings/router_settings.c
@@ -146,7 +146,8 @@
 	}
 	doc = jsondoc_new(text, len);
 	if (doc->error || doc->root->type != JSON_OBJECT) {
-		faults_add(faults, 1, "%s", doc->error ? doc->error : "give one object {...}");
+		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
+			doc->error ? doc->error : "give one object {...}");
 		goto out;
 	}
 	this = g_new0(router_settings_t, 1);
