Callers gone: no retry for them, and the cancel follows the request

Cause: a whole answer whose engine was cancelled counted as broken and was sent again though nobody waited for it; the watch knew the first endpoint only.

--- a/src/filter/dispatch.c
+++ b/src/filter/dispatch.c
@@ -74,9 +74,24 @@
 	return false;
 }
 
+/* The watch follows the request to the endpoint that it is sent to. */
+static void watch_caller(request_t *request)
+{
+	cancel_watch_t *watch = request->router->cancel_watch;
+
+	if (request->watch)
+		cancel_watch_remove(watch, request->watch);
+	request->watch = cancel_watch_add(
+		watch, request->caller_fd, request->endpoint->address, request->id);
+}
+
 static http_result_t try_once(request_t *request)
 {
-	http_result_t result = begin(request);
+	http_result_t result;
+
+	if (request->service->kind == SERVICE_MODEL)
+		watch_caller(request);
+	result = begin(request);
 
 	if (result == HTTP_OK && !answer_is_ours(request))
 		result = HTTP_BROKEN;
@@ -96,6 +111,10 @@
 	http_result_t result = HTTP_NOT_SENT;
 
 	while (this->attempts < MAX_ATTEMPTS) {
+		if (this->attempts && caller_is_gone(this->caller_fd)) {
+			this->reason = REASON_CALLER_GONE;
+			return HTTP_NOT_SENT;
+		}
 		if (!this->ticket) {
 			this->reason = get_slot(this);
 			if (this->reason != REASON_NONE)
@@ -127,8 +146,6 @@
 		return request->reason;
 	if (request_is_order(request))
 		return order_run(request);
-	request->watch = cancel_watch_add(request->router->cancel_watch, request->caller_fd,
-		request->endpoint->address, request->id);
 	result = request_send(request);
 	if (result == HTTP_OK)
 		return REASON_NONE;
--- a/src/filter/relay.c
+++ b/src/filter/relay.c
@@ -84,11 +84,13 @@
 		router_count(request->router, COUNT_RETRIES);
 		result = request_send(request);
 		if (result == HTTP_NOT_SENT)
-			return REASON_ENDPOINT_BROKEN;
+			return request->reason;
 		if (result == HTTP_OK)
 			result = request_receive(request);
 	}
-	return result == HTTP_OK ? REASON_NONE : REASON_ENDPOINT_BROKEN;
+	if (result == HTTP_OK)
+		return REASON_NONE;
+	return caller_is_gone(request->caller_fd) ? REASON_CALLER_LEFT : REASON_ENDPOINT_BROKEN;
 }
 
 /* --- streams ---------------------------------------------------------- */
