--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,15 @@
 bench-quick: all
 	@scripts/bench.sh quick
 
+bench-capacity: all $(BUILD)/micro
+	@bench/capacity.sh
+	@bench/overhead.sh
+	@for size in "8 16 2 23" "100 2000 6 1100" "370 2000 6 300" "370 200 6 1100" "370 2000 6 1100"; do \
+		$(BUILD)/micro $$size; done
+
+plots:
+	@scripts/plots.sh
+
 lint: deps
 	@scripts/lint.sh
 
@@ -84,4 +93,4 @@
 
 -include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
 .SECONDARY:
-.PHONY: all build deps demo check soak bench bench-quick lint format clean test-programs
+.PHONY: all build deps demo check soak bench bench-quick bench-capacity plots lint format clean test-programs
--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,44 @@
+#!/bin/bash
+# The slopes of docs/CAPACITY.md: control on the wire, processor time and memory
+# of a router over the number of routers, at 7.3 requests/s a router.
+set -u
+cd "$(dirname "$0")/.."
+BIN=build
+echo "routers requests_s_router wire_B_s_router messages_s_router cpu_percent_router rss_kb_router members_seen"
+for n in ${SIZES:-4 8 16 32}; do
+	(
+		ROUTERS=$n
+		BASE=${BASE:-23000}
+		. scripts/fleet.sh
+		fleet_init
+		trap stop_all EXIT
+		start_platform
+		start_engines $((n * 2)) --slots 8 --token-us 10000 --prefill-us 0
+		start_services 1
+		write_settings
+		start_routers
+		DEADLINE_MS=10000 LONG_COST=400 write_text "$RUN/text.json" pattern desk 8 8 4 2 1 1 1 1 1 1 1 1 1 1 1 1 1 1
+		put_text "$RUN/text.json" 0 --wait >/dev/null || exit 1
+		wait_ready && wait_for 20 all_see "$n" || exit 1
+		{
+			echo '{"streams":['
+			for w in $(seq 0 15); do
+				[ "$w" = 0 ] || echo ,
+				echo "{\"name\":\"s$w\",\"workspace\":\"w$w\",\"token\":\"t-w$w\",\"kind\":\"stream\",\"model\":\"pattern\",\"rate\":$(awk "BEGIN{print 7.3*$n/16}"),\"tokens\":50,\"sigma\":0.5,\"max_tokens\":200}"
+			done
+			echo ']}'
+		} >"$RUN/p.json"
+		sum() { local i s=0 v; for i in $(seq 0 $((n - 1))); do v=$(metric_of "$i" "$1"); s=$((s + ${v:-0})); done; echo $s; }
+		ticks() { local i s=0; for i in $(seq 0 $((n - 1))); do s=$((s + $(awk '{print $14+$15}' "/proc/${ROUTER_PID[$i]}/stat"))); done; echo $s; }
+		rss() { local i s=0; for i in $(seq 0 $((n - 1))); do s=$((s + $(awk '/VmRSS/{print $2}' "/proc/${ROUTER_PID[$i]}/status"))); done; echo $s; }
+		build/amaranthwall-load --profile "$RUN/p.json" --routers "$(all_callers)" --seconds 12 --seed 1 >"$RUN/load.json" 2>/dev/null &
+		load=$!
+		sleep 3
+		t0=$(date +%s%3N) w0=$(sum peer_wire_bytes_total) m0=$(sum peer_messages_sent_total) r0=$(sum caller_requests_total) c0=$(ticks)
+		sleep 7
+		t1=$(date +%s%3N) w1=$(sum peer_wire_bytes_total) m1=$(sum peer_messages_sent_total) r1=$(sum caller_requests_total) c1=$(ticks)
+		memory=$(rss)
+		wait $load
+		awk "BEGIN{s=($t1-$t0)/1000*$n; printf \"%d %.1f %.0f %.1f %.2f %.0f %s\n\", $n, ($r1-$r0)/s, ($w1-$w0)/s, ($m1-$m0)/s, ($c1-$c0)/s, $memory/$n, \"$(members_alive 0)\"}"
+	)
+done
--- a/load/main.c
+++ b/load/main.c
@@ -402,7 +402,7 @@
 	profile_t *profile;
 	faults_t faults;
 	busy_watch_t busy;
-	pthread_t watcher;
+	pthread_t watcher = 0;
 	instant_t start;
 	bool good;
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -489,7 +489,7 @@
 
 static void tick_members(node_t *this, instant_t now)
 {
-	bool was_alive[MEMBER_MAX];
+	bool was_alive[MEMBER_MAX] = {false};
 
 	for (unsigned int i = 0; i < this->members.count; i++)
 		was_alive[i] = member_is_alive(&this->members.list[i]);
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -88,7 +88,6 @@
 unsigned int node_replica_limit(const node_t *this, const replica_t *replica, instant_t now);
 
 /* node_router.c: the side that has requests waiting */
-lane_t *router_next_lane(pool_t *pool, bool allow_long, work_class_t *work_class);
 void router_start(
 	node_t *this, lane_t *lane, work_class_t work_class, replica_t *replica, instant_t now);
 bool router_long_allowed(const pool_t *pool);
--- a/src/core/node_owner.c
+++ b/src/core/node_owner.c
@@ -61,28 +61,6 @@
 	return owned->out_long == 0 || owned->out_long * 100 < owned->slots * pool->long_share;
 }
 
-static lane_t *next_lane(const pool_t *pool, bool allow_long, work_class_t *work_class)
-{
-	lane_t *best = NULL;
-	double best_rank = 0;
-	lane_t *lane;
-
-	cds_list_for_each_entry (lane, &pool->listed, link) {
-		for (int c = 0; c < WORK_CLASSES; c++) {
-			double rank = share_rank(lane, (work_class_t)c);
-
-			if (!lane->wanted_count[c] || (c == WORK_LONG && !allow_long))
-				continue;
-			if (best && rank >= best_rank)
-				continue;
-			best = lane;
-			best_rank = rank;
-			*work_class = (work_class_t)c;
-		}
-	}
-	return best;
-}
-
 static unsigned int still_wanted(const lane_demand_t *demand, work_class_t c)
 {
 	return demand->wanted[c] > demand->unseen[c] ? demand->wanted[c] - demand->unseen[c] : 0;
@@ -297,7 +275,7 @@
 
 		if (!replica)
 			return;
-		lane = next_lane(pool, long_allowed(pool, &owned), &work_class);
+		lane = share_next(pool, true, long_allowed(pool, &owned), &work_class);
 		if (!lane)
 			return;
 		slot = next_router(this, lane, work_class);
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -25,28 +25,6 @@
 	return cds_list_first_entry(&lane->waiting[work_class], node_request_t, link);
 }
 
-lane_t *router_next_lane(pool_t *pool, bool allow_long, work_class_t *work_class)
-{
-	lane_t *best = NULL;
-	double best_rank = 0;
-	lane_t *lane;
-
-	cds_list_for_each_entry (lane, &pool->listed, link) {
-		for (int c = 0; c < WORK_CLASSES; c++) {
-			double rank = share_rank(lane, (work_class_t)c);
-
-			if (!lane->waiting_count[c] || (c == WORK_LONG && !allow_long))
-				continue;
-			if (best && rank >= best_rank)
-				continue;
-			best = lane;
-			best_rank = rank;
-			*work_class = (work_class_t)c;
-		}
-	}
-	return best;
-}
-
 bool router_long_allowed(const pool_t *pool)
 {
 	unsigned int held = 0;
@@ -224,7 +202,7 @@
 {
 	while (pool->waiting) {
 		work_class_t work_class = WORK_SHORT;
-		lane_t *lane = router_next_lane(pool, router_long_allowed(pool), &work_class);
+		lane_t *lane = share_next(pool, false, router_long_allowed(pool), &work_class);
 		replica_t *replica;
 
 		if (!lane)
@@ -369,7 +347,7 @@
 
 void router_ask(node_t *this, pool_t *pool, instant_t now)
 {
-	owner_view_t owners[MEMBER_MAX];
+	owner_view_t owners[MEMBER_MAX] = {0};
 	lane_t *lane;
 
 	if (cds_list_empty(&pool->listed))
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -136,7 +136,7 @@
 {
 	while (pool->waiting) {
 		work_class_t work_class = WORK_SHORT;
-		lane_t *lane = router_next_lane(pool, true, &work_class);
+		lane_t *lane = share_next(pool, false, true, &work_class);
 		replica_t *replica = choose(this, pool, now);
 
 		if (!lane || !replica)
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -11,7 +11,7 @@
 		unsigned int to = this->replica_capacity ? this->replica_capacity * 2 : 8;
 
 		this->replicas = allocator_grow(allocator, this->replicas, this->replica_count, to,
-			sizeof(*this->replicas));
+			sizeof(replica_t *));
 		this->replica_capacity = to;
 	}
 	replica->pool = this;
@@ -56,7 +56,7 @@
 		unsigned int to = index + 16;
 
 		this->lanes = allocator_grow(
-			allocator, this->lanes, this->lane_capacity, to, sizeof(*this->lanes));
+			allocator, this->lanes, this->lane_capacity, to, sizeof(lane_t *));
 		this->lane_capacity = to;
 	}
 	if (!this->lanes[index])
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -23,6 +23,31 @@
 	return share_level(lane) + handicap[work_class] * lane->pool->long_cost;
 }
 
+lane_t *share_next(const pool_t *pool, bool wanted, bool allow_long, work_class_t *work_class)
+{
+	lane_t *best = NULL;
+	double best_rank = 0;
+	lane_t *lane;
+
+	cds_list_for_each_entry(lane, &pool->listed, link) {
+		const unsigned int *counts = wanted ? lane->wanted_count : lane->waiting_count;
+
+		for (int c = 0; c < WORK_CLASSES; c++) {
+			double rank;
+
+			if (!counts[c] || (c == WORK_LONG && !allow_long))
+				continue;
+			rank = share_rank(lane, (work_class_t)c);
+			if (best && rank >= best_rank)
+				continue;
+			best = lane;
+			best_rank = rank;
+			*work_class = (work_class_t)c;
+		}
+	}
+	return best;
+}
+
 void share_wake(lane_t *lane)
 {
 	double behind = lane->pool->virtual_time - share_level(lane);
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -23,6 +23,11 @@
  */
 double share_rank(const lane_t *lane, work_class_t work_class);
 double share_level(const lane_t *lane);
+/*
+ * The lane and class of least rank among those with work: waiting here, or
+ * wanted by any router of the slots owned here.  NULL when there is none.
+ */
+lane_t *share_next(const pool_t *pool, bool wanted, bool allow_long, work_class_t *work_class);
 /* The lane has work waiting, here or at a peer. */
 void share_wake(lane_t *lane);
 /* Nothing of it waits any more. */
--- a/src/daemon/watcher.c
+++ b/src/daemon/watcher.c
@@ -200,7 +200,7 @@
 static void *run_load(void *ctx)
 {
 	watcher_t *this = ctx;
-	instant_t next = clock_now();
+	instant_t next;
 
 	do {
 		fleet_text_t *text = snapshot_get(this->options.snapshot);
--- a/src/settings/fleet_text.c
+++ b/src/settings/fleet_text.c
@@ -89,7 +89,7 @@
 
 	if (!list || list->type != JSON_ARRAY)
 		return;
-	for (json_value_t *v = list->first; v; v = v->next, i++)
+	for (json_value_t *v = list->first; v && i < this->service_count; v = v->next, i++)
 		read_depends(this, faults, v, &this->services[i]);
 }
 
@@ -303,7 +303,7 @@
 		return NULL;
 	}
 	for (unsigned int i = 0; i < this->workspace_count; i++) {
-		for (char **t = this->workspaces[i].tokens; *t; t++)
+		for (char **t = this->workspaces[i].tokens; t && *t; t++)
 			g_hash_table_insert(this->by_token, *t, &this->workspaces[i]);
 	}
 	return this;
