--- a/bench/summary.c
+++ b/bench/summary.c
@@ -235,7 +235,7 @@
 {
 	const char *deployments[MAX_POLICIES];
 	const char *policies[MAX_POLICIES];
-	run_t *runs = g_new0(run_t, MAX_RUNS);
+	run_t *runs;
 	unsigned int count = 0;
 	unsigned int failed = 0;
 	unsigned int deployment_count;
@@ -245,6 +245,7 @@
 		fprintf(stderr, "usage: summary OUTPUT.json RUN.json...\n");
 		return 64;
 	}
+	runs = g_new0(run_t, MAX_RUNS);
 	for (int i = 2; i < argc && count < MAX_RUNS; i++) {
 		if (read_run(argv[i], &runs[count]))
 			count++;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,8 +10,7 @@
 printf '%s\n' $files | xargs -P "$(nproc)" -n 8 sh -c 'clang-tidy --quiet "$@" -- '"$flags"' 2>/dev/null' sh || code=1
 cppcheck --quiet --std=c11 --enable=warning,performance,portability --inline-suppr --error-exitcode=1 \
 	--suppress=missingIncludeSystem -Isrc -I. \
-	'-Dcds_list_for_each_entry(p,h,m)=for (p = list_first(h); list_more(p, h); p = list_next(p))' \
-	'-Dcds_list_for_each_entry_safe(p,n,h,m)=for (p = list_first(h), n = list_next(p); list_more(p, h); p = n, n = list_next(n))' \
+	--include=scripts/cppcheck-lists.h \
 	$files || code=1
 [ $code = 0 ] && echo "lint: clean"
 exit $code
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -75,11 +75,13 @@
 	unsigned int action_count;
 };
 
+/* node_plan.c: what the operators' text names */
 pool_t *node_find_pool(const node_t *this, id_t32 id);
 replica_t *node_find_replica(const node_t *this, id_t32 id);
 workspace_share_t *node_find_workspace(const node_t *this, id_t32 id);
 /* The lane, or NULL where the plan has no such pool or workspace. */
 lane_t *node_find_lane(node_t *this, id_t32 pool, id_t32 workspace);
+void node_pump_all(node_t *this, instant_t now);
 void node_push(node_t *this, const node_action_t *action);
 /* A message to `slot` is due by `at`. */
 void node_send_by(node_t *this, unsigned int slot, instant_t at);
@@ -93,8 +95,13 @@
 bool router_long_allowed(const pool_t *pool);
 /* Starts waiting requests on slots that are held and not in use. */
 void router_use_idle(node_t *this, pool_t *pool, instant_t now);
+/* node_ask.c: which owners hear of what waits */
 /* Spreads the waiting requests over the owners of the pool's replicas. */
 void router_ask(node_t *this, pool_t *pool, instant_t now);
+/* A grant from the owner in `from` answers one ask, whether or not something still waits. */
+void router_settle_ask(
+	node_t *this, lane_t *lane, work_class_t c, unsigned int from, instant_t now);
+
 void router_give_back(node_t *this, replica_t *replica, unsigned int count, instant_t now);
 /* Gives back the idle slots of replicas that `slot` owns. */
 void router_give_back_idle(node_t *this, pool_t *pool, unsigned int slot, instant_t now);
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -10,8 +10,8 @@
 	if (this->replica_count == this->replica_capacity) {
 		unsigned int to = this->replica_capacity ? this->replica_capacity * 2 : 8;
 
-		this->replicas = allocator_grow(allocator, this->replicas, this->replica_count, to,
-			sizeof(replica_t *));
+		this->replicas = allocator_grow(
+			allocator, this->replicas, this->replica_count, to, sizeof(replica_t *));
 		this->replica_capacity = to;
 	}
 	replica->pool = this;
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -29,7 +29,7 @@
 	double best_rank = 0;
 	lane_t *lane;
 
-	cds_list_for_each_entry(lane, &pool->listed, link) {
+	cds_list_for_each_entry (lane, &pool->listed, link) {
 		const unsigned int *counts = wanted ? lane->wanted_count : lane->waiting_count;
 
 		for (int c = 0; c < WORK_CLASSES; c++) {
--- a/src/daemon/decider.c
+++ b/src/daemon/decider.c
@@ -5,7 +5,9 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "daemon/decider_report.h"
 #include "daemon/event_queue.h"
+#include "daemon/text_plan.h"
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "edge/message_codec.h"
@@ -109,26 +111,7 @@
 
 static void on_text(decider_t *this, event_t *event, instant_t now)
 {
-	const fleet_text_t *text = event->text;
-	plan_pool_t *pools = g_new0(plan_pool_t, text->service_count + 1);
-	plan_replica_t *replicas = g_new0(plan_replica_t, text->endpoint_count + 1);
-	plan_workspace_t *workspaces = g_new0(plan_workspace_t, text->workspace_count + 1);
-	plan_t plan = {text->version, pools, text->service_count, replicas, text->endpoint_count,
-		workspaces, text->workspace_count};
-
-	for (unsigned int i = 0; i < text->service_count; i++)
-		pools[i] = (plan_pool_t){text->services[i].id, text->services[i].long_cost,
-			text->services[i].long_share};
-	for (unsigned int i = 0; i < text->endpoint_count; i++)
-		replicas[i] = (plan_replica_t){text->endpoints[i].id,
-			text->services[text->endpoints[i].service].id, text->endpoints[i].slots};
-	for (unsigned int i = 0; i < text->workspace_count; i++)
-		workspaces[i] =
-			(plan_workspace_t){text->workspaces[i].id, text->workspaces[i].weight};
-	node_set_plan(this->node, &plan, now);
-	g_free(pools);
-	g_free(replicas);
-	g_free(workspaces);
+	text_plan_apply(event->text, this->node, now);
 	fleet_text_put(event->text);
 }
 
@@ -515,38 +498,9 @@
 	close(done.fd);
 }
 
-static const char *member_state_name(const member_t *member)
-{
-	static const char *const names[] = {"unheard", "alive", "suspect", "dead"};
-
-	return names[member->state];
-}
-
-static void append_lane(
-	void *ctx, id_t32 pool, id_t32 workspace, double level, unsigned int waiting)
-{
-	GString *out = ctx;
-
-	g_string_append_printf(out,
-		"%s{\"pool\":%u,\"workspace\":%u,\"level\":%.1f,\"waiting\":%u}",
-		out->str[out->len - 1] == '[' ? "" : ",", pool, workspace, level, waiting);
-}
-
 static void write_status(decider_t *this, GString *out)
 {
-	const members_t *members = node_members(this->node);
-
-	g_string_append_printf(out,
-		"\"waiting\":%u,\"running\":%u,\"known_version\":%" G_GUINT64_FORMAT
-		",\"members\":[",
-		node_waiting(this->node), node_running(this->node), node_known_version(this->node));
-	for (unsigned int i = 1; i < members->count; i++)
-		g_string_append_printf(out, "%s{\"name\":\"%s\",\"state\":\"%s\"}",
-			i > 1 ? "," : "", this->options.settings->peers[i - 1].name,
-			member_state_name(&members->list[i]));
-	g_string_append(out, "],\"lanes\":[");
-	node_each_lane(this->node, append_lane, out);
-	g_string_append_c(out, ']');
+	decider_report_status(this->node, this->options.settings, out);
 }
 
 void decider_status(decider_t *this, GString *out)
@@ -554,36 +508,11 @@
 	call_in_thread(this, write_status, out);
 }
 
-static void metric(GString *out, const char *name, uint64_t value)
-{
-	g_string_append_printf(out, "amaranthwall_%s %" G_GUINT64_FORMAT "\n", name, value);
-}
-
 static void write_metrics(decider_t *this, GString *out)
 {
-	const node_stats_t *stats = node_stats(this->node);
-	const peer_socket_stats_t *socket = peer_socket_stats(this->socket);
-
-	metric(out, "requests_arrived_total", stats->arrived);
-	metric(out, "requests_started_total", stats->started);
-	metric(out, "requests_rejected_total", stats->rejected);
-	metric(out, "requests_waiting", node_waiting(this->node));
-	metric(out, "requests_running", node_running(this->node));
-	metric(out, "grants_sent_total", stats->grants_sent);
-	metric(out, "grants_received_total", stats->grants_received);
-	metric(out, "grants_returned_total", stats->grants_returned);
-	metric(out, "members_alive", members_alive(node_members(this->node)));
-	metric(out, "peer_messages_sent_total", socket->sent);
-	metric(out, "peer_messages_received_total", socket->received);
-	metric(out, "peer_bytes_sent_total", socket->sent_bytes);
-	metric(out, "peer_bytes_received_total", socket->received_bytes);
-	metric(out, "peer_wire_bytes_total", socket->wire_bytes);
-	metric(out, "peer_wire_segments_total", socket->wire_segments);
-	metric(out, "peer_messages_not_sent_total", socket->not_sent);
-	metric(out, "peer_keys_refused_total", socket->refused_keys);
-	metric(out, "peer_messages_bad_total", this->bad_messages);
-	metric(out, "peer_messages_forged_total", this->forged_messages);
-	metric(out, "peer_messages_old_total", stats->dropped_messages);
+	decider_report_metrics(this->node, peer_socket_stats(this->socket), out);
+	decider_report_count(out, "peer_messages_bad_total", this->bad_messages);
+	decider_report_count(out, "peer_messages_forged_total", this->forged_messages);
 }
 
 void decider_metrics(decider_t *this, GString *out)
--- /dev/null
+++ b/src/daemon/decider_report.c
@@ -0,0 +1,64 @@
+#include "daemon/decider_report.h"
+
+static const char *member_state_name(const member_t *member)
+{
+	static const char *const names[] = {"unheard", "alive", "suspect", "dead"};
+
+	return names[member->state];
+}
+
+static void append_lane(
+	void *ctx, id_t32 pool, id_t32 workspace, double level, unsigned int waiting)
+{
+	GString *out = ctx;
+
+	g_string_append_printf(out,
+		"%s{\"pool\":%u,\"workspace\":%u,\"level\":%.1f,\"waiting\":%u}",
+		out->str[out->len - 1] == '[' ? "" : ",", pool, workspace, level, waiting);
+}
+
+void decider_report_status(const node_t *node, const router_settings_t *settings, GString *out)
+{
+	const members_t *members = node_members(node);
+
+	g_string_append_printf(out,
+		"\"waiting\":%u,\"running\":%u,\"known_version\":%" G_GUINT64_FORMAT
+		",\"members\":[",
+		node_waiting(node), node_running(node), node_known_version(node));
+	for (unsigned int i = 1; i < members->count; i++)
+		g_string_append_printf(out, "%s{\"name\":\"%s\",\"state\":\"%s\"}",
+			i > 1 ? "," : "", settings->peers[i - 1].name,
+			member_state_name(&members->list[i]));
+	g_string_append(out, "],\"lanes\":[");
+	node_each_lane(node, append_lane, out);
+	g_string_append_c(out, ']');
+}
+
+void decider_report_count(GString *out, const char *name, uint64_t value)
+{
+	g_string_append_printf(out, "amaranthwall_%s %" G_GUINT64_FORMAT "\n", name, value);
+}
+
+void decider_report_metrics(const node_t *node, const peer_socket_stats_t *socket, GString *out)
+{
+	const node_stats_t *stats = node_stats(node);
+
+	decider_report_count(out, "requests_arrived_total", stats->arrived);
+	decider_report_count(out, "requests_started_total", stats->started);
+	decider_report_count(out, "requests_rejected_total", stats->rejected);
+	decider_report_count(out, "requests_waiting", node_waiting(node));
+	decider_report_count(out, "requests_running", node_running(node));
+	decider_report_count(out, "grants_sent_total", stats->grants_sent);
+	decider_report_count(out, "grants_received_total", stats->grants_received);
+	decider_report_count(out, "grants_returned_total", stats->grants_returned);
+	decider_report_count(out, "members_alive", members_alive(node_members(node)));
+	decider_report_count(out, "peer_messages_sent_total", socket->sent);
+	decider_report_count(out, "peer_messages_received_total", socket->received);
+	decider_report_count(out, "peer_bytes_sent_total", socket->sent_bytes);
+	decider_report_count(out, "peer_bytes_received_total", socket->received_bytes);
+	decider_report_count(out, "peer_wire_bytes_total", socket->wire_bytes);
+	decider_report_count(out, "peer_wire_segments_total", socket->wire_segments);
+	decider_report_count(out, "peer_messages_not_sent_total", socket->not_sent);
+	decider_report_count(out, "peer_keys_refused_total", socket->refused_keys);
+	decider_report_count(out, "peer_messages_old_total", stats->dropped_messages);
+}
--- /dev/null
+++ b/src/daemon/decider_report.h
@@ -0,0 +1,18 @@
+#ifndef DAEMON_DECIDER_REPORT_H
+#define DAEMON_DECIDER_REPORT_H
+/*
+ * decider_report - what the deciding thread tells operators; called in that thread
+ */
+#include <glib.h>
+
+#include "core/node.h"
+#include "edge/peer_socket.h"
+#include "settings/router_settings.h"
+
+/* Appends JSON members that describe the node. */
+void decider_report_status(const node_t *node, const router_settings_t *settings, GString *out);
+/* Appends metrics in the text exposition format. */
+void decider_report_metrics(const node_t *node, const peer_socket_stats_t *socket, GString *out);
+void decider_report_count(GString *out, const char *name, uint64_t value);
+
+#endif
--- a/src/settings/fleet_text.c
+++ b/src/settings/fleet_text.c
@@ -282,33 +282,6 @@
 	check_names(this, faults);
 }
 
-fleet_text_t *fleet_text_new(const char *source, uint64_t version, faults_t *faults)
-{
-	fleet_text_t *this = g_new0(fleet_text_t, 1);
-	jsondoc_t *doc = jsondoc_new(source, strlen(source));
-
-	urcu_ref_init(&this->ref);
-	this->version = version;
-	this->source = g_strdup(source);
-	this->by_token = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
-	if (doc->error || doc->root->type != JSON_OBJECT)
-		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
-			doc->error ? doc->error : "give one object {...}");
-	else
-		read_text(this, faults, doc->root);
-	g_hash_table_remove_all(this->by_token);
-	jsondoc_delete(doc);
-	if (faults->count) {
-		fleet_text_put(this);
-		return NULL;
-	}
-	for (unsigned int i = 0; i < this->workspace_count; i++) {
-		for (char **t = this->workspaces[i].tokens; t && *t; t++)
-			g_hash_table_insert(this->by_token, *t, &this->workspaces[i]);
-	}
-	return this;
-}
-
 static void fleet_text_delete(struct urcu_ref *ref)
 {
 	fleet_text_t *this = caa_container_of(ref, fleet_text_t, ref);
@@ -339,6 +312,33 @@
 	g_free(this);
 }
 
+fleet_text_t *fleet_text_new(const char *source, uint64_t version, faults_t *faults)
+{
+	fleet_text_t *this = g_new0(fleet_text_t, 1);
+	jsondoc_t *doc = jsondoc_new(source, strlen(source));
+
+	urcu_ref_init(&this->ref);
+	this->version = version;
+	this->source = g_strdup(source);
+	this->by_token = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	if (doc->error || doc->root->type != JSON_OBJECT)
+		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
+			doc->error ? doc->error : "give one object {...}");
+	else
+		read_text(this, faults, doc->root);
+	g_hash_table_remove_all(this->by_token);
+	jsondoc_delete(doc);
+	if (faults->count) {
+		fleet_text_delete(&this->ref);
+		return NULL;
+	}
+	for (unsigned int i = 0; i < this->workspace_count; i++) {
+		for (char **t = this->workspaces[i].tokens; t && *t; t++)
+			g_hash_table_insert(this->by_token, *t, &this->workspaces[i]);
+	}
+	return this;
+}
+
 fleet_text_t *fleet_text_get(fleet_text_t *this)
 {
 	urcu_ref_get(&this->ref);
@@ -387,7 +387,7 @@
 int fleet_text_service(const fleet_text_t *this, const char *name)
 {
 	for (unsigned int i = 0; i < this->service_count; i++) {
-		if (!strcmp(this->services[i].name, name))
+		if (!g_strcmp0(this->services[i].name, name))
 			return (int)i;
 	}
 	return -1;
--- a/standin/main.c
+++ b/standin/main.c
@@ -154,6 +154,8 @@
 				      : start_service(a, log, address, i);
 		if (!replicas[i]) {
 			fprintf(stderr, "cannot listen on %s\n", address);
+			g_free(address);
+			g_free(replicas);
 			return EXIT_FAILURE;
 		}
 		g_free(address);
@@ -162,6 +164,7 @@
 		for (unsigned int i = 0; i < a->count; i++)
 			replica_sample(replicas[i]);
 	}
+	g_free(replicas);
 	return EXIT_SUCCESS;
 }
 
