--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,8 @@
 bench-capacity: all $(BUILD)/micro
 	@bench/capacity.sh
 	@bench/overhead.sh
+	@bench/flood.sh
+	@bench/recovery.sh
 	@for size in "8 16 2 23" "100 2000 6 1100" "370 2000 6 300" "370 200 6 1100" "370 2000 6 1100"; do \
 		$(BUILD)/micro $$size; done
 
--- a/load/main.c
+++ b/load/main.c
@@ -18,7 +18,7 @@
 #define MAX_IN_FLIGHT 4000
 #define THREAD_STACK (256U << 10)
 #define IDLE_STEP_MS 20
-#define MAX_SPANS 16
+#define MAX_SPANS 40
 #define DRAIN_LIMIT (120 * USEC_PER_SEC)
 
 /* A part of the run that is summed up by itself. */
--- a/src/daemon/event_queue.c
+++ b/src/daemon/event_queue.c
@@ -5,16 +5,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-/* The race detector can't see through liburcu's inline assembly. */
-#ifdef __SANITIZE_THREAD__
-void __tsan_acquire(void *address);
-void __tsan_release(void *address);
-#define HANDOVER_ACQUIRE(address) __tsan_acquire(address)
-#define HANDOVER_RELEASE(address) __tsan_release(address)
-#else
-#define HANDOVER_ACQUIRE(address) ((void)(address))
-#define HANDOVER_RELEASE(address) ((void)(address))
-#endif
+#include "settings/handover.h"
 
 int event_fd_new(void)
 {
--- a/src/daemon/snapshot.c
+++ b/src/daemon/snapshot.c
@@ -2,6 +2,8 @@
 
 #include <urcu/urcu-bp.h>
 
+#include "settings/handover.h"
+
 void snapshot_init(snapshot_t *this)
 {
 	this->current = NULL;
@@ -11,6 +13,7 @@
 void snapshot_clear(snapshot_t *this)
 {
 	urcu_bp_synchronize_rcu();
+	HANDOVER_ACQUIRE(this);
 	fleet_text_put(this->current);
 	pthread_mutex_destroy(&this->writer);
 }
@@ -21,8 +24,11 @@
 
 	urcu_bp_read_lock();
 	text = rcu_dereference(this->current);
-	if (text)
+	if (text) {
+		HANDOVER_ACQUIRE(text);
 		fleet_text_get(text);
+	}
+	HANDOVER_RELEASE(this);
 	urcu_bp_read_unlock();
 	return text;
 }
@@ -38,9 +44,11 @@
 		fleet_text_put(text);
 		return false;
 	}
+	HANDOVER_RELEASE(text);
 	rcu_set_pointer(&this->current, text);
 	pthread_mutex_unlock(&this->writer);
 	urcu_bp_synchronize_rcu();
+	HANDOVER_ACQUIRE(this);
 	fleet_text_put(before);
 	return true;
 }
--- a/src/settings/fleet_text.c
+++ b/src/settings/fleet_text.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "settings/handover.h"
 #include "settings/router_settings.h"
 
 #define TOKEN_PREFIX "sha256:"
@@ -286,6 +287,7 @@
 {
 	fleet_text_t *this = caa_container_of(ref, fleet_text_t, ref);
 
+	HANDOVER_ACQUIRE(ref);
 	for (unsigned int i = 0; i < this->service_count; i++) {
 		g_free(this->services[i].name);
 		g_free(this->services[i].depends_on);
@@ -347,8 +349,10 @@
 
 void fleet_text_put(fleet_text_t *this)
 {
-	if (this)
-		urcu_ref_put(&this->ref, fleet_text_delete);
+	if (!this)
+		return;
+	HANDOVER_RELEASE(&this->ref);
+	urcu_ref_put(&this->ref, fleet_text_delete);
 }
 
 const workspace_t *fleet_text_identify(const fleet_text_t *this, const char *token)
--- a/tests/process/callers.sh
+++ b/tests/process/callers.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Callers that go away, send nonsense, send slowly, or use another's key.
-# cases: gone hostile isolation peer-port
+# cases: slow gone hostile isolation peer-port
 set -u
 cd "$(dirname "$0")/../.."
 BIN=${BIN:-build-asan}
@@ -47,6 +47,19 @@
 	noticed() { [ "$(metric_of 0 callers_gone_total)" -ge 2 ]; }
 	wait_for 5 noticed || fail "the callers leaving went unnoticed"
 	;;
+slow)
+	# Heads that never end: cut by the idle limit, and nobody else waits for them.
+	sed -i 's/"store_timeout_ms"/"idle_timeout_ms": 1000, "max_connections": 40, "store_timeout_ms"/' "$(settings_of 1)"
+	kill_router 1
+	start_router 1
+	wait_ready 1 || fail "not ready"
+	router=$(caller_of 1)
+	for i in $(seq 30); do (exec 3<>"/dev/tcp/127.0.0.1/${router#*:}" && printf 'POST / HTTP/1.1\r\nHost: x' >&3 && cat <&3 >/dev/null; echo cut >>"$RUN/slow") & done
+	still() { expect 200 -H "$auth" "http://$router/v1/chat/completions" -d "$(chat false 8 'fit tokens=2')"; }
+	still
+	all_cut() { [ "$(wc -l <"$RUN/slow")" = 30 ]; }
+	wait_for 10 all_cut || fail "slow senders hold on: $(wc -l <"$RUN/slow")"
+	;;
 hostile)
 	url="http://$router/v1/chat/completions"
 	expect 401 "$url" -d "$(chat false 8 x)"
