--- a/load/main.c
+++ b/load/main.c
@@ -139,7 +139,7 @@
 static void *run_job(void *ctx)
 {
 	sender_run(ctx);
-	__atomic_sub_fetch(&in_flight, 1, __ATOMIC_RELAXED);
+	__atomic_sub_fetch(&in_flight, 1, __ATOMIC_RELEASE);
 	return NULL;
 }
 
@@ -149,7 +149,7 @@
 	pthread_t thread;
 
 	if (__atomic_add_fetch(&in_flight, 1, __ATOMIC_RELAXED) > MAX_IN_FLIGHT) {
-		__atomic_sub_fetch(&in_flight, 1, __ATOMIC_RELAXED);
+		__atomic_sub_fetch(&in_flight, 1, __ATOMIC_RELEASE);
 		__atomic_add_fetch(&over_limit, 1, __ATOMIC_RELAXED);
 		g_free(job);
 		return;
@@ -390,7 +390,7 @@
 	for (unsigned int i = 0; i < profile->count; i++)
 		pthread_join(generators[i].thread, NULL);
 	until = clock_now() + DRAIN_LIMIT;
-	while (__atomic_load_n(&in_flight, __ATOMIC_RELAXED) && clock_now() < until)
+	while (__atomic_load_n(&in_flight, __ATOMIC_ACQUIRE) && clock_now() < until)
 		g_usleep(5000);
 	g_free(generators);
 }
@@ -425,7 +425,7 @@
 	run_generators(&a, profile, &sender, start);
 	if (a.standins && a.span_count)
 		pthread_join(watcher, NULL);
-	if (__atomic_load_n(&in_flight, __ATOMIC_RELAXED)) {
+	if (__atomic_load_n(&in_flight, __ATOMIC_ACQUIRE)) {
 		fprintf(stderr, "requests hang\n");
 		return EXIT_FAILURE;
 	}
