Orders: writes of many callers share a transaction

Cause: an order costs two writes, and the table takes a few hundred a second.

Change: platform_batch puts single writes into common transactions; no timer. Weighed: a thread that collects for a few milliseconds; it would add them to every order in the calm.

--- a/src/daemon/router.c
+++ b/src/daemon/router.c
@@ -66,7 +66,7 @@
 	};
 	watcher_options_t watcher_options = {.settings = settings, .snapshot = &this->snapshot};
 
-	this->platform = platform_http_new(&platform_options);
+	this->platform = platform_batch_new(platform_http_new(&platform_options));
 	this->writer = (order_writer_t){this->platform, settings->name, this->incarnation};
 	this->decider = decider_new(&decider_options);
 	if (!this->decider) {
--- a/src/edge/platform.h
+++ b/src/edge/platform.h
@@ -70,6 +70,13 @@
 } platform_http_options_t;
 
 platform_t *platform_http_new(const platform_http_options_t *options);
+/*
+ * Puts single writes of many callers into common transactions of `inner`, which
+ * it owns.  Nobody waits for a timer: a write goes at once while few are under
+ * way, with whatever came meanwhile after that.  When a common transaction
+ * meets a conflict, each write is tried by itself.
+ */
+platform_t *platform_batch_new(platform_t *inner);
 void platform_delete(platform_t *this);
 
 /* Arrays whose elements are cleared with the array. */
--- a/standin/platform_standin.c
+++ b/standin/platform_standin.c
@@ -28,6 +28,7 @@
 	uint64_t next_version;
 	uint64_t reads;
 	uint64_t writes;
+	uint64_t transactions;
 	bool down;
 	uint64_t slow_ms;
 	unsigned int lose_per_mille;
@@ -108,6 +109,7 @@
 		goto out;
 	}
 	pthread_mutex_lock(&this->lock);
+	this->transactions++;
 	if (conditions_hold(this, ops))
 		apply(this, ops, out);
 	else
@@ -278,8 +280,10 @@
 	GString *out = g_string_new(NULL);
 
 	pthread_mutex_lock(&this->lock);
-	g_string_printf(out, "{\"reads\":%" G_GUINT64_FORMAT ",\"writes\":%" G_GUINT64_FORMAT "}",
-		this->reads, this->writes);
+	g_string_printf(out,
+		"{\"reads\":%" G_GUINT64_FORMAT ",\"writes\":%" G_GUINT64_FORMAT
+		",\"transactions\":%" G_GUINT64_FORMAT "}",
+		this->reads, this->writes, this->transactions);
 	pthread_mutex_unlock(&this->lock);
 	return server_json(call, 200, out);
 }
--- a/tests/test_platform_contract.c
+++ b/tests/test_platform_contract.c
@@ -6,12 +6,14 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "daemon/order_store.h"
 #include "edge/http_exchange.h"
 #include "edge/platform.h"
+#include "settings/jsondoc.h"
 #include "standin/platform_standin.h"
 
 #define TIMEOUT_MS 1000
@@ -295,6 +297,102 @@
 	order_record_clear(&record);
 }
 
+#define WRITERS 120
+
+typedef struct writer {
+	platform_t *platform;
+	unsigned int number;
+	store_result_t result;
+	uint64_t version;
+} writer_t;
+
+/* Every tenth write expects a version that does not stand. */
+static void *write_one(void *ctx)
+{
+	writer_t *this = ctx;
+	char *key = g_strdup_printf("batch/%u", this->number);
+	table_write_t write = {.key = key, .value = "v", .expected = this->number % 10 ? 0 : 12345};
+
+	this->result = this->platform->ops->transact(this->platform, &write, 1);
+	this->version = write.version;
+	g_free(key);
+	return NULL;
+}
+
+static int64_t count_transactions(fixture_t *this)
+{
+	GString *answer = g_string_new(NULL);
+	http_options_t options = {.address = platform_standin_address(this->standin),
+		.method = "GET",
+		.path = "/stats",
+		.connect_timeout_ms = TIMEOUT_MS,
+		.read_timeout_ms = TIMEOUT_MS};
+	jsondoc_t *doc;
+	int64_t count;
+	int status = 0;
+
+	assert_int_equal(http_call(&options, 4096, answer, &status), HTTP_OK);
+	doc = jsondoc_new(answer->str, answer->len);
+	count = json_get_int(doc->root, "transactions", -1);
+	jsondoc_delete(doc);
+	g_string_free(answer, TRUE);
+	return count;
+}
+
+/* Many writers at once: each learns what became of its own write. */
+static void test_batched_writes(void **state)
+{
+	fixture_t *this = *state;
+	writer_t writers[WRITERS];
+	pthread_t threads[WRITERS];
+
+	this->platform = platform_batch_new(this->platform);
+	control(this, "/control", "{\"slow_ms\":40}");
+	for (unsigned int i = 0; i < WRITERS; i++) {
+		writers[i] = (writer_t){.platform = this->platform, .number = i};
+		pthread_create(&threads[i], NULL, write_one, &writers[i]);
+	}
+	for (unsigned int i = 0; i < WRITERS; i++)
+		pthread_join(threads[i], NULL);
+	control(this, "/control", "{\"slow_ms\":0}");
+	for (unsigned int i = 0; i < WRITERS; i++) {
+		char *key = g_strdup_printf("batch/%u", i);
+
+		assert_int_equal(writers[i].result, i % 10 ? STORE_OK : STORE_CONFLICT);
+		if (i % 10)
+			expect_row(this, key, "v", writers[i].version);
+		g_free(key);
+	}
+	print_message("  %u writes, a tenth in conflict: %d transactions\n", WRITERS,
+		(int)count_transactions(this));
+}
+
+static void test_batched_writes_without_conflict(void **state)
+{
+	fixture_t *this = *state;
+	writer_t writers[WRITERS];
+	pthread_t threads[WRITERS];
+	int64_t transactions;
+
+	this->platform = platform_batch_new(this->platform);
+	control(this, "/control", "{\"slow_ms\":40}");
+	for (unsigned int i = 0; i < WRITERS; i++) {
+		writers[i] = (writer_t){.platform = this->platform, .number = i * 10 + 1};
+		pthread_create(&threads[i], NULL, write_one, &writers[i]);
+	}
+	for (unsigned int i = 0; i < WRITERS; i++) {
+		pthread_join(threads[i], NULL);
+		assert_int_equal(writers[i].result, STORE_OK);
+	}
+	transactions = count_transactions(this);
+	print_message("  %u writes: %d transactions\n", WRITERS, (int)transactions);
+	assert_true(transactions < WRITERS);
+	control(this, "/control", "{\"down\":true}");
+	writers[0].number = 5;
+	write_one(&writers[0]);
+	assert_int_equal(writers[0].result, STORE_LOST);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -306,6 +404,9 @@
 		cmocka_unit_test_setup_teardown(test_writes_under_faults, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_reads_under_an_outage, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_the_instance_list_lags, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_batched_writes, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_batched_writes_without_conflict, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_order_rows, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_a_foreign_order_row_is_never_run_again, set_up, tear_down),
