--- a/load/sender.c
+++ b/load/sender.c
@@ -15,7 +15,7 @@
 #define LOST_PAUSE_MS 50
 #define ORDER_RETRY_MS 200
 #define PREFIX_CHARS 256
-#define MAX_HEADERS 5
+#define MAX_HEADERS 6
 
 /* One attempt's answer. */
 typedef struct attempt {
@@ -84,16 +84,18 @@
 	const GString *body, attempt_t *attempt)
 {
 	char deadline[16];
+	char id[32]; /* a router draws its own; a stand-in called directly needs one */
 	char *bearer = g_strconcat("Bearer ", job->stream->token, NULL);
 	http_header_t headers[MAX_HEADERS] = {
-		{"Authorization", bearer}, {"Content-Type", "application/json"}};
+		{"Authorization", bearer}, {"Content-Type", "application/json"},
+		{"X-Request-Id", id}};
 	http_exchange_t exchange;
 	http_options_t options = {
 		.address = router,
 		.method = "POST",
 		.path = job->stream->path,
 		.headers = headers,
-		.header_count = 2,
+		.header_count = 3,
 		.body = body->str,
 		.body_len = body->len,
 		.connect_timeout_ms = CONNECT_MS,
@@ -108,6 +110,7 @@
 		g_snprintf(deadline, sizeof(deadline), "%u", job->stream->deadline_ms);
 		headers[options.header_count++] = (http_header_t){"X-Deadline-Ms", deadline};
 	}
+	g_snprintf(id, sizeof(id), "load-%08x-%" G_GUINT64_FORMAT, job->seed, job->number);
 	memset(attempt, 0, sizeof(*attempt));
 	attempt->body = g_string_new(NULL);
 	if (http_exchange_begin(&exchange, &options) == HTTP_OK) {
