--- a/load/sender.c
+++ b/load/sender.c
@@ -86,9 +86,8 @@
 	char deadline[16];
 	char id[32]; /* a router draws its own; a stand-in called directly needs one */
 	char *bearer = g_strconcat("Bearer ", job->stream->token, NULL);
-	http_header_t headers[MAX_HEADERS] = {
-		{"Authorization", bearer}, {"Content-Type", "application/json"},
-		{"X-Request-Id", id}};
+	http_header_t headers[MAX_HEADERS] = {{"Authorization", bearer},
+		{"Content-Type", "application/json"}, {"X-Request-Id", id}};
 	http_exchange_t exchange;
 	http_options_t options = {
 		.address = router,
