--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -145,7 +145,7 @@
 		echo "{"
 		echo "	// the operators' text of $model and $plain"
 		echo "	\"services\": ["
-		echo "		{\"name\": \"$model\", \"kind\": \"model\", \"long_cost\": ${LONG_COST:-200}, \"long_share\": ${LONG_SHARE:-60}},"
+		echo "		{\"name\": \"$model\", \"kind\": \"model\", \"long_cost\": ${LONG_COST:-200}, \"long_share\": ${LONG_SHARE:-60}${DEPENDS:+, \"depends_on\": [\"$plain\"]}},"
 		echo "		{\"name\": \"$plain\", \"kind\": \"plain\"}"
 		echo "	],"
 		echo "	\"endpoints\": ["
@@ -179,6 +179,15 @@
 
 put_text() { "$BIN/amaranthwall" fleet put "$1" --settings "$(settings_of 0)" --expect "$2" "${@:3}"; }
 
+# fleet_up MODEL PLAIN SLOTS PLAIN_SLOTS [WEIGHTS...]: the routers run, their
+# text is in force and they see each other.  Settings written before are kept.
+fleet_up() {
+	[ -f "$(settings_of 0)" ] || write_settings
+	start_routers
+	write_text "$RUN/text.json" "$@"
+	put_text "$RUN/text.json" 0 --wait >/dev/null && wait_ready && wait_for 20 all_see "$ROUTERS"
+}
+
 # stop_router NUMBER: planned stop; gives its exit code.
 stop_router() {
 	local code=0
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -5,7 +5,6 @@
 
 #include "core/node_internal.h"
 
-#define HEARTBEAT (1 * USEC_PER_SEC)
 #define UNLIST_INTERVAL (1 * USEC_PER_SEC)
 #define SWEEP_INTERVAL (50 * USEC_PER_MSEC)
 #define FORMER_WAIT (3 * USEC_PER_SEC)
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -5,7 +5,6 @@
 #define HEARTBEAT (1 * USEC_PER_SEC)
 #define FULL_INTERVAL (900 * USEC_PER_MSEC)
 #define LEAVING_REMEMBERED (30 * USEC_PER_SEC)
-#define LEAVING_REPEATED (5 * USEC_PER_SEC)
 #define ACK_DELAY (500 * USEC_PER_MSEC)
 
 /* --- writing ---------------------------------------------------------- */
