Core: what the last changes left dead goes, and three small pieces stand once

Cause: a second reading. When a lane's sleep was no longer counted in time, the time stayed in the parameters of nine functions; pool_slots() had no caller and a request's start no reader; the idle slots at an owner, whether an owner is contended for this router, and how many slots may stand ready were each worked out in two places.

Left alone: the count of waiting requests in a pool's entry of a message is told and decides nothing; to drop it changes what travels between routers.

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -6,6 +6,7 @@
 #include "core/node_internal.h"
 
 #define UNLIST_INTERVAL (1 * USEC_PER_SEC)
+#define STANDING_DIVISOR 4 /* of a router's even share */
 #define SWEEP_INTERVAL (50 * USEC_PER_MSEC)
 #define FORMER_WAIT (3 * USEC_PER_SEC)
 #define DOWN_FIRST (250 * USEC_PER_MSEC)
@@ -166,6 +167,13 @@
 	node_pump_all(this, now);
 }
 
+unsigned int node_standing_slots(const node_t *this, unsigned int slots)
+{
+	unsigned int standing = slots / (STANDING_DIVISOR * members_alive(&this->members));
+
+	return standing ? standing : 1;
+}
+
 unsigned int node_replica_limit(const node_t *this, const replica_t *replica, instant_t now)
 {
 	unsigned int alive = members_alive(&this->members);
@@ -198,7 +206,7 @@
 		router_reject(this, request, REASON_OVERLOADED, router_retry_after(lane, now));
 		return;
 	}
-	router_enqueue(this, request, now);
+	router_enqueue(request);
 	pump(this, pool, now);
 }
 
@@ -269,7 +277,7 @@
 {
 	if (request->state != REQUEST_WAITING)
 		return;
-	router_dequeue(request, now);
+	router_dequeue(request);
 	request->state = REQUEST_OVER;
 	pump(this, request->lane->pool, now);
 }
@@ -323,7 +331,7 @@
 	members_tick(&this->members, now);
 	for (unsigned int i = 1; i < this->members.count; i++) {
 		if (was_alive[i] && !member_is_alive(&this->members.list[i]))
-			owner_forget(this, i, now);
+			owner_forget(this, i);
 	}
 	if (this->owned_view != this->members.view)
 		owner_view_changed(this, now);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -72,7 +72,6 @@
 	work_class_t work_class;
 	uint32_t charged;
 	instant_t arrived;
-	instant_t started;
 	unsigned int bound_owner; /* for the forwarding policy */
 } node_request_t;
 
--- a/src/core/node_ask.c
+++ b/src/core/node_ask.c
@@ -19,7 +19,7 @@
 	for (unsigned int i = 0; i < this->members.count; i++)
 		owners[i] = (owner_view_t){
 			.asked = pool->peers[i].asked,
-			.contended = i ? pool->peers[i].contended : pool_is_contended_for(pool, 0),
+			.contended = pool_owner_is_contended(pool, i),
 		};
 	for (unsigned int i = 0; i < pool->replica_count; i++) {
 		replica_t *replica = pool->replicas[i];
@@ -82,7 +82,7 @@
 	if (slot)
 		node_send_by(this, slot, now + ASK_DELAY);
 	else
-		owner_set_wanted(this, lane, 0, wanted, now);
+		owner_set_wanted(this, lane, 0, wanted);
 }
 
 static void count_ask(lane_t *lane, work_class_t c, unsigned int slot, int step)
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -6,6 +6,7 @@
 
 #define GRANT_LOG_SIZE 128
 #define ACTION_RING 4096
+#define REPORT_DELAY (500 * USEC_PER_MSEC) /* for what an owner need not know soon */
 
 /* A grant that its receiver has not acknowledged. */
 typedef struct grant_record {
@@ -86,6 +87,8 @@
 /* A message to `slot` is due by `at`. */
 void node_send_by(node_t *this, unsigned int slot, instant_t at);
 uint64_t node_random(node_t *this);
+/* Of an owner's `slots`, how many one router may keep idle ahead of need. */
+unsigned int node_standing_slots(const node_t *this, unsigned int slots);
 /* How many slots of `replica` its owner may give out in all. */
 unsigned int node_replica_limit(const node_t *this, const replica_t *replica, instant_t now);
 
@@ -108,8 +111,8 @@
 void router_take_grant(node_t *this, unsigned int from, const grant_entry_t *grant, instant_t now);
 /* Rejects what is past its deadline; `next` is lowered to the earliest one left. */
 void router_expire(node_t *this, pool_t *pool, instant_t now, instant_t *next);
-void router_enqueue(node_t *this, node_request_t *request, instant_t now);
-void router_dequeue(node_request_t *request, instant_t now);
+void router_enqueue(node_request_t *request);
+void router_dequeue(node_request_t *request);
 void router_reject(
 	node_t *this, node_request_t *request, reason_t reason, unsigned int retry_after_s);
 /* Seconds until a refused caller of the lane should come back. */
@@ -117,17 +120,17 @@
 /* True when the lane's backlog outlasts the request's deadline. */
 bool router_is_overloaded(const lane_t *lane, const node_request_t *request, instant_t now);
 /* The owner, or this router's own owner side, hears what changed. */
-void router_report(node_t *this, replica_t *replica, instant_t at, instant_t now);
+void router_report(node_t *this, replica_t *replica, instant_t at);
 
 /* node_owner.c: the side that hands out slots */
 void owner_pump(node_t *this, pool_t *pool, instant_t now);
-void owner_set_wanted(node_t *this, lane_t *lane, unsigned int slot,
-	const uint32_t wanted[WORK_CLASSES], instant_t now);
+void owner_set_wanted(
+	node_t *this, lane_t *lane, unsigned int slot, const uint32_t wanted[WORK_CLASSES]);
 /* The router in `slot` has some of the lane waiting, whomever it asks. */
 void owner_set_backlogged(lane_t *lane, unsigned int slot, bool backlogged);
 void owner_set_hold(replica_t *replica, unsigned int slot, const hold_entry_t *hold);
-void owner_acknowledge(node_t *this, unsigned int slot, uint64_t seq, instant_t now);
-void owner_forget(node_t *this, unsigned int slot, instant_t now);
+void owner_acknowledge(node_t *this, unsigned int slot, uint64_t seq);
+void owner_forget(node_t *this, unsigned int slot);
 void owner_view_changed(node_t *this, instant_t now);
 
 const policy_ops_t *policy_find(const char *name);
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -182,11 +182,11 @@
 
 /* --- reading ---------------------------------------------------------- */
 
-static void peer_restarted(node_t *this, unsigned int slot, instant_t now)
+static void peer_restarted(node_t *this, unsigned int slot)
 {
 	peer_t *peer = this->peers[slot];
 
-	owner_forget(this, slot, now);
+	owner_forget(this, slot);
 	peer->grant_received = 0;
 	peer->tell_all_served = true;
 	for (unsigned int i = 0; i < this->pool_count; i++) {
@@ -221,7 +221,7 @@
 }
 
 /* Likewise for what it asks, once that was read: a lane must not seem idle meanwhile. */
-static void forget_unmentioned(node_t *this, unsigned int slot, instant_t now)
+static void forget_unmentioned(node_t *this, unsigned int slot)
 {
 	static const uint32_t none[WORK_CLASSES];
 
@@ -232,7 +232,7 @@
 		cds_list_for_each_entry_safe (lane, after, &this->pools[i]->listed, link) {
 			if (!lane->demand || lane->demand[slot].mentioned)
 				continue;
-			owner_set_wanted(this, lane, slot, none, now);
+			owner_set_wanted(this, lane, slot, none);
 			owner_set_backlogged(lane, slot, false);
 		}
 	}
@@ -255,7 +255,7 @@
 	}
 }
 
-static void read_holds(node_t *this, unsigned int slot, const message_t *message, instant_t now)
+static void read_holds(node_t *this, unsigned int slot, const message_t *message)
 {
 	for (unsigned int i = 0; i < message->holds.count; i++) {
 		const hold_entry_t *hold = &message->holds.entry[i];
@@ -269,7 +269,7 @@
 	}
 }
 
-static void read_asks(node_t *this, unsigned int slot, const message_t *message, instant_t now)
+static void read_asks(node_t *this, unsigned int slot, const message_t *message)
 {
 	for (unsigned int i = 0; i < message->asks.count; i++) {
 		const ask_entry_t *ask = &message->asks.entry[i];
@@ -277,13 +277,13 @@
 
 		if (!lane)
 			continue;
-		owner_set_wanted(this, lane, slot, ask->waiting, now);
+		owner_set_wanted(this, lane, slot, ask->waiting);
 		owner_set_backlogged(lane, slot, ask->backlogged);
 		lane->demand[slot].mentioned = true;
 		lane->pool->is_touched = true;
 	}
 	if (message->flags & MESSAGE_FULL)
-		forget_unmentioned(this, slot, now);
+		forget_unmentioned(this, slot);
 	for (unsigned int i = 0; i < message->asks.count; i++) {
 		const ask_entry_t *ask = &message->asks.entry[i];
 		lane_t *lane = node_find_lane(this, ask->pool, ask->workspace);
@@ -311,7 +311,7 @@
 	}
 }
 
-static void read_pools(node_t *this, unsigned int slot, const message_t *message, instant_t now)
+static void read_pools(node_t *this, unsigned int slot, const message_t *message)
 {
 	for (unsigned int i = 0; i < message->pools.count; i++) {
 		const pool_entry_t *entry = &message->pools.entry[i];
@@ -406,7 +406,7 @@
 		return false;
 	}
 	if (heard == HEAR_RESTARTED)
-		peer_restarted(this, from, now);
+		peer_restarted(this, from);
 	if (!was_alive)
 		peer_rejoined(this, from);
 	members_set_stopping(&this->members, from, message->flags & MESSAGE_STOPPING);
@@ -415,13 +415,13 @@
 	if (this->owned_view != this->members.view)
 		owner_view_changed(this, now);
 	if (message->ack_incarnation == this->options.incarnation)
-		owner_acknowledge(this, from, message->grant_ack, now);
+		owner_acknowledge(this, from, message->grant_ack);
 	if (message->flags & MESSAGE_FULL)
 		forget_reported(this, from);
-	read_holds(this, from, message, now);
-	read_asks(this, from, message, now);
+	read_holds(this, from, message);
+	read_asks(this, from, message);
 	read_counters(this, from, message);
-	read_pools(this, from, message, now);
+	read_pools(this, from, message);
 	read_leaving(this, message, now);
 	read_version(this, from, message);
 	read_grants(this, from, message, now);
--- a/src/core/node_owner.c
+++ b/src/core/node_owner.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #define REBUILD_TIME (400 * USEC_PER_MSEC)
-#define LEND_DIVISOR 4	       /* of the even share of a router, lent ahead of need */
 #define LEND_RESERVE_DIVISOR 4 /* of the slots, kept back from lending */
 #define CLEAR_DELAY (5 * USEC_PER_MSEC)
 
@@ -67,8 +66,7 @@
 }
 
 /* Changes the demand of one router and keeps the lane's sum in step. */
-static void adjust(
-	lane_t *lane, unsigned int slot, work_class_t c, int wanted, int unseen, instant_t now)
+static void adjust(lane_t *lane, unsigned int slot, work_class_t c, int wanted, int unseen)
 {
 	lane_demand_t *demand = &lane->demand[slot];
 	unsigned int before;
@@ -87,15 +85,15 @@
 		share_sleep(lane);
 }
 
-void owner_set_wanted(node_t *this, lane_t *lane, unsigned int slot,
-	const uint32_t wanted[WORK_CLASSES], instant_t now)
+void owner_set_wanted(
+	node_t *this, lane_t *lane, unsigned int slot, const uint32_t wanted[WORK_CLASSES])
 {
 	lane_demand_t *demand = lane_demand(lane, this->allocator, this->options.max_members);
 
 	for (int c = 0; c < WORK_CLASSES; c++) {
 		int capped = wanted[c] > UINT16_MAX ? UINT16_MAX : (int)wanted[c];
 
-		adjust(lane, slot, (work_class_t)c, capped - demand[slot].wanted[c], 0, now);
+		adjust(lane, slot, (work_class_t)c, capped - demand[slot].wanted[c], 0);
 	}
 }
 
@@ -185,15 +183,14 @@
 	if (lane) {
 		replica->unseen_long += work_class == WORK_LONG;
 		lane->provisional += share_placement_charge((uint32_t)lane->mean_cost);
-		adjust(lane, slot, work_class, 0, 1, now);
+		adjust(lane, slot, work_class, 0, 1);
 	} else {
 		replica->pool->peers[slot].unseen_open++;
 	}
 	node_send_by(this, slot, now);
 }
 
-static void forget_grant(
-	node_t *this, unsigned int slot, const grant_record_t *record, instant_t now)
+static void forget_grant(unsigned int slot, const grant_record_t *record)
 {
 	replica_t *replica = record->replica;
 	lane_t *lane = record->lane;
@@ -212,10 +209,10 @@
 	charge = share_placement_charge((uint32_t)lane->mean_cost);
 	lane->provisional -= charge < lane->provisional ? charge : lane->provisional;
 	if (lane->demand[slot].unseen[record->work_class])
-		adjust(lane, slot, record->work_class, 0, -1, now);
+		adjust(lane, slot, record->work_class, 0, -1);
 }
 
-void owner_acknowledge(node_t *this, unsigned int slot, uint64_t seq, instant_t now)
+void owner_acknowledge(node_t *this, unsigned int slot, uint64_t seq)
 {
 	peer_t *peer = this->peers[slot];
 
@@ -224,7 +221,7 @@
 
 		if (record->seq > seq)
 			return;
-		forget_grant(this, slot, record, now);
+		forget_grant(slot, record);
 		peer->grants.first = (peer->grants.first + 1) % GRANT_LOG_SIZE;
 		peer->grants.count--;
 	}
@@ -240,12 +237,12 @@
 	peer->unseen_open = 0;
 }
 
-void owner_forget(node_t *this, unsigned int slot, instant_t now)
+void owner_forget(node_t *this, unsigned int slot)
 {
 	static const uint32_t none[WORK_CLASSES];
 	static const hold_entry_t no_hold;
 
-	owner_acknowledge(this, slot, UINT64_MAX, now);
+	owner_acknowledge(this, slot, UINT64_MAX);
 	this->peers[slot]->pending_count = 0;
 	for (unsigned int i = 0; i < this->replica_count; i++) {
 		owner_set_hold(this->replicas[i], slot, &no_hold);
@@ -256,7 +253,7 @@
 
 		for (unsigned int w = 0; w < pool->lane_capacity; w++) {
 			if (pool->lanes[w] && pool->lanes[w]->demand) {
-				owner_set_wanted(this, pool->lanes[w], slot, none, now);
+				owner_set_wanted(this, pool->lanes[w], slot, none);
 				owner_set_backlogged(pool->lanes[w], slot, false);
 			}
 		}
@@ -295,12 +292,9 @@
 static void lend(node_t *this, pool_t *pool, instant_t now)
 {
 	owned_t owned = count_owned(this, pool, now);
-	unsigned int alive = members_alive(&this->members);
-	unsigned int allowance = owned.slots / (LEND_DIVISOR * alive);
+	unsigned int allowance = node_standing_slots(this, owned.slots);
 	unsigned int reserve = owned.slots / LEND_RESERVE_DIVISOR;
 
-	if (!allowance)
-		allowance = 1;
 	for (unsigned int slot = 0; slot < this->members.count; slot++) {
 		const member_t *member = &this->members.list[slot];
 
@@ -378,7 +372,7 @@
 			continue;
 		change_owner(this, replica, owner);
 		replica->rebuild_until = now + REBUILD_TIME;
-		router_report(this, replica, now, now);
+		router_report(this, replica, now);
 	}
 	this->owned_view = this->members.view;
 }
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -2,8 +2,7 @@
 
 #define NEED_DELAY (5 * USEC_PER_MSEC) /* when nothing of the owner's is idle here any more */
 #define RETURN_DELAY (20 * USEC_PER_MSEC)
-#define REPORT_DELAY (500 * USEC_PER_MSEC) /* what the owner need not know soon */
-#define SHORT_DIVISOR 5			   /* of long_cost, up to which work is short */
+#define SHORT_DIVISOR 5 /* of long_cost, up to which work is short */
 #define MAX_WAITING_PER_LANE 4096
 #define BORROW_DIVISOR 2 /* of an even share, while the owner is silent */
 #define DRAIN_INTERVAL (1 * USEC_PER_SEC)
@@ -64,7 +63,7 @@
 	return predicted > pool->long_cost / SHORT_DIVISOR ? WORK_MEDIUM : WORK_SHORT;
 }
 
-void router_enqueue(node_t *this, node_request_t *request, instant_t now)
+void router_enqueue(node_request_t *request)
 {
 	lane_t *lane = request->lane;
 	uint32_t predicted = predict_cost(lane, request);
@@ -77,7 +76,7 @@
 	share_wake(lane);
 }
 
-void router_dequeue(node_request_t *request, instant_t now)
+void router_dequeue(node_request_t *request)
 {
 	lane_t *lane = request->lane;
 
@@ -114,11 +113,10 @@
 	};
 
 	share_advance(lane);
-	router_dequeue(request, now);
+	router_dequeue(request);
 	request->charged = share_placement_charge(predict_cost(lane, request));
 	request->replica = replica;
 	request->state = REQUEST_RUNNING;
-	request->started = now;
 	share_charge(lane, request->charged);
 	count_drained(lane, now);
 	replica->busy++;
@@ -141,7 +139,7 @@
 }
 
 /* While the owner is silent, a small fixed share may be used without asking. */
-static void borrow(node_t *this, replica_t *replica, instant_t now)
+static void borrow(node_t *this, replica_t *replica)
 {
 	const member_t *owner = &this->members.list[replica->owner];
 	unsigned int share;
@@ -167,7 +165,7 @@
 
 		if (!replica_is_usable(replica, now))
 			continue;
-		borrow(this, replica, now);
+		borrow(this, replica);
 		if (!replica_idle(replica))
 			continue;
 		score = idle_score(replica, prefix, median);
@@ -182,13 +180,7 @@
 /* The owner lends more when it hears that its idle slots here are used up. */
 static uint64_t report_delay(const replica_t *replica)
 {
-	const pool_t *pool = replica->pool;
-
-	for (unsigned int i = 0; i < pool->replica_count; i++) {
-		if (pool->replicas[i]->owner == replica->owner && replica_idle(pool->replicas[i]))
-			return REPORT_DELAY;
-	}
-	return NEED_DELAY;
+	return pool_idle_of_owner(replica->pool, replica->owner) ? REPORT_DELAY : NEED_DELAY;
 }
 
 void router_use_idle(node_t *this, pool_t *pool, instant_t now)
@@ -204,11 +196,11 @@
 		if (!replica)
 			return;
 		router_start(this, lane, work_class, replica, now);
-		router_report(this, replica, now + report_delay(replica), now);
+		router_report(this, replica, now + report_delay(replica));
 	}
 }
 
-void router_report(node_t *this, replica_t *replica, instant_t at, instant_t now)
+void router_report(node_t *this, replica_t *replica, instant_t at)
 {
 	hold_entry_t hold = {
 		.replica = replica->id,
@@ -229,14 +221,14 @@
 
 void router_give_back(node_t *this, replica_t *replica, unsigned int count, instant_t now)
 {
-	bool contended = replica->owner ? replica->pool->peers[replica->owner].contended : true;
+	bool contended = pool_owner_is_contended(replica->pool, replica->owner);
 
 	if (!count)
 		return;
 	replica->held -= count;
 	replica->return_due = replica->owner != 0;
 	this->stats.grants_returned += count;
-	router_report(this, replica, contended ? now : now + RETURN_DELAY, now);
+	router_report(this, replica, contended ? now : now + RETURN_DELAY);
 }
 
 void router_give_back_idle(node_t *this, pool_t *pool, unsigned int slot, instant_t now)
@@ -262,7 +254,7 @@
 		return; /* no owner gives more than there are */
 	replica->held += grant->count;
 	this->stats.grants_received += grant->count;
-	router_report(this, replica, now + REPORT_DELAY, now);
+	router_report(this, replica, now + REPORT_DELAY);
 	lane = grant->workspace ? node_find_lane(this, replica->pool->id, grant->workspace) : NULL;
 	for (unsigned int i = 0; lane && i < grant->count; i++) {
 		router_settle_ask(this, lane, work_class, from, now);
@@ -321,7 +313,7 @@
 static instant_t check_time(node_t *this, node_request_t *request, instant_t now)
 {
 	if (request->deadline <= now) {
-		router_dequeue(request, now);
+		router_dequeue(request);
 		router_reject(
 			this, request, REASON_DEADLINE, router_retry_after(request->lane, now));
 		return INSTANT_NEVER;
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -2,40 +2,15 @@
 
 #include "core/node_internal.h"
 
-#define KEPT_REPORT_DELAY (500 * USEC_PER_MSEC)
-#define KEPT_DIVISOR 4 /* of this router's even share of an owner's slots, kept idle */
-
 static unsigned int kept_idle(const node_t *this, const pool_t *pool, unsigned int owner)
 {
-	unsigned int alive = members_alive(&this->members);
 	unsigned int slots = 0;
-	unsigned int kept;
 
 	for (unsigned int i = 0; i < pool->replica_count; i++) {
 		if (pool->replicas[i]->owner == owner && !pool->replicas[i]->is_retired)
 			slots += pool->replicas[i]->slots;
 	}
-	kept = slots / (KEPT_DIVISOR * alive);
-	return kept ? kept : 1;
-}
-
-static unsigned int idle_of_owner(const pool_t *pool, unsigned int owner)
-{
-	unsigned int idle = 0;
-
-	for (unsigned int i = 0; i < pool->replica_count; i++) {
-		if (pool->replicas[i]->owner == owner)
-			idle += replica_idle(pool->replicas[i]);
-	}
-	return idle;
-}
-
-static bool owner_is_contended(const replica_t *replica)
-{
-	const pool_t *pool = replica->pool;
-
-	return replica->owner ? pool->peers[replica->owner].contended
-			      : pool_is_contended_for(pool, 0);
+	return node_standing_slots(this, slots);
 }
 
 /* fleet: owners grant to the least served, and lend what nobody asks for. */
@@ -49,12 +24,13 @@
 
 static void fleet_freed(node_t *this, replica_t *replica, instant_t now)
 {
-	unsigned int idle = idle_of_owner(replica->pool, replica->owner);
-	bool keep = !owner_is_contended(replica) && replica_is_usable(replica, now) &&
+	unsigned int idle = pool_idle_of_owner(replica->pool, replica->owner);
+	bool keep = !pool_owner_is_contended(replica->pool, replica->owner) &&
+		    replica_is_usable(replica, now) &&
 		    idle <= kept_idle(this, replica->pool, replica->owner);
 
 	if (keep || !replica_idle(replica))
-		router_report(this, replica, now + KEPT_REPORT_DELAY, now);
+		router_report(this, replica, now + REPORT_DELAY);
 	else
 		router_give_back(this, replica, 1, now);
 }
@@ -105,7 +81,7 @@
 		for (int c = 0; c < WORK_CLASSES; c++)
 			wanted[c] = demand[i].asked[c];
 		if (!i)
-			owner_set_wanted(this, lane, 0, wanted, now);
+			owner_set_wanted(this, lane, 0, wanted);
 		else if (memcmp(demand[i].asked, demand[i].told_asked, sizeof(demand[i].asked)))
 			node_send_by(this, i, now + USEC_PER_MSEC);
 	}
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -99,17 +99,6 @@
 	return this->held > this->busy ? this->held - this->busy : 0;
 }
 
-unsigned int pool_slots(const pool_t *this, instant_t now)
-{
-	unsigned int slots = 0;
-
-	for (unsigned int i = 0; i < this->replica_count; i++) {
-		if (!this->replicas[i]->is_retired && !replica_is_leaving(this->replicas[i], now))
-			slots += this->replicas[i]->slots;
-	}
-	return slots;
-}
-
 void pool_update_pace(pool_t *this)
 {
 	double sorted[MEDIAN_SAMPLES];
@@ -173,3 +162,19 @@
 {
 	return this->is_overdrawn || this->wanted > this->peers[slot].wanted;
 }
+
+bool pool_owner_is_contended(const pool_t *this, unsigned int owner)
+{
+	return owner ? this->peers[owner].contended : pool_is_contended_for(this, 0);
+}
+
+unsigned int pool_idle_of_owner(const pool_t *this, unsigned int owner)
+{
+	unsigned int idle = 0;
+
+	for (unsigned int i = 0; i < this->replica_count; i++) {
+		if (this->replicas[i]->owner == owner)
+			idle += replica_idle(this->replicas[i]);
+	}
+	return idle;
+}
--- a/src/core/pool.h
+++ b/src/core/pool.h
@@ -163,8 +163,10 @@
  * router in `slot` may not use again what comes free there.
  */
 bool pool_is_contended_for(const pool_t *this, unsigned int slot);
-/* Slots of the usable replicas at full limit. */
-unsigned int pool_slots(const pool_t *this, instant_t now);
+/* Likewise for this router, at the slots of the owner in `owner`. */
+bool pool_owner_is_contended(const pool_t *this, unsigned int owner);
+/* Slots of that owner that this router holds and does not use. */
+unsigned int pool_idle_of_owner(const pool_t *this, unsigned int owner);
 /* Works out the middle pace of the pool's replicas anew. */
 void pool_update_pace(pool_t *this);
 unsigned int lane_waiting(const lane_t *this);
