Gateway: a thin path on an event loop, served on the platform

Cause: the thread-a-caller path can't see a caller leave while it waits for an endpoint, opens a connection a request, and hides what follows an answer.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 CC = gcc
-PKGS = neon libmicrohttpd libzmq glib-2.0 yajl libxxhash
+PKGS = neon libmicrohttpd libzmq glib-2.0 yajl libxxhash libuv
 BUILD ?= build
 SAN ?=
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE -Isrc -I. $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lmsgpackc -lurcu-bp -lurcu-common -lpthread -lm
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lmsgpackc -lurcu-bp -lurcu-common -lpthread -lm
 
 CORE = $(wildcard src/core/*.c)
-PARTS = $(CORE) $(wildcard src/filter/*.c src/edge/*.c src/settings/*.c src/daemon/*.c)
+PARTS = $(CORE) $(wildcard src/filter/*.c src/edge/*.c src/settings/*.c src/daemon/*.c src/gateway/*.c platform/*.c)
 CMD = $(wildcard src/cmd/*.c)
 STANDIN = $(wildcard standin/*.c)
 LOAD = $(wildcard load/*.c)
@@ -88,7 +88,7 @@
 	@scripts/lint.sh
 
 format:
-	clang-format -i $(wildcard src/*/*.[ch] standin/*.[ch] load/*.[ch] tests/*.[ch] examples/*.c bench/*.c)
+	clang-format -i $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] load/*.[ch] tests/*.[ch] examples/*.c bench/*.c)
 
 clean:
 	rm -rf build build-asan build-tsan
--- a/src/cmd/commands.h
+++ b/src/cmd/commands.h
@@ -18,6 +18,7 @@
 } command_t;
 
 int command_router(int argc, char **argv);
+int command_gateway(int argc, char **argv);
 int command_fleet(int argc, char **argv);
 int command_report(int argc, char **argv);
 int command_keygen(int argc, char **argv);
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -9,6 +9,7 @@
 
 static const command_t commands[] = {
 	{"router", "run one router", command_router},
+	{"gateway", "run one router on a platform", command_gateway},
 	{"fleet", "check, get, put, status or history of the operators' text", command_fleet},
 	{"report", "service-level burn over all routers", command_report},
 	{"keygen", "make a key pair for the peer socket", command_keygen},
--- a/src/core/reason.c
+++ b/src/core/reason.c
@@ -40,6 +40,8 @@
 	[REASON_CALLER_GONE] = {"caller-gone", "the caller went away", 499, OUTCOME_NOT_RUN, false},
 	[REASON_CALLER_LEFT] = {"caller-left", "the caller went away during the answer", 499,
 		OUTCOME_UNKNOWN, false},
+	[REASON_TIMEOUT] = {"timeout", "the answer was not whole at the deadline", 504,
+		OUTCOME_UNKNOWN, false},
 	[REASON_GAVE_UP] = {"gave-up",
 		"an answer broke, and no capacity came free in time to send the request again", 503,
 		OUTCOME_UNKNOWN, true},
--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -38,6 +38,7 @@
 	REASON_CALLER_GONE, /* before anything was sent */
 	REASON_CALLER_LEFT, /* after it was sent */
 	REASON_GAVE_UP,
+	REASON_TIMEOUT, /* after it was sent */
 	REASON_COUNT,
 } reason_t;
 
--- /dev/null
+++ b/src/gateway/call.c
@@ -0,0 +1,138 @@
+#include "gateway/call.h"
+
+#include <string.h>
+
+#include "edge/clock.h"
+#include "gateway/gateway.h"
+
+static const call_filter_t *const pipeline[] = {
+	&call_identify,
+	&call_classify,
+	&call_admit,
+	&call_queue,
+	&call_dispatch,
+	&call_relay,
+};
+
+#define QUEUE_FILTER 3
+
+call_t *call_new(gateway_t *gateway, caller_t *caller, const caller_request_t *request)
+{
+	call_t *this = g_new0(call_t, 1);
+
+	this->gateway = gateway;
+	this->caller = caller;
+	this->request = request;
+	this->arrived = request->began;
+	this->deadline = INSTANT_NEVER;
+	this->resume_after = -1;
+	this->headers = g_string_new(NULL);
+	event_stream_init(&this->events);
+	caller_set_exchange(caller, this);
+	gateway_add_call(gateway, this);
+	return this;
+}
+
+void call_delete(call_t *this)
+{
+	gateway_drop_call(this->gateway, this);
+	call_account.run(this);
+	event_stream_clear(&this->events);
+	if (this->body)
+		g_string_free(this->body, TRUE);
+	g_string_free(this->headers, TRUE);
+	g_free(this->id);
+	served_endpoint_put(this->endpoint);
+	catalog_put(this->catalog);
+	g_free(this);
+}
+
+static void stop_attempt(call_t *this, end_kind_t kind)
+{
+	if (this->endpoint_link)
+		endpoint_link_abort(this->endpoint_link);
+	this->endpoint_link = NULL;
+	call_leave_node(this, kind);
+}
+
+static void give_answer(call_t *this)
+{
+	const reason_info_t *info = reason_info(this->reason);
+	char headers[256];
+	int n;
+
+	n = g_snprintf(headers, sizeof(headers), "%s: %s\r\n",
+		this->gateway->vocabulary->request_id, this->id ? this->id : "-");
+	if (info->retry_after && this->retry_after_s > 0)
+		g_snprintf(headers + n, sizeof(headers) - (gsize)n, "Retry-After: %.3f\r\n",
+			this->retry_after_s);
+	caller_answer(this->caller, (unsigned int)info->status, headers, info->name,
+		strlen(info->name));
+}
+
+void call_answer(call_t *this, reason_t reason)
+{
+	caller_t *caller = this->caller;
+
+	if (this->state == CALL_OVER)
+		return;
+	this->reason = reason;
+	stop_attempt(this, END_STOPPED);
+	this->state = CALL_OVER;
+	if (caller && this->answering)
+		caller_abort(caller);
+	else if (caller)
+		give_answer(this);
+	this->caller = NULL;
+	if (!this->in_node)
+		call_delete(this);
+}
+
+void call_gone(call_t *this)
+{
+	if (this->state == CALL_OVER)
+		return;
+	this->caller = NULL;
+	call_answer(this, this->runs ? REASON_CALLER_LEFT : REASON_CALLER_GONE);
+}
+
+void call_expire(call_t *this)
+{
+	if (this->runs || this->answering)
+		call_answer(this, REASON_TIMEOUT);
+	else
+		call_answer(this, REASON_DEADLINE);
+}
+
+void call_run(call_t *this)
+{
+	while (this->filter < ARRAY_LEN(pipeline)) {
+		switch (pipeline[this->filter]->run(this)) {
+		case STEP_NEXT:
+			this->filter++;
+			break;
+		case STEP_WAIT:
+			return;
+		case STEP_ANSWER:
+			call_answer(this, this->reason);
+			return;
+		}
+	}
+	/* The answer was passed on to its end. */
+	this->state = CALL_OVER;
+	call_delete(this);
+}
+
+void call_next(call_t *this)
+{
+	this->filter++;
+	call_run(this);
+}
+
+void call_again(call_t *this)
+{
+	served_endpoint_put(this->endpoint);
+	this->endpoint = NULL;
+	this->filter = QUEUE_FILTER;
+	call_run(this);
+}
--- /dev/null
+++ b/src/gateway/call_account.c
@@ -0,0 +1,27 @@
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "gateway/call.h"
+#include "gateway/gateway.h"
+
+static call_step_t run(call_t *call)
+{
+	const reason_info_t *info = reason_info(call->reason);
+	instant_t now = clock_now();
+	uint64_t first = call->first_byte ? call->first_byte - call->arrived : 0;
+
+	gateway_count_outcome(call->gateway, call->reason);
+	log_info("request",
+		"id=%s workspace=%s route=%s endpoint=%s outcome=%s reason=%s status=%u sends=%u "
+		"runs=%u cost=%u hint=%u first_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
+		" retry_after=%.3f version=%" G_GUINT64_FORMAT,
+		call->id ? call->id : "-", call->workspace ? call->workspace->name : "-",
+		call->route ? call->route->name : "-", call->endpoint ? call->endpoint->name : "-",
+		outcome_name(info->outcome), info->name,
+		call->reason == REASON_NONE ? call->status : (unsigned int)info->status,
+		call->sends, call->runs, call->cost, call->node.hint,
+		(guint64)(first / USEC_PER_MSEC), (guint64)((now - call->arrived) / USEC_PER_MSEC),
+		call->retry_after_s, call->catalog ? (guint64)call->catalog->version : 0);
+	return STEP_NEXT;
+}
+
+const call_filter_t call_account = {"account", run};
--- /dev/null
+++ b/src/gateway/call_dispatch.c
@@ -0,0 +1,161 @@
+#include <string.h>
+#include <strings.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "gateway/call.h"
+#include "gateway/gateway.h"
+
+#define MAX_SENDS 4		  /* of one call, those that did not run included */
+#define MIN_RETRY_LEFT (20 * USEC_PER_MSEC) /* below which another attempt is in vain */
+
+/* --- the request as the endpoint gets it ------------------------------ */
+
+/* Headers that concern one connection, or that the gateway sets itself. */
+static bool is_own(const call_t *call, const char *name)
+{
+	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection",
+		"Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+		"Content-Length", "Authorization", "Accept-Encoding"};
+	const vocabulary_t *words = call->gateway->vocabulary;
+
+	for (size_t i = 0; i < ARRAY_LEN(names); i++) {
+		if (!strcasecmp(name, names[i]))
+			return true;
+	}
+	for (const char *const *withheld = words->withheld; *withheld; withheld++) {
+		if (!strcasecmp(name, *withheld))
+			return true;
+	}
+	return !strcasecmp(name, words->time_left_ms) || !strcasecmp(name, words->workspace) ||
+	       !strcasecmp(name, words->expected_endpoint) ||
+	       !strcasecmp(name, words->resume_after);
+}
+
+/* The caller's "Connection" names this header as its own connection's. */
+static bool is_named_by_connection(const call_t *call, const char *name)
+{
+	const char *list = caller_header(call->request, "Connection");
+	char **tokens;
+	bool found = false;
+
+	if (!list)
+		return false;
+	tokens = g_strsplit(list, ",", 0);
+	for (char **token = tokens; *token && !found; token++)
+		found = !strcasecmp(g_strstrip(*token), name);
+	g_strfreev(tokens);
+	return found;
+}
+
+static void add_headers(const call_t *call, GString *out)
+{
+	const caller_request_t *request = call->request;
+
+	for (unsigned int i = 0; i < request->names->len; i++) {
+		const char *name = request->names->pdata[i];
+
+		if (is_own(call, name) || is_named_by_connection(call, name))
+			continue;
+		g_string_append_printf(out, "%s: %s\r\n", name, (char *)request->values->pdata[i]);
+	}
+}
+
+static GString *build_request(const call_t *call, instant_t now)
+{
+	const vocabulary_t *words = call->gateway->vocabulary;
+	const caller_request_t *request = call->request;
+	GString *out = g_string_sized_new(1024 + request->body->len);
+
+	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", request->method, request->target->str);
+	add_headers(call, out);
+	if (call->deadline != INSTANT_NEVER)
+		g_string_append_printf(out, "%s: %" G_GUINT64_FORMAT "\r\n", words->time_left_ms,
+			(guint64)(instant_left(call->deadline, now) / USEC_PER_MSEC));
+	if (call->workspace)
+		g_string_append_printf(out, "%s: %s\r\n", words->workspace, call->workspace->name);
+	if (call->events.last >= 0)
+		g_string_append_printf(out, "%s: %" G_GINT64_FORMAT "\r\n", words->resume_after,
+			(gint64)call->events.last);
+	g_string_append_printf(
+		out, "%s: %s\r\n", words->expected_endpoint, call->endpoint->name);
+	if (request->body->len || (strcmp(request->method, "GET") && !request->is_head))
+		g_string_append_printf(out, "Content-Length: %zu\r\n", (size_t)request->body->len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, request->body->str, (gssize)request->body->len);
+	return out;
+}
+
+/* --- sending ---------------------------------------------------------- */
+
+static call_step_t run(call_t *call)
+{
+	gateway_t *gateway = call->gateway;
+	instant_t now = clock_now();
+	link_request_t request = {
+		.id = call->id,
+		.is_head = call->request->is_head,
+		.fresh = !call->repeatable, /* a kept connection may be closing just now */
+		.now = now,
+	};
+
+	if (instant_left(call->deadline, now) == 0) {
+		call->reason = call->runs ? REASON_TIMEOUT : REASON_DEADLINE;
+		return STEP_ANSWER;
+	}
+	request.bytes = build_request(call, now);
+	call->state = CALL_SENT;
+	call->sends++;
+	call->sent_now = false;
+	call->sent_at = now;
+	call_reset_answer(call);
+	call->endpoint_link = endpoint_link_send(
+		&gateway->link_options, call->endpoint, &request, &call_link_ops, call);
+	if (!call->endpoint_link) {
+		call_attempt_failed(call, END_REFUSED, false, REASON_ENDPOINT_REFUSED);
+		return STEP_WAIT;
+	}
+	return STEP_NEXT;
+}
+
+static bool may_try_again(call_t *call, bool may_have_run, instant_t now)
+{
+	bool resumable = call->route->resumable && call->streaming;
+
+	if (may_have_run && !call->repeatable)
+		return false;
+	if (call->answering && !resumable)
+		return false;
+	if (may_have_run && call->runs >= call->route->max_attempts)
+		return false;
+	if (call->sends >= MAX_SENDS || instant_left(call->deadline, now) < MIN_RETRY_LEFT)
+		return false;
+	return retry_budget_take(gateway_budget(call->gateway, call->service->id), now);
+}
+
+void call_attempt_failed(call_t *this, end_kind_t kind, bool may_have_run, reason_t reason)
+{
+	instant_t now = clock_now();
+	bool again;
+
+	if (may_have_run)
+		this->runs++;
+	this->endpoint_link = NULL;
+	again = may_try_again(this, may_have_run, now);
+	log_info("attempt-failed",
+		"id=%s endpoint=%s sent=%d may_have_run=%d reason=%s send=%u again=%d", this->id,
+		this->endpoint->name, this->sent_now, may_have_run, reason_info(reason)->name,
+		this->sends, again);
+	call_leave_node(this, kind);
+	if (again) {
+		event_stream_cut(&this->events);
+		call_again(this);
+		return;
+	}
+	if (this->runs && reason_info(reason)->outcome == OUTCOME_NOT_RUN)
+		reason = REASON_ENDPOINT_BROKEN;
+	this->retry_after_s = REFUSED_RETRY_S;
+	call_answer(this, reason);
+}
+
+const call_filter_t call_dispatch = {"dispatch", run};
--- /dev/null
+++ b/src/gateway/call_identify.c
@@ -0,0 +1,48 @@
+#include <string.h>
+
+#include "gateway/call.h"
+#include "gateway/gateway.h"
+
+#define BEARER "Bearer "
+
+static call_step_t refuse(call_t *call, reason_t reason)
+{
+	call->reason = reason;
+	return STEP_ANSWER;
+}
+
+static const catalog_workspace_t *find_workspace(const call_t *call)
+{
+	const char *given = caller_header(call->request, "Authorization");
+
+	if (!given || g_ascii_strncasecmp(given, BEARER, strlen(BEARER)))
+		return NULL;
+	return catalog_identify(call->catalog, given + strlen(BEARER));
+}
+
+/* Route and workspace, by the catalog that is in force as the request arrives. */
+static call_step_t run(call_t *call)
+{
+	const char *host = caller_header(call->request, "Host");
+
+	call->id = g_strdup(
+		caller_header(call->request, call->gateway->vocabulary->request_id));
+	call->catalog = catalog_get(call->gateway->catalog);
+	if (!call->catalog) {
+		call->retry_after_s = NOT_READY_RETRY_S;
+		return refuse(call, REASON_NOT_READY);
+	}
+	if (!host || !call->id || !*call->id)
+		return refuse(call, REASON_BAD_REQUEST);
+	call->route = catalog_route(call->catalog, host, call->request->target->str);
+	if (!call->route)
+		return refuse(call, REASON_NO_ROUTE);
+	if (call->catalog->has_keys && !call->route->is_public) {
+		call->workspace = find_workspace(call);
+		if (!call->workspace)
+			return refuse(call, REASON_UNAUTHORIZED);
+	}
+	return STEP_NEXT;
+}
+
+const call_filter_t call_identify = {"identify", run};
--- /dev/null
+++ b/src/gateway/call_relay.c
@@ -0,0 +1,219 @@
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "gateway/call.h"
+#include "gateway/gateway.h"
+
+#define MAX_KEPT_BODY 262144 /* bytes of an answer that is kept until whole; beyond, it is passed on */
+#define PROGRESS_TIME (150 * USEC_PER_MSEC) /* between two reports of a stream's cost */
+
+/* --- the head --------------------------------------------------------- */
+
+static void on_sent(void *user)
+{
+	call_t *call = user;
+
+	call->sent_now = true;
+}
+
+static bool is_success(unsigned int status)
+{
+	return status >= 200 && status < 300;
+}
+
+/* A success that is not the endpoint's own, or not for this request. */
+static bool is_dubious(const link_answer_t *answer)
+{
+	return is_success(answer->status) &&
+	       (!answer->is_signed || !answer->has_id || answer->is_encoded);
+}
+
+static void note_load(call_t *call, const link_answer_t *answer)
+{
+	if (answer->has_load)
+		node_load_report(call->gateway->node, call->endpoint->id,
+			answer->load_running + answer->load_waiting, clock_now());
+}
+
+static void on_answer(void *user, const link_answer_t *answer)
+{
+	call_t *call = user;
+
+	note_load(call, answer);
+	call->status = answer->status;
+	call->body_length = answer->length;
+	if (answer->not_run || answer->status == 421) {
+		endpoint_link_abort(call->endpoint_link);
+		call_attempt_failed(call, END_REFUSED, false, REASON_ENDPOINT_REFUSED);
+		return;
+	}
+	if (is_dubious(answer)) {
+		endpoint_link_abort(call->endpoint_link);
+		call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+		return;
+	}
+	call->streaming = call->route->is_stream && answer->status == 200;
+	if (call->streaming && call->answering)
+		return; /* goes on where the last attempt broke off */
+	g_string_assign(call->headers, answer->headers->str);
+}
+
+/* --- the body --------------------------------------------------------- */
+
+static void begin_answer(call_t *call)
+{
+	if (call->answering)
+		return;
+	call->answering = true;
+	call->first_byte = clock_now();
+	caller_begin(call->caller, call->status, call->headers->str,
+		call->streaming ? -1 : call->body_length);
+}
+
+static void report_progress(call_t *call)
+{
+	instant_t now = clock_now();
+	uint32_t step = call->cost - call->told_cost;
+	uint64_t elapsed = now - call->told_at;
+
+	if (!call->in_node || !step || (call->told_at && elapsed < PROGRESS_TIME))
+		return;
+	node_progress(call->gateway->node, &call->node, call->cost,
+		call->told_at ? (double)elapsed / step : 0, now);
+	call->told_cost = call->cost;
+	call->told_at = now;
+}
+
+static void pass_on(call_t *call, const char *data, size_t len)
+{
+	begin_answer(call);
+	caller_piece(call->caller, data, len);
+	if (caller_is_choked(call->caller) && call->endpoint_link)
+		endpoint_link_pause(call->endpoint_link, true);
+}
+
+static void take_events(call_t *call, const char *data, size_t len)
+{
+	GString *out = g_string_sized_new(len);
+	unsigned int before = call->events.passed;
+	event_result_t result = event_stream_feed(&call->events, data, len, out);
+
+	if (out->len)
+		pass_on(call, out->str, out->len);
+	g_string_free(out, TRUE);
+	call->cost += (call->events.passed - before) * call->gateway->settings->event_tokens;
+	report_progress(call);
+	if (result == EVENT_STREAM_GOOD)
+		return;
+	log_warn("events-malformed", "id=%s endpoint=%s after=%" G_GINT64_FORMAT, call->id,
+		call->endpoint->name, (gint64)call->events.last);
+	endpoint_link_abort(call->endpoint_link);
+	call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+}
+
+static void on_body(void *user, const char *data, size_t len)
+{
+	call_t *call = user;
+
+	if (call->streaming) {
+		take_events(call, data, len);
+		return;
+	}
+	if (call->answering) {
+		pass_on(call, data, len);
+		return;
+	}
+	if (!call->body)
+		call->body = g_string_sized_new(len);
+	g_string_append_len(call->body, data, (gssize)len);
+	if (call->body->len <= MAX_KEPT_BODY)
+		return;
+	pass_on(call, call->body->str, call->body->len);
+	g_string_truncate(call->body, 0);
+}
+
+void call_reset_answer(call_t *this)
+{
+	this->streaming = this->answering && this->streaming;
+	this->whole = false;
+	if (this->body)
+		g_string_truncate(this->body, 0);
+}
+
+void call_drained(call_t *this)
+{
+	if (this->endpoint_link)
+		endpoint_link_pause(this->endpoint_link, false);
+}
+
+/* --- the end ---------------------------------------------------------- */
+
+static bool is_failure_worth_retrying(const call_t *call)
+{
+	return call->repeatable && !call->answering && call->status >= 500;
+}
+
+static void on_end(void *user)
+{
+	call_t *call = user;
+
+	call->endpoint_link = NULL;
+	if (call->streaming && !event_stream_is_whole(&call->events)) {
+		call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+		return;
+	}
+	if (is_failure_worth_retrying(call)) {
+		instant_t now = clock_now();
+
+		if (call->runs + 1 < call->route->max_attempts &&
+			instant_left(call->deadline, now) > 0) {
+			call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+			return;
+		}
+	}
+	call->whole = true;
+	call_next(call);
+}
+
+static void on_fail(void *user, link_failure_t failure)
+{
+	static const char *const names[] = {"not-connected", "reset", "ended", "malformed"};
+	call_t *call = user;
+	bool may_have_run = call->sent_now;
+
+	log_info("link-failed", "id=%s endpoint=%s failure=%s", call->id, call->endpoint->name,
+		names[failure]);
+	call_attempt_failed(call, may_have_run ? END_BROKEN : END_REFUSED, may_have_run,
+		may_have_run ? REASON_ENDPOINT_BROKEN : REASON_ENDPOINT_REFUSED);
+}
+
+const endpoint_link_ops_t call_link_ops = {
+	.on_sent = on_sent,
+	.on_answer = on_answer,
+	.on_body = on_body,
+	.on_end = on_end,
+	.on_fail = on_fail,
+};
+
+/* Waits for the endpoint's answer; then gives what is left of it to the caller. */
+static call_step_t run(call_t *call)
+{
+	if (!call->whole)
+		return STEP_WAIT;
+	call->runs++;
+	call_leave_node(call, is_success(call->status) ? END_DONE : END_BROKEN);
+	if (call->request->is_head)
+		begin_answer(call);
+	if (call->answering) {
+		caller_finish(call->caller);
+	} else {
+		call->first_byte = clock_now();
+		caller_answer(call->caller, call->status, call->headers->str,
+			call->body ? call->body->str : "", call->body ? call->body->len : 0);
+	}
+	call->caller = NULL;
+	return STEP_NEXT;
+}
+
+const call_filter_t call_relay = {"relay", run};
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,534 @@
+#include "gateway/gateway.h"
+
+#include <signal.h>
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "settings/fleet_text.h"
+
+#define TICK_MS 20	      /* sweeps: timeouts are kept to within this */
+#define MIN_TICK (2 * USEC_PER_MSEC) /* between two runs of the node's own timers */
+#define STOP_NOTICE (3 * USEC_PER_SEC) /* for the balancer to see that this router is unready */
+#define STOP_MARGIN_MS 700    /* before the end by force: what still runs is ended */
+#define MIN_CALLER_KB 24      /* memory that a caller's connection may take, kernel's part included */
+#define LONG_COST 400	      /* cost units above which a generation is long work */
+#define LONG_SHARE 100	      /* per cent of slots that it may hold */
+
+static const catalog_limits_t default_limits = {
+	.header_bytes = 16384,
+	.body_bytes = 4 << 20,
+	.header_timeout_ms = 3000,
+	.idle_timeout_ms = 15000,
+};
+
+/* --- what callers ask -------------------------------------------------- */
+
+static void on_request(void *ctx, caller_t *caller, const caller_request_t *request)
+{
+	call_run(call_new(ctx, caller, request));
+}
+
+static void on_gone(void *exchange)
+{
+	call_gone(exchange);
+}
+
+static void on_drained(void *exchange)
+{
+	call_drained(exchange);
+}
+
+static const caller_ops_t call_ops = {on_request, on_gone, on_drained};
+
+static const catalog_limits_t *limits(void *ctx)
+{
+	const gateway_t *this = ctx;
+
+	return this->catalog ? &this->catalog->limits : &default_limits;
+}
+
+bool gateway_is_ready(const gateway_t *this)
+{
+	return this->catalog && this->directory_known && !this->stopping;
+}
+
+static void on_ready_request(void *ctx, caller_t *caller, const caller_request_t *request)
+{
+	caller_answer(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
+}
+
+static void on_metrics_request(void *ctx, caller_t *caller, const caller_request_t *request)
+{
+	GString *text = g_string_new(NULL);
+
+	gateway_metrics(ctx, text);
+	caller_answer(caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
+		text->len);
+	g_string_free(text, TRUE);
+}
+
+static void on_short_gone(void *exchange)
+{
+}
+
+static const caller_ops_t ready_ops = {on_ready_request, on_short_gone, on_short_gone};
+static const caller_ops_t metrics_ops = {on_metrics_request, on_short_gone, on_short_gone};
+
+/* --- calls ------------------------------------------------------------ */
+
+void gateway_add_call(gateway_t *this, call_t *call)
+{
+	cds_list_add_tail(&call->link, &this->calls);
+	this->call_count++;
+}
+
+void gateway_drop_call(gateway_t *this, call_t *call)
+{
+	cds_list_del(&call->link);
+	this->call_count--;
+}
+
+retry_budget_t *gateway_budget(gateway_t *this, id_t32 service)
+{
+	retry_budget_t *budget = g_hash_table_lookup(this->budgets, GUINT_TO_POINTER(service));
+
+	if (budget)
+		return budget;
+	budget = g_new0(retry_budget_t, 1);
+	retry_budget_init(budget, &this->budget_options);
+	g_hash_table_insert(this->budgets, GUINT_TO_POINTER(service), budget);
+	return budget;
+}
+
+void gateway_count_outcome(gateway_t *this, reason_t reason)
+{
+	this->outcomes[reason]++;
+}
+
+static void expire_calls(gateway_t *this, instant_t now)
+{
+	call_t *call;
+	call_t *after;
+
+	cds_list_for_each_entry_safe (call, after, &this->calls, link) {
+		if (now >= call->deadline)
+			call_expire(call);
+	}
+}
+
+/* --- decisions -------------------------------------------------------- */
+
+static call_t *call_of(node_request_t *request)
+{
+	return caa_container_of(request, call_t, node);
+}
+
+static void act(gateway_t *this)
+{
+	node_action_t action;
+
+	while (node_next_action(this->node, &action)) {
+		switch (action.kind) {
+		case ACTION_START:
+		case ACTION_REJECT:
+			call_decided(call_of(action.request), &action);
+			break;
+		case ACTION_SEND:
+		case ACTION_FETCH_TEXT:
+			break;
+		}
+	}
+}
+
+typedef struct plan_builder {
+	GArray *replicas;
+} plan_builder_t;
+
+static void plan_endpoint(void *ctx, served_endpoint_t *endpoint)
+{
+	plan_builder_t *builder = ctx;
+	plan_replica_t replica = {endpoint->id, endpoint->service_id, endpoint->slots};
+
+	g_array_append_val(builder->replicas, replica);
+}
+
+static void tell_leaving(void *ctx, served_endpoint_t *endpoint)
+{
+	gateway_t *this = ctx;
+
+	if (endpoint->state == ENDPOINT_DRAINING)
+		endpoint_link_trim(endpoint, 0, true);
+	node_set_leaving(this->node, endpoint->id, endpoint->state != ENDPOINT_READY, clock_now());
+}
+
+/* Tells the node what the catalog and the directory say together. */
+static void make_plan(gateway_t *this)
+{
+	const catalog_t *catalog = this->catalog;
+	plan_pool_t *pools = g_new0(plan_pool_t, catalog->service_count + 1);
+	plan_workspace_t *workspaces = g_new0(plan_workspace_t, catalog->workspaces->len + 1);
+	plan_builder_t builder = {g_array_new(FALSE, FALSE, sizeof(plan_replica_t))};
+	plan_t plan = {.version = catalog->version, .pools = pools, .workspaces = workspaces};
+
+	for (unsigned int i = 0; i < catalog->service_count; i++)
+		pools[plan.pool_count++] =
+			(plan_pool_t){catalog->services[i].id, LONG_COST, LONG_SHARE};
+	for (unsigned int i = 0; i < catalog->workspaces->len; i++) {
+		const catalog_workspace_t *workspace = catalog->workspaces->pdata[i];
+
+		workspaces[plan.workspace_count++] = (plan_workspace_t){workspace->id, 1};
+	}
+	workspaces[plan.workspace_count++] = (plan_workspace_t){PUBLIC_WORKSPACE, 1};
+	directory_each(this->directory, plan_endpoint, &builder);
+	plan.replicas = (const plan_replica_t *)(void *)builder.replicas->data;
+	plan.replica_count = builder.replicas->len;
+	node_set_plan(this->node, &plan, clock_now());
+	directory_each(this->directory, tell_leaving, this);
+	g_array_free(builder.replicas, TRUE);
+	g_free(pools);
+	g_free(workspaces);
+}
+
+static void on_prepare(uv_prepare_t *prepare)
+{
+	gateway_t *this = prepare->data;
+	instant_t now = clock_now();
+
+	if (this->plan_due && this->catalog) {
+		this->plan_due = false;
+		make_plan(this);
+	}
+	if (now >= this->ticked + MIN_TICK) {
+		this->ticked = now;
+		node_tick(this->node, now);
+	}
+	act(this);
+}
+
+/* --- news of the store ------------------------------------------------ */
+
+static void take_catalog(gateway_t *this, const store_row_t *row)
+{
+	faults_t faults;
+	catalog_t *catalog;
+
+	if (row->is_deleted || strcmp(row->key, this->adapter->catalog_key))
+		return;
+	faults_init(&faults, "catalog");
+	catalog = this->adapter->decode_catalog(row->value, row->len, &faults);
+	if (!catalog) {
+		log_warn("catalog-refused", "row_version=%" G_GUINT64_FORMAT " faults=%u first=\"%s\"",
+			(guint64)row->version, faults.count, faults.text->str);
+	} else if (this->catalog && catalog->version <= this->catalog->version) {
+		catalog_put(catalog);
+	} else {
+		log_notice("catalog-applied",
+			"version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+			" routes=%u services=%u workspaces=%u",
+			(guint64)catalog->version,
+			this->catalog ? (guint64)this->catalog->version : 0, catalog->routes->len,
+			catalog->service_count, catalog->workspaces->len);
+		catalog_put(this->catalog);
+		this->catalog = catalog;
+		this->plan_due = true;
+	}
+	faults_clear(&faults);
+}
+
+static void on_catalog_rows(void *ctx, const GArray *rows)
+{
+	for (unsigned int i = 0; i < rows->len; i++)
+		take_catalog(ctx, &g_array_index(rows, store_row_t, i));
+}
+
+static void on_catalog_table(void *ctx, const GArray *rows, uint64_t outage)
+{
+	on_catalog_rows(ctx, rows);
+}
+
+static void on_store_lost(void *ctx)
+{
+	gateway_t *this = ctx;
+
+	this->store_losses++;
+}
+
+static const watch_ops_t catalog_ops = {on_catalog_table, on_catalog_rows, on_store_lost};
+
+static void take_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
+{
+	endpoint_entry_t entry = {0};
+	bool changed;
+
+	if (row->is_deleted && now < this->lapse_grace_until) {
+		changed = false; /* may have lapsed while the store was away */
+	} else if (row->is_deleted) {
+		changed = directory_remove(this->directory, row->key);
+	} else if (this->adapter->decode_endpoint(row->key, row->value, row->len, &entry)) {
+		changed = directory_put(this->directory, &entry);
+	} else {
+		log_warn("endpoint-unreadable", "endpoint=%s row_version=%" G_GUINT64_FORMAT,
+			row->key, (guint64)row->version);
+		return;
+	}
+	if (changed)
+		log_notice("endpoint-changed",
+			"endpoint=%s service=%s address=%s state=%d gone=%d row_version=%" G_GUINT64_FORMAT,
+			row->key, entry.service ? entry.service : "-",
+			entry.address ? entry.address : "-", entry.state, row->is_deleted,
+			(guint64)row->version);
+	this->plan_due |= changed;
+	endpoint_entry_clear(&entry);
+}
+
+static void on_endpoint_rows(void *ctx, const GArray *rows)
+{
+	instant_t now = clock_now();
+
+	for (unsigned int i = 0; i < rows->len; i++)
+		take_endpoint(ctx, &g_array_index(rows, store_row_t, i), now);
+}
+
+static void on_endpoint_table(void *ctx, const GArray *rows, uint64_t outage)
+{
+	gateway_t *this = ctx;
+	instant_t now = clock_now();
+
+	if (outage && this->directory_known)
+		this->lapse_grace_until =
+			now + this->settings->lapse_grace_ms * USEC_PER_MSEC;
+	directory_begin_listing(this->directory);
+	on_endpoint_rows(ctx, rows);
+	this->directory_known = true;
+	this->plan_due |= directory_end_listing(this->directory,
+		now < this->lapse_grace_until ? this->lapse_grace_until : 0, now);
+}
+
+static const watch_ops_t endpoint_ops = {on_endpoint_table, on_endpoint_rows, on_store_lost};
+
+static watch_t *follow(gateway_t *this, const char *table, const watch_ops_t *ops)
+{
+	const gateway_settings_t *settings = this->settings;
+	watch_options_t options = {
+		.loop = &this->loop,
+		.adapter = this->adapter,
+		.store = {settings->store_address, settings->store_wait_ms},
+		.table = table,
+		.wait_ms = settings->store_wait_ms,
+		.pause_ms = settings->store_pause_ms,
+		.ops = ops,
+		.ctx = this,
+	};
+
+	return watch_new(&options);
+}
+
+/* --- time ------------------------------------------------------------- */
+
+static void trim_links(void *ctx, served_endpoint_t *endpoint)
+{
+	endpoint_link_trim(endpoint, *(const instant_t *)ctx, false);
+}
+
+static void finish_stop(gateway_t *this)
+{
+	call_t *call;
+	call_t *after;
+
+	this->left = this->call_count;
+	cds_list_for_each_entry_safe (call, after, &this->calls, link) {
+		log_warn("call-cut", "id=%s state=%d", call->id, (int)call->state);
+		call_answer(call, call->runs || call->sent_now ? REASON_GAVE_UP : REASON_STOPPING);
+	}
+	uv_stop(&this->loop);
+}
+
+static void check_stop(gateway_t *this, instant_t now)
+{
+	instant_t notice = this->stop_at - this->settings->stop_grace_s * USEC_PER_SEC +
+			   STOP_MARGIN_MS * USEC_PER_MSEC + STOP_NOTICE;
+
+	if (!this->stopping)
+		return;
+	if (now >= this->stop_at || (now >= notice && !this->call_count))
+		finish_stop(this);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	gateway_t *this = timer->data;
+	instant_t now = clock_now();
+
+	expire_calls(this, now);
+	listener_sweep(this->callers, now);
+	listener_sweep(this->ready, now);
+	if (this->metrics)
+		listener_sweep(this->metrics, now);
+	directory_each(this->directory, trim_links, &now);
+	this->plan_due |= directory_sweep(this->directory, now);
+	check_stop(this, now);
+}
+
+static void on_signal(uv_signal_t *signal, int number)
+{
+	gateway_t *this = signal->data;
+
+	if (number == SIGHUP) {
+		log_notice("reload", "settings=unchanged-until-restart");
+		return;
+	}
+	if (this->stopping)
+		return;
+	this->stopping = true;
+	this->stop_at = clock_now() + this->settings->stop_grace_s * USEC_PER_SEC -
+			STOP_MARGIN_MS * USEC_PER_MSEC;
+	log_notice("stop-begins", "calls=%u callers=%u", this->call_count,
+		listener_callers(this->callers));
+	listener_drain(this->callers);
+	node_stop(this->node, clock_now());
+}
+
+/* --- life ------------------------------------------------------------- */
+
+static listener_t *listen_on(
+	gateway_t *this, const char *address, const caller_ops_t *ops, unsigned int max_callers)
+{
+	listener_options_t options = {
+		.loop = &this->loop,
+		.address = address,
+		.ops = ops,
+		.ctx = this,
+		.limits = limits,
+		.max_callers = max_callers,
+	};
+
+	return listener_new(&options);
+}
+
+static unsigned int max_callers(const gateway_settings_t *settings)
+{
+	unsigned int by_memory = settings->memory_mb * 1024 / 2 / MIN_CALLER_KB;
+	unsigned int by_descriptors = settings->descriptors / 2;
+
+	return by_memory < by_descriptors ? by_memory : by_descriptors;
+}
+
+static bool open_listeners(gateway_t *this)
+{
+	const gateway_settings_t *settings = this->settings;
+
+	this->callers =
+		listen_on(this, settings->caller_address, &call_ops, max_callers(settings));
+	this->ready = listen_on(this, settings->ready_address, &ready_ops, 64);
+	if (*settings->metrics_address)
+		this->metrics = listen_on(this, settings->metrics_address, &metrics_ops, 16);
+	return this->callers && this->ready && (this->metrics || !*settings->metrics_address);
+}
+
+static void start_timers(gateway_t *this)
+{
+	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+
+	uv_prepare_init(&this->loop, &this->prepare);
+	this->prepare.data = this;
+	uv_prepare_start(&this->prepare, on_prepare);
+	uv_timer_init(&this->loop, &this->tick);
+	this->tick.data = this;
+	uv_timer_start(&this->tick, on_tick, TICK_MS, TICK_MS);
+	for (size_t i = 0; i < ARRAY_LEN(numbers); i++) {
+		uv_signal_init(&this->loop, &this->signals[i]);
+		this->signals[i].data = this;
+		uv_signal_start(&this->signals[i], on_signal, numbers[i]);
+	}
+}
+
+static void start_node(gateway_t *this)
+{
+	node_options_t options = {
+		.self = name_id(this->settings->name),
+		.incarnation = (uint64_t)g_get_real_time(),
+		.seed = ((uint64_t)g_random_int() << 32) | g_random_int(),
+		.policy = this->settings->policy,
+		.max_members = 0,
+	};
+
+	this->node = node_new(&options, clock_now());
+}
+
+gateway_t *gateway_new(const gateway_settings_t *settings)
+{
+	gateway_t *this = g_new0(gateway_t, 1);
+
+	signal(SIGPIPE, SIG_IGN);
+	this->settings = settings;
+	this->adapter = adapter_find(settings->adapter);
+	this->vocabulary = this->adapter->vocabulary;
+	CDS_INIT_LIST_HEAD(&this->calls);
+	uv_loop_init(&this->loop);
+	this->directory = directory_new();
+	this->budgets = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	this->budget_options = (retry_budget_options_t){
+		.ratio = settings->retry_ratio,
+		.allowance = settings->retry_allowance,
+		.routers = settings->expected_routers,
+		.window = settings->retry_window_s * USEC_PER_SEC,
+	};
+	this->link_options = (endpoint_link_options_t){
+		.loop = &this->loop,
+		.vocabulary = this->vocabulary,
+		.connect_timeout_ms = settings->connect_timeout_ms,
+		.silence_timeout_ms = settings->silence_timeout_ms,
+		.open_count = &this->links,
+	};
+	start_node(this);
+	start_timers(this);
+	if (!open_listeners(this)) {
+		gateway_delete(this);
+		return NULL;
+	}
+	this->catalog_watch = follow(this, this->adapter->catalog_table, &catalog_ops);
+	this->endpoint_watch = follow(this, this->adapter->endpoint_table, &endpoint_ops);
+	log_notice("started", "name=%s failure_domain=%s callers=%s", settings->name,
+		settings->failure_domain, settings->caller_address);
+	return this;
+}
+
+unsigned int gateway_run(gateway_t *this)
+{
+	uv_run(&this->loop, UV_RUN_DEFAULT);
+	log_notice("stopped", "calls_ended=%u", this->left);
+	return this->left;
+}
+
+static void close_walked(uv_handle_t *handle, void *ctx)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+static void drop_links(void *ctx, served_endpoint_t *endpoint)
+{
+	endpoint_link_trim(endpoint, 0, true);
+}
+
+void gateway_delete(gateway_t *this)
+{
+	if (!this)
+		return;
+	watch_delete(this->catalog_watch);
+	watch_delete(this->endpoint_watch);
+	listener_delete(this->callers);
+	listener_delete(this->ready);
+	listener_delete(this->metrics);
+	directory_each(this->directory, drop_links, NULL);
+	uv_run(&this->loop, UV_RUN_NOWAIT);
+	uv_walk(&this->loop, close_walked, NULL);
+	uv_run(&this->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&this->loop);
+	node_delete(this->node);
+	directory_delete(this->directory);
+	catalog_put(this->catalog);
+	g_hash_table_destroy(this->budgets);
+	g_free(this);
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,70 @@
+#ifndef GATEWAY_GATEWAY_H
+#define GATEWAY_GATEWAY_H
+/*
+ * gateway - one router's data path on an event loop: its parts, start and planned stop
+ *
+ * One thread runs the loop, the decisions (core/node) and every connection;
+ * the store is read by threads of its own (watch).
+ */
+#include <uv.h>
+
+#include "core/node.h"
+#include "gateway/adapter.h"
+#include "gateway/call.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/retry_budget.h"
+#include "gateway/watch.h"
+
+#define NOT_READY_RETRY_S 0.5 /* a router that just started has its catalog by then */
+#define REFUSED_RETRY_S 0.2   /* endpoints that refused have made room by then */
+#define PUBLIC_WORKSPACE 1U   /* id under which requests without a workspace are counted */
+
+struct gateway {
+	const gateway_settings_t *settings;
+	const adapter_t *adapter;
+	const vocabulary_t *vocabulary;
+	uv_loop_t loop;
+	uv_prepare_t prepare;
+	uv_timer_t tick;
+	uv_timer_t stop_timer;
+	uv_signal_t signals[3];
+	listener_t *callers;
+	listener_t *ready;
+	listener_t *metrics;
+	watch_t *catalog_watch;
+	watch_t *endpoint_watch;
+	catalog_t *catalog;
+	directory_t *directory;
+	bool directory_known;	      /* a whole listing was read */
+	instant_t lapse_grace_until;  /* registrations that vanish before it may return */
+	node_t *node;
+	bool plan_due;
+	instant_t ticked;
+	endpoint_link_options_t link_options;
+	unsigned int links;
+	retry_budget_options_t budget_options;
+	GHashTable *budgets; /* service id -> retry_budget_t */
+	struct cds_list_head calls;
+	unsigned int call_count;
+	bool stopping;
+	instant_t stop_at; /* of a planned stop: what still runs is ended then */
+	unsigned int left; /* calls that the planned stop had to end */
+	uint64_t outcomes[REASON_COUNT];
+	uint64_t store_losses;
+};
+
+/* Starts everything; NULL with a log line saying what failed. */
+gateway_t *gateway_new(const gateway_settings_t *settings);
+/* Runs until a planned stop is over; returns the calls that it had to end. */
+unsigned int gateway_run(gateway_t *this);
+void gateway_delete(gateway_t *this);
+
+bool gateway_is_ready(const gateway_t *this);
+void gateway_add_call(gateway_t *this, call_t *call);
+void gateway_drop_call(gateway_t *this, call_t *call);
+retry_budget_t *gateway_budget(gateway_t *this, id_t32 service);
+void gateway_count_outcome(gateway_t *this, reason_t reason);
+/* Appends metrics in the text exposition format. */
+void gateway_metrics(const gateway_t *this, GString *out);
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway_settings.c
@@ -0,0 +1,137 @@
+#include "gateway/gateway_settings.h"
+
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "core/types.h"
+#include "settings/router_settings.h"
+
+typedef enum setting_kind {
+	SETTING_TEXT,
+	SETTING_ADDRESS,
+	SETTING_COUNT,
+	SETTING_RATIO,
+} setting_kind_t;
+
+typedef struct setting {
+	const char *key;
+	setting_kind_t kind;
+	size_t offset;
+	const char *text; /* fallback; NULL: required */
+	double number;	  /* likewise of counts and ratios */
+	double min;
+	double max;
+} setting_t;
+
+#define TEXT(name, fallback)                                                                       \
+	{#name, SETTING_TEXT, offsetof(gateway_settings_t, name), fallback, 0, 0, 0}
+#define ADDRESS(name, fallback)                                                                    \
+	{#name, SETTING_ADDRESS, offsetof(gateway_settings_t, name), fallback, 0, 0, 0}
+#define COUNT(name, fallback, min, max)                                                            \
+	{#name, SETTING_COUNT, offsetof(gateway_settings_t, name), NULL, fallback, min, max}
+
+#define RATIO(name, fallback, min, max)                                                            \
+	{#name, SETTING_RATIO, offsetof(gateway_settings_t, name), NULL, fallback, min, max}
+
+static const setting_t settings_table[] = {
+	TEXT(name, NULL),
+	TEXT(failure_domain, NULL),
+	TEXT(adapter, NULL),
+	TEXT(policy, "fleet"),
+	ADDRESS(caller_address, NULL),
+	ADDRESS(ready_address, NULL),
+	ADDRESS(metrics_address, ""),
+	ADDRESS(peer_address, NULL),
+	ADDRESS(store_address, NULL),
+	COUNT(memory_mb, 256, 16, 1 << 20),
+	COUNT(descriptors, 4096, 128, 1 << 20),
+	COUNT(stop_grace_s, 8, 2, 600),
+	COUNT(lapse_grace_ms, 2200, 0, 60000),
+	RATIO(retry_ratio, 0.1, 0, 10),
+	COUNT(retry_allowance, 10, 0, 100000),
+	COUNT(retry_window_s, 10, 1, 600),
+	COUNT(expected_routers, 8, 1, 10000),
+	COUNT(event_tokens, 1, 1, 1000),
+	COUNT(store_wait_ms, 2500, 100, 30000),
+	COUNT(store_pause_ms, 150, 0, 5000),
+	COUNT(connect_timeout_ms, 400, 10, 60000),
+	COUNT(silence_timeout_ms, 3000, 100, 600000),
+};
+
+static void read_text(
+	gateway_settings_t *this, faults_t *faults, json_value_t *root, const setting_t *setting)
+{
+	char **field = (char **)((char *)this + setting->offset);
+	const char *text = faults_string(faults, root, setting->key, setting->text);
+	json_value_t *value = json_get(root, setting->key);
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port;
+
+	if (setting->kind == SETTING_ADDRESS && *text &&
+		!address_split(text, ip, sizeof(ip), &port))
+		faults_add(faults, value->line, "%s: \"%s\" is no address; give IP:PORT in numbers",
+			setting->key, text);
+	*field = g_strdup(text);
+}
+
+static void read_number(
+	gateway_settings_t *this, faults_t *faults, json_value_t *root, const setting_t *setting)
+{
+	char *field = (char *)this + setting->offset;
+
+	if (setting->kind == SETTING_RATIO)
+		*(double *)field = faults_number(
+			faults, root, setting->key, setting->number, setting->min, setting->max);
+	else
+		*(unsigned int *)field = (unsigned int)faults_int(faults, root, setting->key,
+			(int64_t)setting->number, (int64_t)setting->min, (int64_t)setting->max);
+}
+
+gateway_settings_t *gateway_settings_load(const char *path, faults_t *faults)
+{
+	gateway_settings_t *this = NULL;
+	jsondoc_t *doc = NULL;
+	GError *error = NULL;
+	char *text = NULL;
+	gsize len = 0;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		faults_add(faults, 0, "%s", error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	doc = jsondoc_new(text, len);
+	if (doc->error || doc->root->type != JSON_OBJECT) {
+		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
+			doc->error ? doc->error : "give one object {...}");
+		goto out;
+	}
+	this = g_new0(gateway_settings_t, 1);
+	for (size_t i = 0; i < ARRAY_LEN(settings_table); i++) {
+		if (settings_table[i].kind <= SETTING_ADDRESS)
+			read_text(this, faults, doc->root, &settings_table[i]);
+		else
+			read_number(this, faults, doc->root, &settings_table[i]);
+	}
+	faults_unknown_keys(faults, doc->root);
+	if (faults->count) {
+		gateway_settings_delete(this);
+		this = NULL;
+	}
+out:
+	jsondoc_delete(doc);
+	g_free(text);
+	return this;
+}
+
+void gateway_settings_delete(gateway_settings_t *this)
+{
+	if (!this)
+		return;
+	for (size_t i = 0; i < ARRAY_LEN(settings_table); i++) {
+		if (settings_table[i].kind <= SETTING_ADDRESS)
+			g_free(*(char **)((char *)this + settings_table[i].offset));
+	}
+	g_free(this);
+}
