--- a/src/core/node.h
+++ b/src/core/node.h
@@ -64,6 +64,7 @@
 	uint32_t hint;	    /* rough cost */
 	uint64_t prefix;    /* hash of the prompt's prefix, 0 for none */
 	instant_t deadline; /* to start by */
+	id_t32 avoid;	    /* replica where it failed, taken only when no other is free; 0: none */
 
 	struct cds_list_head link;
 	node_request_state_t state;
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -95,6 +95,8 @@
 /* node_router.c: the side that has requests waiting */
 void router_start(
 	node_t *this, lane_t *lane, work_class_t work_class, replica_t *replica, instant_t now);
+/* The oldest waiting request of the lane and class, or NULL. */
+node_request_t *router_lane_head(lane_t *lane, work_class_t work_class);
 bool router_long_allowed(const pool_t *pool);
 /* Starts waiting requests on slots that are held and not in use. */
 void router_use_idle(node_t *this, pool_t *pool, instant_t now);
--- a/src/core/node_router.c
+++ b/src/core/node_router.c
@@ -10,7 +10,7 @@
 #define MIN_DRAINED 4
 #define MAX_RETRY_AFTER_S 120
 
-static node_request_t *lane_head(lane_t *lane, work_class_t work_class)
+node_request_t *router_lane_head(lane_t *lane, work_class_t work_class)
 {
 	if (cds_list_empty(&lane->waiting[work_class]))
 		return NULL;
@@ -105,7 +105,7 @@
 void router_start(
 	node_t *this, lane_t *lane, work_class_t work_class, replica_t *replica, instant_t now)
 {
-	node_request_t *request = lane_head(lane, work_class);
+	node_request_t *request = router_lane_head(lane, work_class);
 	node_action_t action = {
 		.kind = ACTION_START,
 		.request = request,
@@ -153,7 +153,8 @@
 		replica->held = share;
 }
 
-static replica_t *idle_replica(node_t *this, pool_t *pool, uint64_t prefix, instant_t now)
+static replica_t *idle_replica(
+	node_t *this, pool_t *pool, const node_request_t *request, instant_t now)
 {
 	double median = pool->median_pace;
 	replica_t *best = NULL;
@@ -168,7 +169,9 @@
 		borrow(this, replica);
 		if (!replica_idle(replica))
 			continue;
-		score = idle_score(replica, prefix, median);
+		score = idle_score(replica, request->prefix, median);
+		if (replica->id == request->avoid)
+			score = 0;
 		if (!best || score > best_score) {
 			best = replica;
 			best_score = score;
@@ -192,7 +195,7 @@
 
 		if (!lane)
 			return;
-		replica = idle_replica(this, pool, lane_head(lane, work_class)->prefix, now);
+		replica = idle_replica(this, pool, router_lane_head(lane, work_class), now);
 		if (!replica)
 			return;
 		router_start(this, lane, work_class, replica, now);
@@ -258,7 +261,7 @@
 	lane = grant->workspace ? node_find_lane(this, replica->pool->id, grant->workspace) : NULL;
 	for (unsigned int i = 0; lane && i < grant->count; i++) {
 		router_settle_ask(this, lane, work_class, from, now);
-		if (lane_head(lane, work_class) && replica_is_usable(replica, now))
+		if (router_lane_head(lane, work_class) && replica_is_usable(replica, now))
 			router_start(this, lane, work_class, replica, now);
 	}
 }
--- a/src/core/policy.c
+++ b/src/core/policy.c
@@ -108,21 +108,26 @@
 /* fixed: every router uses an even share of every replica. */
 
 static void start_while(node_t *this, pool_t *pool, instant_t now,
-	replica_t *(*choose)(node_t *this, pool_t *pool, instant_t now))
+	replica_t *(*choose)(
+		node_t *this, pool_t *pool, const node_request_t *request, instant_t now))
 {
 	while (pool->waiting) {
 		work_class_t work_class = WORK_SHORT;
 		lane_t *lane = share_next(pool, false, true, &work_class);
-		replica_t *replica = choose(this, pool, now);
+		replica_t *replica;
 
-		if (!lane || !replica)
+		if (!lane)
+			return;
+		replica = choose(this, pool, router_lane_head(lane, work_class), now);
+		if (!replica)
 			return;
 		replica->held++;
 		router_start(this, lane, work_class, replica, now);
 	}
 }
 
-static replica_t *fixed_choose(node_t *this, pool_t *pool, instant_t now)
+static replica_t *fixed_choose(
+	node_t *this, pool_t *pool, const node_request_t *request, instant_t now)
 {
 	unsigned int alive = members_alive(&this->members);
 	replica_t *best = NULL;
@@ -133,7 +138,8 @@
 
 		if (!replica_is_usable(replica, now) || replica->busy >= (share ? share : 1))
 			continue;
-		if (!best || replica->busy < best->busy)
+		if (!best || best->id == request->avoid ||
+			(replica->busy < best->busy && replica->id != request->avoid))
 			best = replica;
 	}
 	return best;
@@ -146,7 +152,8 @@
 
 /* least: the replica that the late load reports show as least loaded. */
 
-static replica_t *least_choose(node_t *this, pool_t *pool, instant_t now)
+static replica_t *least_choose(
+	node_t *this, pool_t *pool, const node_request_t *request, instant_t now)
 {
 	replica_t *best = NULL;
 	double best_load = 0;
@@ -158,6 +165,8 @@
 
 		if (!replica_is_usable(replica, now) || running >= replica->slots)
 			continue;
+		if (replica->id == request->avoid)
+			load += 1;
 		if (!best || load < best_load) {
 			best = replica;
 			best_load = load;
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -88,17 +88,22 @@
 		call_delete(this);
 }
 
+bool call_may_have_run(const call_t *this)
+{
+	return this->runs || this->sent_now;
+}
+
 void call_gone(call_t *this)
 {
 	if (this->state == CALL_OVER)
 		return;
 	this->caller = NULL;
-	call_answer(this, this->runs ? REASON_CALLER_LEFT : REASON_CALLER_GONE);
+	call_answer(this, call_may_have_run(this) ? REASON_CALLER_LEFT : REASON_CALLER_GONE);
 }
 
 void call_expire(call_t *this)
 {
-	if (this->runs || this->answering)
+	if (call_may_have_run(this))
 		call_answer(this, REASON_TIMEOUT);
 	else
 		call_answer(this, REASON_DEADLINE);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -100,6 +100,8 @@
 void call_next(call_t *this);
 /* Ends with `reason`, from whatever filter. */
 void call_answer(call_t *this, reason_t reason);
+/* Some endpoint may have begun to work on it. */
+bool call_may_have_run(const call_t *this);
 /* Goes back to the queue for another attempt. */
 void call_again(call_t *this);
 /* The caller went away. */
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -100,13 +100,12 @@
 	};
 
 	if (instant_left(call->deadline, now) == 0) {
-		call->reason = call->runs ? REASON_TIMEOUT : REASON_DEADLINE;
+		call->reason = call_may_have_run(call) ? REASON_TIMEOUT : REASON_DEADLINE;
 		return STEP_ANSWER;
 	}
 	request.bytes = build_request(call, now);
 	call->state = CALL_SENT;
 	call->sends++;
-	call->sent_now = false;
 	call->sent_at = now;
 	call_reset_answer(call);
 	call->endpoint_link = endpoint_link_send(
@@ -140,6 +139,7 @@
 
 	if (may_have_run)
 		this->runs++;
+	this->sent_now = false;
 	this->endpoint_link = NULL;
 	again = may_try_again(this, may_have_run, now);
 	log_info("attempt-failed",
@@ -147,6 +147,7 @@
 		this->endpoint->name, this->sent_now, may_have_run, reason_info(reason)->name,
 		this->sends, again);
 	call_leave_node(this, kind);
+	this->node.avoid = this->endpoint->id;
 	if (again) {
 		event_stream_cut(&this->events);
 		call_again(this);
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -31,7 +31,7 @@
 	}
 	if (action->kind == ACTION_REJECT) {
 		this->retry_after_s = action->retry_after_s;
-		if (this->runs || this->answering)
+		if (call_may_have_run(this))
 			call_answer(this, REASON_GAVE_UP);
 		else
 			call_answer(this, action->reason);
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -173,7 +173,7 @@
 		}
 	}
 	call->whole = true;
-	call_next(call);
+	call_run(call);
 }
 
 static void on_fail(void *user, link_failure_t failure)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -53,27 +53,30 @@
 	return this->catalog && this->directory_known && !this->stopping;
 }
 
-static void on_ready_request(void *ctx, caller_t *caller, const caller_request_t *request)
-{
-	caller_answer(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
-}
-
-static void on_metrics_request(void *ctx, caller_t *caller, const caller_request_t *request)
+static void answer_metrics(const gateway_t *this, caller_t *caller)
 {
 	GString *text = g_string_new(NULL);
 
-	gateway_metrics(ctx, text);
+	gateway_metrics(this, text);
 	caller_answer(caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
 		text->len);
 	g_string_free(text, TRUE);
 }
 
+/* Readiness at any path but that of the metrics. */
+static void on_status_request(void *ctx, caller_t *caller, const caller_request_t *request)
+{
+	if (!strcmp(request->target->str, "/metrics"))
+		answer_metrics(ctx, caller);
+	else
+		caller_answer(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
+}
+
 static void on_short_gone(void *exchange)
 {
 }
 
-static const caller_ops_t ready_ops = {on_ready_request, on_short_gone, on_short_gone};
-static const caller_ops_t metrics_ops = {on_metrics_request, on_short_gone, on_short_gone};
+static const caller_ops_t status_ops = {on_status_request, on_short_gone, on_short_gone};
 
 /* --- calls ------------------------------------------------------------ */
 
@@ -339,7 +342,7 @@
 	this->left = this->call_count;
 	cds_list_for_each_entry_safe (call, after, &this->calls, link) {
 		log_warn("call-cut", "id=%s state=%d", call->id, (int)call->state);
-		call_answer(call, call->runs || call->sent_now ? REASON_GAVE_UP : REASON_STOPPING);
+		call_answer(call, call_may_have_run(call) ? REASON_GAVE_UP : REASON_STOPPING);
 	}
 	uv_stop(&this->loop);
 }
@@ -420,9 +423,9 @@
 
 	this->callers =
 		listen_on(this, settings->caller_address, &call_ops, max_callers(settings));
-	this->ready = listen_on(this, settings->ready_address, &ready_ops, 64);
+	this->ready = listen_on(this, settings->ready_address, &status_ops, 64);
 	if (*settings->metrics_address)
-		this->metrics = listen_on(this, settings->metrics_address, &metrics_ops, 16);
+		this->metrics = listen_on(this, settings->metrics_address, &status_ops, 16);
 	return this->callers && this->ready && (this->metrics || !*settings->metrics_address);
 }
 
--- a/src/gateway/watch.c
+++ b/src/gateway/watch.c
@@ -196,14 +196,11 @@
 	pthread_mutex_unlock(&this->lock);
 }
 
-void watch_delete(watch_t *this)
+static void on_closed(uv_handle_t *handle)
 {
+	watch_t *this = handle->data;
 	news_t *news;
 
-	if (!this)
-		return;
-	watch_stop(this);
-	pthread_join(this->thread, NULL);
 	while ((news = take_news(this)))
 		news_delete(news);
 	this->store->ops->delete(this->store);
@@ -211,3 +208,13 @@
 	pthread_mutex_destroy(&this->lock);
 	g_free(this);
 }
+
+void watch_delete(watch_t *this)
+{
+
+	if (!this)
+		return;
+	watch_stop(this);
+	pthread_join(this->thread, NULL);
+	uv_close((uv_handle_t *)&this->async, on_closed);
+}
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -35,7 +35,7 @@
 watch_t *watch_new(const watch_options_t *options);
 /* Ends the thread at its next answer; does not wait for it. */
 void watch_stop(watch_t *this);
-/* Joins the thread; the loop must not run any more. */
+/* Joins the thread; the memory goes when the loop has run once more. */
 void watch_delete(watch_t *this);
 
 #endif
--- /dev/null
+++ b/standin/raw_endpoint.c
@@ -0,0 +1,215 @@
+#include "standin/raw_endpoint.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_SIZE 4096
+#define MAX_CONNECTIONS 256
+
+struct raw_endpoint {
+	int fd;
+	char address[32];
+	raw_script_t script;
+	void *ctx;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_t threads[MAX_CONNECTIONS];
+	int fds[MAX_CONNECTIONS];
+	unsigned int connections;
+	unsigned int requests;
+	unsigned int cuts;
+};
+
+typedef struct connection {
+	raw_endpoint_t *endpoint;
+	unsigned int number;
+	int fd;
+} connection_t;
+
+void raw_write(int fd, const char *text)
+{
+	size_t left = strlen(text);
+
+	while (left) {
+		ssize_t n = send(fd, text, left, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return;
+		text += n;
+		left -= (size_t)n;
+	}
+}
+
+char *raw_request_header(const raw_request_t *request, const char *name)
+{
+	char **lines = g_strsplit(request->head, "\r\n", 0);
+	size_t len = strlen(name);
+	char *value = NULL;
+
+	for (char **line = lines; *line && !value; line++) {
+		if (!strncasecmp(*line, name, len) && (*line)[len] == ':')
+			value = g_strstrip(g_strdup(*line + len + 1));
+	}
+	g_strfreev(lines);
+	return value;
+}
+
+static void read_id(raw_request_t *request)
+{
+	char *id = raw_request_header(request, "Request-Id");
+
+	g_strlcpy(request->id, id ? id : "", sizeof(request->id));
+	g_free(id);
+}
+
+/* Reads one request from `buffer` and the connection; false at the connection's end. */
+static bool read_request(int fd, GString *buffer, raw_request_t *request)
+{
+	char chunk[READ_SIZE];
+	char *end;
+	char *length;
+	size_t head;
+	size_t body;
+
+	while (!(end = strstr(buffer->str, "\r\n\r\n"))) {
+		ssize_t n = read(fd, chunk, sizeof(chunk));
+
+		if (n <= 0)
+			return false;
+		g_string_append_len(buffer, chunk, n);
+	}
+	head = (size_t)(end - buffer->str) + 4;
+	request->head = g_strndup(buffer->str, head);
+	length = raw_request_header(request, "Content-Length");
+	body = length ? strtoul(length, NULL, 10) : 0;
+	g_free(length);
+	while (buffer->len < head + body) {
+		ssize_t n = read(fd, chunk, sizeof(chunk));
+
+		if (n <= 0) {
+			g_free(request->head);
+			return false;
+		}
+		g_string_append_len(buffer, chunk, n);
+	}
+	request->body = g_string_new_len(buffer->str + head, (gssize)body);
+	g_string_erase(buffer, 0, (gssize)(head + body));
+	read_id(request);
+	return true;
+}
+
+static void *serve(void *ctx)
+{
+	connection_t *this = ctx;
+	GString *buffer = g_string_new(NULL);
+	raw_request_t request = {.connection = this->number};
+	bool open = true;
+
+	while (open && read_request(this->fd, buffer, &request)) {
+		pthread_mutex_lock(&this->endpoint->lock);
+		request.number = this->endpoint->requests++;
+		pthread_mutex_unlock(&this->endpoint->lock);
+		open = this->endpoint->script(this->endpoint->ctx, this->fd, &request);
+		g_free(request.head);
+		g_string_free(request.body, TRUE);
+	}
+	shutdown(this->fd, SHUT_RDWR);
+	g_string_free(buffer, TRUE);
+	g_free(this);
+	return NULL;
+}
+
+static void *accept_all(void *ctx)
+{
+	raw_endpoint_t *this = ctx;
+	int fd;
+
+	while ((fd = accept(this->fd, NULL, NULL)) >= 0) {
+		connection_t *connection = g_new0(connection_t, 1);
+
+		pthread_mutex_lock(&this->lock);
+		g_assert(this->connections < MAX_CONNECTIONS);
+		*connection = (connection_t){this, this->connections, fd};
+		this->fds[this->connections] = fd;
+		pthread_create(&this->threads[this->connections++], NULL, serve, connection);
+		pthread_mutex_unlock(&this->lock);
+	}
+	return NULL;
+}
+
+raw_endpoint_t *raw_endpoint_new(raw_script_t script, void *ctx)
+{
+	raw_endpoint_t *this = g_new0(raw_endpoint_t, 1);
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t size = sizeof(sin);
+
+	this->script = script;
+	this->ctx = ctx;
+	pthread_mutex_init(&this->lock, NULL);
+	this->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(this->fd, (struct sockaddr *)&sin, sizeof(sin)) || listen(this->fd, 128))
+		abort();
+	getsockname(this->fd, (struct sockaddr *)&sin, &size);
+	g_snprintf(this->address, sizeof(this->address), "127.0.0.1:%u", ntohs(sin.sin_port));
+	pthread_create(&this->thread, NULL, accept_all, this);
+	return this;
+}
+
+void raw_endpoint_delete(raw_endpoint_t *this)
+{
+	if (!this)
+		return;
+	shutdown(this->fd, SHUT_RDWR);
+	pthread_join(this->thread, NULL);
+	close(this->fd);
+	for (unsigned int i = 0; i < this->connections; i++) {
+		shutdown(this->fds[i], SHUT_RDWR);
+		pthread_join(this->threads[i], NULL);
+		close(this->fds[i]);
+	}
+	pthread_mutex_destroy(&this->lock);
+	g_free(this);
+}
+
+const char *raw_endpoint_address(const raw_endpoint_t *this)
+{
+	return this->address;
+}
+
+static unsigned int read_count(raw_endpoint_t *this, const unsigned int *count)
+{
+	unsigned int value;
+
+	pthread_mutex_lock(&this->lock);
+	value = *count;
+	pthread_mutex_unlock(&this->lock);
+	return value;
+}
+
+unsigned int raw_endpoint_requests(raw_endpoint_t *this)
+{
+	return read_count(this, &this->requests);
+}
+
+unsigned int raw_endpoint_connections(raw_endpoint_t *this)
+{
+	return read_count(this, &this->connections);
+}
+
+unsigned int raw_endpoint_cuts(raw_endpoint_t *this)
+{
+	return read_count(this, &this->cuts);
+}
+
+void raw_endpoint_note_cut(raw_endpoint_t *this)
+{
+	pthread_mutex_lock(&this->lock);
+	this->cuts++;
+	pthread_mutex_unlock(&this->lock);
+}
--- /dev/null
+++ b/standin/row_store_standin.c
@@ -0,0 +1,296 @@
+#include "standin/row_store_standin.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "core/types.h"
+#include "edge/clock.h"
+#include "settings/jsondoc.h"
+
+#define FEED_STEP_MS 5
+
+typedef struct row {
+	char *table;
+	char *key;
+	char *value; /* base64 */
+	uint64_t version;
+	bool is_deleted;
+} row_t;
+
+struct row_store_standin {
+	server_t *server;
+	pthread_mutex_t lock;
+	GPtrArray *rows; /* in the order of their versions */
+	uint64_t version;
+	uint64_t compacted; /* history before it is gone */
+	store_fault_t fault;
+	unsigned int calls;
+	bool quit;
+};
+
+static void row_delete(void *item)
+{
+	row_t *row = item;
+
+	g_free(row->table);
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+static row_t *find(row_store_standin_t *this, const char *table, const char *key)
+{
+	for (unsigned int i = 0; i < this->rows->len; i++) {
+		row_t *row = this->rows->pdata[i];
+
+		if (!strcmp(row->table, table) && !strcmp(row->key, key))
+			return row;
+	}
+	return NULL;
+}
+
+/* `value` is base64, NULL: the row is dropped. */
+static void write_row(
+	row_store_standin_t *this, const char *table, const char *key, const char *value)
+{
+	row_t *row = find(this, table, key);
+
+	if (row)
+		g_ptr_array_remove(this->rows, row);
+	row = g_new0(row_t, 1);
+	row->table = g_strdup(table);
+	row->key = g_strdup(key);
+	row->value = g_strdup(value);
+	row->is_deleted = !value;
+	row->version = this->version;
+	g_ptr_array_add(this->rows, row);
+}
+
+static void append_row(GString *out, const row_t *row)
+{
+	if (out->str[out->len - 1] != '[')
+		g_string_append_c(out, ',');
+	g_string_append(out, "{\"table\":");
+	json_quote(out, row->table);
+	g_string_append(out, ",\"part\":\"\",\"key\":");
+	json_quote(out, row->key);
+	if (row->value)
+		g_string_append_printf(out, ",\"value\":\"%s\"", row->value);
+	g_string_append_printf(out, ",\"ver\":%" G_GUINT64_FORMAT "%s}", (guint64)row->version,
+		row->is_deleted ? ",\"deleted\":true" : "");
+}
+
+/* Rows of `table` that changed after `after`; the number of them. */
+static unsigned int append_rows(
+	row_store_standin_t *this, GString *out, const char *table, uint64_t after, bool deleted)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < this->rows->len; i++) {
+		const row_t *row = this->rows->pdata[i];
+
+		if (strcmp(row->table, table) || row->version <= after)
+			continue;
+		if (row->is_deleted && !deleted)
+			continue;
+		append_row(out, row);
+		count++;
+	}
+	return count;
+}
+
+static enum MHD_Result finish(row_store_standin_t *this, server_call_t *call, GString *out)
+{
+	g_string_append_printf(out, "],\"hasMore\":false,\"ver\":%" G_GUINT64_FORMAT
+				    ",\"nowMs\":%" G_GUINT64_FORMAT "}",
+		(guint64)this->version, (guint64)(clock_now() / USEC_PER_MSEC));
+	pthread_mutex_unlock(&this->lock);
+	return server_json(call, 200, out);
+}
+
+static enum MHD_Result get(row_store_standin_t *this, server_call_t *call)
+{
+	GString *out = g_string_new("{\"rows\":[");
+
+	pthread_mutex_lock(&this->lock);
+	append_rows(this, out, server_argument(call, "table"), 0, false);
+	return finish(this, call, out);
+}
+
+static enum MHD_Result feed(row_store_standin_t *this, server_call_t *call)
+{
+	const char *table = server_argument(call, "table");
+	uint64_t after = g_ascii_strtoull(server_argument(call, "after"), NULL, 10);
+	uint64_t wait = g_ascii_strtoull(server_argument(call, "waitMs"), NULL, 10);
+	instant_t until = clock_now() + wait * USEC_PER_MSEC;
+
+	for (;;) {
+		GString *out = g_string_new("{\"rows\":[");
+
+		pthread_mutex_lock(&this->lock);
+		if (after < this->compacted) {
+			pthread_mutex_unlock(&this->lock);
+			g_string_assign(out, "{\"error\":\"compacted\"}");
+			return server_json(call, 410, out);
+		}
+		if (append_rows(this, out, table, after, true) || clock_now() >= until ||
+			this->quit)
+			return finish(this, call, out);
+		pthread_mutex_unlock(&this->lock);
+		g_string_free(out, TRUE);
+		if (this->fault == STORE_SILENT)
+			return server_drop(call);
+		sleep_ms(FEED_STEP_MS);
+	}
+}
+
+static bool holds(row_store_standin_t *this, json_value_t *expected)
+{
+	for (json_value_t *v = expected ? expected->first : NULL; v; v = v->next) {
+		const row_t *row = find(this, json_get_string(v, "table", ""),
+			json_get_string(v, "key", ""));
+		uint64_t version = row && !row->is_deleted ? row->version : 0;
+
+		if (version != (uint64_t)json_get_int(v, "ver", 0))
+			return false;
+	}
+	return true;
+}
+
+static void apply(row_store_standin_t *this, json_value_t *list)
+{
+	for (json_value_t *v = list ? list->first : NULL; v; v = v->next)
+		write_row(this, json_get_string(v, "table", ""), json_get_string(v, "key", ""),
+			json_get_string(v, "value", NULL));
+}
+
+static enum MHD_Result transact(row_store_standin_t *this, server_call_t *call)
+{
+	jsondoc_t *doc = jsondoc_new(call->body->str, call->body->len);
+	GString *out = g_string_new("{\"rows\":[");
+	bool good;
+
+	pthread_mutex_lock(&this->lock);
+	good = !doc->error && holds(this, json_get(doc->root, "expected"));
+	if (good) {
+		this->version++;
+		apply(this, json_get(doc->root, "writes"));
+		apply(this, json_get(doc->root, "remove"));
+	}
+	jsondoc_delete(doc);
+	if (this->fault == STORE_LOSES) {
+		pthread_mutex_unlock(&this->lock);
+		g_string_free(out, TRUE);
+		return server_drop(call);
+	}
+	if (good)
+		return finish(this, call, out);
+	pthread_mutex_unlock(&this->lock);
+	g_string_append(out, "]}");
+	return server_json(call, 412, out);
+}
+
+static enum MHD_Result handle(void *ctx, server_call_t *call)
+{
+	row_store_standin_t *this = ctx;
+
+	pthread_mutex_lock(&this->lock);
+	this->calls++;
+	pthread_mutex_unlock(&this->lock);
+	while (this->fault == STORE_SILENT && !this->quit)
+		sleep_ms(FEED_STEP_MS);
+	if (this->fault == STORE_UNAVAILABLE)
+		return server_answer(call, 503, "text/plain", "", 0);
+	if (!strcmp(call->path, "/rows-get"))
+		return get(this, call);
+	if (!strcmp(call->path, "/rows-feed"))
+		return feed(this, call);
+	if (!strcmp(call->path, "/rows-tx"))
+		return transact(this, call);
+	return server_answer(call, 404, "text/plain", "", 0);
+}
+
+row_store_standin_t *row_store_standin_new(const char *address)
+{
+	row_store_standin_t *this = g_new0(row_store_standin_t, 1);
+
+	pthread_mutex_init(&this->lock, NULL);
+	this->rows = g_ptr_array_new_with_free_func(row_delete);
+	this->version = 1;
+	this->server = server_new(address, handle, this);
+	if (this->server)
+		return this;
+	row_store_standin_delete(this);
+	return NULL;
+}
+
+void row_store_standin_delete(row_store_standin_t *this)
+{
+	this->quit = true;
+	server_delete(this->server);
+	g_ptr_array_unref(this->rows);
+	pthread_mutex_destroy(&this->lock);
+	g_free(this);
+}
+
+const char *row_store_standin_address(const row_store_standin_t *this)
+{
+	return this->server->address;
+}
+
+void row_store_standin_put(
+	row_store_standin_t *this, const char *table, const char *key, const char *value)
+{
+	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
+
+	pthread_mutex_lock(&this->lock);
+	this->version++;
+	write_row(this, table, key, encoded);
+	pthread_mutex_unlock(&this->lock);
+	g_free(encoded);
+}
+
+void row_store_standin_drop(row_store_standin_t *this, const char *table, const char *key)
+{
+	pthread_mutex_lock(&this->lock);
+	this->version++;
+	write_row(this, table, key, NULL);
+	pthread_mutex_unlock(&this->lock);
+}
+
+char *row_store_standin_get(row_store_standin_t *this, const char *table, const char *key)
+{
+	char *value = NULL;
+	gsize len;
+	row_t *row;
+
+	pthread_mutex_lock(&this->lock);
+	row = find(this, table, key);
+	if (row && row->value)
+		value = (char *)g_base64_decode(row->value, &len);
+	pthread_mutex_unlock(&this->lock);
+	return value;
+}
+
+void row_store_standin_set_fault(row_store_standin_t *this, store_fault_t fault)
+{
+	this->fault = fault;
+}
+
+void row_store_standin_compact(row_store_standin_t *this)
+{
+	pthread_mutex_lock(&this->lock);
+	this->version++;
+	this->compacted = this->version;
+	pthread_mutex_unlock(&this->lock);
+}
+
+unsigned int row_store_standin_calls(row_store_standin_t *this)
+{
+	unsigned int calls;
+
+	pthread_mutex_lock(&this->lock);
+	calls = this->calls;
+	pthread_mutex_unlock(&this->lock);
+	return calls;
+}
