--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,892 @@
+#include "core/placement.h"
+
+#include <string.h>
+
+#define NOTE_BATCH 64
+#define MAX_NOTES 512 /* in one message */
+#define ANSWER_SPAN (25 * USEC_PER_MSEC) /* for an owner's first word: ten times a usual round trip */
+#define MAX_ASKS 3	      /* owners that are asked before a router starts work on its own */
+#define CANDIDATES 3	      /* engines on which a prompt's shared parts may stand */
+#define REPORT_INTERVAL (1 * USEC_PER_SEC)
+#define HEARTBEAT_FLEET (20 * USEC_PER_MSEC) /* between two heartbeats of a router, to whomever */
+#define HEARTBEAT_LEAST (100 * USEC_PER_MSEC)
+#define MAX_POOLS 16
+#define OWN_DIVISOR 2 /* of an even share of slots, used without an owner */
+
+typedef struct engine_view {
+	placement_engine_t engine;
+	unsigned int owner; /* member slot */
+	unsigned int on_own; /* running here without an owner's word */
+	unsigned int held;   /* running here, all */
+} engine_view_t;
+
+typedef struct room {
+	id_t32 pool;
+	int32_t room;
+	int32_t told; /* of our own room, to this member */
+} room_t;
+
+typedef struct member_state_view {
+	bool distrusted; /* did not answer an ask, and was not heard since */
+	room_t rooms[MAX_POOLS];
+	unsigned int room_count;
+	note_t *notes;
+	unsigned int note_first;
+	unsigned int note_count;
+	unsigned int note_room;
+	uint64_t seq;
+	instant_t send_at;
+} member_view_state_t;
+
+struct placement {
+	placement_options_t options;
+	const allocator_t *allocator;
+	members_t members;
+	member_view_state_t *views; /* by slot */
+	scheduler_t *scheduler;
+	engine_view_t *engines;
+	unsigned int engine_count;
+	unsigned int engine_room;
+	uint64_t owned_view;
+	struct cds_list_head asked;   /* place_request_t: asked or waiting */
+	struct cds_list_head running; /* place_request_t: given */
+	placement_action_t *actions;
+	unsigned int action_first;
+	unsigned int action_count;
+	unsigned int action_room;
+	uint64_t next_ticket;
+	uint64_t random;
+	instant_t report_at;
+	bool stopping;
+	placement_stats_t stats;
+};
+
+/* --- small things ----------------------------------------------------- */
+
+static uint64_t mix(uint64_t a, uint64_t b)
+{
+	uint64_t h = a * 0x9e3779b97f4a7c15ULL + b;
+
+	h ^= h >> 32;
+	h *= 0xd6e8feb86659fd93ULL;
+	h ^= h >> 29;
+	h *= 0x94d049bb133111ebULL;
+	return h ^ (h >> 32);
+}
+
+static uint64_t draw(placement_t *this)
+{
+	this->random = mix(this->random, 0x2545f4914f6cdd1dULL);
+	return this->random;
+}
+
+static void push_action(placement_t *this, const placement_action_t *action)
+{
+	if (this->action_count == this->action_room) {
+		unsigned int to = this->action_room + NOTE_BATCH;
+
+		this->actions = allocator_grow(this->allocator, this->actions, this->action_room,
+			to, sizeof(*this->actions));
+		this->action_room = to;
+	}
+	this->actions[this->action_count++] = *action;
+}
+
+bool placement_next_action(placement_t *this, placement_action_t *action)
+{
+	if (this->action_first == this->action_count) {
+		this->action_first = 0;
+		this->action_count = 0;
+		return false;
+	}
+	*action = this->actions[this->action_first++];
+	return true;
+}
+
+static void tell(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	member_view_state_t *view = &this->views[slot];
+
+	if (view->note_count == view->note_room) {
+		unsigned int to = view->note_room + NOTE_BATCH;
+
+		view->notes = allocator_grow(
+			this->allocator, view->notes, view->note_room, to, sizeof(*view->notes));
+		view->note_room = to;
+	}
+	view->notes[view->note_count++] = *note;
+	view->send_at = instant_min(view->send_at, now);
+}
+
+static room_t *room_of(member_view_state_t *view, id_t32 pool)
+{
+	for (unsigned int i = 0; i < view->room_count; i++) {
+		if (view->rooms[i].pool == pool)
+			return &view->rooms[i];
+	}
+	if (view->room_count == MAX_POOLS)
+		return NULL;
+	view->rooms[view->room_count] = (room_t){.pool = pool};
+	return &view->rooms[view->room_count++];
+}
+
+static engine_view_t *find_engine(const placement_t *this, id_t32 id)
+{
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		if (this->engines[i].engine.id == id)
+			return &this->engines[i];
+	}
+	return NULL;
+}
+
+/* --- owners ------------------------------------------------------------ */
+
+static void take_over(placement_t *this, engine_view_t *view)
+{
+	const placement_engine_t *engine = &view->engine;
+
+	if (view->owner == 0) {
+		scheduler_own(this->scheduler, engine->id, engine->pool, engine->slots,
+			engine->token_memory);
+		scheduler_set_usable(this->scheduler, engine->id, engine->usable);
+	} else {
+		scheduler_disown(this->scheduler, engine->id);
+	}
+}
+
+static held_place_t place_of(const place_request_t *request)
+{
+	return (held_place_t){
+		.ticket = request->ticket,
+		.engine = request->engine,
+		.workspace = request->workspace,
+		.prompt = request->work.prompt,
+		.answer = request->work.answer,
+		.is_read = request->is_read,
+	};
+}
+
+/* Tells the engine's owner of a place in use, as often as may be. */
+static void report(placement_t *this, place_request_t *request, instant_t now)
+{
+	const engine_view_t *engine = find_engine(this, request->engine);
+	note_t note = {.kind = NOTE_HOLD, .place = place_of(request)};
+
+	if (!engine)
+		return;
+	request->owner = engine->owner;
+	if (engine->owner == 0)
+		scheduler_hold(this->scheduler, 0, &note.place, now);
+	else
+		tell(this, engine->owner, &note, now);
+}
+
+static void report_all(placement_t *this, instant_t now)
+{
+	const note_t done = {.kind = NOTE_REPORTED};
+	place_request_t *request;
+
+	cds_list_for_each_entry (request, &this->running, link)
+		report(this, request, now);
+	scheduler_end_report(this->scheduler, 0, now);
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		if (member_is_alive(&this->members.list[i]))
+			tell(this, i, &done, now);
+	}
+}
+
+/* Works out the owners anew; what runs here is told to new ones. */
+static void assign_owners(placement_t *this, instant_t now)
+{
+	bool changed = false;
+
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		engine_view_t *view = &this->engines[i];
+		unsigned int owner = members_owner(&this->members, view->engine.id);
+
+		changed |= owner != view->owner;
+		view->owner = owner;
+		take_over(this, view);
+	}
+	this->owned_view = this->members.view;
+	if (changed)
+		report_all(this, now);
+}
+
+/* --- asking ------------------------------------------------------------ */
+
+static bool is_askable(const placement_t *this, unsigned int slot)
+{
+	const member_t *member = &this->members.list[slot];
+
+	if (slot == 0)
+		return !this->stopping;
+	return member_is_alive(member) && !member->stopping && !this->views[slot].distrusted;
+}
+
+static int room_at(placement_t *this, unsigned int slot, id_t32 pool)
+{
+	room_t *room;
+
+	if (slot == 0)
+		return scheduler_room(this->scheduler, pool);
+	room = room_of(&this->views[slot], pool);
+	return room ? room->room : 0;
+}
+
+/* The engines that rank first for the prompt, by rendezvous hashing. */
+static unsigned int rank_engines(
+	const placement_t *this, const place_request_t *request, uint64_t prefix, unsigned int *best)
+{
+	uint64_t scores[CANDIDATES];
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		const placement_engine_t *engine = &this->engines[i].engine;
+		uint64_t score = mix(prefix, engine->id);
+		unsigned int at;
+
+		if (engine->pool != request->pool || !engine->usable)
+			continue;
+		for (at = count; at && scores[at - 1] < score; at--) {
+			if (at < CANDIDATES) {
+				scores[at] = scores[at - 1];
+				best[at] = best[at - 1];
+			}
+		}
+		if (at < CANDIDATES) {
+			scores[at] = score;
+			best[at] = i;
+			count += count < CANDIDATES;
+		}
+	}
+	return count;
+}
+
+static bool owns_engine_of(const placement_t *this, unsigned int slot, id_t32 pool)
+{
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		if (this->engines[i].owner == slot && this->engines[i].engine.pool == pool &&
+			this->engines[i].engine.usable)
+			return true;
+	}
+	return false;
+}
+
+/* The owner with the most room, -1 when none can be asked. */
+static int roomiest(placement_t *this, id_t32 pool)
+{
+	unsigned int start = (unsigned int)(draw(this) % this->members.count);
+	int best = -1;
+	int best_room = 0;
+
+	for (unsigned int k = 0; k < this->members.count; k++) {
+		unsigned int slot = (start + k) % this->members.count;
+		int room;
+
+		if (!is_askable(this, slot) || !owns_engine_of(this, slot, pool))
+			continue;
+		room = room_at(this, slot, pool);
+		if (best >= 0 && room <= best_room)
+			continue;
+		best = (int)slot;
+		best_room = room;
+	}
+	return best;
+}
+
+/* Whom to ask: an owner that has the prompt's shared parts and room, else the roomiest. */
+static int choose_owner(placement_t *this, const place_request_t *request)
+{
+	const prompt_chain_t *chain = &request->work.chain;
+	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
+	unsigned int best[CANDIDATES];
+	unsigned int count = prefix ? rank_engines(this, request, prefix, best) : 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		unsigned int owner = this->engines[best[i]].owner;
+
+		if (is_askable(this, owner) && room_at(this, owner, request->pool) > 0)
+			return (int)owner;
+	}
+	return roomiest(this, request->pool);
+}
+
+static void unlink_request(place_request_t *request)
+{
+	cds_list_del(&request->link);
+	request->state = PLACE_NONE;
+}
+
+static void start(placement_t *this, place_request_t *request, id_t32 engine, unsigned int owner)
+{
+	placement_action_t action = {
+		.kind = PLACEMENT_START, .request = request, .engine = engine};
+	engine_view_t *view = find_engine(this, engine);
+
+	if (request->state != PLACE_NONE)
+		cds_list_del(&request->link);
+	cds_list_add_tail(&request->link, &this->running);
+	request->state = PLACE_GIVEN;
+	request->engine = engine;
+	request->owner = owner;
+	if (view)
+		view->held++;
+	push_action(this, &action);
+}
+
+static void reject(placement_t *this, place_request_t *request, uint32_t retry_after_ms)
+{
+	placement_action_t action = {.kind = PLACEMENT_REJECT,
+		.request = request,
+		.retry_after_ms = retry_after_ms};
+
+	if (request->state != PLACE_NONE)
+		unlink_request(request);
+	push_action(this, &action);
+}
+
+/* No owner gave word: the engine with the least of ours, within a part of an even share. */
+static void start_on_own(placement_t *this, place_request_t *request, instant_t now)
+{
+	unsigned int routers = members_expected(&this->members);
+	engine_view_t *best = NULL;
+	unsigned int share;
+
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		engine_view_t *view = &this->engines[i];
+
+		if (view->engine.pool != request->pool || !view->engine.usable ||
+			view->engine.id == request->avoid)
+			continue;
+		if (!best || view->held < best->held)
+			best = view;
+	}
+	share = best ? best->engine.slots / (OWN_DIVISOR * (routers ? routers : 1)) : 0;
+	if (!best || best->held > share) {
+		reject(this, request, 0);
+		return;
+	}
+	this->stats.on_own++;
+	best->on_own++;
+	request->on_own = true;
+	request->ticket = ++this->next_ticket;
+	start(this, request, best->engine.id, best->owner);
+	report(this, request, now);
+}
+
+static void send_ask(
+	placement_t *this, place_request_t *request, unsigned int owner, instant_t now)
+{
+	note_t note = {.kind = NOTE_ASK};
+	room_t *room;
+
+	request->ticket = ++this->next_ticket;
+	request->owner = owner;
+	note.ask = (ask_t){
+		.ticket = request->ticket,
+		.pool = request->pool,
+		.workspace = request->workspace,
+		.avoid = request->avoid,
+		.work = request->work,
+		.first_by = request->first_by,
+		.deadline = request->deadline,
+		.is_late = request->is_late,
+	};
+	this->stats.asks++;
+	if (owner == 0) {
+		request->state = PLACE_WAITING;
+		scheduler_ask(this->scheduler, 0, &note.ask, now);
+		return;
+	}
+	request->state = PLACE_ASKED;
+	request->answer_by = now + ANSWER_SPAN;
+	room = room_of(&this->views[owner], request->pool);
+	if (room)
+		room->room--;
+	tell(this, owner, &note, now);
+}
+
+static void ask(placement_t *this, place_request_t *request, instant_t now)
+{
+	int owner = request->asks < MAX_ASKS ? choose_owner(this, request) : -1;
+
+	if (request->state != PLACE_NONE)
+		unlink_request(request);
+	if (owner < 0) {
+		start_on_own(this, request, now);
+		return;
+	}
+	request->asks++;
+	cds_list_add_tail(&request->link, &this->asked);
+	send_ask(this, request, (unsigned int)owner, now);
+}
+
+void placement_request(placement_t *this, place_request_t *request, instant_t now)
+{
+	request->state = PLACE_NONE;
+	request->asks = 0;
+	request->is_read = false;
+	request->on_own = false;
+	ask(this, request, now);
+}
+
+static void withdraw_at(placement_t *this, unsigned int slot, uint64_t ticket, instant_t now)
+{
+	note_t note = {.kind = NOTE_WITHDRAW, .ticket = ticket};
+
+	if (slot == 0)
+		scheduler_withdraw(this->scheduler, 0, ticket, now);
+	else
+		tell(this, slot, &note, now);
+}
+
+static void leave_engine(placement_t *this, place_request_t *request)
+{
+	engine_view_t *view = find_engine(this, request->engine);
+
+	if (view) {
+		view->held -= view->held > 0;
+		view->on_own -= request->on_own && view->on_own;
+	}
+	unlink_request(request);
+}
+
+void placement_cancel(placement_t *this, place_request_t *request, instant_t now)
+{
+	if (request->state == PLACE_NONE)
+		return;
+	withdraw_at(this, request->owner, request->ticket, now);
+	if (request->state == PLACE_GIVEN)
+		leave_engine(this, request);
+	else
+		unlink_request(request);
+}
+
+void placement_first_token(placement_t *this, place_request_t *request, instant_t now)
+{
+	note_t note = {.kind = NOTE_FIRST, .ticket = request->ticket};
+
+	if (request->state != PLACE_GIVEN || request->is_read)
+		return;
+	request->is_read = true;
+	if (request->owner == 0)
+		scheduler_first_token(this->scheduler, 0, request->ticket, now);
+	else
+		tell(this, request->owner, &note, now);
+}
+
+void placement_end(
+	placement_t *this, place_request_t *request, uint32_t answer, instant_t now)
+{
+	note_t note = {.kind = NOTE_END, .ticket = request->ticket, .value = answer};
+
+	if (request->state != PLACE_GIVEN)
+		return;
+	if (request->owner == 0)
+		scheduler_end(this->scheduler, 0, request->ticket, answer, now);
+	else
+		tell(this, request->owner, &note, now);
+	leave_engine(this, request);
+}
+
+/* --- hearing ----------------------------------------------------------- */
+
+static place_request_t *find_asked(
+	const placement_t *this, unsigned int owner, uint64_t ticket)
+{
+	place_request_t *request;
+
+	cds_list_for_each_entry (request, &this->asked, link) {
+		if (request->ticket == ticket && request->owner == owner)
+			return request;
+	}
+	return NULL;
+}
+
+static void hear_ask(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	note_t answer = {.kind = NOTE_NOT_MINE, .ticket = note->ask.ticket};
+
+	if (this->stopping || !owns_engine_of(this, 0, note->ask.pool)) {
+		tell(this, slot, &answer, now);
+		return;
+	}
+	scheduler_ask(this->scheduler, slot, &note->ask, now);
+	answer.kind = NOTE_WAIT;
+	tell(this, slot, &answer, now);
+}
+
+static void hear_wait(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	place_request_t *request = find_asked(this, slot, note->ticket);
+
+	if (request)
+		request->state = PLACE_WAITING;
+}
+
+static void hear_grant(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	place_request_t *request = find_asked(this, slot, note->ticket);
+
+	if (request && find_engine(this, note->engine))
+		start(this, request, note->engine, slot);
+	else
+		withdraw_at(this, slot, note->ticket, now);
+}
+
+static void hear_refuse(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	place_request_t *request = find_asked(this, slot, note->ticket);
+
+	if (request)
+		reject(this, request, note->value);
+}
+
+static void hear_not_mine(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	place_request_t *request = find_asked(this, slot, note->ticket);
+	room_t *room;
+
+	if (!request)
+		return;
+	this->stats.elsewhere++;
+	room = room_of(&this->views[slot], request->pool);
+	if (room)
+		room->room = INT32_MIN / 2;
+	ask(this, request, now);
+}
+
+static void hear_withdraw(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_withdraw(this->scheduler, slot, note->ticket, now);
+}
+
+static void hear_first(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_first_token(this->scheduler, slot, note->ticket, now);
+}
+
+static void hear_end(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_end(this->scheduler, slot, note->ticket, note->value, now);
+}
+
+static void hear_hold(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_hold(this->scheduler, slot, &note->place, now);
+}
+
+static void hear_reported(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_end_report(this->scheduler, slot, now);
+}
+
+static void hear_room(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	room_t *room = room_of(&this->views[slot], note->pool);
+
+	if (room)
+		room->room = note->room;
+}
+
+static void (*const hear[NOTE_KINDS])(
+	placement_t *, unsigned int, const note_t *, instant_t) = {
+	[NOTE_ASK] = hear_ask,
+	[NOTE_WAIT] = hear_wait,
+	[NOTE_GRANT] = hear_grant,
+	[NOTE_REFUSE] = hear_refuse,
+	[NOTE_NOT_MINE] = hear_not_mine,
+	[NOTE_WITHDRAW] = hear_withdraw,
+	[NOTE_FIRST] = hear_first,
+	[NOTE_END] = hear_end,
+	[NOTE_HOLD] = hear_hold,
+	[NOTE_REPORTED] = hear_reported,
+	[NOTE_ROOM] = hear_room,
+};
+
+void placement_note(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	hear[note->kind](this, slot, note, now);
+}
+
+bool placement_hear(placement_t *this, const note_head_t *head, unsigned int *slot, instant_t now)
+{
+	int found = members_find(&this->members, head->from);
+	hear_result_t result;
+
+	if (found < 1)
+		return false;
+	*slot = (unsigned int)found;
+	result = members_hear(&this->members, *slot, head->incarnation, head->seq, now);
+	if (result == HEAR_OLD || result == HEAR_STRANGER)
+		return false;
+	if (result == HEAR_RESTARTED)
+		scheduler_forget_router(this->scheduler, *slot, now);
+	members_set_stopping(&this->members, *slot, head->stopping);
+	this->views[*slot].distrusted = false;
+	return true;
+}
+
+/* --- time -------------------------------------------------------------- */
+
+static void answer_asks(placement_t *this, instant_t now)
+{
+	scheduler_action_t action;
+
+	while (scheduler_next_action(this->scheduler, &action)) {
+		note_t note = {
+			.kind = action.kind == SCHEDULER_GRANT ? NOTE_GRANT : NOTE_REFUSE,
+			.ticket = action.ticket,
+			.engine = action.engine,
+			.value = action.retry_after_ms,
+		};
+
+		if (action.router)
+			tell(this, action.router, &note, now);
+		else
+			placement_note(this, 0, &note, now);
+	}
+}
+
+/* An owner that gave no word in time is passed over until it is heard again. */
+static instant_t check_asked(placement_t *this, instant_t now)
+{
+	instant_t next = INSTANT_NEVER;
+	place_request_t *request;
+	place_request_t *after;
+
+	cds_list_for_each_entry_safe (request, after, &this->asked, link) {
+		const member_t *owner = &this->members.list[request->owner];
+		bool is_silent = request->state == PLACE_ASKED && now >= request->answer_by;
+		bool is_lost = request->owner && (!member_is_alive(owner) || owner->stopping ||
+							 owner->state == MEMBER_SUSPECT);
+
+		if (is_silent) {
+			this->stats.unanswered++;
+			this->views[request->owner].distrusted = true;
+		}
+		if (is_silent || is_lost) {
+			withdraw_at(this, request->owner, request->ticket, now);
+			ask(this, request, now);
+			continue;
+		}
+		if (request->state == PLACE_ASKED)
+			next = instant_min(next, request->answer_by);
+	}
+	return next;
+}
+
+static void tick_members(placement_t *this, instant_t now)
+{
+	bool was_alive[MEMBER_MAX] = {false};
+
+	for (unsigned int i = 1; i < this->members.count; i++)
+		was_alive[i] = member_is_alive(&this->members.list[i]);
+	members_tick(&this->members, now);
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		if (was_alive[i] && !member_is_alive(&this->members.list[i]))
+			scheduler_forget_router(this->scheduler, i, now);
+	}
+	if (this->owned_view != this->members.view)
+		assign_owners(this, now);
+}
+
+instant_t placement_tick(placement_t *this, instant_t now)
+{
+	instant_t next;
+
+	tick_members(this, now);
+	if (now >= this->report_at) {
+		this->report_at = now + REPORT_INTERVAL;
+		report_all(this, now);
+	}
+	next = check_asked(this, now);
+	next = instant_min(next, scheduler_run(this->scheduler, now));
+	answer_asks(this, now);
+	return instant_min(next, this->report_at);
+}
+
+/* --- messages ---------------------------------------------------------- */
+
+static instant_t heartbeat_interval(const placement_t *this)
+{
+	instant_t interval = HEARTBEAT_FLEET * this->members.count;
+
+	return interval > HEARTBEAT_LEAST ? interval : HEARTBEAT_LEAST;
+}
+
+/* What changed in our own room since this member heard of it. */
+static void add_rooms(placement_t *this, unsigned int slot, instant_t now)
+{
+	member_view_state_t *view = &this->views[slot];
+	member_view_state_t *own = &this->views[0];
+
+	for (unsigned int i = 0; i < own->room_count; i++) {
+		id_t32 pool = own->rooms[i].pool;
+		note_t note = {.kind = NOTE_ROOM, .pool = pool};
+		room_t *room = room_of(view, pool);
+
+		note.room = scheduler_room(this->scheduler, pool);
+		if (!room || room->told == note.room)
+			continue;
+		room->told = note.room;
+		tell(this, slot, &note, now);
+	}
+}
+
+bool placement_next_message(
+	placement_t *this, unsigned int *slot, note_head_t *head, instant_t now)
+{
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		member_view_state_t *view = &this->views[i];
+
+		if (now < view->send_at)
+			continue;
+		add_rooms(this, i, now);
+		view->send_at = now + heartbeat_interval(this);
+		*slot = i;
+		*head = (note_head_t){
+			.from = this->options.self,
+			.incarnation = this->options.incarnation,
+			.seq = ++view->seq,
+			.stopping = this->stopping,
+		};
+		return true;
+	}
+	return false;
+}
+
+bool placement_next_note(placement_t *this, unsigned int slot, note_t *note)
+{
+	member_view_state_t *view = &this->views[slot];
+
+	if (view->note_first == view->note_count) {
+		view->note_first = 0;
+		view->note_count = 0;
+		return false;
+	}
+	*note = view->notes[view->note_first++];
+	return true;
+}
+
+/* --- life -------------------------------------------------------------- */
+
+placement_t *placement_new(const placement_options_t *options, instant_t now)
+{
+	const allocator_t *allocator = options->allocator ? options->allocator : &allocator_default;
+	placement_t *this = allocator_new(allocator, 1, sizeof(*this));
+
+	this->options = *options;
+	this->allocator = allocator;
+	this->random = options->seed;
+	this->report_at = now + REPORT_INTERVAL;
+	CDS_INIT_LIST_HEAD(&this->asked);
+	CDS_INIT_LIST_HEAD(&this->running);
+	members_init(&this->members, allocator, options->self);
+	this->views = allocator_new(allocator, MEMBER_MAX, sizeof(*this->views));
+	this->scheduler = scheduler_new(&options->scheduler);
+	return this;
+}
+
+void placement_delete(placement_t *this)
+{
+	if (!this)
+		return;
+	for (unsigned int i = 0; i < this->members.count; i++)
+		allocator_delete(this->allocator, this->views[i].notes);
+	scheduler_delete(this->scheduler);
+	members_clear(&this->members);
+	allocator_delete(this->allocator, this->views);
+	allocator_delete(this->allocator, this->engines);
+	allocator_delete(this->allocator, this->actions);
+	allocator_delete(this->allocator, this);
+}
+
+unsigned int placement_add_member(placement_t *this, id_t32 id)
+{
+	int known = members_find(&this->members, id);
+
+	return known >= 0 ? (unsigned int)known : members_add(&this->members, id);
+}
+
+void placement_set_listed(placement_t *this, unsigned int slot, bool listed)
+{
+	if (slot)
+		members_set_listed_gone(&this->members, slot, !listed);
+}
+
+void placement_link_broken(placement_t *this, unsigned int slot, instant_t now)
+{
+	members_link_broken(&this->members, slot, now);
+}
+
+void placement_stop(placement_t *this, instant_t now)
+{
+	this->stopping = true;
+	members_set_stopping(&this->members, 0, true);
+	for (unsigned int i = 1; i < this->members.count; i++)
+		this->views[i].send_at = now;
+	assign_owners(this, now);
+}
+
+static engine_view_t *engine_for(placement_t *this, const placement_engine_t *engine)
+{
+	engine_view_t *view = find_engine(this, engine->id);
+
+	if (view)
+		return view;
+	if (this->engine_count == this->engine_room) {
+		unsigned int to = this->engine_room + NOTE_BATCH;
+
+		this->engines = allocator_grow(this->allocator, this->engines, this->engine_room,
+			to, sizeof(*this->engines));
+		this->engine_room = to;
+	}
+	view = &this->engines[this->engine_count++];
+	*view = (engine_view_t){.owner = MEMBER_MAX};
+	return view;
+}
+
+static bool is_named(
+	const placement_engine_t *engines, unsigned int count, const engine_view_t *view)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		if (engines[i].id == view->engine.id)
+			return true;
+	}
+	return false;
+}
+
+void placement_set_engines(
+	placement_t *this, const placement_engine_t *engines, unsigned int count, instant_t now)
+{
+	for (unsigned int i = 0; i < this->engine_count;) {
+		if (is_named(engines, count, &this->engines[i])) {
+			i++;
+			continue;
+		}
+		scheduler_disown(this->scheduler, this->engines[i].engine.id);
+		this->engines[i] = this->engines[--this->engine_count];
+	}
+	for (unsigned int i = 0; i < count; i++) {
+		engine_for(this, &engines[i])->engine = engines[i];
+		room_of(&this->views[0], engines[i].pool);
+	}
+	assign_owners(this, now);
+}
+
+const members_t *placement_members(const placement_t *this)
+{
+	return &this->members;
+}
+
+const scheduler_t *placement_scheduler(const placement_t *this)
+{
+	return this->scheduler;
+}
+
+const placement_stats_t *placement_stats(const placement_t *this)
+{
+	return &this->stats;
+}
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,156 @@
+#ifndef CORE_PLACEMENT_H
+#define CORE_PLACEMENT_H
+/*
+ * placement - where a router's requests for model engines go, and who decides
+ *
+ * Each engine has an owner by rendezvous hashing over the members; the owner
+ * runs the scheduler for it.  A request is asked for at the owner of an engine
+ * that has probably read its prompt's shared parts, or where there is room.  An
+ * owner that does not answer is passed over until it is heard again; with none
+ * left, a router starts a bounded number on its own.
+ *
+ * No I/O, no clock.  Notes are what one router tells another; a lost note costs
+ * at most a wait, and full reports every second put right what was lost.
+ */
+#include "core/member.h"
+#include "core/scheduler.h"
+
+typedef enum note_kind {
+	NOTE_ASK,
+	NOTE_WAIT,   /* the ask is heard and waits */
+	NOTE_GRANT,
+	NOTE_REFUSE, /* with when to come back */
+	NOTE_NOT_MINE, /* the receiver of the ask does not own engines of the pool */
+	NOTE_WITHDRAW,
+	NOTE_FIRST,  /* the first token has come */
+	NOTE_END,
+	NOTE_HOLD,   /* a place in use, for an owner that may not know it */
+	NOTE_REPORTED, /* all places in use were told by HOLD */
+	NOTE_ROOM,   /* free places of a pool at the sender's engines */
+	NOTE_KINDS,
+} note_kind_t;
+
+typedef struct note {
+	note_kind_t kind;
+	uint64_t ticket;
+	id_t32 engine;	/* GRANT, HOLD */
+	id_t32 pool;	/* ASK, ROOM */
+	uint32_t value; /* retry_after_ms, answer tokens */
+	int32_t room;
+	ask_t ask; /* ASK; instants are the receiver's once decoded */
+	held_place_t place;
+} note_t;
+
+typedef enum place_state {
+	PLACE_NONE,
+	PLACE_ASKED,   /* no word yet */
+	PLACE_WAITING, /* the owner has it */
+	PLACE_GIVEN,
+} place_state_t;
+
+/* A request, embedded in the embedder's own; the first group is set by it. */
+typedef struct place_request {
+	id_t32 pool;
+	id_t32 workspace;
+	id_t32 avoid;
+	engine_work_t work;
+	instant_t first_by;
+	instant_t deadline;
+	bool is_late;
+
+	struct cds_list_head link;
+	place_state_t state;
+	uint64_t ticket;
+	unsigned int owner; /* member slot */
+	id_t32 engine;
+	instant_t answer_by; /* of the owner, while no word has come */
+	unsigned int asks;
+	bool is_read;
+	bool on_own; /* started without an owner's word */
+} place_request_t;
+
+typedef struct placement_engine {
+	id_t32 id;
+	id_t32 pool;
+	unsigned int slots;
+	uint64_t token_memory;
+	bool usable;
+} placement_engine_t;
+
+typedef enum placement_action_kind {
+	PLACEMENT_START,
+	PLACEMENT_REJECT,
+} placement_action_kind_t;
+
+typedef struct placement_action {
+	placement_action_kind_t kind;
+	place_request_t *request;
+	id_t32 engine;
+	uint32_t retry_after_ms;
+} placement_action_t;
+
+/* What heads each message between routers. */
+typedef struct note_head {
+	id_t32 from;
+	uint64_t incarnation;
+	uint64_t seq;
+	bool stopping;
+} note_head_t;
+
+typedef struct placement_options {
+	id_t32 self;
+	uint64_t incarnation;
+	uint64_t seed;
+	scheduler_options_t scheduler;
+	const allocator_t *allocator; /* NULL: allocator_default */
+} placement_options_t;
+
+typedef struct placement_stats {
+	uint64_t asks;
+	uint64_t unanswered; /* asks that got no word in time */
+	uint64_t on_own;
+	uint64_t elsewhere; /* asks answered by NOT_MINE */
+} placement_stats_t;
+
+typedef struct placement placement_t;
+
+placement_t *placement_new(const placement_options_t *options, instant_t now);
+void placement_delete(placement_t *this);
+
+/* Adds a router, or finds it; returns its slot. */
+unsigned int placement_add_member(placement_t *this, id_t32 id);
+/* The roster names the router, or names it no more. */
+void placement_set_listed(placement_t *this, unsigned int slot, bool listed);
+/* Its connection broke: it is dead soon unless heard again. */
+void placement_link_broken(placement_t *this, unsigned int slot, instant_t now);
+/* All engines; those that were known and are not named are gone. */
+void placement_set_engines(
+	placement_t *this, const placement_engine_t *engines, unsigned int count, instant_t now);
+/* A planned stop: owns nothing from now on. */
+void placement_stop(placement_t *this, instant_t now);
+
+void placement_request(placement_t *this, place_request_t *request, instant_t now);
+/* It is not wanted any more, wherever it stands. */
+void placement_cancel(placement_t *this, place_request_t *request, instant_t now);
+void placement_first_token(placement_t *this, place_request_t *request, instant_t now);
+void placement_end(
+	placement_t *this, place_request_t *request, uint32_t answer, instant_t now);
+
+/* Takes the head of a message; the notes count only when it gives true. */
+bool placement_hear(placement_t *this, const note_head_t *head, unsigned int *slot, instant_t now);
+void placement_note(placement_t *this, unsigned int slot, const note_t *note, instant_t now);
+
+/* Does what is due; returns when to call again at the latest. */
+instant_t placement_tick(placement_t *this, instant_t now);
+bool placement_next_action(placement_t *this, placement_action_t *action);
+/* The next member that is owed a message; false when none is. */
+bool placement_next_message(
+	placement_t *this, unsigned int *slot, note_head_t *head, instant_t now);
+/* The next note of that message; false at its end. */
+bool placement_next_note(placement_t *this, unsigned int slot, note_t *note);
+
+const members_t *placement_members(const placement_t *this);
+const scheduler_t *placement_scheduler(const placement_t *this);
+const placement_stats_t *placement_stats(const placement_t *this);
+
+#endif
--- /dev/null
+++ b/src/core/scheduler.h
@@ -0,0 +1,106 @@
+#ifndef CORE_SCHEDULER_H
+#define CORE_SCHEDULER_H
+/*
+ * scheduler - the owner's side of admission to model engines
+ *
+ * Every engine has one owner among the routers.  Routers ask it for a place for
+ * each request; it answers with a grant, or with a refusal that says when to
+ * come back.  What waits is ordered by fair share between workspaces; within
+ * one, what can still have its first token in time goes first, the newest
+ * foremost, so that a crest leaves few late instead of all.
+ *
+ * No I/O, no clock: events and the time go in, actions come out.
+ */
+#include "core/engine.h"
+
+#define SCHEDULER_MAX_ENGINES 256
+
+/* A request that asks for a place. */
+typedef struct ask {
+	uint64_t ticket; /* the asking router's own number */
+	id_t32 pool;
+	id_t32 workspace;
+	id_t32 avoid; /* engine on which it failed, 0: none */
+	engine_work_t work;
+	instant_t first_by; /* its first token is in time until then */
+	instant_t deadline;
+	bool is_late; /* it can't be in time any more: the caller came back after a refusal */
+} ask_t;
+
+/* A place in use, told again by its router to a new owner. */
+typedef struct held_place {
+	uint64_t ticket;
+	id_t32 engine;
+	id_t32 workspace;
+	uint32_t prompt;
+	uint32_t answer;
+	bool is_read;
+} held_place_t;
+
+typedef enum scheduler_action_kind {
+	SCHEDULER_GRANT,
+	SCHEDULER_REFUSE,
+} scheduler_action_kind_t;
+
+typedef struct scheduler_action {
+	scheduler_action_kind_t kind;
+	unsigned int router; /* who asked */
+	uint64_t ticket;
+	id_t32 engine;
+	uint32_t retry_after_ms;
+} scheduler_action_t;
+
+typedef struct scheduler_options {
+	uint64_t late_wait;   /* how long late work may wait for a free place */
+	uint64_t max_backlog; /* of an engine's unread prompts, beyond which work waits here */
+	const allocator_t *allocator;
+} scheduler_options_t;
+
+typedef struct scheduler_stats {
+	uint64_t asked;
+	uint64_t granted;
+	uint64_t granted_late;
+	uint64_t refused;
+	uint64_t withdrawn;
+} scheduler_stats_t;
+
+typedef struct scheduler scheduler_t;
+
+scheduler_t *scheduler_new(const scheduler_options_t *options);
+void scheduler_delete(scheduler_t *this);
+
+/* Owns the engine from now on, or learns its new size. */
+void scheduler_own(scheduler_t *this, id_t32 engine, id_t32 pool, unsigned int slots,
+	uint64_t token_memory);
+/* Owns it no more; what runs there is forgotten. */
+void scheduler_disown(scheduler_t *this, id_t32 engine);
+/* It takes no new work, or does again; what runs there goes on. */
+void scheduler_set_usable(scheduler_t *this, id_t32 engine, bool usable);
+bool scheduler_owns(const scheduler_t *this, id_t32 engine);
+
+void scheduler_ask(scheduler_t *this, unsigned int router, const ask_t *ask, instant_t now);
+/* The place is not wanted any more, granted or not. */
+void scheduler_withdraw(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
+void scheduler_first_token(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
+/* The request is over, after `answer` tokens. */
+void scheduler_end(scheduler_t *this, unsigned int router, uint64_t ticket, uint32_t answer,
+	instant_t now);
+/* A place that a former owner granted. */
+void scheduler_hold(
+	scheduler_t *this, unsigned int router, const held_place_t *place, instant_t now);
+/* A whole report of the router's places ends: those not told of for a while are free. */
+void scheduler_end_report(scheduler_t *this, unsigned int router, instant_t now);
+/* The router is gone, or began anew: its places are free. */
+void scheduler_forget_router(scheduler_t *this, unsigned int router, instant_t now);
+
+/* Grants and refuses what is due; returns when to call again at the latest. */
+instant_t scheduler_run(scheduler_t *this, instant_t now);
+bool scheduler_next_action(scheduler_t *this, scheduler_action_t *action);
+
+/* Places that are free at engines of `pool`, less what waits for them. */
+int scheduler_room(const scheduler_t *this, id_t32 pool);
+unsigned int scheduler_waiting(const scheduler_t *this);
+unsigned int scheduler_running(const scheduler_t *this);
+const scheduler_stats_t *scheduler_stats(const scheduler_t *this);
+
+#endif
--- /dev/null
+++ b/src/edge/note_codec.c
@@ -0,0 +1,271 @@
+#include "edge/note_codec.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WIRE_VERSION 1
+#define HEAD_FIELDS 5
+#define MAX_FIELDS 24
+#define NOTE_ROOM_BYTES 400 /* of the largest note */
+#define NEVER_US INT64_MAX
+
+struct note_writer {
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+};
+
+struct note_reader {
+	const char *data;
+	size_t size;
+	size_t at;
+	msgpack_unpacked unpacked;
+};
+
+/* A note as numbers: the kind first, then its fields. */
+typedef struct fields {
+	int64_t value[MAX_FIELDS];
+	unsigned int count;
+	unsigned int next;
+} fields_t;
+
+/* --- writing ----------------------------------------------------------- */
+
+note_writer_t *note_writer_new(void)
+{
+	note_writer_t *this = calloc(1, sizeof(*this));
+
+	if (!this)
+		abort();
+	msgpack_sbuffer_init(&this->buffer);
+	msgpack_packer_init(&this->packer, &this->buffer, msgpack_sbuffer_write);
+	return this;
+}
+
+void note_writer_delete(note_writer_t *this)
+{
+	if (!this)
+		return;
+	msgpack_sbuffer_destroy(&this->buffer);
+	free(this);
+}
+
+static void write_fields(note_writer_t *this, const fields_t *fields)
+{
+	msgpack_pack_array(&this->packer, fields->count);
+	for (unsigned int i = 0; i < fields->count; i++)
+		msgpack_pack_int64(&this->packer, fields->value[i]);
+}
+
+void note_writer_begin(note_writer_t *this, const note_head_t *head)
+{
+	fields_t fields = {
+		.value = {WIRE_VERSION, head->from, (int64_t)head->incarnation, (int64_t)head->seq,
+			head->stopping},
+		.count = HEAD_FIELDS,
+	};
+
+	msgpack_sbuffer_clear(&this->buffer);
+	write_fields(this, &fields);
+}
+
+static void put(fields_t *this, int64_t value)
+{
+	this->value[this->count++] = value;
+}
+
+static int64_t span_left(instant_t at, instant_t now)
+{
+	return at == INSTANT_NEVER ? NEVER_US : (int64_t)instant_left(at, now);
+}
+
+static void put_ask(fields_t *fields, const ask_t *ask, instant_t now)
+{
+	put(fields, (int64_t)ask->ticket);
+	put(fields, ask->pool);
+	put(fields, ask->workspace);
+	put(fields, ask->avoid);
+	put(fields, span_left(ask->first_by, now));
+	put(fields, span_left(ask->deadline, now));
+	put(fields, ask->is_late);
+	put(fields, ask->work.prompt);
+	put(fields, ask->work.answer);
+	for (unsigned int i = 0; i < ask->work.chain.count; i++) {
+		put(fields, (int64_t)ask->work.chain.hash[i]);
+		put(fields, ask->work.chain.tokens[i]);
+	}
+}
+
+static void put_place(fields_t *fields, const held_place_t *place)
+{
+	put(fields, (int64_t)place->ticket);
+	put(fields, place->engine);
+	put(fields, place->workspace);
+	put(fields, place->prompt);
+	put(fields, place->answer);
+	put(fields, place->is_read);
+}
+
+void note_writer_add(note_writer_t *this, const note_t *note, instant_t now)
+{
+	fields_t fields = {.value = {note->kind}, .count = 1};
+
+	switch (note->kind) {
+	case NOTE_ASK:
+		put_ask(&fields, &note->ask, now);
+		break;
+	case NOTE_HOLD:
+		put_place(&fields, &note->place);
+		break;
+	case NOTE_ROOM:
+		put(&fields, note->pool);
+		put(&fields, note->room);
+		break;
+	default:
+		put(&fields, (int64_t)note->ticket);
+		put(&fields, note->engine);
+		put(&fields, note->value);
+		break;
+	}
+	write_fields(this, &fields);
+}
+
+bool note_writer_is_full(const note_writer_t *this)
+{
+	return this->buffer.size + NOTE_ROOM_BYTES > NOTE_MESSAGE_MAX;
+}
+
+const char *note_writer_bytes(const note_writer_t *this, size_t *size)
+{
+	*size = this->buffer.size;
+	return this->buffer.data;
+}
+
+/* --- reading ------------------------------------------------------------ */
+
+static bool read_fields(note_reader_t *this, fields_t *fields)
+{
+	const msgpack_object *object = &this->unpacked.data;
+
+	*fields = (fields_t){0};
+	if (msgpack_unpack_next(&this->unpacked, this->data, this->size, &this->at) !=
+		MSGPACK_UNPACK_SUCCESS)
+		return false;
+	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > MAX_FIELDS)
+		return false;
+	fields->count = object->via.array.size;
+	for (unsigned int i = 0; i < fields->count; i++) {
+		const msgpack_object *item = &object->via.array.ptr[i];
+
+		if (item->type != MSGPACK_OBJECT_POSITIVE_INTEGER &&
+			item->type != MSGPACK_OBJECT_NEGATIVE_INTEGER)
+			return false;
+		fields->value[i] = item->via.i64;
+	}
+	return fields->count > 0;
+}
+
+note_reader_t *note_reader_new(const char *data, size_t size, note_head_t *head)
+{
+	note_reader_t *this = calloc(1, sizeof(*this));
+	fields_t fields;
+
+	if (!this)
+		abort();
+	this->data = data;
+	this->size = size;
+	msgpack_unpacked_init(&this->unpacked);
+	if (!read_fields(this, &fields) || fields.count != HEAD_FIELDS ||
+		fields.value[0] != WIRE_VERSION) {
+		note_reader_delete(this);
+		return NULL;
+	}
+	*head = (note_head_t){
+		.from = (id_t32)fields.value[1],
+		.incarnation = (uint64_t)fields.value[2],
+		.seq = (uint64_t)fields.value[3],
+		.stopping = fields.value[4] != 0,
+	};
+	return this;
+}
+
+static int64_t get(fields_t *this)
+{
+	return this->next < this->count ? this->value[this->next++] : 0;
+}
+
+static instant_t instant_of(int64_t left, instant_t now)
+{
+	if (left == NEVER_US)
+		return INSTANT_NEVER;
+	return now + (left > 0 ? (uint64_t)left : 0);
+}
+
+static bool get_ask(fields_t *fields, ask_t *ask, instant_t now)
+{
+	unsigned int parts;
+
+	ask->ticket = (uint64_t)get(fields);
+	ask->pool = (id_t32)get(fields);
+	ask->workspace = (id_t32)get(fields);
+	ask->avoid = (id_t32)get(fields);
+	ask->first_by = instant_of(get(fields), now);
+	ask->deadline = instant_of(get(fields), now);
+	ask->is_late = get(fields) != 0;
+	ask->work.prompt = (uint32_t)get(fields);
+	ask->work.answer = (uint32_t)get(fields);
+	parts = (fields->count - fields->next) / 2;
+	if (parts > ENGINE_MAX_PARTS)
+		return false;
+	ask->work.chain.count = parts;
+	for (unsigned int i = 0; i < parts; i++) {
+		ask->work.chain.hash[i] = (uint64_t)get(fields);
+		ask->work.chain.tokens[i] = (uint32_t)get(fields);
+	}
+	return true;
+}
+
+static void get_place(fields_t *fields, held_place_t *place)
+{
+	place->ticket = (uint64_t)get(fields);
+	place->engine = (id_t32)get(fields);
+	place->workspace = (id_t32)get(fields);
+	place->prompt = (uint32_t)get(fields);
+	place->answer = (uint32_t)get(fields);
+	place->is_read = get(fields) != 0;
+}
+
+bool note_reader_next(note_reader_t *this, note_t *note, instant_t now)
+{
+	fields_t fields;
+	int64_t kind;
+
+	if (this->at >= this->size || !read_fields(this, &fields))
+		return false;
+	kind = get(&fields);
+	if (kind < 0 || kind >= NOTE_KINDS)
+		return false;
+	*note = (note_t){.kind = (note_kind_t)kind};
+	switch (note->kind) {
+	case NOTE_ASK:
+		return get_ask(&fields, &note->ask, now);
+	case NOTE_HOLD:
+		get_place(&fields, &note->place);
+		return true;
+	case NOTE_ROOM:
+		note->pool = (id_t32)get(&fields);
+		note->room = (int32_t)get(&fields);
+		return true;
+	default:
+		note->ticket = (uint64_t)get(&fields);
+		note->engine = (id_t32)get(&fields);
+		note->value = (uint32_t)get(&fields);
+		return true;
+	}
+}
+
+void note_reader_delete(note_reader_t *this)
+{
+	msgpack_unpacked_destroy(&this->unpacked);
+	free(this);
+}
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -30,6 +30,8 @@
 	bool cut;
 } peer_link_t;
 
+#define MAX_LINKS 1024
+
 struct peer_socket {
 	void *context;
 	void *pull;
@@ -37,8 +39,11 @@
 	void *monitor;		       /* of what connects to us */
 	int accepted[MAX_CONNECTIONS]; /* their descriptors */
 	unsigned int accepted_count;
-	peer_link_t *links;
+	peer_link_t links[MAX_LINKS];
 	unsigned int count;
+	unsigned int monitors; /* opened so far */
+	char *public_key;
+	char *secret_key;
 	peer_socket_stats_t stats;
 };
 
@@ -56,9 +61,9 @@
 }
 
 /* A socket that tells when connections of `socket` begin and end. */
-static void *open_monitor(peer_socket_t *this, void *socket, const char *name)
+static void *open_monitor(peer_socket_t *this, void *socket)
 {
-	char *endpoint = g_strdup_printf("inproc://monitor-%s", name);
+	char *endpoint = g_strdup_printf("inproc://monitor-%u", this->monitors++);
 	void *monitor = zmq_socket(this->context, ZMQ_PAIR);
 
 	set_int(monitor, ZMQ_LINGER, 0);
@@ -77,7 +82,7 @@
 	bool bound;
 
 	this->pull = zmq_socket(this->context, ZMQ_PULL);
-	this->monitor = open_monitor(this, this->pull, "pull");
+	this->monitor = open_monitor(this, this->pull);
 	set_common(this->pull);
 	set_int(this->pull, ZMQ_CURVE_SERVER, 1);
 	zmq_setsockopt(this->pull, ZMQ_MAXMSGSIZE, &max, sizeof(max));
@@ -88,43 +93,96 @@
 	return bound;
 }
 
-static bool connect_link(
-	peer_socket_t *this, peer_link_t *link, const peer_socket_options_t *options)
+static bool connect_link(peer_socket_t *this, peer_link_t *link)
 {
 	char *endpoint = g_strdup_printf("tcp://%s", link->address.address);
 	bool connected;
 
 	link->push = zmq_socket(this->context, ZMQ_PUSH);
-	link->monitor = open_monitor(this, link->push, link->address.address);
+	link->monitor = open_monitor(this, link->push);
 	link->fd = -1;
 	set_common(link->push);
 	set_int(link->push, ZMQ_IMMEDIATE, 1);
 	set_int(link->push, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(link->push, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	zmq_setsockopt(link->push, ZMQ_CURVE_SERVERKEY, link->address.public_key, Z85_KEY_SIZE);
-	zmq_setsockopt(link->push, ZMQ_CURVE_PUBLICKEY, options->public_key, Z85_KEY_SIZE);
-	zmq_setsockopt(link->push, ZMQ_CURVE_SECRETKEY, options->secret_key, Z85_KEY_SIZE);
+	zmq_setsockopt(link->push, ZMQ_CURVE_PUBLICKEY, this->public_key, Z85_KEY_SIZE);
+	zmq_setsockopt(link->push, ZMQ_CURVE_SECRETKEY, this->secret_key, Z85_KEY_SIZE);
 	connected = zmq_connect(link->push, endpoint) == 0;
 	g_free(endpoint);
 	return connected;
 }
 
+static void close_link(peer_link_t *link)
+{
+	if (link->push) {
+		zmq_socket_monitor(link->push, NULL, 0);
+		zmq_close(link->push);
+		zmq_close(link->monitor);
+	}
+	g_free((char *)link->address.address);
+	g_free((char *)link->address.public_key);
+	memset(link, 0, sizeof(*link));
+}
+
+static peer_link_t *find_link(peer_socket_t *this, id_t32 id)
+{
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (this->links[i].address.id == id)
+			return &this->links[i];
+	}
+	return NULL;
+}
+
+int peer_socket_add(peer_socket_t *this, const peer_address_t *peer)
+{
+	peer_link_t *link = find_link(this, peer->id);
+	uint8_t key[KEY_SIZE];
+
+	if (strlen(peer->public_key) != Z85_KEY_SIZE - 1 || !zmq_z85_decode(key, peer->public_key))
+		return -1;
+	if (link && !strcmp(link->address.address, peer->address) &&
+		!memcmp(link->key, key, sizeof(key)))
+		return (int)(link - this->links);
+	if (!link && this->count == MAX_LINKS)
+		return -1;
+	if (link)
+		close_link(link);
+	else
+		link = &this->links[this->count++];
+	link->address = (peer_address_t){
+		peer->id, g_strdup(peer->address), g_strdup(peer->public_key)};
+	memcpy(link->key, key, sizeof(key));
+	return connect_link(this, link) ? (int)(link - this->links) : -1;
+}
+
+static int fd_of(void *socket)
+{
+	size_t size = sizeof(int);
+	int fd = -1;
+
+	zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+	return fd;
+}
+
+void peer_socket_fds(peer_socket_t *this, int fds[PEER_SOCKET_FDS])
+{
+	fds[0] = fd_of(this->pull);
+	fds[1] = fd_of(this->zap);
+}
+
 peer_socket_t *peer_socket_new(const peer_socket_options_t *options)
 {
 	peer_socket_t *this = g_new0(peer_socket_t, 1);
 
 	this->context = zmq_ctx_new();
 	this->zap = zmq_socket(this->context, ZMQ_REP);
-	this->links = g_new0(peer_link_t, options->peer_count + 1);
+	this->public_key = g_strdup(options->public_key);
+	this->secret_key = g_strdup(options->secret_key);
 	if (zmq_bind(this->zap, ZAP_ENDPOINT) || !bind_pull(this, options))
 		goto fail;
 	for (unsigned int i = 0; i < options->peer_count; i++) {
-		peer_link_t *link = &this->links[this->count++];
-
-		link->address = options->peers[i];
-		if (!zmq_z85_decode(link->key, link->address.public_key))
-			goto fail;
-		if (!connect_link(this, link, options))
+		if (peer_socket_add(this, &options->peers[i]) < 0)
 			goto fail;
 	}
 	return this;
@@ -137,13 +195,8 @@
 {
 	if (!this)
 		return;
-	for (unsigned int i = 0; i < this->count; i++) {
-		if (!this->links[i].push)
-			continue;
-		zmq_socket_monitor(this->links[i].push, NULL, 0);
-		zmq_close(this->links[i].push);
-		zmq_close(this->links[i].monitor);
-	}
+	for (unsigned int i = 0; i < this->count; i++)
+		close_link(&this->links[i]);
 	if (this->pull) {
 		zmq_socket_monitor(this->pull, NULL, 0);
 		zmq_close(this->pull);
@@ -151,7 +204,8 @@
 	}
 	zmq_close(this->zap);
 	zmq_ctx_term(this->context);
-	g_free(this->links);
+	g_free(this->public_key);
+	g_free(this->secret_key);
 	g_free(this);
 }
 
--- a/src/edge/peer_socket.h
+++ b/src/edge/peer_socket.h
@@ -23,10 +23,12 @@
 	const char *bind_address;
 	const char *public_key;
 	const char *secret_key;
-	const peer_address_t *peers;
+	const peer_address_t *peers; /* may be NULL: see peer_socket_add() */
 	unsigned int peer_count;
 } peer_socket_options_t;
 
+#define PEER_SOCKET_FDS 2
+
 typedef struct peer_socket_stats {
 	uint64_t sent;
 	uint64_t sent_bytes; /* payload */
@@ -42,7 +44,14 @@
 peer_socket_t *peer_socket_new(const peer_socket_options_t *options);
 void peer_socket_delete(peer_socket_t *this);
 
-/* `peer` is an index into the options' peers. */
+/*
+ * Adds a peer, or connects anew to one whose address or key changed; returns
+ * its index, -1 when the key is none.  Peers of the options have the first indices.
+ */
+int peer_socket_add(peer_socket_t *this, const peer_address_t *peer);
+/* Descriptors that become readable when something may have come. */
+void peer_socket_fds(peer_socket_t *this, int fds[PEER_SOCKET_FDS]);
+/* `peer` is an index. */
 bool peer_socket_send(peer_socket_t *this, unsigned int peer, const char *data, size_t size);
 /* The next message, false when none waits; `sender` is who owns its key. */
 bool peer_socket_receive(
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -52,7 +52,7 @@
 	if (this->endpoint_link)
 		endpoint_link_abort(this->endpoint_link);
 	this->endpoint_link = NULL;
-	call_leave_node(this, kind);
+	call_leave_queue(this, kind);
 }
 
 static void give_answer(call_t *this)
@@ -84,7 +84,7 @@
 	else if (caller)
 		give_answer(this);
 	this->caller = NULL;
-	if (!this->in_node)
+	if (!this->in_queue)
 		call_delete(this);
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -9,11 +9,13 @@
  * thread.
  */
 #include "core/node.h"
+#include "core/placement.h"
 #include "gateway/caller.h"
 #include "gateway/endpoint_link.h"
 #include "gateway/event_stream.h"
 
 typedef struct gateway gateway_t;
+typedef struct call call_t;
 
 typedef enum call_step {
 	STEP_NEXT,
@@ -28,7 +30,18 @@
 	CALL_OVER,
 } call_state_t;
 
-typedef struct call {
+/* How requests for one kind of service wait for a place and give it back. */
+typedef struct call_queue_ops {
+	void (*enter)(call_t *call);
+	/* True when the decision was made and is on its way. */
+	bool (*is_decided)(const call_t *call);
+	/* The wait is over: nobody wants the place. */
+	void (*cancel)(call_t *call);
+	void (*first_byte)(call_t *call);
+	void (*end)(call_t *call, end_kind_t kind);
+} call_queue_ops_t;
+
+struct call {
 	gateway_t *gateway;
 	struct cds_list_head link; /* in the gateway's list */
 	caller_t *caller;
@@ -48,13 +61,16 @@
 	uint32_t prompt_tokens;
 	uint32_t answer_tokens; /* as hinted */
 	bool repeatable;
+	uint64_t time_left; /* as the caller told, ms; 0: it did not */
 	instant_t arrived;
 	instant_t deadline; /* the caller's or the route's, whichever is first */
 
 	/* queue */
-	node_request_t node;
-	bool in_node;	/* the node knows it: waiting or running */
-	bool undecided; /* the node's decision is still to come */
+	const call_queue_ops_t *queue; /* of the service's kind */
+	node_request_t node;	       /* plain services */
+	place_request_t place;	       /* model engines */
+	bool in_queue;		       /* a place is asked for, or in use */
+	bool undecided;		       /* the decision is still to come */
 
 	/* dispatch */
 	served_endpoint_t *endpoint;
@@ -77,7 +93,7 @@
 	uint32_t cost;
 	uint32_t told_cost;
 	instant_t told_at;
-} call_t;
+};
 
 typedef struct call_filter {
 	const char *name;
@@ -113,12 +129,16 @@
 void call_delete(call_t *this);
 
 /* call_queue.c */
-void call_decided(call_t *this, const node_action_t *action);
+/* The decision: a place at `endpoint`, or none and when to come back. */
+void call_start(call_t *this, id_t32 endpoint);
+void call_reject(call_t *this, reason_t reason, double retry_after_s);
 /*
- * The node forgets the request; `kind` is how its attempt ended.  A decision
- * that is under way comes first: the call stays until then.
+ * Gives the place up; `kind` is how the attempt ended.  A decision that is
+ * under way comes first: the call stays until then.
  */
-void call_leave_node(call_t *this, end_kind_t kind);
+void call_leave_queue(call_t *this, end_kind_t kind);
+/* The first byte of the answer has come. */
+void call_note_first_byte(call_t *this);
 
 /* call_dispatch.c */
 /* The attempt failed: another one, or the answer that is true. */
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -5,7 +5,9 @@
 #include "gateway/call.h"
 #include "gateway/gateway.h"
 
-#define PROMPT_TOKENS_PER_UNIT 32 /* an engine reads so many in the time of one generated token */
+#define FIRST_MARGIN_MS 15 /* of the objective, for the ways to the caller and to the endpoint */
+#define RETURNING_FROM 20  /* a first attempt has at least nineteen twentieths */
+#define RETURNING_OF 19	   /* of the usual time left */
 #define PLAIN_COST 10		  /* cost units of a call that is no generation */
 
 /* The number in a header, `fallback` without one; false when it is none. */
@@ -40,7 +42,7 @@
 
 /*
  * The parts of a prompt that others share: all but the last, which is the
- * request's own.  The hash of the chain names what an engine may have cached.
+ * request's own.
  */
 static void read_prefix(call_t *call)
 {
@@ -48,8 +50,48 @@
 		caller_header(call->request, call->gateway->vocabulary->prompt_parts);
 	const char *last = parts ? strrchr(parts, ',') : NULL;
 
-	if (last)
-		call->node.prefix = XXH64(parts, (size_t)(last - parts), 0);
+	prompt_chain_t *chain = &call->place.work.chain;
+	const char *part = parts;
+
+	while (last && part < last && chain->count < ENGINE_MAX_PARTS) {
+		const char *end = memchr(part, ',', (size_t)(last - part));
+		const char *colon = memchr(part, ':', (size_t)(last - part));
+
+		if (!colon)
+			return;
+		/* The chain up to here, and the model whose weights read it. */
+		chain->hash[chain->count] =
+			XXH64(parts, (size_t)(colon - parts), call->service->id) | 1;
+		chain->tokens[chain->count++] = (uint32_t)strtoul(colon + 1, NULL, 10);
+		part = end ? end + 1 : last;
+	}
+}
+
+/*
+ * What the first attempt of a caller on this route usually has left; one with
+ * clearly less was refused before, and can't be in time any more.
+ */
+static bool is_returning(const call_t *call, uint64_t left)
+{
+	uint64_t *usual = gateway_usual_time(call->gateway, call->route);
+
+	if (left > *usual)
+		*usual = left;
+	return left * RETURNING_FROM < *usual * RETURNING_OF;
+}
+
+static void set_place(call_t *call)
+{
+	place_request_t *place = &call->place;
+
+	read_prefix(call);
+	place->work.prompt = call->prompt_tokens;
+	place->work.answer = call->answer_tokens;
+	place->first_by = call->arrived + call->route->target_ms * USEC_PER_MSEC;
+	place->first_by -= call->route->target_ms > 2 * FIRST_MARGIN_MS
+				   ? FIRST_MARGIN_MS * USEC_PER_MSEC
+				   : 0;
+	place->is_late = call->time_left && is_returning(call, call->time_left);
 }
 
 static bool set_deadline(call_t *call)
@@ -58,6 +100,7 @@
 
 	if (!read_number(call, call->gateway->vocabulary->time_left_ms, -1, &left))
 		return false;
+	call->time_left = left > 0 ? (uint64_t)left : 0;
 	if (left >= 0)
 		call->deadline = call->arrived + (uint64_t)left * USEC_PER_MSEC;
 	if (call->route->timeout_ms)
@@ -79,11 +122,9 @@
 	call->repeatable = route->repeatable;
 	call->events.last = call->resume_after;
 	read_tokens(call);
-	read_prefix(call);
+	call->node.hint = PLAIN_COST;
 	if (call->service->token_memory)
-		call->node.hint = call->answer_tokens + call->prompt_tokens / PROMPT_TOKENS_PER_UNIT;
-	if (!call->node.hint)
-		call->node.hint = PLAIN_COST;
+		set_place(call);
 	return STEP_NEXT;
 }
 
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -146,8 +146,9 @@
 		"id=%s endpoint=%s sent=%d may_have_run=%d reason=%s send=%u again=%d", this->id,
 		this->endpoint->name, this->sent_now, may_have_run, reason_info(reason)->name,
 		this->sends, again);
-	call_leave_node(this, kind);
+	call_leave_queue(this, kind);
 	this->node.avoid = this->endpoint->id;
+	this->place.avoid = this->endpoint->id;
 	if (again) {
 		event_stream_cut(&this->events);
 		call_again(this);
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -2,7 +2,9 @@
 #include "gateway/call.h"
 #include "gateway/gateway.h"
 
-static call_step_t run(call_t *call)
+/* --- plain services: the node chooses an endpoint ----------------------- */
+
+static void enter_node(call_t *call)
 {
 	node_request_t *node = &call->node;
 
@@ -10,55 +12,143 @@
 	node->workspace = call->workspace ? call->workspace->id : PUBLIC_WORKSPACE;
 	node->deadline = call->deadline;
 	node->state = REQUEST_NEW;
-	call->in_node = true;
+	node_arrive(call->gateway->node, node, clock_now());
+}
+
+static bool is_node_decided(const call_t *call)
+{
+	return call->node.state != REQUEST_WAITING;
+}
+
+static void cancel_node(call_t *call)
+{
+	node_cancel(call->gateway->node, &call->node, clock_now());
+}
+
+static void first_byte_node(call_t *call)
+{
+}
+
+static void end_node(call_t *call, end_kind_t kind)
+{
+	if (call->node.state == REQUEST_RUNNING)
+		node_end(call->gateway->node, &call->node, kind, call->cost, clock_now());
+}
+
+static const call_queue_ops_t node_queue = {
+	enter_node, is_node_decided, cancel_node, first_byte_node, end_node};
+
+/* --- model engines: their owners place the work ------------------------- */
+
+static placement_t *placement_of(const call_t *call)
+{
+	return peers_placement(call->gateway->peers);
+}
+
+static void enter_placement(call_t *call)
+{
+	place_request_t *place = &call->place;
+
+	place->pool = call->service->id;
+	place->workspace = call->workspace ? call->workspace->id : PUBLIC_WORKSPACE;
+	place->deadline = call->deadline;
+	placement_request(placement_of(call), place, clock_now());
+}
+
+static bool is_placement_decided(const call_t *call)
+{
+	return call->place.state == PLACE_NONE || call->place.state == PLACE_GIVEN;
+}
+
+static void cancel_placement(call_t *call)
+{
+	placement_cancel(placement_of(call), &call->place, clock_now());
+}
+
+static void first_byte_placement(call_t *call)
+{
+	placement_first_token(placement_of(call), &call->place, clock_now());
+}
+
+static void end_placement(call_t *call, end_kind_t kind)
+{
+	instant_t now = clock_now();
+
+	/* What did not run is not charged to the workspace. */
+	if (kind == END_REFUSED)
+		placement_cancel(placement_of(call), &call->place, now);
+	else
+		placement_end(placement_of(call), &call->place, call->cost, now);
+}
+
+static const call_queue_ops_t placement_queue = {enter_placement, is_placement_decided,
+	cancel_placement, first_byte_placement, end_placement};
+
+/* --- both --------------------------------------------------------------- */
+
+static call_step_t run(call_t *call)
+{
+	call->queue = call->service->token_memory ? &placement_queue : &node_queue;
+	call->in_queue = true;
 	call->undecided = true;
 	call->state = CALL_QUEUED;
-	node_arrive(call->gateway->node, node, clock_now());
+	call->queue->enter(call);
 	return STEP_WAIT;
 }
 
-void call_decided(call_t *this, const node_action_t *action)
+/* False when the call was over before its decision came. */
+static bool still_wanted(call_t *this)
+{
+	this->undecided = false;
+	if (this->state != CALL_OVER)
+		return true;
+	call_leave_queue(this, END_STOPPED);
+	call_delete(this);
+	return false;
+}
+
+void call_start(call_t *this, id_t32 id)
 {
 	served_endpoint_t *endpoint;
 
-	this->undecided = false;
-	if (action->kind == ACTION_REJECT)
-		this->in_node = false;
-	if (this->state == CALL_OVER) {
-		call_leave_node(this, END_STOPPED);
-		call_delete(this);
-		return;
-	}
-	if (action->kind == ACTION_REJECT) {
-		this->retry_after_s = action->retry_after_s;
-		if (call_may_have_run(this))
-			call_answer(this, REASON_GAVE_UP);
-		else
-			call_answer(this, action->reason);
+	if (!still_wanted(this))
 		return;
-	}
-	endpoint = directory_find(this->gateway->directory, action->replica);
+	endpoint = directory_find(this->gateway->directory, id);
 	if (!endpoint) {
-		call_leave_node(this, END_REFUSED);
+		call_leave_queue(this, END_REFUSED);
 		this->retry_after_s = NOT_READY_RETRY_S;
-		call_answer(this, this->runs ? REASON_GAVE_UP : REASON_NO_ENDPOINT);
+		call_answer(this, call_may_have_run(this) ? REASON_GAVE_UP : REASON_NO_ENDPOINT);
 		return;
 	}
 	this->endpoint = served_endpoint_get(endpoint);
 	call_next(this);
 }
 
-void call_leave_node(call_t *this, end_kind_t kind)
+void call_reject(call_t *this, reason_t reason, double retry_after_s)
 {
-	instant_t now = clock_now();
+	this->in_queue = false;
+	if (!still_wanted(this))
+		return;
+	this->retry_after_s = retry_after_s;
+	call_answer(this, call_may_have_run(this) ? REASON_GAVE_UP : reason);
+}
 
-	if (!this->in_node || (this->undecided && this->node.state != REQUEST_WAITING))
+void call_leave_queue(call_t *this, end_kind_t kind)
+{
+	if (!this->in_queue || (this->undecided && this->queue->is_decided(this)))
 		return;
-	this->in_node = false;
-	if (this->node.state == REQUEST_WAITING)
-		node_cancel(this->gateway->node, &this->node, now);
-	else if (this->node.state == REQUEST_RUNNING)
-		node_end(this->gateway->node, &this->node, kind, this->cost, now);
+	this->in_queue = false;
+	if (this->queue->is_decided(this))
+		this->queue->end(this, kind);
+	else
+		this->queue->cancel(this);
+}
+
+void call_note_first_byte(call_t *this)
+{
+	this->first_byte = clock_now();
+	if (this->in_queue)
+		this->queue->first_byte(this);
 }
 
 const call_filter_t call_queue = {"queue", run};
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -66,7 +66,7 @@
 	if (call->answering)
 		return;
 	call->answering = true;
-	call->first_byte = clock_now();
+	call_note_first_byte(call);
 	caller_begin(call->caller, call->status, call->headers->str,
 		call->streaming ? -1 : call->body_length);
 }
@@ -77,7 +77,7 @@
 	uint32_t step = call->cost - call->told_cost;
 	uint64_t elapsed = now - call->told_at;
 
-	if (!call->in_node || !step || (call->told_at && elapsed < PROGRESS_TIME))
+	if (!call->in_queue || call->service->token_memory || !step || (call->told_at && elapsed < PROGRESS_TIME))
 		return;
 	node_progress(call->gateway->node, &call->node, call->cost,
 		call->told_at ? (double)elapsed / step : 0, now);
@@ -102,7 +102,7 @@
 	if (out->len)
 		pass_on(call, out->str, out->len);
 	g_string_free(out, TRUE);
-	call->cost += (call->events.passed - before) * call->gateway->settings->event_tokens;
+	call->cost += (call->events.passed - before) * call->service->event_tokens;
 	report_progress(call);
 	if (result == EVENT_STREAM_GOOD)
 		return;
@@ -202,13 +202,13 @@
 	if (!call->whole)
 		return STEP_WAIT;
 	call->runs++;
-	call_leave_node(call, is_success(call->status) ? END_DONE : END_BROKEN);
+	call_leave_queue(call, is_success(call->status) ? END_DONE : END_BROKEN);
 	if (call->request->is_head)
 		begin_answer(call);
 	if (call->answering) {
 		caller_finish(call->caller);
 	} else {
-		call->first_byte = clock_now();
+		call_note_first_byte(call);
 		caller_answer(call->caller, call->status, call->headers->str,
 			call->body ? call->body->str : "", call->body ? call->body->len : 0);
 	}
--- a/src/gateway/catalog.h
+++ b/src/gateway/catalog.h
@@ -17,6 +17,7 @@
 	unsigned int max_connections; /* that an endpoint accepts, of all routers; 0: unknown */
 	unsigned int slots;	      /* of an engine's batch; 0: the endpoint tells */
 	uint64_t token_memory;	      /* tokens that an engine keeps; 0: no engine */
+	unsigned int event_tokens;    /* in one event of its streams */
 } catalog_service_t;
 
 typedef struct catalog_target {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -132,28 +132,58 @@
 	node_action_t action;
 
 	while (node_next_action(this->node, &action)) {
-		switch (action.kind) {
-		case ACTION_START:
-		case ACTION_REJECT:
-			call_decided(call_of(action.request), &action);
-			break;
-		case ACTION_SEND:
-		case ACTION_FETCH_TEXT:
-			break;
-		}
+		if (action.kind == ACTION_START)
+			call_start(call_of(action.request), action.replica);
+		else if (action.kind == ACTION_REJECT)
+			call_reject(call_of(action.request), action.reason, action.retry_after_s);
+	}
+}
+
+static void act_on_places(gateway_t *this)
+{
+	placement_action_t action;
+
+	while (placement_next_action(peers_placement(this->peers), &action)) {
+		call_t *call = caa_container_of(action.request, call_t, place);
+
+		if (action.kind == PLACEMENT_START)
+			call_start(call, action.engine);
+		else
+			call_reject(call, REASON_OVERLOADED, action.retry_after_ms / 1000.0);
 	}
 }
 
 typedef struct plan_builder {
-	GArray *replicas;
+	const catalog_t *catalog;
+	GArray *replicas; /* of plain services */
+	GArray *engines;
 } plan_builder_t;
 
+static const catalog_service_t *service_of(
+	const catalog_t *catalog, const served_endpoint_t *endpoint)
+{
+	int index = catalog_service(catalog, endpoint->service);
+
+	return index < 0 ? NULL : &catalog->services[index];
+}
+
 static void plan_endpoint(void *ctx, served_endpoint_t *endpoint)
 {
 	plan_builder_t *builder = ctx;
+	const catalog_service_t *service = service_of(builder->catalog, endpoint);
 	plan_replica_t replica = {endpoint->id, endpoint->service_id, endpoint->slots};
+	placement_engine_t engine = {
+		.id = endpoint->id,
+		.pool = endpoint->service_id,
+		.slots = endpoint->slots,
+		.token_memory = service ? service->token_memory : 0,
+		.usable = endpoint->state == ENDPOINT_READY,
+	};
 
-	g_array_append_val(builder->replicas, replica);
+	if (service && service->token_memory)
+		g_array_append_val(builder->engines, engine);
+	else
+		g_array_append_val(builder->replicas, replica);
 }
 
 static void tell_leaving(void *ctx, served_endpoint_t *endpoint)
@@ -171,7 +201,11 @@
 	const catalog_t *catalog = this->catalog;
 	plan_pool_t *pools = g_new0(plan_pool_t, catalog->service_count + 1);
 	plan_workspace_t *workspaces = g_new0(plan_workspace_t, catalog->workspaces->len + 1);
-	plan_builder_t builder = {g_array_new(FALSE, FALSE, sizeof(plan_replica_t))};
+	plan_builder_t builder = {
+		.catalog = catalog,
+		.replicas = g_array_new(FALSE, FALSE, sizeof(plan_replica_t)),
+		.engines = g_array_new(FALSE, FALSE, sizeof(placement_engine_t)),
+	};
 	plan_t plan = {.version = catalog->version, .pools = pools, .workspaces = workspaces};
 
 	for (unsigned int i = 0; i < catalog->service_count; i++)
@@ -188,7 +222,11 @@
 	plan.replica_count = builder.replicas->len;
 	node_set_plan(this->node, &plan, clock_now());
 	directory_each(this->directory, tell_leaving, this);
+	placement_set_engines(peers_placement(this->peers),
+		(const placement_engine_t *)(void *)builder.engines->data, builder.engines->len,
+		clock_now());
 	g_array_free(builder.replicas, TRUE);
+	g_array_free(builder.engines, TRUE);
 	g_free(pools);
 	g_free(workspaces);
 }
@@ -207,6 +245,9 @@
 		node_tick(this->node, now);
 	}
 	act(this);
+	peers_step(this->peers, now);
+	act_on_places(this);
+	peers_step(this->peers, now);
 }
 
 /* --- news of the store ------------------------------------------------ */
@@ -310,6 +351,21 @@
 
 static const watch_ops_t endpoint_ops = {on_endpoint_table, on_endpoint_rows, on_store_lost};
 
+static void on_roster_rows(void *ctx, const GArray *rows)
+{
+	gateway_t *this = ctx;
+
+	for (unsigned int i = 0; i < rows->len; i++)
+		peers_take_row(this->peers, &g_array_index(rows, store_row_t, i));
+}
+
+static void on_roster_table(void *ctx, const GArray *rows, uint64_t outage)
+{
+	on_roster_rows(ctx, rows);
+}
+
+static const watch_ops_t roster_ops = {on_roster_table, on_roster_rows, on_store_lost};
+
 static watch_t *follow(gateway_t *this, const char *table, const watch_ops_t *ops)
 {
 	const gateway_settings_t *settings = this->settings;
@@ -390,6 +446,7 @@
 		listener_callers(this->callers));
 	listener_drain(this->callers);
 	node_stop(this->node, clock_now());
+	placement_stop(peers_placement(this->peers), clock_now());
 }
 
 /* --- life ------------------------------------------------------------- */
@@ -446,11 +503,59 @@
 	}
 }
 
+uint64_t *gateway_usual_time(gateway_t *this, const catalog_route_t *route)
+{
+	uint64_t *usual = g_hash_table_lookup(this->usual_times, route->name);
+
+	if (usual)
+		return usual;
+	usual = g_new0(uint64_t, 1);
+	g_hash_table_insert(this->usual_times, g_strdup(route->name), usual);
+	return usual;
+}
+
+static bool start_peers(gateway_t *this)
+{
+	const gateway_settings_t *settings = this->settings;
+	peers_options_t options = {
+		.loop = &this->loop,
+		.name = settings->name,
+		.address = settings->peer_address,
+		.public_key = this->public_key,
+		.secret_key = this->secret_key,
+		.incarnation = this->incarnation,
+		.seed = ((uint64_t)g_random_int() << 32) | g_random_int(),
+		.scheduler = {.late_wait = settings->late_wait_ms * USEC_PER_MSEC,
+			.max_backlog = settings->engine_backlog_ms * USEC_PER_MSEC},
+	};
+
+	if (!peer_socket_keygen(this->public_key, this->secret_key))
+		return false;
+	this->peers = peers_new(&options);
+	if (!this->peers)
+		log_warn("start-failed", "what=peer_address address=%s", settings->peer_address);
+	return this->peers != NULL;
+}
+
+static void join_roster(gateway_t *this)
+{
+	const gateway_settings_t *settings = this->settings;
+	roster_options_t options = {
+		.adapter = this->adapter,
+		.store = {settings->store_address, settings->store_wait_ms},
+		.self = {settings->name, settings->peer_address, this->public_key,
+			this->incarnation},
+	};
+
+	this->roster = roster_new(&options);
+	this->roster_watch = follow(this, ROSTER_TABLE, &roster_ops);
+}
+
 static void start_node(gateway_t *this)
 {
 	node_options_t options = {
 		.self = name_id(this->settings->name),
-		.incarnation = (uint64_t)g_get_real_time(),
+		.incarnation = this->incarnation,
 		.seed = ((uint64_t)g_random_int() << 32) | g_random_int(),
 		.policy = this->settings->policy,
 		.max_members = 0,
@@ -484,12 +589,15 @@
 		.silence_timeout_ms = settings->silence_timeout_ms,
 		.open_count = &this->links,
 	};
+	this->usual_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	this->incarnation = (uint64_t)g_get_real_time();
 	start_node(this);
-	start_timers(this);
-	if (!open_listeners(this)) {
+	if (!start_peers(this) || !open_listeners(this)) {
 		gateway_delete(this);
 		return NULL;
 	}
+	start_timers(this);
+	join_roster(this);
 	this->catalog_watch = follow(this, this->adapter->catalog_table, &catalog_ops);
 	this->endpoint_watch = follow(this, this->adapter->endpoint_table, &endpoint_ops);
 	log_notice("started", "name=%s failure_domain=%s callers=%s", settings->name,
@@ -521,10 +629,14 @@
 		return;
 	watch_delete(this->catalog_watch);
 	watch_delete(this->endpoint_watch);
+	watch_delete(this->roster_watch);
+	roster_delete(this->roster);
 	listener_delete(this->callers);
 	listener_delete(this->ready);
 	listener_delete(this->metrics);
 	directory_each(this->directory, drop_links, NULL);
+	uv_prepare_stop(&this->prepare);
+	peers_delete(this->peers);
 	uv_run(&this->loop, UV_RUN_NOWAIT);
 	uv_walk(&this->loop, close_walked, NULL);
 	uv_run(&this->loop, UV_RUN_DEFAULT);
@@ -533,5 +645,6 @@
 	directory_delete(this->directory);
 	catalog_put(this->catalog);
 	g_hash_table_destroy(this->budgets);
+	g_hash_table_destroy(this->usual_times);
 	g_free(this);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,11 +12,14 @@
 #include "gateway/adapter.h"
 #include "gateway/call.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/peers.h"
 #include "gateway/retry_budget.h"
+#include "gateway/roster.h"
 #include "gateway/watch.h"
 
 #define NOT_READY_RETRY_S 0.5 /* a router that just started has its catalog by then */
 #define REFUSED_RETRY_S 0.2   /* endpoints that refused have made room by then */
+#define PEER_KEY_SIZE 41      /* bytes of a key in Z85, with its end */
 #define PUBLIC_WORKSPACE 1U   /* id under which requests without a workspace are counted */
 
 struct gateway {
@@ -38,6 +41,13 @@
 	bool directory_known;	      /* a whole listing was read */
 	instant_t lapse_grace_until;  /* registrations that vanish before it may return */
 	node_t *node;
+	peers_t *peers;
+	roster_t *roster;
+	watch_t *roster_watch;
+	char public_key[PEER_KEY_SIZE];
+	char secret_key[PEER_KEY_SIZE];
+	uint64_t incarnation;
+	GHashTable *usual_times; /* route name -> uint64_t, ms */
 	bool plan_due;
 	instant_t ticked;
 	endpoint_link_options_t link_options;
@@ -63,6 +73,8 @@
 void gateway_add_call(gateway_t *this, call_t *call);
 void gateway_drop_call(gateway_t *this, call_t *call);
 retry_budget_t *gateway_budget(gateway_t *this, id_t32 service);
+/* The most time left that a caller on the route told of, in milliseconds. */
+uint64_t *gateway_usual_time(gateway_t *this, const catalog_route_t *route);
 void gateway_count_outcome(gateway_t *this, reason_t reason);
 /* Appends metrics in the text exposition format. */
 void gateway_metrics(const gateway_t *this, GString *out);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -26,7 +26,8 @@
 	unsigned int retry_allowance;
 	unsigned int retry_window_s;
 	unsigned int expected_routers;	 /* that part the allowance */
-	unsigned int event_tokens;	 /* tokens in one event of a stream */
+	unsigned int late_wait_ms;	 /* that work which can't be in time waits for a place */
+	unsigned int engine_backlog_ms;	 /* of unread prompts, beyond which work waits at the owner */
 	unsigned int store_wait_ms;	 /* a read of the store waits for news so long */
 	unsigned int store_pause_ms;	 /* between two reads, to gather changes */
 	unsigned int connect_timeout_ms; /* to an endpoint */
--- /dev/null
+++ b/src/gateway/peers.c
@@ -0,0 +1,211 @@
+#include "gateway/peers.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "edge/note_codec.h"
+#include "gateway/roster.h"
+#include "settings/fleet_text.h"
+
+#define BROKEN_CHECK (50 * USEC_PER_MSEC) /* between two looks at which connections broke */
+
+struct peers {
+	peers_options_t options;
+	placement_t *placement;
+	peer_socket_t *socket;
+	note_writer_t *writer;
+	uv_poll_t polls[PEER_SOCKET_FDS];
+	unsigned int open_polls;
+	int links[MEMBER_MAX];	  /* by member slot, -1: none */
+	instant_t broken_check;
+	char buffer[NOTE_MESSAGE_MAX];
+};
+
+static void take_message(peers_t *this, size_t size, id_t32 sender, instant_t now)
+{
+	note_head_t head;
+	note_reader_t *reader = note_reader_new(this->buffer, size, &head);
+	unsigned int slot;
+	note_t note;
+
+	if (!reader) {
+		log_warn("peer-message-malformed", "from=%u bytes=%zu", sender, size);
+		return;
+	}
+	if (head.from != sender)
+		log_warn("peer-message-forged", "from=%u claims=%u", sender, head.from);
+	else if (placement_hear(this->placement, &head, &slot, now)) {
+		while (note_reader_next(reader, &note, now))
+			placement_note(this->placement, slot, &note, now);
+	}
+	note_reader_delete(reader);
+}
+
+static void receive(peers_t *this, instant_t now)
+{
+	id_t32 sender;
+	size_t size;
+
+	while (peer_socket_receive(
+		this->socket, this->buffer, sizeof(this->buffer), &size, &sender))
+		take_message(this, size, sender, now);
+}
+
+static void check_broken(peers_t *this, instant_t now)
+{
+	unsigned int link;
+
+	if (now < this->broken_check)
+		return;
+	this->broken_check = now + BROKEN_CHECK;
+	while (peer_socket_next_broken(this->socket, &link)) {
+		for (unsigned int slot = 1; slot < MEMBER_MAX; slot++) {
+			if (this->links[slot] == (int)link)
+				placement_link_broken(this->placement, slot, now);
+		}
+	}
+}
+
+static void send_message(
+	peers_t *this, unsigned int slot, const note_head_t *head, instant_t now)
+{
+	const char *bytes;
+	size_t size;
+	note_t note;
+
+	note_writer_begin(this->writer, head);
+	while (!note_writer_is_full(this->writer) &&
+		placement_next_note(this->placement, slot, &note))
+		note_writer_add(this->writer, &note, now);
+	bytes = note_writer_bytes(this->writer, &size);
+	if (this->links[slot] >= 0)
+		peer_socket_send(this->socket, (unsigned int)this->links[slot], bytes, size);
+}
+
+void peers_step(peers_t *this, instant_t now)
+{
+	note_head_t head;
+	unsigned int slot;
+
+	receive(this, now);
+	check_broken(this, now);
+	placement_tick(this->placement, now);
+	while (placement_next_message(this->placement, &slot, &head, now))
+		send_message(this, slot, &head, now);
+}
+
+/* The next step takes it: here the loop is only woken. */
+static void on_readable(uv_poll_t *poll, int status, int events)
+{
+	peers_t *this = poll->data;
+
+	receive(this, clock_now());
+}
+
+placement_t *peers_placement(peers_t *this)
+{
+	return this->placement;
+}
+
+const peer_socket_stats_t *peers_socket_stats(peers_t *this)
+{
+	return peer_socket_stats(this->socket);
+}
+
+static void add_peer(peers_t *this, const roster_entry_t *entry)
+{
+	peer_address_t address = {name_id(entry->name), entry->address, entry->public_key};
+	unsigned int slot = placement_add_member(this->placement, address.id);
+
+	if (!slot)
+		return;
+	this->links[slot] = peer_socket_add(this->socket, &address);
+	placement_set_listed(this->placement, slot, true);
+	log_notice("peer-listed", "peer=%s address=%s incarnation=%" G_GUINT64_FORMAT " link=%d",
+		entry->name, entry->address, (guint64)entry->incarnation, this->links[slot]);
+}
+
+void peers_take_row(peers_t *this, const store_row_t *row)
+{
+	roster_entry_t entry;
+	jsondoc_t *doc = NULL;
+
+	if (!strcmp(row->key, this->options.name))
+		return;
+	if (row->is_deleted) {
+		unsigned int slot = placement_add_member(this->placement, name_id(row->key));
+
+		placement_set_listed(this->placement, slot, false);
+		log_notice("peer-unlisted", "peer=%s", row->key);
+		return;
+	}
+	if (roster_decode(row->value, row->len, row->key, &entry, &doc))
+		add_peer(this, &entry);
+	else
+		log_warn("peer-unreadable", "peer=%s", row->key);
+	jsondoc_delete(doc);
+}
+
+static void watch_socket(peers_t *this)
+{
+	int fds[PEER_SOCKET_FDS];
+
+	peer_socket_fds(this->socket, fds);
+	for (unsigned int i = 0; i < PEER_SOCKET_FDS; i++) {
+		uv_poll_init(this->options.loop, &this->polls[i], fds[i]);
+		this->polls[i].data = this;
+		uv_poll_start(&this->polls[i], UV_READABLE, on_readable);
+		this->open_polls++;
+	}
+}
+
+peers_t *peers_new(const peers_options_t *options)
+{
+	peers_t *this = g_new0(peers_t, 1);
+	peer_socket_options_t socket_options = {
+		.bind_address = options->address,
+		.public_key = options->public_key,
+		.secret_key = options->secret_key,
+	};
+	placement_options_t placement_options = {
+		.self = name_id(options->name),
+		.incarnation = options->incarnation,
+		.seed = options->seed,
+		.scheduler = options->scheduler,
+	};
+
+	this->options = *options;
+	for (unsigned int i = 0; i < MEMBER_MAX; i++)
+		this->links[i] = -1;
+	this->socket = peer_socket_new(&socket_options);
+	if (!this->socket) {
+		g_free(this);
+		return NULL;
+	}
+	this->placement = placement_new(&placement_options, clock_now());
+	this->writer = note_writer_new();
+	watch_socket(this);
+	return this;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	peers_t *this = handle->data;
+
+	if (--this->open_polls)
+		return;
+	peer_socket_delete(this->socket);
+	placement_delete(this->placement);
+	note_writer_delete(this->writer);
+	g_free(this);
+}
+
+void peers_delete(peers_t *this)
+{
+	if (!this)
+		return;
+	for (unsigned int i = 0; i < PEER_SOCKET_FDS; i++)
+		uv_close((uv_handle_t *)&this->polls[i], on_closed);
+}
--- /dev/null
+++ b/src/gateway/roster.c
@@ -0,0 +1,110 @@
+#include "gateway/roster.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+
+#define RETRY_PAUSE (500 * USEC_PER_MSEC) /* between two tries to write the row */
+
+struct roster {
+	roster_options_t options;
+	store_t *store;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	bool quit;
+};
+
+static row_result_t publish(roster_t *this)
+{
+	const roster_entry_t *self = &this->options.self;
+	GString *text = g_string_new("{\"address\":");
+	store_row_t row = {.key = (char *)self->name};
+	row_result_t result;
+
+	json_quote(text, self->address);
+	g_string_append(text, ",\"public_key\":");
+	json_quote(text, self->public_key);
+	g_string_append_printf(
+		text, ",\"incarnation\":%" G_GUINT64_FORMAT "}", (guint64)self->incarnation);
+	row.value = text->str;
+	row.len = text->len;
+	result = this->store->ops->put(this->store, ROSTER_TABLE, &row, STORE_ANY);
+	g_string_free(text, TRUE);
+	return result;
+}
+
+/* False when it is time to quit. */
+static bool wait_until(roster_t *this, instant_t until)
+{
+	bool quit;
+
+	pthread_mutex_lock(&this->lock);
+	while (!this->quit && cond_wait_until(&this->wake, &this->lock, until))
+		;
+	quit = this->quit;
+	pthread_mutex_unlock(&this->lock);
+	return !quit;
+}
+
+static void *run(void *ctx)
+{
+	roster_t *this = ctx;
+	bool published = false;
+
+	do {
+		row_result_t result = publish(this);
+
+		published = result == ROWS_GOOD;
+		if (!published)
+			log_warn("roster-unwritten", "result=%d", (int)result);
+	} while (wait_until(this, published ? INSTANT_NEVER : clock_now() + RETRY_PAUSE));
+	if (published)
+		this->store->ops->remove(this->store, ROSTER_TABLE, this->options.self.name);
+	return NULL;
+}
+
+roster_t *roster_new(const roster_options_t *options)
+{
+	roster_t *this = g_new0(roster_t, 1);
+
+	this->options = *options;
+	this->store = options->adapter->open_store(&options->store);
+	pthread_mutex_init(&this->lock, NULL);
+	cond_init(&this->wake);
+	pthread_create(&this->thread, NULL, run, this);
+	return this;
+}
+
+void roster_delete(roster_t *this)
+{
+	if (!this)
+		return;
+	pthread_mutex_lock(&this->lock);
+	this->quit = true;
+	pthread_cond_broadcast(&this->wake);
+	pthread_mutex_unlock(&this->lock);
+	pthread_join(this->thread, NULL);
+	this->store->ops->delete(this->store);
+	pthread_cond_destroy(&this->wake);
+	pthread_mutex_destroy(&this->lock);
+	g_free(this);
+}
+
+bool roster_decode(
+	const char *text, gsize len, const char *name, roster_entry_t *entry, jsondoc_t **doc)
+{
+	json_value_t *root;
+
+	*doc = jsondoc_new(text, len);
+	root = (*doc)->error ? NULL : (*doc)->root;
+	*entry = (roster_entry_t){
+		.name = name,
+		.address = json_get_string(root, "address", NULL),
+		.public_key = json_get_string(root, "public_key", NULL),
+		.incarnation = (uint64_t)json_get_int(root, "incarnation", 0),
+	};
+	return entry->address && entry->public_key;
+}
