--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -607,7 +607,8 @@
 
 void placement_note(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
-	hear[note->kind](this, slot, note, now);
+	if (hear[note->kind])
+		hear[note->kind](this, slot, note, now);
 }
 
 bool placement_hear(placement_t *this, const note_head_t *head, unsigned int *slot, instant_t now)
@@ -757,6 +758,11 @@
 	return false;
 }
 
+void placement_wake(placement_t *this, unsigned int slot, instant_t now)
+{
+	this->views[slot].send_at = instant_min(this->views[slot].send_at, now);
+}
+
 bool placement_next_note(placement_t *this, unsigned int slot, note_t *note)
 {
 	member_view_state_t *view = &this->views[slot];
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -26,6 +26,9 @@
 	NOTE_END,
 	NOTE_HOLD,   /* a place in use, for an owner that may not know it */
 	NOTE_REPORTED, /* all places in use were told by HOLD */
+	NOTE_NEWS,   /* the newest version that the sender knows of a table: not placement's matter */
+	NOTE_NEWS_WANTED, /* likewise: rows of the table above a version */
+	NOTE_NEWS_PART,	  /* likewise: a piece of a row */
 	NOTE_ROOM,   /* free places of a pool at the sender's engines */
 	NOTE_KINDS,
 } note_kind_t;
@@ -35,10 +38,18 @@
 	uint64_t ticket;
 	id_t32 engine;	/* GRANT, HOLD */
 	id_t32 pool;	/* ASK, ROOM */
-	uint32_t value; /* retry_after_ms, answer tokens */
+	uint32_t value; /* retry_after_ms, answer tokens, rows still to come */
 	int32_t room;
 	ask_t ask; /* ASK; instants are the receiver's once decoded */
 	held_place_t place;
+	unsigned int table;   /* NEWS, NEWS_WANTED, NEWS_PART */
+	uint64_t version;     /* likewise */
+	const char *key;      /* NEWS_PART; valid until the next note is read */
+	const char *bytes;
+	uint32_t size;	      /* of the piece */
+	uint32_t offset;      /* of the piece in the row */
+	uint32_t whole;	      /* size of the row's value */
+	bool is_deleted;
 } note_t;
 
 typedef enum place_state {
@@ -146,6 +157,8 @@
 /* The next member that is owed a message; false when none is. */
 bool placement_next_message(
 	placement_t *this, unsigned int *slot, note_head_t *head, instant_t now);
+/* A message to `slot` is due at once, for what its embedder adds to it. */
+void placement_wake(placement_t *this, unsigned int slot, instant_t now);
 /* The next note of that message; false at its end. */
 bool placement_next_note(placement_t *this, unsigned int slot, note_t *note);
 
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -20,6 +20,8 @@
 	size_t size;
 	size_t at;
 	msgpack_unpacked unpacked;
+	msgpack_unpacked key;
+	msgpack_unpacked piece;
 };
 
 /* A note as numbers: the kind first, then its fields. */
@@ -106,6 +108,22 @@
 	put(fields, place->is_read);
 }
 
+static void put_piece(fields_t *fields, const note_t *note)
+{
+	put(fields, note->table);
+	put(fields, (int64_t)note->version);
+	put(fields, note->offset);
+	put(fields, note->whole);
+	put(fields, note->is_deleted);
+	put(fields, note->value);
+}
+
+static void write_bytes(note_writer_t *this, const char *bytes, size_t size)
+{
+	msgpack_pack_bin(&this->packer, size);
+	msgpack_pack_bin_body(&this->packer, bytes, size);
+}
+
 void note_writer_add(note_writer_t *this, const note_t *note, instant_t now)
 {
 	fields_t fields = {.value = {note->kind}, .count = 1};
@@ -121,6 +139,17 @@
 		put(&fields, note->pool);
 		put(&fields, note->room);
 		break;
+	case NOTE_NEWS:
+	case NOTE_NEWS_WANTED:
+		put(&fields, note->table);
+		put(&fields, (int64_t)note->version);
+		break;
+	case NOTE_NEWS_PART:
+		put_piece(&fields, note);
+		write_fields(this, &fields);
+		write_bytes(this, note->key, strlen(note->key) + 1);
+		write_bytes(this, note->bytes, note->size);
+		return;
 	default:
 		put(&fields, (int64_t)note->ticket);
 		put(&fields, note->engine);
@@ -132,7 +161,12 @@
 
 bool note_writer_is_full(const note_writer_t *this)
 {
-	return this->buffer.size + NOTE_ROOM_BYTES > NOTE_MESSAGE_MAX;
+	return note_writer_room(this) < NOTE_ROOM_BYTES;
+}
+
+size_t note_writer_room(const note_writer_t *this)
+{
+	return this->buffer.size < NOTE_MESSAGE_MAX ? NOTE_MESSAGE_MAX - this->buffer.size : 0;
 }
 
 const char *note_writer_bytes(const note_writer_t *this, size_t *size)
@@ -175,6 +209,8 @@
 	this->data = data;
 	this->size = size;
 	msgpack_unpacked_init(&this->unpacked);
+	msgpack_unpacked_init(&this->key);
+	msgpack_unpacked_init(&this->piece);
 	if (!read_fields(this, &fields) || fields.count != HEAD_FIELDS ||
 		fields.value[0] != WIRE_VERSION) {
 		note_reader_delete(this);
@@ -235,6 +271,37 @@
 	place->is_read = get(fields) != 0;
 }
 
+/* Bytes within the message's own memory; false when the next value is none. */
+static bool read_bytes(note_reader_t *this, msgpack_unpacked *unpacked, const char **bytes,
+	uint32_t *size)
+{
+	if (msgpack_unpack_next(unpacked, this->data, this->size, &this->at) !=
+			MSGPACK_UNPACK_SUCCESS ||
+		unpacked->data.type != MSGPACK_OBJECT_BIN)
+		return false;
+	*bytes = unpacked->data.via.bin.ptr;
+	*size = unpacked->data.via.bin.size;
+	return true;
+}
+
+static bool get_piece(note_reader_t *this, fields_t *fields, note_t *note)
+{
+	uint32_t key_size;
+
+	note->table = (unsigned int)get(fields);
+	note->version = (uint64_t)get(fields);
+	note->offset = (uint32_t)get(fields);
+	note->whole = (uint32_t)get(fields);
+	note->is_deleted = get(fields) != 0;
+	note->value = (uint32_t)get(fields);
+	if (!read_bytes(this, &this->key, &note->key, &key_size) ||
+		!read_bytes(this, &this->piece, &note->bytes, &note->size))
+		return false;
+	if (!key_size || note->key[key_size - 1] || strlen(note->key) + 1 != key_size)
+		return false;
+	return note->offset <= note->whole && note->size <= note->whole - note->offset;
+}
+
 bool note_reader_next(note_reader_t *this, note_t *note, instant_t now)
 {
 	fields_t fields;
@@ -256,6 +323,13 @@
 		note->pool = (id_t32)get(&fields);
 		note->room = (int32_t)get(&fields);
 		return true;
+	case NOTE_NEWS:
+	case NOTE_NEWS_WANTED:
+		note->table = (unsigned int)get(&fields);
+		note->version = (uint64_t)get(&fields);
+		return true;
+	case NOTE_NEWS_PART:
+		return get_piece(this, &fields, note);
 	default:
 		note->ticket = (uint64_t)get(&fields);
 		note->engine = (id_t32)get(&fields);
@@ -267,5 +341,7 @@
 void note_reader_delete(note_reader_t *this)
 {
 	msgpack_unpacked_destroy(&this->unpacked);
+	msgpack_unpacked_destroy(&this->key);
+	msgpack_unpacked_destroy(&this->piece);
 	free(this);
 }
--- a/src/edge/note_codec.h
+++ b/src/edge/note_codec.h
@@ -18,6 +18,8 @@
 void note_writer_add(note_writer_t *this, const note_t *note, instant_t now);
 /* No more notes should be added to this message. */
 bool note_writer_is_full(const note_writer_t *this);
+/* Bytes that the message may still grow by. */
+size_t note_writer_room(const note_writer_t *this);
 const char *note_writer_bytes(const note_writer_t *this, size_t *size);
 
 typedef struct note_reader note_reader_t;
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -426,6 +426,11 @@
 	return &this->stats;
 }
 
+uint64_t peer_socket_refused(const peer_socket_t *this)
+{
+	return this->stats.refused_keys;
+}
+
 bool peer_socket_keygen(char *public_key, char *secret_key)
 {
 	return zmq_curve_keypair(public_key, secret_key) == 0;
--- a/src/edge/peer_socket.h
+++ b/src/edge/peer_socket.h
@@ -62,6 +62,8 @@
 void peer_socket_wait(peer_socket_t *this, int fd, uint64_t timeout);
 /* Stops or resumes the exchange with one peer; for tests of network partitions. */
 void peer_socket_cut(peer_socket_t *this, unsigned int peer, bool cut);
+/* How often a key that is nobody's was refused. */
+uint64_t peer_socket_refused(const peer_socket_t *this);
 const peer_socket_stats_t *peer_socket_stats(peer_socket_t *this);
 /* Makes a key pair in Z85; each buffer holds 41 bytes. */
 bool peer_socket_keygen(char *public_key, char *secret_key);
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -29,6 +29,7 @@
 	struct cds_list_head callers;
 	unsigned int count;
 	bool draining;
+	instant_t idle_from; /* while draining: callers without a request are closed then */
 	bool closed;
 };
 
@@ -606,9 +607,10 @@
 	return NULL;
 }
 
-void listener_drain(listener_t *this)
+void listener_drain(listener_t *this, instant_t idle_from)
 {
 	this->draining = true;
+	this->idle_from = idle_from;
 }
 
 unsigned int listener_callers(const listener_t *this)
@@ -624,6 +626,9 @@
 	case CALLER_READING:
 		if (this->in_request && !this->in_body)
 			return now >= this->since + limits->header_timeout_ms * USEC_PER_MSEC;
+		if (this->listener->draining && !this->in_request &&
+			now >= this->listener->idle_from)
+			return true;
 		return now >= this->since + limits->idle_timeout_ms * USEC_PER_MSEC;
 	case CALLER_CLOSING:
 		return now >= this->since + LINGER;
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -46,8 +46,8 @@
 } listener_options_t;
 
 listener_t *listener_new(const listener_options_t *options);
-/* Answers carry "Connection: close" from now on, and idle callers are closed by caller_sweep(). */
-void listener_drain(listener_t *this);
+/* Answers carry "Connection: close" from now on; callers that idle are closed from `idle_from`. */
+void listener_drain(listener_t *this, instant_t idle_from);
 /* Closes what idles or dawdles beyond the limits. */
 void listener_sweep(listener_t *this, instant_t now);
 unsigned int listener_callers(const listener_t *this);
--- a/src/gateway/directory.c
+++ b/src/gateway/directory.c
@@ -7,7 +7,6 @@
 struct directory {
 	GHashTable *by_name; /* served_endpoint_t, the newest start */
 	GHashTable *by_id;   /* the same, by the id of the start */
-	uint64_t listing;
 };
 
 served_endpoint_t *served_endpoint_get(served_endpoint_t *this)
@@ -109,48 +108,30 @@
 		known->state = entry->state;
 		known->slots = entry->slots;
 		known->missing_until = 0;
-		known->listing = this->listing;
 		return changed;
 	}
 	if (known)
 		forget(this, known);
 	known = endpoint_new(entry);
-	known->listing = this->listing;
 	g_hash_table_insert(this->by_name, known->name, known);
 	g_hash_table_insert(this->by_id, GUINT_TO_POINTER(known->id), known);
 	return true;
 }
 
-bool directory_remove(directory_t *this, const char *name)
+bool directory_remove(directory_t *this, const char *name, instant_t grace, instant_t now)
 {
 	served_endpoint_t *known = g_hash_table_lookup(this->by_name, name);
 
 	if (!known)
 		return false;
+	if (now < grace) {
+		known->missing_until = known->missing_until ? known->missing_until : grace;
+		return false;
+	}
 	forget(this, known);
 	return true;
 }
 
-void directory_begin_listing(directory_t *this)
-{
-	this->listing++;
-}
-
-bool directory_end_listing(directory_t *this, instant_t grace, instant_t now)
-{
-	GHashTableIter iter;
-	void *item;
-
-	g_hash_table_iter_init(&iter, this->by_name);
-	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		served_endpoint_t *endpoint = item;
-
-		if (endpoint->listing != this->listing && !endpoint->missing_until)
-			endpoint->missing_until = grace ? grace : now;
-	}
-	return directory_sweep(this, now);
-}
-
 bool directory_sweep(directory_t *this, instant_t now)
 {
 	GHashTableIter iter;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -39,7 +39,6 @@
 	unsigned int slots;
 	endpoint_state_t state;
 	uint64_t born;
-	uint64_t listing;	/* number of the last listing that had it */
 	instant_t missing_until; /* gone then, unless listed again; 0: not missing */
 	unsigned int refs;
 	unsigned int connections;
@@ -53,14 +52,11 @@
 
 /* Takes a registration; true when something changed. */
 bool directory_put(directory_t *this, const endpoint_entry_t *entry);
-/* The registration is gone; true when the endpoint was known. */
-bool directory_remove(directory_t *this, const char *name);
 /*
- * Begins a whole listing, whose entries are put next; directory_end_listing()
- * removes what was not among them at `grace`, or at once when that has passed.
+ * The registration is gone: the endpoint is removed at `grace`, or at once when
+ * that has passed; true when something changed.
  */
-void directory_begin_listing(directory_t *this);
-bool directory_end_listing(directory_t *this, instant_t grace, instant_t now);
+bool directory_remove(directory_t *this, const char *name, instant_t grace, instant_t now);
 /* Removes what is still missing when its time is up; true when something changed. */
 bool directory_sweep(directory_t *this, instant_t now);
 /* The start of an endpoint by its id; NULL when it is gone. */
--- a/src/gateway/endpoint_link.c
+++ b/src/gateway/endpoint_link.c
@@ -285,14 +285,30 @@
 	if (this->state == LINK_CLOSED)
 		return;
 	if (this->ended)
-		link_settle(this, used == len && HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
+		link_settle(this, used == len && !this->out &&
+					  HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
 	else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
 		link_fail(this, LINK_MALFORMED);
 }
 
+/* The loop may tell a reset that follows bytes as an end of file: the socket knows. */
+static bool was_reset(const endpoint_link_t *this)
+{
+	char byte;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&this->tcp, &fd))
+		return true;
+	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
 /* An answer without a length ends with its connection. */
 static void on_end_of_bytes(endpoint_link_t *this)
 {
+	if (this->state == LINK_BUSY && was_reset(this)) {
+		link_fail(this, LINK_RESET);
+		return;
+	}
 	if (this->state == LINK_BUSY)
 		http_parser_execute(&this->parser, &parser_settings, NULL, 0);
 	if (this->state == LINK_CLOSED)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -10,6 +10,8 @@
 #define TICK_MS 20	      /* sweeps: timeouts are kept to within this */
 #define MIN_TICK (2 * USEC_PER_MSEC) /* between two runs of the node's own timers */
 #define STOP_NOTICE (3 * USEC_PER_SEC) /* for the balancer to see that this router is unready */
+#define STOP_IDLE (1200 * USEC_PER_MSEC) /* by then the balancer sends no new callers */
+#define STOP_TAKES (2500 * USEC_PER_MSEC) /* requests that come later may not be through in time */
 #define STOP_MARGIN_MS 700    /* before the end by force: what still runs is ended */
 #define MIN_CALLER_KB 24      /* memory that a caller's connection may take, kernel's part included */
 #define LONG_COST 400	      /* cost units above which a generation is long work */
@@ -48,6 +50,11 @@
 	return this->catalog ? &this->catalog->limits : &default_limits;
 }
 
+bool gateway_takes_work(const gateway_t *this, instant_t now)
+{
+	return !this->stopping || now < this->stop_began + STOP_TAKES;
+}
+
 bool gateway_is_ready(const gateway_t *this)
 {
 	return this->catalog && this->directory_known && !this->stopping;
@@ -282,11 +289,17 @@
 
 static void on_catalog_rows(void *ctx, const GArray *rows)
 {
-	for (unsigned int i = 0; i < rows->len; i++)
-		take_catalog(ctx, &g_array_index(rows, store_row_t, i));
+	gateway_t *this = ctx;
+
+	for (unsigned int i = 0; i < rows->len; i++) {
+		const store_row_t *row = &g_array_index(rows, store_row_t, i);
+
+		if (rowbook_put(this->book, BOOK_CATALOG, row))
+			take_catalog(this, row);
+	}
 }
 
-static void on_catalog_table(void *ctx, const GArray *rows, uint64_t outage)
+static void on_catalog_table(void *ctx, const GArray *rows, uint64_t version, uint64_t outage)
 {
 	on_catalog_rows(ctx, rows);
 }
@@ -305,10 +318,8 @@
 	endpoint_entry_t entry = {0};
 	bool changed;
 
-	if (row->is_deleted && now < this->lapse_grace_until) {
-		changed = false; /* may have lapsed while the store was away */
-	} else if (row->is_deleted) {
-		changed = directory_remove(this->directory, row->key);
+	if (row->is_deleted) {
+		changed = directory_remove(this->directory, row->key, this->lapse_grace_until, now);
 	} else if (this->adapter->decode_endpoint(row->key, row->value, row->len, &entry)) {
 		changed = directory_put(this->directory, &entry);
 	} else {
@@ -328,25 +339,50 @@
 
 static void on_endpoint_rows(void *ctx, const GArray *rows)
 {
+	gateway_t *this = ctx;
 	instant_t now = clock_now();
 
-	for (unsigned int i = 0; i < rows->len; i++)
-		take_endpoint(ctx, &g_array_index(rows, store_row_t, i), now);
+	for (unsigned int i = 0; i < rows->len; i++) {
+		const store_row_t *row = &g_array_index(rows, store_row_t, i);
+
+		if (rowbook_put(this->book, BOOK_ENDPOINTS, row))
+			take_endpoint(this, row, now);
+	}
 }
 
-static void on_endpoint_table(void *ctx, const GArray *rows, uint64_t outage)
+static void drop_endpoint(void *ctx, const store_row_t *row)
+{
+	take_endpoint(ctx, row, clock_now());
+}
+
+/* Registrations may have lapsed while the store was away: they have a while to return. */
+static void on_endpoint_table(void *ctx, const GArray *rows, uint64_t version, uint64_t outage)
 {
 	gateway_t *this = ctx;
-	instant_t now = clock_now();
 
 	if (outage && this->directory_known)
 		this->lapse_grace_until =
-			now + this->settings->lapse_grace_ms * USEC_PER_MSEC;
-	directory_begin_listing(this->directory);
+			clock_now() + this->settings->lapse_grace_ms * USEC_PER_MSEC;
 	on_endpoint_rows(ctx, rows);
+	rowbook_keep_only(this->book, BOOK_ENDPOINTS, rows, version, drop_endpoint, this);
 	this->directory_known = true;
-	this->plan_due |= directory_end_listing(this->directory,
-		now < this->lapse_grace_until ? this->lapse_grace_until : 0, now);
+}
+
+/* What a peer tells is as good as what the store tells. */
+static void on_peer_row(void *ctx, book_table_t table, const store_row_t *row, bool last)
+{
+	gateway_t *this = ctx;
+
+	this->directory_known |= table == BOOK_ENDPOINTS && last;
+	if (!rowbook_put(this->book, table, row))
+		return;
+	log_notice("row-from-peer", "table=%d key=%s row_version=%" G_GUINT64_FORMAT, (int)table,
+		row->key, (guint64)row->version);
+	if (table == BOOK_CATALOG)
+		take_catalog(this, row);
+	else
+		take_endpoint(this, row, clock_now());
+	watch_refresh(table == BOOK_CATALOG ? this->catalog_watch : this->endpoint_watch);
 }
 
 static const watch_ops_t endpoint_ops = {on_endpoint_table, on_endpoint_rows, on_store_lost};
@@ -359,22 +395,24 @@
 		peers_take_row(this->peers, &g_array_index(rows, store_row_t, i));
 }
 
-static void on_roster_table(void *ctx, const GArray *rows, uint64_t outage)
+static void on_roster_table(void *ctx, const GArray *rows, uint64_t version, uint64_t outage)
 {
 	on_roster_rows(ctx, rows);
 }
 
 static const watch_ops_t roster_ops = {on_roster_table, on_roster_rows, on_store_lost};
 
-static watch_t *follow(gateway_t *this, const char *table, const watch_ops_t *ops)
+static watch_t *follow(
+	gateway_t *this, const char *table, unsigned int wait_ms, const watch_ops_t *ops)
 {
 	const gateway_settings_t *settings = this->settings;
 	watch_options_t options = {
 		.loop = &this->loop,
 		.adapter = this->adapter,
-		.store = {settings->store_address, settings->store_wait_ms},
+		.store = {settings->store_address, settings->store_timeout_ms},
 		.table = table,
-		.wait_ms = settings->store_wait_ms,
+		.wait_ms = wait_ms,
+		.retry_ms = settings->store_retry_ms,
 		.pause_ms = settings->store_pause_ms,
 		.ops = ops,
 		.ctx = this,
@@ -405,12 +443,10 @@
 
 static void check_stop(gateway_t *this, instant_t now)
 {
-	instant_t notice = this->stop_at - this->settings->stop_grace_s * USEC_PER_SEC +
-			   STOP_MARGIN_MS * USEC_PER_MSEC + STOP_NOTICE;
-
 	if (!this->stopping)
 		return;
-	if (now >= this->stop_at || (now >= notice && !this->call_count))
+	if (now >= this->stop_at ||
+		(now >= this->stop_began + STOP_NOTICE && !this->call_count))
 		finish_stop(this);
 }
 
@@ -426,6 +462,8 @@
 		listener_sweep(this->metrics, now);
 	directory_each(this->directory, trim_links, &now);
 	this->plan_due |= directory_sweep(this->directory, now);
+	if (peers_saw_stranger(this->peers))
+		watch_refresh(this->roster_watch);
 	check_stop(this, now);
 }
 
@@ -444,7 +482,8 @@
 			STOP_MARGIN_MS * USEC_PER_MSEC;
 	log_notice("stop-begins", "calls=%u callers=%u", this->call_count,
 		listener_callers(this->callers));
-	listener_drain(this->callers);
+	this->stop_began = clock_now();
+	listener_drain(this->callers, this->stop_began + STOP_IDLE);
 	node_stop(this->node, clock_now());
 	placement_stop(peers_placement(this->peers), clock_now());
 }
@@ -527,6 +566,7 @@
 		.seed = ((uint64_t)g_random_int() << 32) | g_random_int(),
 		.scheduler = {.late_wait = settings->late_wait_ms * USEC_PER_MSEC,
 			.max_backlog = settings->engine_backlog_ms * USEC_PER_MSEC},
+		.news = {.book = this->book, .on_row = on_peer_row, .ctx = this},
 	};
 
 	if (!peer_socket_keygen(this->public_key, this->secret_key))
@@ -542,13 +582,13 @@
 	const gateway_settings_t *settings = this->settings;
 	roster_options_t options = {
 		.adapter = this->adapter,
-		.store = {settings->store_address, settings->store_wait_ms},
+		.store = {settings->store_address, settings->store_timeout_ms},
 		.self = {settings->name, settings->peer_address, this->public_key,
 			this->incarnation},
 	};
 
 	this->roster = roster_new(&options);
-	this->roster_watch = follow(this, ROSTER_TABLE, &roster_ops);
+	this->roster_watch = follow(this, ROSTER_TABLE, settings->roster_wait_ms, &roster_ops);
 }
 
 static void start_node(gateway_t *this)
@@ -575,6 +615,7 @@
 	CDS_INIT_LIST_HEAD(&this->calls);
 	uv_loop_init(&this->loop);
 	this->directory = directory_new();
+	this->book = rowbook_new();
 	this->budgets = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	this->budget_options = (retry_budget_options_t){
 		.ratio = settings->retry_ratio,
@@ -598,8 +639,10 @@
 	}
 	start_timers(this);
 	join_roster(this);
-	this->catalog_watch = follow(this, this->adapter->catalog_table, &catalog_ops);
-	this->endpoint_watch = follow(this, this->adapter->endpoint_table, &endpoint_ops);
+	this->catalog_watch = follow(
+		this, this->adapter->catalog_table, settings->store_wait_ms, &catalog_ops);
+	this->endpoint_watch = follow(
+		this, this->adapter->endpoint_table, settings->store_wait_ms, &endpoint_ops);
 	log_notice("started", "name=%s failure_domain=%s callers=%s", settings->name,
 		settings->failure_domain, settings->caller_address);
 	return this;
@@ -643,6 +686,7 @@
 	uv_loop_close(&this->loop);
 	node_delete(this->node);
 	directory_delete(this->directory);
+	rowbook_delete(this->book);
 	catalog_put(this->catalog);
 	g_hash_table_destroy(this->budgets);
 	g_hash_table_destroy(this->usual_times);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/watch.h"
 
 #define NOT_READY_RETRY_S 0.5 /* a router that just started has its catalog by then */
+#define STOPPING_RETRY_S 0.1  /* another router serves at once */
 #define REFUSED_RETRY_S 0.2   /* endpoints that refused have made room by then */
 #define PEER_KEY_SIZE 41      /* bytes of a key in Z85, with its end */
 #define PUBLIC_WORKSPACE 1U   /* id under which requests without a workspace are counted */
@@ -38,6 +39,7 @@
 	watch_t *endpoint_watch;
 	catalog_t *catalog;
 	directory_t *directory;
+	rowbook_t *book;
 	bool directory_known;	      /* a whole listing was read */
 	instant_t lapse_grace_until;  /* registrations that vanish before it may return */
 	node_t *node;
@@ -57,6 +59,7 @@
 	struct cds_list_head calls;
 	unsigned int call_count;
 	bool stopping;
+	instant_t stop_began;
 	instant_t stop_at; /* of a planned stop: what still runs is ended then */
 	unsigned int left; /* calls that the planned stop had to end */
 	uint64_t outcomes[REASON_COUNT];
@@ -69,6 +72,8 @@
 unsigned int gateway_run(gateway_t *this);
 void gateway_delete(gateway_t *this);
 
+/* False late in a planned stop: what comes then is told to go elsewhere. */
+bool gateway_takes_work(const gateway_t *this, instant_t now);
 bool gateway_is_ready(const gateway_t *this);
 void gateway_add_call(gateway_t *this, call_t *call);
 void gateway_drop_call(gateway_t *this, call_t *call);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -16,9 +16,12 @@
 	placement_t *placement;
 	peer_socket_t *socket;
 	note_writer_t *writer;
+	news_t *news;
+	uint64_t strangers;
 	uv_poll_t polls[PEER_SOCKET_FDS];
 	unsigned int open_polls;
 	int links[MEMBER_MAX];	  /* by member slot, -1: none */
+	uint64_t incarnations[MEMBER_MAX];
 	instant_t broken_check;
 	char buffer[NOTE_MESSAGE_MAX];
 };
@@ -37,8 +40,16 @@
 	if (head.from != sender)
 		log_warn("peer-message-forged", "from=%u claims=%u", sender, head.from);
 	else if (placement_hear(this->placement, &head, &slot, now)) {
-		while (note_reader_next(reader, &note, now))
-			placement_note(this->placement, slot, &note, now);
+		if (head.incarnation != this->incarnations[slot])
+			news_forget(this->news, slot);
+		this->incarnations[slot] = head.incarnation;
+		while (note_reader_next(reader, &note, now)) {
+			if (note.kind == NOTE_NEWS || note.kind == NOTE_NEWS_WANTED ||
+				note.kind == NOTE_NEWS_PART)
+				news_hear(this->news, slot, &note, now);
+			else
+				placement_note(this->placement, slot, &note, now);
+		}
 	}
 	note_reader_delete(reader);
 }
@@ -79,11 +90,32 @@
 	while (!note_writer_is_full(this->writer) &&
 		placement_next_note(this->placement, slot, &note))
 		note_writer_add(this->writer, &note, now);
+	if (news_write(this->news, slot, this->writer, now))
+		placement_wake(this->placement, slot, now);
 	bytes = note_writer_bytes(this->writer, &size);
 	if (this->links[slot] >= 0)
 		peer_socket_send(this->socket, (unsigned int)this->links[slot], bytes, size);
 }
 
+static void wake_for_news(peers_t *this, instant_t now)
+{
+	const members_t *members = placement_members(this->placement);
+
+	for (unsigned int slot = 1; slot < members->count; slot++) {
+		if (member_is_alive(&members->list[slot]) && news_is_due(this->news, slot, now))
+			placement_wake(this->placement, slot, now);
+	}
+}
+
+bool peers_saw_stranger(peers_t *this)
+{
+	uint64_t refused = peer_socket_refused(this->socket);
+	bool saw = refused != this->strangers;
+
+	this->strangers = refused;
+	return saw;
+}
+
 void peers_step(peers_t *this, instant_t now)
 {
 	note_head_t head;
@@ -91,6 +123,7 @@
 
 	receive(this, now);
 	check_broken(this, now);
+	wake_for_news(this, now);
 	placement_tick(this->placement, now);
 	while (placement_next_message(this->placement, &slot, &head, now))
 		send_message(this, slot, &head, now);
@@ -186,6 +219,7 @@
 	}
 	this->placement = placement_new(&placement_options, clock_now());
 	this->writer = note_writer_new();
+	this->news = news_new(&options->news);
 	watch_socket(this);
 	return this;
 }
@@ -199,6 +233,7 @@
 	peer_socket_delete(this->socket);
 	placement_delete(this->placement);
 	note_writer_delete(this->writer);
+	news_delete(this->news);
 	g_free(this);
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -9,7 +9,7 @@
 
 #include "core/placement.h"
 #include "edge/peer_socket.h"
-#include "gateway/store.h"
+#include "gateway/news.h"
 
 typedef struct peers peers_t;
 
@@ -22,6 +22,7 @@
 	uint64_t incarnation;
 	uint64_t seed;
 	scheduler_options_t scheduler;
+	news_options_t news;
 } peers_options_t;
 
 /* NULL when the address can't be bound. */
@@ -34,6 +35,8 @@
 void peers_take_row(peers_t *this, const store_row_t *row);
 /* Takes what came, decides, and sends what is due. */
 void peers_step(peers_t *this, instant_t now);
+/* A router whose key the roster does not have yet tried to connect, since the last call. */
+bool peers_saw_stranger(peers_t *this);
 const peer_socket_stats_t *peers_socket_stats(peers_t *this);
 
 #endif
--- /dev/null
+++ b/src/gateway/rowbook.c
@@ -0,0 +1,106 @@
+#include "gateway/rowbook.h"
+
+#include <string.h>
+
+struct rowbook {
+	GHashTable *rows[BOOK_TABLES]; /* key -> store_row_t */
+	uint64_t newest[BOOK_TABLES];
+};
+
+static void row_delete(void *item)
+{
+	store_row_t *row = item;
+
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+rowbook_t *rowbook_new(void)
+{
+	rowbook_t *this = g_new0(rowbook_t, 1);
+
+	for (int i = 0; i < BOOK_TABLES; i++)
+		this->rows[i] = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_delete);
+	return this;
+}
+
+void rowbook_delete(rowbook_t *this)
+{
+	if (!this)
+		return;
+	for (int i = 0; i < BOOK_TABLES; i++)
+		g_hash_table_destroy(this->rows[i]);
+	g_free(this);
+}
+
+bool rowbook_put(rowbook_t *this, book_table_t table, const store_row_t *row)
+{
+	store_row_t *known = g_hash_table_lookup(this->rows[table], row->key);
+	store_row_t *copy;
+
+	if (known && known->version >= row->version)
+		return false;
+	copy = g_new0(store_row_t, 1);
+	copy->key = g_strdup(row->key);
+	copy->value = g_malloc(row->len + 1);
+	memcpy(copy->value, row->value, row->len);
+	copy->value[row->len] = '\0';
+	copy->len = row->len;
+	copy->version = row->version;
+	copy->is_deleted = row->is_deleted;
+	g_hash_table_replace(this->rows[table], copy->key, copy);
+	if (row->version > this->newest[table])
+		this->newest[table] = row->version;
+	return true;
+}
+
+uint64_t rowbook_newest(const rowbook_t *this, book_table_t table)
+{
+	return this->newest[table];
+}
+
+void rowbook_each_after(const rowbook_t *this, book_table_t table, uint64_t after,
+	void (*each)(void *ctx, const store_row_t *row), void *ctx)
+{
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->rows[table]);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const store_row_t *row = item;
+
+		if (row->version > after)
+			each(ctx, row);
+	}
+}
+
+static bool is_listed(const GArray *rows, const char *key)
+{
+	for (unsigned int i = 0; i < rows->len; i++) {
+		if (!strcmp(g_array_index(rows, store_row_t, i).key, key))
+			return true;
+	}
+	return false;
+}
+
+void rowbook_keep_only(rowbook_t *this, book_table_t table, const GArray *rows, uint64_t version,
+	void (*dropped)(void *ctx, const store_row_t *row), void *ctx)
+{
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->rows[table]);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		store_row_t *row = item;
+
+		if (row->is_deleted || row->version > version || is_listed(rows, row->key))
+			continue;
+		row->is_deleted = true;
+		row->version = version;
+		row->len = 0;
+		if (version > this->newest[table])
+			this->newest[table] = version;
+		dropped(ctx, row);
+	}
+}
--- a/src/gateway/watch.c
+++ b/src/gateway/watch.c
@@ -5,13 +5,11 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 
-#define RETRY_FIRST_MS 200 /* after a failure; doubles up to the next line */
-#define RETRY_MAX_MS 800   /* within the time in which news must be in force */
-
 typedef struct news {
 	struct cds_list_head link;
 	GArray *rows; /* NULL: the store was lost */
 	bool is_whole;
+	uint64_t version;
 	uint64_t outage;
 } news_t;
 
@@ -24,6 +22,7 @@
 	pthread_cond_t wake;
 	struct cds_list_head news;
 	bool quit;
+	bool refresh;
 	uint64_t version;
 	instant_t lost_at; /* 0: within reach */
 	unsigned int failures;
@@ -61,7 +60,8 @@
 		if (!news->rows)
 			ops->on_lost(this->options.ctx);
 		else if (news->is_whole)
-			ops->on_table(this->options.ctx, news->rows, news->outage);
+			ops->on_table(
+				this->options.ctx, news->rows, news->version, news->outage);
 		else
 			ops->on_rows(this->options.ctx, news->rows);
 		news_delete(news);
@@ -76,6 +76,7 @@
 
 	news->rows = rows;
 	news->is_whole = is_whole;
+	news->version = this->version;
 	news->outage = outage;
 	pthread_mutex_lock(&this->lock);
 	cds_list_add_tail(&news->link, &this->news);
@@ -103,7 +104,7 @@
 
 static void note_failure(watch_t *this, row_result_t result)
 {
-	unsigned int ms = RETRY_FIRST_MS << (this->failures < 2 ? this->failures : 2);
+	unsigned int ms = this->options.retry_ms << (this->failures < 2 ? this->failures : 2);
 
 	this->version = 0;
 	this->failures++;
@@ -112,7 +113,6 @@
 		post(this, NULL, false, 0);
 		log_warn("store-lost", "table=%s result=%d", this->options.table, (int)result);
 	}
-	ms = ms < RETRY_MAX_MS ? ms : RETRY_MAX_MS;
 	pause_for(this, ms / 2 + (unsigned int)g_random_int_range(0, (gint32)ms / 2));
 }
 
@@ -159,11 +159,24 @@
 	}
 }
 
+static bool take_refresh(watch_t *this)
+{
+	bool refresh;
+
+	pthread_mutex_lock(&this->lock);
+	refresh = this->refresh;
+	this->refresh = false;
+	pthread_mutex_unlock(&this->lock);
+	return refresh;
+}
+
 static void *run(void *ctx)
 {
 	watch_t *this = ctx;
 
 	while (!must_quit(this)) {
+		if (take_refresh(this))
+			this->version = 0;
 		if (this->version)
 			follow(this);
 		else
@@ -188,7 +201,14 @@
 	return this;
 }
 
-void watch_stop(watch_t *this)
+void watch_refresh(watch_t *this)
+{
+	pthread_mutex_lock(&this->lock);
+	this->refresh = true;
+	pthread_mutex_unlock(&this->lock);
+}
+
+static void watch_stop(watch_t *this)
 {
 	pthread_mutex_lock(&this->lock);
 	this->quit = true;
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -14,8 +14,8 @@
 typedef struct watch watch_t;
 
 typedef struct watch_ops {
-	/* All rows of the table; `outage` is how long the store was out of reach before. */
-	void (*on_table)(void *ctx, const GArray *rows, uint64_t outage);
+	/* All rows of the table as of `version`; `outage` is how long the store was out of reach before. */
+	void (*on_table)(void *ctx, const GArray *rows, uint64_t version, uint64_t outage);
 	void (*on_rows)(void *ctx, const GArray *rows);
 	/* The store went out of reach. */
 	void (*on_lost)(void *ctx);
@@ -27,14 +27,15 @@
 	store_options_t store;
 	const char *table;
 	unsigned int wait_ms;
+	unsigned int retry_ms; /* first pause after a failure; doubles twice */
 	unsigned int pause_ms;
 	const watch_ops_t *ops;
 	void *ctx;
 } watch_options_t;
 
 watch_t *watch_new(const watch_options_t *options);
-/* Ends the thread at its next answer; does not wait for it. */
-void watch_stop(watch_t *this);
+/* Reads the table anew as soon as the present answer is there. */
+void watch_refresh(watch_t *this);
 /* Joins the thread; the memory goes when the loop has run once more. */
 void watch_delete(watch_t *this);
 
