--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -224,12 +224,12 @@
 	return member_is_alive(member) && !member->stopping && !this->views[slot].distrusted;
 }
 
-static int room_at(placement_t *this, unsigned int slot, id_t32 pool)
+static int room_at(placement_t *this, unsigned int slot, id_t32 pool, instant_t now)
 {
 	room_t *room;
 
 	if (slot == 0)
-		return scheduler_room(this->scheduler, pool);
+		return scheduler_room(this->scheduler, pool, now);
 	room = room_of(&this->views[slot], pool);
 	return room ? room->room : 0;
 }
@@ -274,7 +274,7 @@
 }
 
 /* The owner with the most room, -1 when none can be asked. */
-static int roomiest(placement_t *this, id_t32 pool)
+static int roomiest(placement_t *this, id_t32 pool, instant_t now)
 {
 	unsigned int start = (unsigned int)(draw(this) % this->members.count);
 	int best = -1;
@@ -286,7 +286,7 @@
 
 		if (!is_askable(this, slot) || !owns_engine_of(this, slot, pool))
 			continue;
-		room = room_at(this, slot, pool);
+		room = room_at(this, slot, pool, now);
 		if (best >= 0 && room <= best_room)
 			continue;
 		best = (int)slot;
@@ -296,7 +296,7 @@
 }
 
 /* Whom to ask: an owner that has the prompt's shared parts and room, else the roomiest. */
-static int choose_owner(placement_t *this, const place_request_t *request)
+static int choose_owner(placement_t *this, const place_request_t *request, instant_t now)
 {
 	const prompt_chain_t *chain = &request->work.chain;
 	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
@@ -306,10 +306,10 @@
 	for (unsigned int i = 0; i < count; i++) {
 		unsigned int owner = this->engines[best[i]].owner;
 
-		if (is_askable(this, owner) && room_at(this, owner, request->pool) > 0)
+		if (is_askable(this, owner) && room_at(this, owner, request->pool, now) > 0)
 			return (int)owner;
 	}
-	return roomiest(this, request->pool);
+	return roomiest(this, request->pool, now);
 }
 
 static void unlink_request(place_request_t *request)
@@ -409,7 +409,7 @@
 
 static void ask(placement_t *this, place_request_t *request, instant_t now)
 {
-	int owner = request->asks < MAX_ASKS ? choose_owner(this, request) : -1;
+	int owner = request->asks < MAX_ASKS ? choose_owner(this, request, now) : -1;
 
 	if (request->state != PLACE_NONE)
 		unlink_request(request);
@@ -463,6 +463,15 @@
 		unlink_request(request);
 }
 
+static void tell_owner(
+	placement_t *this, const place_request_t *request, const note_t *note, instant_t now)
+{
+	if (request->owner)
+		tell(this, request->owner, note, now);
+	else
+		placement_note(this, 0, note, now);
+}
+
 void placement_first_token(placement_t *this, place_request_t *request, instant_t now)
 {
 	note_t note = {.kind = NOTE_FIRST, .ticket = request->ticket};
@@ -470,10 +479,27 @@
 	if (request->state != PLACE_GIVEN || request->is_read)
 		return;
 	request->is_read = true;
-	if (request->owner == 0)
-		scheduler_first_token(this->scheduler, 0, request->ticket, now);
-	else
-		tell(this, request->owner, &note, now);
+	tell_owner(this, request, &note, now);
+}
+
+void placement_load_report(
+	placement_t *this, place_request_t *request, unsigned int load, instant_t now)
+{
+	note_t note = {.kind = NOTE_LOAD, .ticket = request->ticket, .value = load};
+
+	if (request->state == PLACE_GIVEN)
+		tell_owner(this, request, &note, now);
+}
+
+void placement_fail(
+	placement_t *this, place_request_t *request, place_failure_t failure, instant_t now)
+{
+	note_t note = {.kind = NOTE_FAILED, .ticket = request->ticket, .value = failure};
+
+	if (request->state != PLACE_GIVEN)
+		return;
+	tell_owner(this, request, &note, now);
+	leave_engine(this, request);
 }
 
 void placement_end(
@@ -483,10 +509,7 @@
 
 	if (request->state != PLACE_GIVEN)
 		return;
-	if (request->owner == 0)
-		scheduler_end(this->scheduler, 0, request->ticket, answer, now);
-	else
-		tell(this, request->owner, &note, now);
+	tell_owner(this, request, &note, now);
 	leave_engine(this, request);
 }
 
@@ -567,6 +590,17 @@
 	scheduler_first_token(this->scheduler, slot, note->ticket, now);
 }
 
+static void hear_load(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_load_report(this->scheduler, slot, note->ticket, note->value, now);
+}
+
+static void hear_failed(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_fail(
+		this->scheduler, slot, note->ticket, (place_failure_t)note->value, now);
+}
+
 static void hear_end(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
 	scheduler_end(this->scheduler, slot, note->ticket, note->value, now);
@@ -599,6 +633,8 @@
 	[NOTE_NOT_MINE] = hear_not_mine,
 	[NOTE_WITHDRAW] = hear_withdraw,
 	[NOTE_FIRST] = hear_first,
+	[NOTE_LOAD] = hear_load,
+	[NOTE_FAILED] = hear_failed,
 	[NOTE_END] = hear_end,
 	[NOTE_HOLD] = hear_hold,
 	[NOTE_REPORTED] = hear_reported,
@@ -728,7 +764,7 @@
 		note_t note = {.kind = NOTE_ROOM, .pool = pool};
 		room_t *room = room_of(view, pool);
 
-		note.room = scheduler_room(this->scheduler, pool);
+		note.room = scheduler_room(this->scheduler, pool, now);
 		if (!room || room->told == note.room)
 			continue;
 		room->told = note.room;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -23,6 +23,8 @@
 	NOTE_NOT_MINE, /* the receiver of the ask does not own engines of the pool */
 	NOTE_WITHDRAW,
 	NOTE_FIRST,  /* the first token has come */
+	NOTE_LOAD, /* what the engine told of its load */
+	NOTE_FAILED,
 	NOTE_END,
 	NOTE_HOLD,   /* a place in use, for an owner that may not know it */
 	NOTE_REPORTED, /* all places in use were told by HOLD */
@@ -144,6 +146,12 @@
 /* It is not wanted any more, wherever it stands. */
 void placement_cancel(placement_t *this, place_request_t *request, instant_t now);
 void placement_first_token(placement_t *this, place_request_t *request, instant_t now);
+/* The engine told that `load` requests run or wait there. */
+void placement_load_report(
+	placement_t *this, place_request_t *request, unsigned int load, instant_t now);
+/* The place came to nothing. */
+void placement_fail(placement_t *this, place_request_t *request, place_failure_t failure,
+	instant_t now);
 void placement_end(
 	placement_t *this, place_request_t *request, uint32_t answer, instant_t now);
 
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -13,6 +13,14 @@
 #define RETRY_FIRST_MS 400	  /* of a refusal, when nobody else was told to come back */
 #define RETRY_MOST_MS 8000
 #define RETURNING_PART 0.25 /* of the grants, for those who were told to come back */
+#define DOWN_FIRST (250 * USEC_PER_MSEC) /* doubles with each failure in a row */
+#define DOWN_DOUBLINGS 4
+#define FULL_PAUSE (40 * USEC_PER_MSEC) /* of an engine that refused: some request ends within it */
+#define PROBES 2	       /* at once, at an engine that failed last */
+#define FAILING_WEIGHT 0.1
+#define FAILING_PENALTY (500.0 * USEC_PER_MSEC) /* on the first token, at an engine that always fails */
+#define FOREIGN_WEIGHT 0.2
+#define FOREIGN_MEMORY (1 * USEC_PER_SEC) /* a report of foreign load is believed so long */
 #define RATE_WEIGHT 0.3
 #define REPORT_GRACE (1500 * USEC_PER_MSEC) /* a place not told of for longer is free: one report may be lost */
 #define RATE_SPAN (500 * USEC_PER_MSEC)
@@ -49,6 +57,11 @@
 	pool_state_t *pool;
 	engine_t model;
 	bool usable;
+	unsigned int failures; /* in a row */
+	double failing;	       /* share of the requests, lately */
+	instant_t down_until;
+	double foreign; /* requests there that others than this owner sent */
+	instant_t foreign_at;
 } engine_state_t;
 
 struct pool_state {
@@ -281,6 +294,25 @@
 
 /* --- placing ---------------------------------------------------------- */
 
+static unsigned int foreign_load(const engine_state_t *engine, instant_t now)
+{
+	return now < engine->foreign_at + FOREIGN_MEMORY ? (unsigned int)(engine->foreign + 0.5)
+							 : 0;
+}
+
+/* Slots that this owner may fill. */
+static unsigned int usable_slots(const engine_state_t *engine, instant_t now)
+{
+	unsigned int foreign = foreign_load(engine, now);
+	unsigned int slots = engine->model.slots;
+
+	if (!engine->usable || now < engine->down_until)
+		return 0;
+	if (engine->failures)
+		return PROBES;
+	return slots > foreign ? slots - foreign : 1;
+}
+
 /* The usable engine on which the first token would come soonest; NULL when none has room. */
 static engine_state_t *best_engine(const scheduler_t *this, const pool_state_t *pool,
 	const ask_t *ask, unsigned int reserve, instant_t now, instant_t *first_at)
@@ -293,12 +325,13 @@
 		unsigned int kept = reserve ? model->slots / reserve : 0;
 		instant_t at;
 
-		if (!engine->usable || !engine_has_room(model, &ask->work) ||
-			model->running + kept >= model->slots)
+		if (!engine_has_room(model, &ask->work) ||
+			model->running + kept >= usable_slots(engine, now))
 			continue;
 		if (engine_backlog(model, now) > this->options.max_backlog)
 			continue;
 		at = engine_first_at(model, &ask->work, now);
+		at += (instant_t)(engine->failing * FAILING_PENALTY);
 		if (model->id == ask->avoid)
 			at += 1 * USEC_PER_SEC;
 		if (best && at >= *first_at)
@@ -371,7 +404,7 @@
 	const engine_state_t *engine;
 
 	cds_list_for_each_entry (engine, &pool->engines, link) {
-		if (engine->usable && engine->model.running < engine->model.slots &&
+		if (engine->model.running < usable_slots(engine, now) &&
 			engine_backlog(&engine->model, now) <= this->options.max_backlog)
 			return true;
 	}
@@ -539,8 +572,53 @@
 {
 	record_t *record = find(this, router, ticket);
 
+	if (!record || !record->engine)
+		return;
+	engine_read(&record->engine->model, &record->run, now);
+	record->engine->failures = 0;
+	record->engine->failing *= 1 - FAILING_WEIGHT;
+}
+
+void scheduler_load_report(
+	scheduler_t *this, unsigned int router, uint64_t ticket, unsigned int load, instant_t now)
+{
+	record_t *record = find(this, router, ticket);
+	engine_state_t *engine = record ? record->engine : NULL;
+	unsigned int known;
+
+	if (!engine)
+		return;
+	known = engine->model.running;
+	if (now >= engine->foreign_at + FOREIGN_MEMORY)
+		engine->foreign = 0;
+	engine->foreign +=
+		FOREIGN_WEIGHT * ((load > known ? load - known : 0) - engine->foreign);
+	engine->foreign_at = now;
+}
+
+static void note_failure(engine_state_t *engine, place_failure_t failure, instant_t now)
+{
+	unsigned int doublings;
+
+	if (failure == PLACE_REFUSED) {
+		engine->down_until = now + FULL_PAUSE;
+		return;
+	}
+	engine->failing += FAILING_WEIGHT * (1 - engine->failing);
+	doublings = engine->failures < DOWN_DOUBLINGS ? engine->failures : DOWN_DOUBLINGS;
+	engine->failures++;
+	if (failure == PLACE_UNREACHED || engine->failures > 1)
+		engine->down_until = now + (DOWN_FIRST << doublings);
+}
+
+void scheduler_fail(scheduler_t *this, unsigned int router, uint64_t ticket,
+	place_failure_t failure, instant_t now)
+{
+	record_t *record = find(this, router, ticket);
+
 	if (record && record->engine)
-		engine_read(&record->engine->model, &record->run, now);
+		note_failure(record->engine, failure, now);
+	scheduler_withdraw(this, router, ticket, now);
 }
 
 void scheduler_end(
@@ -717,7 +795,7 @@
 
 /* --- looking in ------------------------------------------------------- */
 
-int scheduler_room(const scheduler_t *this, id_t32 id)
+int scheduler_room(const scheduler_t *this, id_t32 id, instant_t now)
 {
 	const pool_state_t *pool = find_pool(this, id);
 	const engine_state_t *engine;
@@ -726,8 +804,10 @@
 	if (!pool)
 		return 0;
 	cds_list_for_each_entry (engine, &pool->engines, link) {
-		if (engine->usable && engine->model.running < engine->model.slots)
-			room += (int)(engine->model.slots - engine->model.running);
+		unsigned int slots = usable_slots(engine, now);
+
+		if (engine->model.running < slots)
+			room += (int)(slots - engine->model.running);
 	}
 	return room - (int)pool->timely;
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -37,6 +37,12 @@
 	bool is_read;
 } held_place_t;
 
+typedef enum place_failure {
+	PLACE_UNREACHED, /* no connection */
+	PLACE_REFUSED,	 /* the engine did not take it */
+	PLACE_BROKEN,	 /* it took it, and gave no whole answer */
+} place_failure_t;
+
 typedef enum scheduler_action_kind {
 	SCHEDULER_GRANT,
 	SCHEDULER_REFUSE,
@@ -82,6 +88,12 @@
 /* The place is not wanted any more, granted or not. */
 void scheduler_withdraw(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 void scheduler_first_token(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
+/* The place came to nothing: the workspace is not charged, and the engine is watched. */
+void scheduler_fail(scheduler_t *this, unsigned int router, uint64_t ticket,
+	place_failure_t failure, instant_t now);
+/* What the engine told of itself: requests that run or wait there, whoever sent them. */
+void scheduler_load_report(
+	scheduler_t *this, unsigned int router, uint64_t ticket, unsigned int load, instant_t now);
 /* The request is over, after `answer` tokens. */
 void scheduler_end(scheduler_t *this, unsigned int router, uint64_t ticket, uint32_t answer,
 	instant_t now);
@@ -98,7 +110,7 @@
 bool scheduler_next_action(scheduler_t *this, scheduler_action_t *action);
 
 /* Places that are free at engines of `pool`, less what waits for them. */
-int scheduler_room(const scheduler_t *this, id_t32 pool);
+int scheduler_room(const scheduler_t *this, id_t32 pool, instant_t now);
 unsigned int scheduler_waiting(const scheduler_t *this);
 unsigned int scheduler_running(const scheduler_t *this);
 const scheduler_stats_t *scheduler_stats(const scheduler_t *this);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -38,6 +38,8 @@
 	/* The wait is over: nobody wants the place. */
 	void (*cancel)(call_t *call);
 	void (*first_byte)(call_t *call);
+	/* The endpoint told how many requests it has. */
+	void (*load)(call_t *call, unsigned int load);
 	void (*end)(call_t *call, end_kind_t kind);
 } call_queue_ops_t;
 
@@ -79,6 +81,7 @@
 	unsigned int runs; /* sends that may have run */
 	bool sent_now;	   /* bytes of the present attempt have left */
 	instant_t sent_at;
+	place_failure_t failure; /* of the last attempt that failed */
 
 	/* relay */
 	unsigned int status;
@@ -142,7 +145,7 @@
 
 /* call_dispatch.c */
 /* The attempt failed: another one, or the answer that is true. */
-void call_attempt_failed(call_t *this, end_kind_t kind, bool may_have_run, reason_t reason);
+void call_attempt_failed(call_t *this, place_failure_t failure, bool may_have_run);
 
 /* call_relay.c */
 extern const endpoint_link_ops_t call_link_ops;
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -111,7 +111,7 @@
 	call->endpoint_link = endpoint_link_send(
 		&gateway->link_options, call->endpoint, &request, &call_link_ops, call);
 	if (!call->endpoint_link) {
-		call_attempt_failed(call, END_REFUSED, false, REASON_ENDPOINT_REFUSED);
+		call_attempt_failed(call, PLACE_UNREACHED, false);
 		return STEP_WAIT;
 	}
 	return STEP_NEXT;
@@ -132,9 +132,11 @@
 	return retry_budget_take(gateway_budget(call->gateway, call->service->id), now);
 }
 
-void call_attempt_failed(call_t *this, end_kind_t kind, bool may_have_run, reason_t reason)
+void call_attempt_failed(call_t *this, place_failure_t failure, bool may_have_run)
 {
+	static const char *const names[] = {"unreached", "refused", "broken"};
 	instant_t now = clock_now();
+	reason_t reason = may_have_run ? REASON_ENDPOINT_BROKEN : REASON_ENDPOINT_REFUSED;
 	bool again;
 
 	if (may_have_run)
@@ -143,10 +145,10 @@
 	this->endpoint_link = NULL;
 	again = may_try_again(this, may_have_run, now);
 	log_info("attempt-failed",
-		"id=%s endpoint=%s sent=%d may_have_run=%d reason=%s send=%u again=%d", this->id,
-		this->endpoint->name, this->sent_now, may_have_run, reason_info(reason)->name,
-		this->sends, again);
-	call_leave_queue(this, kind);
+		"id=%s endpoint=%s failure=%s may_have_run=%d send=%u again=%d", this->id,
+		this->endpoint->name, names[failure], may_have_run, this->sends, again);
+	this->failure = failure;
+	call_leave_queue(this, may_have_run ? END_BROKEN : END_REFUSED);
 	this->node.avoid = this->endpoint->id;
 	this->place.avoid = this->endpoint->id;
 	if (again) {
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -29,6 +29,11 @@
 {
 }
 
+static void load_node(call_t *call, unsigned int load)
+{
+	node_load_report(call->gateway->node, call->endpoint->id, load, clock_now());
+}
+
 static void end_node(call_t *call, end_kind_t kind)
 {
 	if (call->node.state == REQUEST_RUNNING)
@@ -36,7 +41,7 @@
 }
 
 static const call_queue_ops_t node_queue = {
-	enter_node, is_node_decided, cancel_node, first_byte_node, end_node};
+	enter_node, is_node_decided, cancel_node, first_byte_node, load_node, end_node};
 
 /* --- model engines: their owners place the work ------------------------- */
 
@@ -70,19 +75,23 @@
 	placement_first_token(placement_of(call), &call->place, clock_now());
 }
 
+static void load_placement(call_t *call, unsigned int load)
+{
+	placement_load_report(placement_of(call), &call->place, load, clock_now());
+}
+
 static void end_placement(call_t *call, end_kind_t kind)
 {
 	instant_t now = clock_now();
 
-	/* What did not run is not charged to the workspace. */
-	if (kind == END_REFUSED)
-		placement_cancel(placement_of(call), &call->place, now);
+	if (kind == END_REFUSED || kind == END_BROKEN)
+		placement_fail(placement_of(call), &call->place, call->failure, now);
 	else
 		placement_end(placement_of(call), &call->place, call->cost, now);
 }
 
 static const call_queue_ops_t placement_queue = {enter_placement, is_placement_decided,
-	cancel_placement, first_byte_placement, end_placement};
+	cancel_placement, first_byte_placement, load_placement, end_placement};
 
 /* --- both --------------------------------------------------------------- */
 
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -31,9 +31,8 @@
 
 static void note_load(call_t *call, const link_answer_t *answer)
 {
-	if (answer->has_load)
-		node_load_report(call->gateway->node, call->endpoint->id,
-			answer->load_running + answer->load_waiting, clock_now());
+	if (answer->has_load && call->in_queue)
+		call->queue->load(call, answer->load_running + answer->load_waiting);
 }
 
 static void on_answer(void *user, const link_answer_t *answer)
@@ -45,12 +44,13 @@
 	call->body_length = answer->length;
 	if (answer->not_run || answer->status == 421) {
 		endpoint_link_abort(call->endpoint_link);
-		call_attempt_failed(call, END_REFUSED, false, REASON_ENDPOINT_REFUSED);
+		call_attempt_failed(
+			call, answer->not_run ? PLACE_REFUSED : PLACE_UNREACHED, false);
 		return;
 	}
 	if (is_dubious(answer)) {
 		endpoint_link_abort(call->endpoint_link);
-		call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+		call_attempt_failed(call, PLACE_BROKEN, true);
 		return;
 	}
 	call->streaming = call->route->is_stream && answer->status == 200;
@@ -109,7 +109,7 @@
 	log_warn("events-malformed", "id=%s endpoint=%s after=%" G_GINT64_FORMAT, call->id,
 		call->endpoint->name, (gint64)call->events.last);
 	endpoint_link_abort(call->endpoint_link);
-	call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+	call_attempt_failed(call, PLACE_BROKEN, true);
 }
 
 static void on_body(void *user, const char *data, size_t len)
@@ -160,7 +160,7 @@
 
 	call->endpoint_link = NULL;
 	if (call->streaming && !event_stream_is_whole(&call->events)) {
-		call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+		call_attempt_failed(call, PLACE_BROKEN, true);
 		return;
 	}
 	if (is_failure_worth_retrying(call)) {
@@ -168,7 +168,7 @@
 
 		if (call->runs + 1 < call->route->max_attempts &&
 			instant_left(call->deadline, now) > 0) {
-			call_attempt_failed(call, END_BROKEN, true, REASON_ENDPOINT_BROKEN);
+			call_attempt_failed(call, PLACE_BROKEN, true);
 			return;
 		}
 	}
@@ -184,8 +184,7 @@
 
 	log_info("link-failed", "id=%s endpoint=%s failure=%s", call->id, call->endpoint->name,
 		names[failure]);
-	call_attempt_failed(call, may_have_run ? END_BROKEN : END_REFUSED, may_have_run,
-		may_have_run ? REASON_ENDPOINT_BROKEN : REASON_ENDPOINT_REFUSED);
+	call_attempt_failed(call, may_have_run ? PLACE_BROKEN : PLACE_UNREACHED, may_have_run);
 }
 
 const endpoint_link_ops_t call_link_ops = {
@@ -202,6 +201,7 @@
 	if (!call->whole)
 		return STEP_WAIT;
 	call->runs++;
+	call->failure = PLACE_BROKEN;
 	call_leave_queue(call, is_success(call->status) ? END_DONE : END_BROKEN);
 	if (call->request->is_head)
 		begin_answer(call);
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -537,6 +537,8 @@
 		caller_gone(this);
 		return;
 	}
+	if (n == 0)
+		return; /* nothing came; to the parser it would mean the end */
 	if (this->state == CALLER_READING)
 		caller_parse(this, buffer->base, (size_t)n);
 	else if (this->state == CALLER_OWED)
@@ -556,6 +558,26 @@
 
 /* --- the listener ----------------------------------------------------- */
 
+/* A caller without a request makes room for one that may have one. */
+static void close_longest_idle(listener_t *this)
+{
+	caller_t *longest = NULL;
+	caller_t *caller;
+
+	cds_list_for_each_entry (caller, &this->callers, link) {
+		if (caller->state == CALLER_CLOSING) {
+			longest = caller;
+			break;
+		}
+		if (caller->state != CALLER_READING || caller->in_request)
+			continue;
+		if (!longest || caller->since < longest->since)
+			longest = caller;
+	}
+	if (longest)
+		caller_gone(longest);
+}
+
 static void on_connection(uv_stream_t *stream, int status)
 {
 	listener_t *this = stream->data;
@@ -565,6 +587,8 @@
 		log_warn("accept-failed", "error=%s", uv_strerror(status));
 		return;
 	}
+	if (this->count >= this->options.max_callers)
+		close_longest_idle(this);
 	caller = g_new0(caller_t, 1);
 	caller->listener = this;
 	uv_tcp_init(this->options.loop, &caller->tcp);
