--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 $(BUILD)/summary: $(BUILD)/obj/bench/summary.o $(BUILD)/libparts.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
-$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/libstandin.a $(BUILD)/libparts.a
+$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/libstandin.a $(BUILD)/libparts.a
 	$(CC) $(SAN) -o $@ $^ -lcmocka $(LIBS)
 
 test-programs: $(patsubst tests/%.c,$(BUILD)/%,$(TESTS))
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -5,6 +5,8 @@
 #define NOTE_BATCH 64
 #define MAX_NOTES 512 /* in one message */
 #define ANSWER_SPAN (25 * USEC_PER_MSEC) /* for an owner's first word: ten times a usual round trip */
+#define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
+#define ROOM_SPACING (4 * USEC_PER_MSEC)  /* times the routers: between two messages for room alone */
 #define MAX_ASKS 3	      /* owners that are asked before a router starts work on its own */
 #define CANDIDATES 3	      /* engines on which a prompt's shared parts may stand */
 #define REPORT_INTERVAL (1 * USEC_PER_SEC)
@@ -36,6 +38,7 @@
 	unsigned int note_room;
 	uint64_t seq;
 	instant_t send_at;
+	instant_t sent_at;
 } member_view_state_t;
 
 struct placement {
@@ -375,24 +378,34 @@
 	report(this, request, now);
 }
 
+static note_t ask_note(const place_request_t *request)
+{
+	return (note_t){
+		.kind = NOTE_ASK,
+		.ask = {
+			.ticket = request->ticket,
+			.pool = request->pool,
+			.workspace = request->workspace,
+			.avoid = request->avoid,
+			.work = request->work,
+			.first_by = request->first_by,
+			.deadline = request->deadline,
+			.is_late = request->is_late,
+			.insists = request->asks >= MAX_ASKS,
+		},
+	};
+}
+
 static void send_ask(
 	placement_t *this, place_request_t *request, unsigned int owner, instant_t now)
 {
-	note_t note = {.kind = NOTE_ASK};
+	note_t note;
 	room_t *room;
 
 	request->ticket = ++this->next_ticket;
 	request->owner = owner;
-	note.ask = (ask_t){
-		.ticket = request->ticket,
-		.pool = request->pool,
-		.workspace = request->workspace,
-		.avoid = request->avoid,
-		.work = request->work,
-		.first_by = request->first_by,
-		.deadline = request->deadline,
-		.is_late = request->is_late,
-	};
+	request->repeat_at = now + REPEAT_SPAN;
+	note = ask_note(request);
 	this->stats.asks++;
 	if (owner == 0) {
 		request->state = PLACE_WAITING;
@@ -527,6 +540,16 @@
 	return NULL;
 }
 
+static bool has_room_elsewhere(placement_t *this, id_t32 pool, instant_t now)
+{
+	for (unsigned int slot = 1; slot < this->members.count; slot++) {
+		if (is_askable(this, slot) && owns_engine_of(this, slot, pool) &&
+			room_at(this, slot, pool, now) > 0)
+			return true;
+	}
+	return false;
+}
+
 static void hear_ask(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
 	note_t answer = {.kind = NOTE_NOT_MINE, .ticket = note->ask.ticket};
@@ -535,6 +558,12 @@
 		tell(this, slot, &answer, now);
 		return;
 	}
+	if (!note->ask.insists && room_at(this, 0, note->ask.pool, now) <= 0 &&
+		has_room_elsewhere(this, note->ask.pool, now)) {
+		answer.kind = NOTE_FULL;
+		tell(this, slot, &answer, now);
+		return;
+	}
 	scheduler_ask(this->scheduler, slot, &note->ask, now);
 	answer.kind = NOTE_WAIT;
 	tell(this, slot, &answer, now);
@@ -548,13 +577,25 @@
 		request->state = PLACE_WAITING;
 }
 
+/* The grant was told before. */
+static bool is_running(const placement_t *this, unsigned int owner, uint64_t ticket)
+{
+	const place_request_t *request;
+
+	cds_list_for_each_entry (request, &this->running, link) {
+		if (request->ticket == ticket && request->owner == owner)
+			return true;
+	}
+	return false;
+}
+
 static void hear_grant(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
 	place_request_t *request = find_asked(this, slot, note->ticket);
 
 	if (request && find_engine(this, note->engine))
 		start(this, request, note->engine, slot);
-	else
+	else if (!is_running(this, slot, note->ticket))
 		withdraw_at(this, slot, note->ticket, now);
 }
 
@@ -566,9 +607,10 @@
 		reject(this, request, note->value);
 }
 
-static void hear_not_mine(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+static void ask_elsewhere(placement_t *this, unsigned int slot, uint64_t ticket, int32_t has,
+	instant_t now)
 {
-	place_request_t *request = find_asked(this, slot, note->ticket);
+	place_request_t *request = find_asked(this, slot, ticket);
 	room_t *room;
 
 	if (!request)
@@ -576,10 +618,20 @@
 	this->stats.elsewhere++;
 	room = room_of(&this->views[slot], request->pool);
 	if (room)
-		room->room = INT32_MIN / 2;
+		room->room = has;
 	ask(this, request, now);
 }
 
+static void hear_not_mine(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	ask_elsewhere(this, slot, note->ticket, INT32_MIN / 2, now);
+}
+
+static void hear_full(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	ask_elsewhere(this, slot, note->ticket, 0, now);
+}
+
 static void hear_withdraw(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
 	scheduler_withdraw(this->scheduler, slot, note->ticket, now);
@@ -631,6 +683,7 @@
 	[NOTE_GRANT] = hear_grant,
 	[NOTE_REFUSE] = hear_refuse,
 	[NOTE_NOT_MINE] = hear_not_mine,
+	[NOTE_FULL] = hear_full,
 	[NOTE_WITHDRAW] = hear_withdraw,
 	[NOTE_FIRST] = hear_first,
 	[NOTE_LOAD] = hear_load,
@@ -686,6 +739,14 @@
 	}
 }
 
+static void repeat_ask(placement_t *this, place_request_t *request, instant_t now)
+{
+	note_t note = ask_note(request);
+
+	request->repeat_at = now + REPEAT_SPAN;
+	tell(this, request->owner, &note, now);
+}
+
 /* An owner that gave no word in time is passed over until it is heard again. */
 static instant_t check_asked(placement_t *this, instant_t now)
 {
@@ -708,6 +769,8 @@
 			ask(this, request, now);
 			continue;
 		}
+		if (request->owner && now >= request->repeat_at)
+			repeat_ask(this, request, now);
 		if (request->state == PLACE_ASKED)
 			next = instant_min(next, request->answer_by);
 	}
@@ -729,6 +792,27 @@
 		assign_owners(this, now);
 }
 
+/* Those who would ask in vain, or don't ask though they could, hear of it soon. */
+static void announce_room(placement_t *this, instant_t now)
+{
+	const member_view_state_t *own = &this->views[0];
+	uint64_t spacing = ROOM_SPACING * this->members.count;
+
+	for (unsigned int i = 0; i < own->room_count; i++) {
+		id_t32 pool = own->rooms[i].pool;
+		int32_t has = scheduler_room(this->scheduler, pool, now);
+
+		for (unsigned int slot = 1; slot < this->members.count; slot++) {
+			member_view_state_t *view = &this->views[slot];
+			const room_t *room = room_of(view, pool);
+
+			if (room && (room->told > 0) != (has > 0))
+				view->send_at = instant_min(view->send_at,
+					view->sent_at + spacing);
+		}
+	}
+}
+
 instant_t placement_tick(placement_t *this, instant_t now)
 {
 	instant_t next;
@@ -741,6 +825,7 @@
 	next = check_asked(this, now);
 	next = instant_min(next, scheduler_run(this->scheduler, now));
 	answer_asks(this, now);
+	announce_room(this, now);
 	return instant_min(next, this->report_at);
 }
 
@@ -781,6 +866,7 @@
 		if (now < view->send_at)
 			continue;
 		add_rooms(this, i, now);
+		view->sent_at = now;
 		view->send_at = now + heartbeat_interval(this);
 		*slot = i;
 		*head = (note_head_t){
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -21,6 +21,7 @@
 	NOTE_GRANT,
 	NOTE_REFUSE, /* with when to come back */
 	NOTE_NOT_MINE, /* the receiver of the ask does not own engines of the pool */
+	NOTE_FULL,     /* it has no room, and another seems to have */
 	NOTE_WITHDRAW,
 	NOTE_FIRST,  /* the first token has come */
 	NOTE_LOAD, /* what the engine told of its load */
@@ -77,6 +78,7 @@
 	unsigned int owner; /* member slot */
 	id_t32 engine;
 	instant_t answer_by; /* of the owner, while no word has come */
+	instant_t repeat_at; /* of the ask: its answer may be lost */
 	unsigned int asks;
 	bool is_read;
 	bool on_own; /* started without an owner's word */
@@ -122,7 +124,7 @@
 	uint64_t asks;
 	uint64_t unanswered; /* asks that got no word in time */
 	uint64_t on_own;
-	uint64_t elsewhere; /* asks answered by NOT_MINE */
+	uint64_t elsewhere; /* asks answered by NOT_MINE or FULL */
 } placement_stats_t;
 
 typedef struct placement placement_t;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -21,6 +21,7 @@
 #define FAILING_PENALTY (500.0 * USEC_PER_MSEC) /* on the first token, at an engine that always fails */
 #define FOREIGN_WEIGHT 0.2
 #define FOREIGN_MEMORY (1 * USEC_PER_SEC) /* a report of foreign load is believed so long */
+#define ROOM_SPAN (20 * USEC_PER_MSEC) /* of reading, that one more request is reckoned to take */
 #define RATE_WEIGHT 0.3
 #define REPORT_GRACE (1500 * USEC_PER_MSEC) /* a place not told of for longer is free: one report may be lost */
 #define RATE_SPAN (500 * USEC_PER_MSEC)
@@ -357,24 +358,29 @@
 	return least;
 }
 
-static void grant(scheduler_t *this, pool_state_t *pool, record_t *record, engine_state_t *engine,
-	instant_t now)
+static void push_grant(scheduler_t *this, const record_t *record)
 {
 	scheduler_action_t action = {
 		.kind = SCHEDULER_GRANT,
 		.router = record->router,
 		.ticket = record->ask.ticket,
-		.engine = engine->model.id,
+		.engine = record->engine->model.id,
 	};
 
 	push(this, &action);
+}
+
+static void grant(scheduler_t *this, pool_state_t *pool, record_t *record, engine_state_t *engine,
+	instant_t now)
+{
+	record->engine = engine;
+	push_grant(this, record);
 	this->stats.granted++;
 	this->stats.granted_late += record->ask.is_late;
 	count_waiting(pool, record, -1);
 	count_grant(pool, now);
 	cds_list_del(&record->link);
 	lane_charge(record->lane, cost_of(&record->ask), now);
-	record->engine = engine;
 	record->told_at = now;
 	this->running++;
 	engine_begin(&engine->model, &record->run, &record->ask.work, now);
@@ -531,8 +537,12 @@
 	record_t *record;
 	uint64_t alone;
 
-	if (find(this, router, ask->ticket))
-		return; /* told twice */
+	record = find(this, router, ask->ticket);
+	if (record) { /* told again: the answer may be lost */
+		if (record->engine)
+			push_grant(this, record);
+		return;
+	}
 	this->stats.asked++;
 	record = record_new(this, router, ask, now);
 	record->lane = lane_for(this, pool, ask->workspace);
@@ -795,6 +805,20 @@
 
 /* --- looking in ------------------------------------------------------- */
 
+/* How many requests it could begin with now, without one waiting long for the others. */
+static unsigned int engine_room(const scheduler_t *this, const engine_state_t *engine, instant_t now)
+{
+	unsigned int slots = usable_slots(engine, now);
+	uint64_t backlog = engine_backlog(&engine->model, now);
+	unsigned int free = slots > engine->model.running ? slots - engine->model.running : 0;
+	unsigned int readable;
+
+	if (backlog > this->options.max_backlog)
+		return 0;
+	readable = 1 + (unsigned int)((this->options.max_backlog - backlog) / ROOM_SPAN);
+	return free < readable ? free : readable;
+}
+
 int scheduler_room(const scheduler_t *this, id_t32 id, instant_t now)
 {
 	const pool_state_t *pool = find_pool(this, id);
@@ -803,12 +827,8 @@
 
 	if (!pool)
 		return 0;
-	cds_list_for_each_entry (engine, &pool->engines, link) {
-		unsigned int slots = usable_slots(engine, now);
-
-		if (engine->model.running < slots)
-			room += (int)(slots - engine->model.running);
-	}
+	cds_list_for_each_entry (engine, &pool->engines, link)
+		room += (int)engine_room(this, engine, now);
 	return room - (int)pool->timely;
 }
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -25,6 +25,7 @@
 	instant_t first_by; /* its first token is in time until then */
 	instant_t deadline;
 	bool is_late; /* it can't be in time any more: the caller came back after a refusal */
+	bool insists; /* no other owner has room: it is to wait here */
 } ask_t;
 
 /* A place in use, told again by its router to a new owner. */
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -89,7 +89,7 @@
 	put(fields, ask->avoid);
 	put(fields, span_left(ask->first_by, now));
 	put(fields, span_left(ask->deadline, now));
-	put(fields, ask->is_late);
+	put(fields, ask->is_late + 2 * ask->insists);
 	put(fields, ask->work.prompt);
 	put(fields, ask->work.answer);
 	for (unsigned int i = 0; i < ask->work.chain.count; i++) {
@@ -240,6 +240,7 @@
 static bool get_ask(fields_t *fields, ask_t *ask, instant_t now)
 {
 	unsigned int parts;
+	int64_t flags;
 
 	ask->ticket = (uint64_t)get(fields);
 	ask->pool = (id_t32)get(fields);
@@ -247,7 +248,9 @@
 	ask->avoid = (id_t32)get(fields);
 	ask->first_by = instant_of(get(fields), now);
 	ask->deadline = instant_of(get(fields), now);
-	ask->is_late = get(fields) != 0;
+	flags = get(fields);
+	ask->is_late = flags & 1;
+	ask->insists = flags & 2;
 	ask->work.prompt = (uint32_t)get(fields);
 	ask->work.answer = (uint32_t)get(fields);
 	parts = (fields->count - fields->next) / 2;
--- /dev/null
+++ b/tests/test_scheduler.c
@@ -0,0 +1,351 @@
+/* scheduler - the load patterns that its decisions answer, with time and seed given */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "tests/engine_sim.h"
+
+#define SEEDS 4
+#define LATE_WAIT (300 * USEC_PER_MSEC)
+
+static const sim_options_t site = {
+	.engines = 3,
+	.slots = 24,
+	.step_us = 6000,
+	.read_per_ms = 140,
+	.late_wait = LATE_WAIT,
+};
+
+/* Long drafts over shared catalogues, quick answers, short labels. */
+static const sim_kind_t draft = {6000, 4800, 30, 300, 400, 12000};
+static const sim_kind_t label = {1800, 200, 60, 20, 250, 2500};
+
+static sim_t *sim_with_seed(uint32_t seed)
+{
+	sim_options_t options = site;
+
+	options.seed = seed;
+	return sim_new(&options);
+}
+
+static void offer_mix(sim_t *sim, unsigned int workspaces, double times)
+{
+	for (unsigned int w = 0; w < workspaces; w++) {
+		sim_offer(sim, w, &draft, 9 * times / workspaces);
+		sim_offer(sim, w, &label, 12 * times / workspaces);
+	}
+}
+
+static sim_count_t sum_of(const sim_t *sim)
+{
+	sim_count_t sum = {0};
+
+	for (unsigned int w = 0; w < SIM_WORKSPACES; w++) {
+		const sim_count_t *count = sim_count(sim, w);
+
+		sum.offered += count->offered;
+		sum.timely += count->timely;
+		sum.late += count->late;
+		sum.refused += count->refused;
+		sum.read_again += count->read_again;
+		if (count->longest_refusal > sum.longest_refusal)
+			sum.longest_refusal = count->longest_refusal;
+	}
+	return sum;
+}
+
+/* In the calm nearly all are in time, and nobody is refused. */
+static void test_calm_is_served_in_time(void **state)
+{
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_t *sim = sim_with_seed(seed);
+		sim_count_t sum;
+
+		offer_mix(sim, 4, 1);
+		sim_run(sim, 20000);
+		sum = sum_of(sim);
+		assert_int_equal(sum.refused, 0);
+		assert_true(sum.timely * 100 >= sum.offered * 93);
+		sim_delete(sim);
+	}
+}
+
+/* Twice what the engines can do: those that are served are served in time. */
+static void test_crest_leaves_few_late(void **state)
+{
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_t *sim = sim_with_seed(seed);
+		sim_count_t sum;
+
+		offer_mix(sim, 4, 6);
+		sim_run(sim, 15000);
+		sum = sum_of(sim);
+		assert_true(sum.refused > 0);
+		assert_true(sum.timely >= 4 * sum.late);
+		sim_delete(sim);
+	}
+}
+
+/* What is refused is refused as soon as it can't be in time, not near its deadline. */
+static void test_refusals_come_early(void **state)
+{
+	sim_t *sim = sim_with_seed(5);
+	sim_count_t sum;
+
+	offer_mix(sim, 4, 8);
+	sim_run(sim, 10000);
+	sum = sum_of(sim);
+	assert_true(sum.refused > 100);
+	/* The largest prompt may wait for twice its own span, the rest for their objective. */
+	assert_true(sum.longest_refusal <= LATE_WAIT + 1000 * USEC_PER_MSEC);
+	sim_delete(sim);
+}
+
+/* The largest tenth is served at least half as often as all. */
+static void test_largest_are_served(void **state)
+{
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_t *sim = sim_with_seed(seed);
+
+		sim_offer(sim, 0, &draft, 40);
+		sim_offer(sim, 1, &draft, 40);
+		sim_run(sim, 20000);
+		assert_true(sim_served_share(sim, true) * 2 >= sim_served_share(sim, false));
+		sim_delete(sim);
+	}
+}
+
+/* One workspace sends eight times as much as each of three others: they lose little. */
+static void test_flood_keeps_to_its_share(void **state)
+{
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_t *sim = sim_with_seed(seed);
+		uint64_t flood;
+
+		sim_offer(sim, 0, &draft, 80);
+		for (unsigned int w = 1; w <= 3; w++)
+			sim_offer(sim, w, &draft, 5);
+		sim_run(sim, 20000);
+		flood = sim_count(sim, 0)->tokens;
+		for (unsigned int w = 1; w <= 3; w++) {
+			const sim_count_t *count = sim_count(sim, w);
+
+			assert_true((count->timely + count->late) * 100 >= count->offered * 85);
+			assert_true(count->tokens < flood);
+		}
+		sim_delete(sim);
+	}
+}
+
+/* A workspace that was idle banks nothing: from its return it has its share, not more. */
+static void test_idleness_banks_nothing(void **state)
+{
+	sim_t *sim = sim_with_seed(3);
+	uint64_t first;
+	uint64_t second;
+
+	sim_offer(sim, 0, &draft, 60);
+	sim_run(sim, 20000);
+	sim_offer(sim, 1, &draft, 60);
+	sim_run(sim, 8000);
+	first = sim_count(sim, 0)->tokens;
+	second = sim_count(sim, 1)->tokens;
+	sim_run(sim, 8000);
+	first = sim_count(sim, 0)->tokens - first;
+	second = sim_count(sim, 1)->tokens - second;
+	assert_true(second * 10 <= first * 13);
+	assert_true(first * 10 <= second * 13);
+	sim_delete(sim);
+}
+
+/* Shared parts are read by few engines, as long as those have room. */
+static void test_shared_parts_stay_where_they_were_read(void **state)
+{
+	sim_t *sim = sim_with_seed(2);
+	sim_count_t sum;
+
+	sim_offer(sim, 0, &draft, 12);
+	sim_run(sim, 20000);
+	sum = sum_of(sim);
+	/* Read once on each engine at most would be 30 * 3 parts. */
+	assert_true(sum.read_again <= (uint64_t)60 * draft.shared);
+	sim_delete(sim);
+}
+
+/* An engine that answers nobody gets a probe now and then, not a share of the work. */
+static void test_dead_engine_is_passed_over(void **state)
+{
+	sim_options_t options = site;
+	sim_t *sim;
+	sim_count_t sum;
+
+	options.seed = 4;
+	options.broken_engine = 2;
+	sim = sim_new(&options);
+	offer_mix(sim, 2, 1);
+	sim_run(sim, 10000);
+	sum = sum_of(sim);
+	assert_true(sum.offered - sum.timely - sum.late - sum.refused <= 20);
+	sim_delete(sim);
+}
+
+/* --- single steps ------------------------------------------------------- */
+
+static ask_t plain_ask(uint64_t ticket, instant_t now)
+{
+	return (ask_t){.ticket = ticket,
+		.pool = SIM_POOL,
+		.workspace = 1,
+		.work = {.prompt = 1000, .answer = 100},
+		.first_by = now + 300 * USEC_PER_MSEC,
+		.deadline = now + 5 * USEC_PER_SEC};
+}
+
+static scheduler_t *one_engine(unsigned int slots)
+{
+	scheduler_options_t options = {
+		.late_wait = LATE_WAIT, .max_backlog = 60 * USEC_PER_MSEC};
+	scheduler_t *this = scheduler_new(&options);
+
+	scheduler_own(this, 100, SIM_POOL, slots, 0);
+	return this;
+}
+
+static unsigned int count_grants(scheduler_t *this, instant_t now)
+{
+	scheduler_action_t action;
+	unsigned int grants = 0;
+
+	scheduler_run(this, now);
+	while (scheduler_next_action(this, &action))
+		grants += action.kind == SCHEDULER_GRANT;
+	return grants;
+}
+
+static void test_places_come_back(void **state)
+{
+	scheduler_t *this = one_engine(2);
+	instant_t now = USEC_PER_SEC;
+
+	for (uint64_t ticket = 1; ticket <= 4; ticket++) {
+		ask_t ask = plain_ask(ticket, now);
+
+		scheduler_ask(this, 3, &ask, now);
+		scheduler_ask(this, 3, &ask, now); /* a repeat does no harm */
+	}
+	assert_int_equal(count_grants(this, now), 2);
+	assert_int_equal(scheduler_waiting(this), 2);
+	now += 50 * USEC_PER_MSEC;
+	for (uint64_t ticket = 1; ticket <= 4; ticket++)
+		scheduler_first_token(this, 3, ticket, now);
+	for (uint64_t ticket = 1; ticket <= 4; ticket++)
+		scheduler_end(this, 3, ticket, 100, now);
+	assert_int_equal(scheduler_running(this), 0);
+	assert_int_equal(count_grants(this, now), 2);
+	scheduler_forget_router(this, 3, now);
+	assert_int_equal(scheduler_running(this), 0);
+	assert_int_equal(scheduler_waiting(this), 0);
+	scheduler_delete(this);
+}
+
+/* The end of a request was not heard: the next whole report frees its place. */
+static void test_lost_end_is_put_right_by_a_report(void **state)
+{
+	scheduler_t *this = one_engine(2);
+	instant_t now = USEC_PER_SEC;
+	held_place_t place = {.ticket = 1, .engine = 100, .workspace = 1, .prompt = 1000};
+	ask_t ask;
+
+	for (uint64_t ticket = 1; ticket <= 2; ticket++) {
+		ask = plain_ask(ticket, now);
+		scheduler_ask(this, 3, &ask, now);
+	}
+	assert_int_equal(count_grants(this, now), 2);
+	for (int i = 0; i < 3; i++) {
+		now += USEC_PER_SEC;
+		scheduler_hold(this, 3, &place, now);
+		scheduler_end_report(this, 3, now);
+	}
+	assert_int_equal(scheduler_running(this), 1);
+	scheduler_delete(this);
+}
+
+/* A new owner counts what its predecessor granted. */
+static void test_held_places_count(void **state)
+{
+	scheduler_t *this = one_engine(2);
+	instant_t now = USEC_PER_SEC;
+	held_place_t place = {.ticket = 9, .engine = 100, .workspace = 1, .is_read = true};
+	ask_t ask;
+
+	scheduler_hold(this, 4, &place, now);
+	for (uint64_t ticket = 1; ticket <= 2; ticket++) {
+		ask = plain_ask(ticket, now);
+		scheduler_ask(this, 3, &ask, now);
+	}
+	assert_int_equal(count_grants(this, now), 1);
+	scheduler_end(this, 4, 9, 10, now);
+	assert_int_equal(count_grants(this, now), 1);
+	scheduler_delete(this);
+}
+
+/* Another owner, beyond a cut, fills the same engine: its reports show it. */
+static void test_foreign_load_is_left_room(void **state)
+{
+	scheduler_t *this = one_engine(10);
+	instant_t now = USEC_PER_SEC;
+	ask_t ask = plain_ask(1, now);
+
+	scheduler_ask(this, 3, &ask, now);
+	assert_int_equal(count_grants(this, now), 1);
+	for (int i = 0; i < 40; i++)
+		scheduler_load_report(this, 3, 1, 7, now);
+	for (uint64_t ticket = 2; ticket <= 10; ticket++) {
+		ask = plain_ask(ticket, now);
+		ask.work.prompt = 10;
+		ask.first_by = now + 5 * USEC_PER_SEC;
+		scheduler_ask(this, 3, &ask, now);
+	}
+	assert_int_equal(count_grants(this, now), 3);
+	now += 2 * USEC_PER_SEC; /* no report since */
+	assert_int_equal(count_grants(this, now), 6);
+	scheduler_delete(this);
+}
+
+static void test_leaving_engine_gets_nothing_new(void **state)
+{
+	scheduler_t *this = one_engine(2);
+	instant_t now = USEC_PER_SEC;
+	ask_t ask = plain_ask(1, now);
+
+	scheduler_set_usable(this, 100, false);
+	scheduler_ask(this, 3, &ask, now);
+	assert_int_equal(count_grants(this, now), 0);
+	scheduler_disown(this, 100);
+	assert_int_equal(count_grants(this, now + 2 * USEC_PER_SEC), 0);
+	assert_int_equal(scheduler_waiting(this), 0);
+	scheduler_delete(this);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_calm_is_served_in_time),
+		cmocka_unit_test(test_crest_leaves_few_late),
+		cmocka_unit_test(test_refusals_come_early),
+		cmocka_unit_test(test_largest_are_served),
+		cmocka_unit_test(test_flood_keeps_to_its_share),
+		cmocka_unit_test(test_idleness_banks_nothing),
+		cmocka_unit_test(test_shared_parts_stay_where_they_were_read),
+		cmocka_unit_test(test_dead_engine_is_passed_over),
+		cmocka_unit_test(test_places_come_back),
+		cmocka_unit_test(test_lost_end_is_put_right_by_a_report),
+		cmocka_unit_test(test_held_places_count),
+		cmocka_unit_test(test_foreign_load_is_left_room),
+		cmocka_unit_test(test_leaving_engine_gets_nothing_new),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
