Requests go first to where their shared parts are read; a failed resume looks cut

Causes: a slot that came free went to the newest request of the least served lane, though its shared parts stood on another engine of the same owner.

--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -10,6 +10,8 @@
 #define LOOKED_AT 6			    /* newest of a lane, of which the first that fits is taken */
 #define OUTSIZED_FACTOR 2	  /* times its span on an idle engine, for what never could be in time */
 #define LATE_RESERVE 8		  /* a part of an engine's slots, left free by late work */
+#define HOME_SLACK 256		  /* tokens more to read, with which an engine still counts as home */
+#define HOME_LAG 40000		  /* tokens that a lane may be ahead, to be served where its parts are */
 #define RETRY_FIRST_MS 400	  /* of a refusal, when nobody else was told to come back */
 #define RETRY_MOST_MS 8000
 #define RETURNING_PART 0.25 /* of the grants, for those who were told to come back */
@@ -313,16 +315,40 @@
 	return slots > foreign ? slots - foreign : 1;
 }
 
+/* What the engine that has most of the prompt would have to read, with room or without. */
+static uint32_t least_unread(const pool_state_t *pool, const ask_t *ask)
+{
+	const engine_state_t *engine;
+	uint32_t least = UINT32_MAX;
+
+	cds_list_for_each_entry (engine, &pool->engines, link) {
+		uint32_t unread = engine_unread(&engine->model, &ask->work);
+
+		if (engine->usable && unread < least)
+			least = unread;
+	}
+	return least;
+}
+
+/* Which engines come into question. */
+typedef struct engine_choice {
+	unsigned int reserve; /* a part of the slots that is left free, 0: none */
+	uint32_t most_unread; /* tokens of the prompt */
+} engine_choice_t;
+
+static const engine_choice_t any_engine = {0, UINT32_MAX};
+static const engine_choice_t late_engine = {LATE_RESERVE, UINT32_MAX};
+
 /* The usable engine on which the first token would come soonest; NULL when none has room. */
 static engine_state_t *best_engine(const scheduler_t *this, const pool_state_t *pool,
-	const ask_t *ask, unsigned int reserve, instant_t now, instant_t *first_at)
+	const ask_t *ask, const engine_choice_t *choice, instant_t now, instant_t *first_at)
 {
 	engine_state_t *best = NULL;
 	engine_state_t *engine;
 
 	cds_list_for_each_entry (engine, &pool->engines, link) {
 		const engine_t *model = &engine->model;
-		unsigned int kept = reserve ? model->slots / reserve : 0;
+		unsigned int kept = choice->reserve ? model->slots / choice->reserve : 0;
 		instant_t at;
 
 		if (!engine_has_room(model, &ask->work) ||
@@ -330,6 +356,9 @@
 			continue;
 		if (engine_backlog(model, now) > this->options.max_backlog)
 			continue;
+		if (choice->most_unread != UINT32_MAX &&
+			engine_unread(model, &ask->work) > choice->most_unread)
+			continue;
 		at = engine_first_at(model, &ask->work, now);
 		at += (instant_t)(engine->failing * FAILING_PENALTY);
 		if (model->id == ask->avoid)
@@ -385,17 +414,23 @@
 	engine_begin(&engine->model, &record->run, &record->ask.work, now);
 }
 
-/* The newest of the lane that would be in time; NULL when none of those looked at would. */
-static record_t *pick_timely(const scheduler_t *this, const pool_state_t *pool, sched_lane_t *lane,
-	instant_t now, engine_state_t **engine)
+/*
+ * The newest of the lane that would be in time; NULL when none of those looked
+ * at would.  `at_home`: only where most of its shared parts were read.
+ */
+static record_t *pick_timely(const scheduler_t *this, const pool_state_t *pool,
+	sched_lane_t *lane, bool at_home, instant_t now, engine_state_t **engine)
 {
 	unsigned int looked = 0;
 	record_t *record;
 
 	cds_list_for_each_entry_reverse (record, &lane->timely, link) {
+		engine_choice_t choice = any_engine;
 		instant_t first_at;
 
-		*engine = best_engine(this, pool, &record->ask, 0, now, &first_at);
+		if (at_home)
+			choice.most_unread = least_unread(pool, &record->ask) + HOME_SLACK;
+		*engine = best_engine(this, pool, &record->ask, &choice, now, &first_at);
 		if (*engine && first_at <= record->ask.first_by)
 			return record;
 		if (++looked == LOOKED_AT)
@@ -416,24 +451,36 @@
 	return false;
 }
 
-/* Grants one request of the least served lane that has one to place. */
-static bool grant_timely(scheduler_t *this, pool_state_t *pool, instant_t now)
+static double least_level(pool_state_t *pool, instant_t now)
+{
+	sched_lane_t *lane;
+	double least = HUGE_VAL;
+
+	cds_list_for_each_entry (lane, &pool->lanes, link) {
+		if (!cds_list_empty(&lane->timely) && lane_level(lane, now) < least)
+			least = lane_level(lane, now);
+	}
+	return least;
+}
+
+/* Grants one request of the least served lane that has one to place, up to `most_level`. */
+static bool grant_timely(scheduler_t *this, pool_state_t *pool, bool at_home, double most_level,
+	instant_t now)
 {
 	record_t *best = NULL;
 	engine_state_t *best_on = NULL;
 	double best_level = 0;
 	sched_lane_t *lane;
 
-	if (!pool->timely || !has_free_engine(this, pool, now))
-		return false;
 	cds_list_for_each_entry (lane, &pool->lanes, link) {
 		double level = lane_level(lane, now);
 		engine_state_t *engine = NULL;
 		record_t *record;
 
-		if (cds_list_empty(&lane->timely) || (best && level >= best_level))
+		if (cds_list_empty(&lane->timely) || level > most_level ||
+			(best && level >= best_level))
 			continue;
-		record = pick_timely(this, pool, lane, now, &engine);
+		record = pick_timely(this, pool, lane, at_home, now, &engine);
 		if (!record)
 			continue;
 		best = record;
@@ -446,6 +493,18 @@
 	return true;
 }
 
+/*
+ * A free slot goes to work whose shared parts its engine has read, if a lane
+ * that is little ahead has some; else to the least served.
+ */
+static bool grant_next(scheduler_t *this, pool_state_t *pool, instant_t now)
+{
+	if (!pool->timely || !has_free_engine(this, pool, now))
+		return false;
+	return grant_timely(this, pool, true, least_level(pool, now) + HOME_LAG, now) ||
+	       grant_timely(this, pool, false, HUGE_VAL, now);
+}
+
 /* Late work goes when nothing timely waits, the longest waiting of the least served lane. */
 static bool grant_late(scheduler_t *this, pool_state_t *pool, instant_t now)
 {
@@ -469,7 +528,7 @@
 	if (!best)
 		return false;
 	record = cds_list_first_entry(&best->late, record_t, link);
-	engine = best_engine(this, pool, &record->ask, LATE_RESERVE, now, &first_at);
+	engine = best_engine(this, pool, &record->ask, &late_engine, now, &first_at);
 	if (!engine)
 		return false;
 	grant(this, pool, record, engine, now);
@@ -519,7 +578,7 @@
 	cds_list_for_each_entry (pool, &this->pools, link) {
 		if (!pool->timely && !pool->late)
 			continue;
-		while (grant_timely(this, pool, now) || grant_late(this, pool, now))
+		while (grant_next(this, pool, now) || grant_late(this, pool, now))
 			;
 		expire(this, pool, now, &next);
 		while (grant_late(this, pool, now))
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -52,8 +52,14 @@
 		call_attempt_failed(call, PLACE_BROKEN, true);
 		return;
 	}
+	if (call->answering && answer->status != 200) {
+		/* The caller has the head of a success already: this is no part of it. */
+		endpoint_link_abort(call->endpoint_link);
+		call_attempt_failed(call, PLACE_BROKEN, true);
+		return;
+	}
 	call->streaming = call->route->is_stream && answer->status == 200;
-	if (call->streaming && call->answering)
+	if (call->answering)
 		return; /* goes on where the last attempt broke off */
 	g_string_assign(call->headers, answer->headers->str);
 }
--- a/standin/raw_endpoint.c
+++ b/standin/raw_endpoint.c
@@ -45,6 +45,14 @@
 	}
 }
 
+void raw_reset(int fd)
+{
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	if (connect(fd, &none, sizeof(none)))
+		abort();
+}
+
 char *raw_request_header(const raw_request_t *request, const char *name)
 {
 	char **lines = g_strsplit(request->head, "\r\n", 0);
--- a/standin/raw_endpoint.h
+++ b/standin/raw_endpoint.h
@@ -32,6 +32,8 @@
 void raw_endpoint_note_cut(raw_endpoint_t *this);
 /* A header of the request, or NULL; to be freed. */
 char *raw_request_header(const raw_request_t *request, const char *name);
+/* Resets the connection, as a crash does. */
+void raw_reset(int fd);
 /* Writes all of `text`. */
 void raw_write(int fd, const char *text);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -47,9 +47,7 @@
 
 static bool reset_after_reading(void *ctx, int fd, const raw_request_t *request)
 {
-	struct linger linger = {1, 0};
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	raw_reset(fd);
 	return false;
 }
 
@@ -367,6 +365,51 @@
 	fixture_delete(f);
 }
 
+/* An answer without a length that ends in a reset, its bytes and the reset coming together. */
+static bool unframed_reset(void *ctx, int fd, const raw_request_t *request)
+{
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\n" STAMP "Request-Id: %s\r\n\r\nhalf of it", request->id);
+
+	raw_write(fd, text);
+	raw_reset(fd);
+	g_free(text);
+	return false;
+}
+
+static bool unframed(void *ctx, int fd, const raw_request_t *request)
+{
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\n" STAMP "Request-Id: %s\r\n\r\nall of it", request->id);
+
+	raw_write(fd, text);
+	g_free(text);
+	return false;
+}
+
+static void test_answer_without_length(void **state)
+{
+	fixture_t *f = fixture_new();
+	char *answer;
+
+	fixture_add_endpoint(f, unframed, NULL);
+	fixture_wait_ready(f, 1);
+	answer = ask(f, "/order/", "id1", "");
+	assert_has(answer, "\r\n\r\nall of it");
+	assert_has(answer, "Content-Length: 9\r\n");
+	g_free(answer);
+	fixture_delete(f);
+	f = fixture_new();
+	fixture_add_endpoint(f, unframed_reset, NULL);
+	fixture_wait_ready(f, 1);
+	for (unsigned int i = 0; i < 5; i++) {
+		answer = ask(f, "/order/", "id1", "");
+		assert_lacks(answer, "half of it");
+		g_free(answer);
+	}
+	fixture_delete(f);
+}
+
 /* --- endpoints that fail ---------------------------------------------- */
 
 static void test_repeatable_goes_on_elsewhere(void **state)
@@ -549,6 +592,32 @@
 	fixture_delete(f);
 }
 
+/* The second run fails before its first event: what the caller has must not look whole. */
+static bool cut_then_fail(void *ctx, int fd, const raw_request_t *request)
+{
+	if (request->number)
+		return fails(ctx, fd, request);
+	write_stream_head(fd, request->id);
+	write_event(fd, 0);
+	return false;
+}
+
+static void test_resume_that_fails_looks_cut(void **state)
+{
+	fixture_t *f = fixture_new();
+	char *answer;
+
+	fixture_add_endpoint(f, cut_then_fail, NULL);
+	fixture_wait_ready(f, 1);
+	answer = ask(f, "/draft/", "id1", "");
+	assert_has(answer, "data: e0\n\n");
+	assert_lacks(answer, "0\r\n\r\n");
+	assert_lacks(answer, "oops");
+	assert_int_equal(raw_endpoint_requests(f->endpoints[0]), 2);
+	g_free(answer);
+	fixture_delete(f);
+}
+
 static void test_cut_stream_that_may_not_resume_looks_cut(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -759,6 +828,7 @@
 		cmocka_unit_test(test_chunked_body_arrives_whole),
 		cmocka_unit_test(test_malformed_requests_reach_nobody),
 		cmocka_unit_test(test_slow_head_and_idle_connection_are_closed),
+		cmocka_unit_test(test_answer_without_length),
 		cmocka_unit_test(test_repeatable_goes_on_elsewhere),
 		cmocka_unit_test(test_order_is_sent_once),
 		cmocka_unit_test(test_order_that_was_refused_is_told_not_run),
@@ -770,6 +840,7 @@
 		cmocka_unit_test(test_stream_is_passed_on_event_by_event),
 		cmocka_unit_test(test_cut_stream_resumes_within_the_answer),
 		cmocka_unit_test(test_cut_stream_that_may_not_resume_looks_cut),
+		cmocka_unit_test(test_resume_that_fails_looks_cut),
 		cmocka_unit_test(test_callers_place_in_a_stream_is_kept),
 		cmocka_unit_test(test_caller_that_leaves_a_stream_ends_it),
 		cmocka_unit_test(test_new_configuration_is_in_force),
