Fair share over all owners; late work of the starving goes before timely work of others

Change: owners tell one another what they served; late work goes first where its workspace has under 0.7 of the service of the timely one.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -7,6 +7,7 @@
 #define ANSWER_SPAN (25 * USEC_PER_MSEC) /* for an owner's first word: ten times a usual round trip */
 #define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
 #define FILL_SPACING (4 * USEC_PER_MSEC)  /* times the routers: between two messages for this alone */
+#define SERVED_SPACING (12 * USEC_PER_MSEC) /* times the routers: between two tellings of service */
 #define MAX_ASKS 3	      /* owners that are asked before a router starts work on its own */
 #define CANDIDATES 3	      /* engines on which a prompt's shared parts may stand */
 #define REPORT_INTERVAL (1 * USEC_PER_SEC)
@@ -67,6 +68,7 @@
 	uint64_t next_ticket;
 	uint64_t random;
 	instant_t report_at;
+	instant_t served_at; /* when to tell what was served */
 	bool stopping;
 	placement_stats_t stats;
 };
@@ -709,6 +711,11 @@
 	scheduler_end_report(this->scheduler, slot, now);
 }
 
+static void hear_served(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
+{
+	scheduler_hear_served(this->scheduler, note->pool, note->workspace, note->tokens, now);
+}
+
 static void hear_fill(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
 	pool_fill_t *fill = fill_of(&this->views[slot], note->pool);
@@ -732,6 +739,7 @@
 	[NOTE_END] = hear_end,
 	[NOTE_HOLD] = hear_hold,
 	[NOTE_REPORTED] = hear_reported,
+	[NOTE_SERVED] = hear_served,
 	[NOTE_FILL] = hear_fill,
 };
 
@@ -833,6 +841,26 @@
 		assign_owners(this, now);
 }
 
+static void tell_served(void *ctx, id_t32 pool, id_t32 workspace, int32_t tokens)
+{
+	placement_t *this = ctx;
+	note_t note = {
+		.kind = NOTE_SERVED, .pool = pool, .workspace = workspace, .tokens = tokens};
+
+	for (unsigned int slot = 1; slot < this->members.count; slot++) {
+		if (member_is_alive(&this->members.list[slot]))
+			tell(this, slot, &note, this->served_at);
+	}
+}
+
+static void tell_all_served(placement_t *this, instant_t now)
+{
+	if (now < this->served_at)
+		return;
+	this->served_at = now + SERVED_SPACING * this->members.count;
+	scheduler_tell_served(this->scheduler, tell_served, this);
+}
+
 static bool is_full(const scheduler_fill_t *fill)
 {
 	return fill->taken >= fill->slots;
@@ -872,6 +900,7 @@
 	next = instant_min(next, scheduler_run(this->scheduler, now));
 	answer_asks(this, now);
 	announce_fill(this, now);
+	tell_all_served(this, now);
 	return instant_min(next, this->report_at);
 }
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -32,6 +32,7 @@
 	NOTE_NEWS,   /* the newest version that the sender knows of a table: not placement's matter */
 	NOTE_NEWS_WANTED, /* likewise: rows of the table above a version */
 	NOTE_NEWS_PART,	  /* likewise: a piece of a row */
+	NOTE_SERVED, /* tokens that the sender's engines served a workspace since its last telling */
 	NOTE_FILL,   /* how full the sender's engines of a pool are */
 	NOTE_KINDS,
 } note_kind_t;
@@ -40,7 +41,9 @@
 	note_kind_t kind;
 	uint64_t ticket;
 	id_t32 engine;	/* GRANT, HOLD */
-	id_t32 pool;	/* ASK, FILL */
+	id_t32 pool;	/* ASK, FILL, SERVED */
+	id_t32 workspace; /* SERVED */
+	int32_t tokens;	  /* SERVED */
 	uint32_t value; /* retry_after_ms, answer tokens, rows still to come */
 	scheduler_fill_t fill;
 	ask_t ask; /* ASK; instants are the receiver's once decoded */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -12,6 +12,7 @@
 #define LATE_RESERVE 8		  /* a part of an engine's slots, left free by late work */
 #define HOME_SLACK 256		  /* tokens more to read, with which an engine still counts as home */
 #define HOME_LAG 40000		  /* tokens that a lane may be ahead, to be served where its parts are */
+#define STARVING 0.7		  /* of the service of others, below which late work goes first */
 #define RETRY_FIRST_MS 400	  /* of a refusal, when nobody else was told to come back */
 #define RETRY_MOST_MS 8000
 #define RETURNING_PART 0.25 /* of the grants, for those who were told to come back */
@@ -35,7 +36,8 @@
 struct sched_lane {
 	struct cds_list_head link;
 	id_t32 workspace;
-	double served; /* tokens, as of `served_at` */
+	double served; /* tokens, of all owners, as of `served_at` */
+	double untold; /* served here, not told to the other owners */
 	instant_t served_at;
 	struct cds_list_head timely; /* record_t, the oldest first */
 	struct cds_list_head late;
@@ -234,6 +236,13 @@
 	lane->served_at = now;
 }
 
+/* Tokens served here: the other owners are to hear of them. */
+static void lane_serve(sched_lane_t *lane, double tokens, instant_t now)
+{
+	lane_charge(lane, tokens, now);
+	lane->untold += tokens;
+}
+
 static double cost_of(const ask_t *ask)
 {
 	return ask->work.prompt + (double)ANSWER_WEIGHT * ask->work.answer;
@@ -408,7 +417,7 @@
 	count_waiting(pool, record, -1);
 	count_grant(pool, now);
 	cds_list_del(&record->link);
-	lane_charge(record->lane, cost_of(&record->ask), now);
+	lane_serve(record->lane, cost_of(&record->ask), now);
 	record->told_at = now;
 	this->running++;
 	engine_begin(&engine->model, &record->run, &record->ask.work, now);
@@ -463,13 +472,18 @@
 	return least;
 }
 
-/* Grants one request of the least served lane that has one to place, up to `most_level`. */
-static bool grant_timely(scheduler_t *this, pool_state_t *pool, bool at_home, double most_level,
-	instant_t now)
+/* A request and the engine that it may begin on. */
+typedef struct candidate {
+	record_t *record; /* NULL: none */
+	engine_state_t *engine;
+	double level; /* of its lane */
+} candidate_t;
+
+/* Of the least served lane that has one to place, up to `most_level`. */
+static candidate_t find_timely(const scheduler_t *this, pool_state_t *pool, bool at_home,
+	double most_level, instant_t now)
 {
-	record_t *best = NULL;
-	engine_state_t *best_on = NULL;
-	double best_level = 0;
+	candidate_t best = {0};
 	sched_lane_t *lane;
 
 	cds_list_for_each_entry (lane, &pool->lanes, link) {
@@ -478,60 +492,73 @@
 		record_t *record;
 
 		if (cds_list_empty(&lane->timely) || level > most_level ||
-			(best && level >= best_level))
+			(best.record && level >= best.level))
 			continue;
 		record = pick_timely(this, pool, lane, at_home, now, &engine);
-		if (!record)
-			continue;
-		best = record;
-		best_on = engine;
-		best_level = level;
+		if (record)
+			best = (candidate_t){record, engine, level};
 	}
-	if (!best)
-		return false;
-	grant(this, pool, best, best_on, now);
-	return true;
+	return best;
 }
 
 /*
  * A free slot goes to work whose shared parts its engine has read, if a lane
  * that is little ahead has some; else to the least served.
  */
-static bool grant_next(scheduler_t *this, pool_state_t *pool, instant_t now)
+static candidate_t next_timely(const scheduler_t *this, pool_state_t *pool, instant_t now)
 {
-	if (!pool->timely || !has_free_engine(this, pool, now))
-		return false;
-	return grant_timely(this, pool, true, least_level(pool, now) + HOME_LAG, now) ||
-	       grant_timely(this, pool, false, HUGE_VAL, now);
+	candidate_t found = {0};
+
+	if (pool->timely)
+		found = find_timely(this, pool, true, least_level(pool, now) + HOME_LAG, now);
+	if (pool->timely && !found.record)
+		found = find_timely(this, pool, false, HUGE_VAL, now);
+	return found;
 }
 
-/* Late work goes when nothing timely waits, the longest waiting of the least served lane. */
-static bool grant_late(scheduler_t *this, pool_state_t *pool, instant_t now)
+/* The longest waiting of the least served lane that has late work. */
+static candidate_t next_late(const scheduler_t *this, pool_state_t *pool, instant_t now)
 {
-	sched_lane_t *best = NULL;
-	double best_level = 0;
-	engine_state_t *engine;
-	instant_t first_at;
-	record_t *record;
+	candidate_t best = {0};
 	sched_lane_t *lane;
+	instant_t first_at;
 
-	if (!pool->late || pool->timely)
-		return false;
 	cds_list_for_each_entry (lane, &pool->lanes, link) {
 		double level = lane_level(lane, now);
 
-		if (cds_list_empty(&lane->late) || (best && level >= best_level))
+		if (cds_list_empty(&lane->late) || (best.record && level >= best.level))
 			continue;
-		best = lane;
-		best_level = level;
+		best.record = cds_list_first_entry(&lane->late, record_t, link);
+		best.level = level;
 	}
-	if (!best)
+	if (!best.record)
+		return best;
+	best.engine = best_engine(this, pool, &best.record->ask,
+		pool->timely ? &any_engine : &late_engine, now, &first_at);
+	if (!best.engine)
+		best.record = NULL;
+	return best;
+}
+
+/*
+ * Late work goes when nothing timely can, or when its workspace was served so
+ * much less that it would starve behind the timely work of others.
+ */
+static bool grant_next(scheduler_t *this, pool_state_t *pool, instant_t now)
+{
+	candidate_t timely;
+	candidate_t late;
+
+	if (!has_free_engine(this, pool, now))
 		return false;
-	record = cds_list_first_entry(&best->late, record_t, link);
-	engine = best_engine(this, pool, &record->ask, &late_engine, now, &first_at);
-	if (!engine)
+	timely = next_timely(this, pool, now);
+	late = pool->late ? next_late(this, pool, now) : (candidate_t){0};
+	if (late.record && (timely.record ? late.level < timely.level * STARVING : !pool->timely))
+		grant(this, pool, late.record, late.engine, now);
+	else if (timely.record)
+		grant(this, pool, timely.record, timely.engine, now);
+	else
 		return false;
-	grant(this, pool, record, engine, now);
 	return true;
 }
 
@@ -578,10 +605,10 @@
 	cds_list_for_each_entry (pool, &this->pools, link) {
 		if (!pool->timely && !pool->late)
 			continue;
-		while (grant_next(this, pool, now) || grant_late(this, pool, now))
+		while (grant_next(this, pool, now))
 			;
 		expire(this, pool, now, &next);
-		while (grant_late(this, pool, now))
+		while (grant_next(this, pool, now))
 			;
 	}
 	return next;
@@ -627,7 +654,7 @@
 		return;
 	this->stats.withdrawn++;
 	if (record->engine) {
-		lane_charge(record->lane, -cost_of(&record->ask), now);
+		lane_serve(record->lane, -cost_of(&record->ask), now);
 		release(this, record, now);
 		return;
 	}
@@ -696,11 +723,35 @@
 
 	if (!record || !record->engine)
 		return;
-	lane_charge(record->lane,
+	lane_serve(record->lane,
 		(double)ANSWER_WEIGHT * ((double)answer - record->ask.work.answer), now);
 	release(this, record, now);
 }
 
+void scheduler_hear_served(
+	scheduler_t *this, id_t32 pool, id_t32 workspace, int32_t tokens, instant_t now)
+{
+	lane_charge(lane_for(this, pool_for(this, pool), workspace), tokens, now);
+}
+
+void scheduler_tell_served(scheduler_t *this,
+	void (*each)(void *ctx, id_t32 pool, id_t32 workspace, int32_t tokens), void *ctx)
+{
+	pool_state_t *pool;
+	sched_lane_t *lane;
+
+	cds_list_for_each_entry (pool, &this->pools, link) {
+		cds_list_for_each_entry (lane, &pool->lanes, link) {
+			int32_t tokens = (int32_t)lane->untold;
+
+			if (!tokens)
+				continue;
+			lane->untold -= tokens;
+			each(ctx, pool->id, lane->workspace, tokens);
+		}
+	}
+}
+
 void scheduler_hold(
 	scheduler_t *this, unsigned int router, const held_place_t *place, instant_t now)
 {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -109,6 +109,13 @@
 /* The router is gone, or began anew: its places are free. */
 void scheduler_forget_router(scheduler_t *this, unsigned int router, instant_t now);
 
+/* Another owner served the workspace: fair share is kept over the whole fleet. */
+void scheduler_hear_served(scheduler_t *this, id_t32 pool, id_t32 workspace, int32_t tokens,
+	instant_t now);
+/* Calls `each` for what was served here since the last call. */
+void scheduler_tell_served(scheduler_t *this,
+	void (*each)(void *ctx, id_t32 pool, id_t32 workspace, int32_t tokens), void *ctx);
+
 /* Grants and refuses what is due; returns when to call again at the latest. */
 instant_t scheduler_run(scheduler_t *this, instant_t now);
 bool scheduler_next_action(scheduler_t *this, scheduler_action_t *action);
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -135,6 +135,11 @@
 	case NOTE_HOLD:
 		put_place(&fields, &note->place);
 		break;
+	case NOTE_SERVED:
+		put(&fields, note->pool);
+		put(&fields, note->workspace);
+		put(&fields, note->tokens);
+		break;
 	case NOTE_FILL:
 		put(&fields, note->pool);
 		put(&fields, note->fill.slots);
@@ -323,6 +328,11 @@
 	case NOTE_HOLD:
 		get_place(&fields, &note->place);
 		return true;
+	case NOTE_SERVED:
+		note->pool = (id_t32)get(&fields);
+		note->workspace = (id_t32)get(&fields);
+		note->tokens = (int32_t)get(&fields);
+		return true;
 	case NOTE_FILL:
 		note->pool = (id_t32)get(&fields);
 		note->fill.slots = (unsigned int)get(&fields);
