--- a/src/cmd/gateway.c
+++ b/src/cmd/gateway.c
@@ -17,8 +17,8 @@
 } arguments_t;
 
 static const struct argp_option options[] = {
-	{"settings", 's', "FILE", 0, "settings of this gateway; else the platform's variable names it",
-		0},
+	{"settings", 's', "FILE", 0,
+		"settings of this gateway; else the platform's variable names it", 0},
 	{"adapter", 'a', "NAME", 0, "platform adapter (" DEFAULT_ADAPTER ")", 0},
 	{"check", 'c', 0, 0, "only check the settings", 0},
 	{"verbose", 'v', 0, 0, "log each request", 0},
@@ -57,10 +57,14 @@
 	unsigned int left;
 
 	http_init();
+	log_buffer();
 	gateway = gateway_new(settings);
-	if (!gateway)
+	if (!gateway) {
+		log_flush();
 		return EXIT_FAILED;
+	}
 	left = gateway_run(gateway);
+	log_flush();
 	if (left)
 		_exit(EXIT_FAILED);
 	gateway_delete(gateway);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -20,7 +20,7 @@
 /* The shared parts of a prompt: entry i names the parts 0 to i. */
 typedef struct prompt_chain {
 	unsigned int count;
-	uint64_t hash[ENGINE_MAX_PARTS]; /* odd */
+	uint64_t hash[ENGINE_MAX_PARTS];   /* odd */
 	uint32_t tokens[ENGINE_MAX_PARTS]; /* of part i alone */
 } prompt_chain_t;
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -4,27 +4,30 @@
 
 #define NOTE_BATCH 64
 #define MAX_NOTES 512 /* in one message */
-#define ANSWER_SPAN (25 * USEC_PER_MSEC) /* for an owner's first word: ten times a usual round trip */
+#define ANSWER_SPAN                                                                                \
+	(25 * USEC_PER_MSEC) /* for an owner's first word: ten times a usual round trip */
 #define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
-#define FILL_SPACING (4 * USEC_PER_MSEC)  /* times the routers: between two messages for this alone */
-#define SERVED_SPACING (12 * USEC_PER_MSEC) /* times the routers: between two tellings of service */
-#define MAX_ASKS 3	      /* owners that are asked before a router starts work on its own */
-#define CANDIDATES 3	      /* engines on which a prompt's shared parts may stand */
+#define FILL_SPACING                                                                               \
+	(4 * USEC_PER_MSEC) /* times the routers: between two messages for this alone */
+#define SERVED_SPACING (12 * USEC_PER_MSEC) /* times the routers: between two tellings of service  \
+					     */
+#define MAX_ASKS 3   /* owners that are asked before a router starts work on its own */
+#define CANDIDATES 3 /* engines on which a prompt's shared parts may stand */
 #define REPORT_INTERVAL (1 * USEC_PER_SEC)
 #define HEARTBEAT_FLEET (20 * USEC_PER_MSEC) /* between two heartbeats of a router, to whomever */
 #define HEARTBEAT_LEAST (100 * USEC_PER_MSEC)
 #define MAX_POOLS 16
 #define NO_ENGINE_RETRY_MS 1000 /* a registration takes about a second to arrive */
-#define FILL_NONE 1000.0  /* of an owner without a usable engine */
-#define FILL_CALM 0.75	  /* up to which no owner counts as fuller than another */
-#define FILL_FREE 0.95	  /* up to which an owner surely has a place */
-#define FILL_MARGIN 0.25  /* that an owner may be fuller where the shared parts were read */
-#define FILL_RANK 0.05	  /* less for each further place where they may have been */
-#define OWN_DIVISOR 2 /* of an even share of slots, used without an owner */
+#define FILL_NONE 1000.0	/* of an owner without a usable engine */
+#define FILL_CALM 0.75		/* up to which no owner counts as fuller than another */
+#define FILL_FREE 0.95		/* up to which an owner surely has a place */
+#define FILL_MARGIN 0.25	/* that an owner may be fuller where the shared parts were read */
+#define FILL_RANK 0.05		/* less for each further place where they may have been */
+#define OWN_DIVISOR 2		/* of an even share of slots, used without an owner */
 
 typedef struct engine_view {
 	placement_engine_t engine;
-	unsigned int owner; /* member slot */
+	unsigned int owner;  /* member slot */
 	unsigned int on_own; /* running here without an owner's word */
 	unsigned int held;   /* running here, all */
 } engine_view_t;
@@ -253,8 +256,8 @@
 }
 
 /* The engines that rank first for the prompt, by rendezvous hashing. */
-static unsigned int rank_engines(
-	const placement_t *this, const place_request_t *request, uint64_t prefix, unsigned int *best)
+static unsigned int rank_engines(const placement_t *this, const place_request_t *request,
+	uint64_t prefix, unsigned int *best)
 {
 	uint64_t scores[CANDIDATES];
 	unsigned int count = 0;
@@ -347,8 +350,7 @@
 
 static void start(placement_t *this, place_request_t *request, id_t32 engine, unsigned int owner)
 {
-	placement_action_t action = {
-		.kind = PLACEMENT_START, .request = request, .engine = engine};
+	placement_action_t action = {.kind = PLACEMENT_START, .request = request, .engine = engine};
 	engine_view_t *view = find_engine(this, engine);
 
 	if (request->state != PLACE_NONE)
@@ -373,9 +375,8 @@
 
 static void reject(placement_t *this, place_request_t *request, uint32_t retry_after_ms)
 {
-	placement_action_t action = {.kind = PLACEMENT_REJECT,
-		.request = request,
-		.retry_after_ms = retry_after_ms};
+	placement_action_t action = {
+		.kind = PLACEMENT_REJECT, .request = request, .retry_after_ms = retry_after_ms};
 
 	if (request->state != PLACE_NONE)
 		unlink_request(request);
@@ -416,22 +417,22 @@
 {
 	return (note_t){
 		.kind = NOTE_ASK,
-		.ask = {
-			.ticket = request->ticket,
-			.pool = request->pool,
-			.workspace = request->workspace,
-			.avoid = request->avoid,
-			.work = request->work,
-			.first_by = request->first_by,
-			.deadline = request->deadline,
-			.is_late = request->is_late,
-			.insists = request->asks >= MAX_ASKS,
-		},
+		.ask =
+			{
+				.ticket = request->ticket,
+				.pool = request->pool,
+				.workspace = request->workspace,
+				.avoid = request->avoid,
+				.work = request->work,
+				.first_by = request->first_by,
+				.deadline = request->deadline,
+				.is_late = request->is_late,
+				.insists = request->asks >= MAX_ASKS,
+			},
 	};
 }
 
-static void send_ask(
-	placement_t *this, place_request_t *request, unsigned int owner, instant_t now)
+static void send_ask(placement_t *this, place_request_t *request, unsigned int owner, instant_t now)
 {
 	note_t note;
 	pool_fill_t *fill;
@@ -542,8 +543,7 @@
 		tell_owner(this, request, &note, now);
 }
 
-void placement_fail(
-	placement_t *this, place_request_t *request, place_end_t failure, instant_t now)
+void placement_fail(placement_t *this, place_request_t *request, place_end_t failure, instant_t now)
 {
 	note_t note = {.kind = NOTE_FAILED, .ticket = request->ticket, .value = failure};
 
@@ -553,8 +553,7 @@
 	leave_engine(this, request);
 }
 
-void placement_end(
-	placement_t *this, place_request_t *request, uint32_t answer, instant_t now)
+void placement_end(placement_t *this, place_request_t *request, uint32_t answer, instant_t now)
 {
 	note_t note = {.kind = NOTE_END, .ticket = request->ticket, .value = answer};
 
@@ -566,8 +565,7 @@
 
 /* --- hearing ----------------------------------------------------------- */
 
-static place_request_t *find_asked(
-	const placement_t *this, unsigned int owner, uint64_t ticket)
+static place_request_t *find_asked(const placement_t *this, unsigned int owner, uint64_t ticket)
 {
 	place_request_t *request;
 
@@ -692,8 +690,7 @@
 
 static void hear_failed(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
-	scheduler_fail(
-		this->scheduler, slot, note->ticket, (place_end_t)note->value, now);
+	scheduler_fail(this->scheduler, slot, note->ticket, (place_end_t)note->value, now);
 }
 
 static void hear_end(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
@@ -724,8 +721,7 @@
 		fill->fill = note->fill;
 }
 
-static void (*const hear[NOTE_KINDS])(
-	placement_t *, unsigned int, const note_t *, instant_t) = {
+static void (*const hear[NOTE_KINDS])(placement_t *, unsigned int, const note_t *, instant_t) = {
 	[NOTE_ASK] = hear_ask,
 	[NOTE_WAIT] = hear_wait,
 	[NOTE_GRANT] = hear_grant,
@@ -844,8 +840,7 @@
 static void tell_served(void *ctx, id_t32 pool, id_t32 workspace, int32_t tokens)
 {
 	placement_t *this = ctx;
-	note_t note = {
-		.kind = NOTE_SERVED, .pool = pool, .workspace = workspace, .tokens = tokens};
+	note_t note = {.kind = NOTE_SERVED, .pool = pool, .workspace = workspace, .tokens = tokens};
 
 	for (unsigned int slot = 1; slot < this->members.count; slot++) {
 		if (member_is_alive(&this->members.list[slot]))
@@ -881,8 +876,7 @@
 			const pool_fill_t *fill = fill_of(view, pool);
 
 			if (fill && is_full(&fill->told) != is_full(&has))
-				view->send_at =
-					instant_min(view->send_at, view->sent_at + spacing);
+				view->send_at = instant_min(view->send_at, view->sent_at + spacing);
 		}
 	}
 }
@@ -931,8 +925,7 @@
 	}
 }
 
-bool placement_next_message(
-	placement_t *this, unsigned int *slot, note_head_t *head, instant_t now)
+bool placement_next_message(placement_t *this, unsigned int *slot, note_head_t *head, instant_t now)
 {
 	for (unsigned int i = 1; i < this->members.count; i++) {
 		member_view_state_t *view = &this->views[i];
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -17,22 +17,23 @@
 
 typedef enum note_kind {
 	NOTE_ASK,
-	NOTE_WAIT,   /* the ask is heard and waits */
+	NOTE_WAIT, /* the ask is heard and waits */
 	NOTE_GRANT,
-	NOTE_REFUSE, /* with when to come back */
+	NOTE_REFUSE,   /* with when to come back */
 	NOTE_NOT_MINE, /* the receiver of the ask does not own engines of the pool */
 	NOTE_FULL,     /* it has no room, and another seems to have */
 	NOTE_WITHDRAW,
-	NOTE_FIRST,  /* the first token has come */
-	NOTE_LOAD, /* what the engine told of its load */
+	NOTE_FIRST, /* the first token has come */
+	NOTE_LOAD,  /* what the engine told of its load */
 	NOTE_FAILED,
 	NOTE_END,
-	NOTE_HOLD,   /* a place in use, for an owner that may not know it */
+	NOTE_HOLD,     /* a place in use, for an owner that may not know it */
 	NOTE_REPORTED, /* all places in use were told by HOLD */
-	NOTE_NEWS,   /* the newest version that the sender knows of a table: not placement's matter */
+	NOTE_NEWS, /* the newest version that the sender knows of a table: not placement's matter */
 	NOTE_NEWS_WANTED, /* likewise: rows of the table above a version */
 	NOTE_NEWS_PART,	  /* likewise: a piece of a row */
-	NOTE_SERVED, /* tokens that the sender's engines served a workspace since its last telling */
+	NOTE_SERVED, /* tokens that the sender's engines served a workspace since its last telling
+		      */
 	NOTE_FILL,   /* how full the sender's engines of a pool are */
 	NOTE_KINDS,
 } note_kind_t;
@@ -40,21 +41,21 @@
 typedef struct note {
 	note_kind_t kind;
 	uint64_t ticket;
-	id_t32 engine;	/* GRANT, HOLD */
-	id_t32 pool;	/* ASK, FILL, SERVED */
+	id_t32 engine;	  /* GRANT, HOLD */
+	id_t32 pool;	  /* ASK, FILL, SERVED */
 	id_t32 workspace; /* SERVED */
 	int32_t tokens;	  /* SERVED */
-	uint32_t value; /* retry_after_ms, answer tokens, rows still to come */
+	uint32_t value;	  /* retry_after_ms, answer tokens, rows still to come */
 	scheduler_fill_t fill;
 	ask_t ask; /* ASK; instants are the receiver's once decoded */
 	held_place_t place;
-	unsigned int table;   /* NEWS, NEWS_WANTED, NEWS_PART */
-	uint64_t version;     /* likewise */
-	const char *key;      /* NEWS_PART; valid until the next note is read */
+	unsigned int table; /* NEWS, NEWS_WANTED, NEWS_PART */
+	uint64_t version;   /* likewise */
+	const char *key;    /* NEWS_PART; valid until the next note is read */
 	const char *bytes;
-	uint32_t size;	      /* of the piece */
-	uint32_t offset;      /* of the piece in the row */
-	uint32_t whole;	      /* size of the row's value */
+	uint32_t size;	 /* of the piece */
+	uint32_t offset; /* of the piece in the row */
+	uint32_t whole;	 /* size of the row's value */
 	bool is_deleted;
 } note_t;
 
@@ -156,10 +157,9 @@
 void placement_load_report(
 	placement_t *this, place_request_t *request, unsigned int load, instant_t now);
 /* The place came to nothing. */
-void placement_fail(placement_t *this, place_request_t *request, place_end_t failure,
-	instant_t now);
-void placement_end(
-	placement_t *this, place_request_t *request, uint32_t answer, instant_t now);
+void placement_fail(
+	placement_t *this, place_request_t *request, place_end_t failure, instant_t now);
+void placement_end(placement_t *this, place_request_t *request, uint32_t answer, instant_t now);
 
 /* Takes the head of a message; the notes count only when it gives true. */
 bool placement_hear(placement_t *this, const note_head_t *head, unsigned int *slot, instant_t now);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -7,25 +7,29 @@
 #define ACTION_BATCH 256
 #define SERVICE_MEMORY (4.0 * USEC_PER_SEC) /* over which fair share is kept */
 #define ANSWER_WEIGHT 2			    /* a generated token counts as so many that were read */
-#define LOOKED_AT 6			    /* newest of a lane, of which the first that fits is taken */
-#define OUTSIZED_FACTOR 2	  /* times its span on an idle engine, for what never could be in time */
-#define LATE_RESERVE 8		  /* a part of an engine's slots, left free by late work */
-#define HOME_SLACK 256		  /* tokens more to read, with which an engine still counts as home */
-#define HOME_LAG 40000		  /* tokens that a lane may be ahead, to be served where its parts are */
-#define STARVING 0.7		  /* of the service of others, below which late work goes first */
-#define RETRY_FIRST_MS 400	  /* of a refusal, when nobody else was told to come back */
+#define LOOKED_AT 6	   /* newest of a lane, of which the first that fits is taken */
+#define OUTSIZED_FACTOR 2  /* times its span on an idle engine, for what never could be in time */
+#define LATE_RESERVE 8	   /* a part of an engine's slots, left free by late work */
+#define HOME_SLACK 256	   /* tokens more to read, with which an engine still counts as home */
+#define HOME_LAG 40000	   /* tokens that a lane may be ahead, to be served where its parts are */
+#define STARVING 0.7	   /* of the service of others, below which late work goes first */
+#define RETRY_FIRST_MS 400 /* of a refusal, when nobody else was told to come back */
 #define RETRY_MOST_MS 8000
-#define RETURNING_PART 0.25 /* of the grants, for those who were told to come back */
+#define RETURNING_PART 0.25		 /* of the grants, for those who were told to come back */
 #define DOWN_FIRST (250 * USEC_PER_MSEC) /* doubles with each failure in a row */
 #define DOWN_DOUBLINGS 4
-#define FULL_PAUSE (40 * USEC_PER_MSEC) /* of an engine that refused: some request ends within it */
-#define PROBES 2	       /* at once, at an engine that failed last */
+#define FULL_PAUSE (40 * USEC_PER_MSEC) /* of an engine that refused: some request ends within it  \
+					 */
+#define PROBES 2			/* at once, at an engine that failed last */
 #define FAILING_WEIGHT 0.1
-#define FAILING_PENALTY (500.0 * USEC_PER_MSEC) /* on the first token, at an engine that always fails */
+#define FAILING_PENALTY                                                                            \
+	(500.0 * USEC_PER_MSEC) /* on the first token, at an engine that always fails */
 #define FOREIGN_WEIGHT 0.2
 #define FOREIGN_MEMORY (1 * USEC_PER_SEC) /* a report of foreign load is believed so long */
 #define RATE_WEIGHT 0.3
-#define REPORT_GRACE (1500 * USEC_PER_MSEC) /* a place not told of for longer is free: one report may be lost */
+#define REPORT_GRACE                                                                               \
+	(1500 * USEC_PER_MSEC) /* a place not told of for longer is free: one report may be lost   \
+				*/
 #define RATE_SPAN (500 * USEC_PER_MSEC)
 
 typedef struct record record_t;
@@ -77,7 +81,7 @@
 	unsigned int late;
 	unsigned int granted; /* since `rate_from` */
 	instant_t rate_from;
-	double rate; /* grants a microsecond */
+	double rate;	    /* grants a microsecond */
 	instant_t promised; /* the latest moment at which a refused caller was told to come back */
 };
 
@@ -172,8 +176,7 @@
 
 /* --- records ---------------------------------------------------------- */
 
-static record_t *record_new(
-	scheduler_t *this, unsigned int router, const ask_t *ask, instant_t now)
+static record_t *record_new(scheduler_t *this, unsigned int router, const ask_t *ask, instant_t now)
 {
 	record_t *record = allocator_new(this->allocator, 1, sizeof(*record));
 
@@ -427,13 +430,14 @@
  * The newest of the lane that would be in time; NULL when none of those looked
  * at would.  `at_home`: only where most of its shared parts were read.
  */
-static record_t *pick_timely(const scheduler_t *this, const pool_state_t *pool,
-	sched_lane_t *lane, bool at_home, instant_t now, engine_state_t **engine)
+static record_t *pick_timely(const scheduler_t *this, const pool_state_t *pool, sched_lane_t *lane,
+	bool at_home, instant_t now, engine_state_t **engine)
 {
 	unsigned int looked = 0;
 	record_t *record;
 
-	cds_list_for_each_entry_reverse (record, &lane->timely, link) {
+	cds_list_for_each_entry_reverse(record, &lane->timely, link)
+	{
 		engine_choice_t choice = any_engine;
 		instant_t first_at;
 
@@ -480,8 +484,8 @@
 } candidate_t;
 
 /* Of the least served lane that has one to place, up to `most_level`. */
-static candidate_t find_timely(const scheduler_t *this, pool_state_t *pool, bool at_home,
-	double most_level, instant_t now)
+static candidate_t find_timely(
+	const scheduler_t *this, pool_state_t *pool, bool at_home, double most_level, instant_t now)
 {
 	candidate_t best = {0};
 	sched_lane_t *lane;
@@ -572,9 +576,8 @@
 	cds_list_for_each_entry (lane, &pool->lanes, link) {
 		cds_list_for_each_entry_safe (record, after, &lane->timely, link) {
 			uint64_t span = alone_span(pool, &record->ask);
-			instant_t start_by = record->ask.first_by > span
-						     ? record->ask.first_by - span
-						     : 0;
+			instant_t start_by =
+				record->ask.first_by > span ? record->ask.first_by - span : 0;
 
 			if (now < start_by) {
 				*next = instant_min(*next, start_by);
@@ -686,8 +689,7 @@
 	known = engine->model.running;
 	if (now >= engine->foreign_at + FOREIGN_MEMORY)
 		engine->foreign = 0;
-	engine->foreign +=
-		FOREIGN_WEIGHT * ((load > known ? load - known : 0) - engine->foreign);
+	engine->foreign += FOREIGN_WEIGHT * ((load > known ? load - known : 0) - engine->foreign);
 	engine->foreign_at = now;
 }
 
@@ -706,8 +708,8 @@
 		engine->down_until = now + (DOWN_FIRST << doublings);
 }
 
-void scheduler_fail(scheduler_t *this, unsigned int router, uint64_t ticket,
-	place_end_t failure, instant_t now)
+void scheduler_fail(
+	scheduler_t *this, unsigned int router, uint64_t ticket, place_end_t failure, instant_t now)
 {
 	record_t *record = find(this, router, ticket);
 
@@ -723,8 +725,8 @@
 
 	if (!record || !record->engine)
 		return;
-	lane_serve(record->lane,
-		(double)ANSWER_WEIGHT * ((double)answer - record->ask.work.answer), now);
+	lane_serve(record->lane, (double)ANSWER_WEIGHT * ((double)answer - record->ask.work.answer),
+		now);
 	release(this, record, now);
 }
 
@@ -819,8 +821,8 @@
 	return find_engine(this, engine) != NULL;
 }
 
-void scheduler_own(scheduler_t *this, id_t32 id, id_t32 pool_id, unsigned int slots,
-	uint64_t token_memory)
+void scheduler_own(
+	scheduler_t *this, id_t32 id, id_t32 pool_id, unsigned int slots, uint64_t token_memory)
 {
 	engine_state_t *engine = find_engine(this, id);
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -80,8 +80,8 @@
 void scheduler_delete(scheduler_t *this);
 
 /* Owns the engine from now on, or learns its new size. */
-void scheduler_own(scheduler_t *this, id_t32 engine, id_t32 pool, unsigned int slots,
-	uint64_t token_memory);
+void scheduler_own(
+	scheduler_t *this, id_t32 engine, id_t32 pool, unsigned int slots, uint64_t token_memory);
 /* Owns it no more; what runs there is forgotten. */
 void scheduler_disown(scheduler_t *this, id_t32 engine);
 /* It takes no new work, or does again; what runs there goes on. */
@@ -93,14 +93,14 @@
 void scheduler_withdraw(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 void scheduler_first_token(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 /* The place came to nothing: the workspace is not charged, and the engine is watched. */
-void scheduler_fail(scheduler_t *this, unsigned int router, uint64_t ticket,
-	place_end_t failure, instant_t now);
+void scheduler_fail(scheduler_t *this, unsigned int router, uint64_t ticket, place_end_t failure,
+	instant_t now);
 /* What the engine told of itself: requests that run or wait there, whoever sent them. */
 void scheduler_load_report(
 	scheduler_t *this, unsigned int router, uint64_t ticket, unsigned int load, instant_t now);
 /* The request is over, after `answer` tokens. */
-void scheduler_end(scheduler_t *this, unsigned int router, uint64_t ticket, uint32_t answer,
-	instant_t now);
+void scheduler_end(
+	scheduler_t *this, unsigned int router, uint64_t ticket, uint32_t answer, instant_t now);
 /* A place that a former owner granted. */
 void scheduler_hold(
 	scheduler_t *this, unsigned int router, const held_place_t *place, instant_t now);
@@ -110,8 +110,8 @@
 void scheduler_forget_router(scheduler_t *this, unsigned int router, instant_t now);
 
 /* Another owner served the workspace: fair share is kept over the whole fleet. */
-void scheduler_hear_served(scheduler_t *this, id_t32 pool, id_t32 workspace, int32_t tokens,
-	instant_t now);
+void scheduler_hear_served(
+	scheduler_t *this, id_t32 pool, id_t32 workspace, int32_t tokens, instant_t now);
 /* Calls `each` for what was served here since the last call. */
 void scheduler_tell_served(scheduler_t *this,
 	void (*each)(void *ctx, id_t32 pool, id_t32 workspace, int32_t tokens), void *ctx);
--- a/src/edge/log.c
+++ b/src/edge/log.c
@@ -1,10 +1,77 @@
 #include "edge/log.h"
 
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define BUFFER_MAX (512U << 10) /* bytes: some seconds of lines under full load */
+#define WRITE_MAX 4096		/* a pipe that is writable takes so much without blocking */
 
 static const char *log_name = "-";
 static gboolean log_verbose;
+static pthread_mutex_t buffer_lock = PTHREAD_MUTEX_INITIALIZER;
+static GString *buffer; /* NULL: lines go to standard error at once */
+static guint64 dropped;
+static guint64 dropped_told;
+
+static void buffer_line(const char *line)
+{
+	pthread_mutex_lock(&buffer_lock);
+	if (buffer->len + strlen(line) > BUFFER_MAX)
+		dropped++;
+	else
+		g_string_append(buffer, line);
+	pthread_mutex_unlock(&buffer_lock);
+}
+
+void log_buffer(void)
+{
+	buffer = g_string_new(NULL);
+}
+
+guint64 log_dropped(void)
+{
+	return dropped;
+}
+
+static bool is_writable(void)
+{
+	struct pollfd item = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	return poll(&item, 1, 0) == 1 && (item.revents & POLLOUT);
+}
+
+/* Writes a piece; false when no more can be written now. */
+static bool flush_piece(void)
+{
+	size_t size = buffer->len < WRITE_MAX ? buffer->len : WRITE_MAX;
+	ssize_t written;
+
+	if (!size || !is_writable())
+		return false;
+	written = write(STDOUT_FILENO, buffer->str, size);
+	if (written > 0)
+		g_string_erase(buffer, 0, written);
+	return written > 0;
+}
+
+void log_flush(void)
+{
+	if (!buffer)
+		return;
+	if (dropped != dropped_told) {
+		dropped_told = dropped;
+		log_warn("log-dropped", "lines=%" G_GUINT64_FORMAT, dropped);
+	}
+	pthread_mutex_lock(&buffer_lock);
+	while (flush_piece())
+		;
+	pthread_mutex_unlock(&buffer_lock);
+}
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -20,6 +87,7 @@
 {
 	gint64 now = g_get_real_time();
 	const char *message = "";
+	char *line;
 
 	if (!log_verbose && (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
 		return G_LOG_WRITER_HANDLED;
@@ -27,9 +95,14 @@
 		if (!g_strcmp0(fields[i].key, "MESSAGE"))
 			message = fields[i].value;
 	}
-	fprintf(stderr, "ts=%" G_GINT64_FORMAT ".%06d level=%s router=%s %s\n",
+	line = g_strdup_printf("ts=%" G_GINT64_FORMAT ".%06d level=%s router=%s %s\n",
 		now / G_USEC_PER_SEC, (int)(now % G_USEC_PER_SEC), level_name(level), log_name,
 		message);
+	if (buffer)
+		buffer_line(line);
+	else
+		fputs(line, stderr);
+	g_free(line);
 	return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/edge/log.h
+++ b/src/edge/log.h
@@ -10,6 +10,15 @@
 
 /* Sends GLib's log to standard error in one-line form, headed by `name`. */
 void log_init(const char *name, gboolean verbose);
+/*
+ * From now on lines go to standard output, from a bounded buffer that
+ * log_flush() empties: writing never blocks, and what does not fit is counted.
+ */
+void log_buffer(void);
+/* Writes as much as standard output takes at once. */
+void log_flush(void);
+/* Lines that found no room so far. */
+guint64 log_dropped(void);
 void log_event(GLogLevelFlags level, const char *event, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
 
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -281,8 +281,8 @@
 }
 
 /* Bytes within the message's own memory; false when the next value is none. */
-static bool read_bytes(note_reader_t *this, msgpack_unpacked *unpacked, const char **bytes,
-	uint32_t *size)
+static bool read_bytes(
+	note_reader_t *this, msgpack_unpacked *unpacked, const char **bytes, uint32_t *size)
 {
 	if (msgpack_unpack_next(unpacked, this->data, this->size, &this->at) !=
 			MSGPACK_UNPACK_SUCCESS ||
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -150,8 +150,8 @@
 		close_link(link);
 	else
 		link = &this->links[this->count++];
-	link->address = (peer_address_t){
-		peer->id, g_strdup(peer->address), g_strdup(peer->public_key)};
+	link->address =
+		(peer_address_t){peer->id, g_strdup(peer->address), g_strdup(peer->public_key)};
 	memcpy(link->key, key, sizeof(key));
 	return connect_link(this, link) ? (int)(link - this->links) : -1;
 }
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -66,8 +66,8 @@
 	if (info->retry_after && this->retry_after_s > 0)
 		g_snprintf(headers + n, sizeof(headers) - (gsize)n, "Retry-After: %.3f\r\n",
 			this->retry_after_s);
-	caller_answer(this->caller, (unsigned int)info->status, headers, info->name,
-		strlen(info->name));
+	caller_answer(
+		this->caller, (unsigned int)info->status, headers, info->name, strlen(info->name));
 }
 
 void call_answer(call_t *this, reason_t reason)
--- a/src/gateway/call_account.c
+++ b/src/gateway/call_account.c
@@ -13,7 +13,8 @@
 	log_info("request",
 		"id=%s workspace=%s route=%s endpoint=%s outcome=%s reason=%s status=%u sends=%u "
 		"runs=%u cost=%u prompt=%u first_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
-		" retry_after=%.3f left_ms=%" G_GUINT64_FORMAT " returning=%d version=%" G_GUINT64_FORMAT,
+		" retry_after=%.3f left_ms=%" G_GUINT64_FORMAT
+		" returning=%d version=%" G_GUINT64_FORMAT,
 		call->id ? call->id : "-", call->workspace ? call->workspace->name : "-",
 		call->route ? call->route->name : "-", call->endpoint ? call->endpoint->name : "-",
 		outcome_name(info->outcome), info->name,
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -45,8 +45,7 @@
  */
 static void read_prefix(call_t *call)
 {
-	const char *parts =
-		caller_header(call->request, call->gateway->vocabulary->prompt_parts);
+	const char *parts = caller_header(call->request, call->gateway->vocabulary->prompt_parts);
 	const char *last = parts ? strrchr(parts, ',') : NULL;
 
 	prompt_chain_t *chain = &call->place.work.chain;
@@ -88,9 +87,8 @@
 	place->work.prompt = call->prompt_tokens;
 	place->work.answer = call->answer_tokens;
 	place->first_by = call->arrived + call->route->target_ms * USEC_PER_MSEC;
-	place->first_by -= call->route->target_ms > 2 * FIRST_MARGIN_MS
-				   ? FIRST_MARGIN_MS * USEC_PER_MSEC
-				   : 0;
+	place->first_by -=
+		call->route->target_ms > 2 * FIRST_MARGIN_MS ? FIRST_MARGIN_MS * USEC_PER_MSEC : 0;
 	place->is_late = call->time_left && is_returning(call, call->time_left);
 }
 
@@ -104,8 +102,8 @@
 	if (left >= 0)
 		call->deadline = call->arrived + (uint64_t)left * USEC_PER_MSEC;
 	if (call->route->timeout_ms)
-		call->deadline = instant_min(call->deadline,
-			call->arrived + call->route->timeout_ms * USEC_PER_MSEC);
+		call->deadline = instant_min(
+			call->deadline, call->arrived + call->route->timeout_ms * USEC_PER_MSEC);
 	return true;
 }
 
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -6,7 +6,7 @@
 #include "gateway/call.h"
 #include "gateway/gateway.h"
 
-#define MAX_SENDS 4		  /* of one call, those that did not run included */
+#define MAX_SENDS 4			    /* of one call, those that did not run included */
 #define MIN_RETRY_LEFT (20 * USEC_PER_MSEC) /* below which another attempt is in vain */
 
 /* --- the request as the endpoint gets it ------------------------------ */
@@ -77,8 +77,7 @@
 	if (call->events.last >= 0)
 		g_string_append_printf(out, "%s: %" G_GINT64_FORMAT "\r\n", words->resume_after,
 			(gint64)call->events.last);
-	g_string_append_printf(
-		out, "%s: %s\r\n", words->expected_endpoint, call->endpoint->name);
+	g_string_append_printf(out, "%s: %s\r\n", words->expected_endpoint, call->endpoint->name);
 	if (request->body->len || (strcmp(request->method, "GET") && !request->is_head))
 		g_string_append_printf(out, "Content-Length: %zu\r\n", (size_t)request->body->len);
 	g_string_append(out, "\r\n");
@@ -148,9 +147,8 @@
 	this->sent_now = false;
 	this->endpoint_link = NULL;
 	again = may_try_again(this, may_have_run, now);
-	log_info("attempt-failed",
-		"id=%s endpoint=%s failure=%s may_have_run=%d send=%u again=%d", this->id,
-		this->endpoint->name, names[failure], may_have_run, this->sends, again);
+	log_info("attempt-failed", "id=%s endpoint=%s failure=%s may_have_run=%d send=%u again=%d",
+		this->id, this->endpoint->name, names[failure], may_have_run, this->sends, again);
 	call_leave_queue(this, failure);
 	this->place.avoid = this->endpoint->id;
 	if (again) {
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -5,7 +5,8 @@
 #include "gateway/call.h"
 #include "gateway/gateway.h"
 
-#define MAX_KEPT_BODY 262144 /* bytes of an answer that is kept until whole; beyond, it is passed on */
+#define MAX_KEPT_BODY                                                                              \
+	262144 /* bytes of an answer that is kept until whole; beyond, it is passed on */
 
 /* --- the head --------------------------------------------------------- */
 
@@ -43,8 +44,7 @@
 	call->body_length = answer->length;
 	if (answer->not_run || answer->status == 421) {
 		endpoint_link_abort(call->endpoint_link);
-		call_attempt_failed(
-			call, answer->not_run ? PLACE_REFUSED : PLACE_UNREACHED, false);
+		call_attempt_failed(call, answer->not_run ? PLACE_REFUSED : PLACE_UNREACHED, false);
 		return;
 	}
 	if (is_dubious(answer)) {
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -11,10 +11,12 @@
 
 #define READ_SIZE 16384
 #define BACKLOG 1024
-#define MAX_AHEAD 65536	   /* bytes that a caller may send before its turn */
+#define MAX_AHEAD 65536	    /* bytes that a caller may send before its turn */
 #define CHOKED_BYTES 131072 /* unwritten bytes, from which on the endpoint is read no further */
 #define LINGER (2 * USEC_PER_SEC) /* for the caller to read an answer that ends its connection */
 #define CHUNK_HEAD 16
+#define CROWDED_FROM 2 /* thirds of the callers that may be connected */
+#define CROWDED_OF 3
 
 typedef enum caller_state {
 	CALLER_READING,
@@ -27,7 +29,8 @@
 	uv_tcp_t tcp;
 	listener_options_t options;
 	struct cds_list_head callers;
-	unsigned int count;
+	unsigned int count; /* with those whose memory is still to go */
+	unsigned int open;
 	bool draining;
 	instant_t idle_from; /* while draining: callers without a request are closed then */
 	bool closed;
@@ -103,6 +106,7 @@
 	if (this->state == CALLER_CLOSED)
 		return;
 	this->state = CALLER_CLOSED;
+	this->listener->open--;
 	cds_list_del(&this->link);
 	uv_close((uv_handle_t *)&this->tcp, on_closed);
 }
@@ -128,6 +132,7 @@
 	if (this->state == CALLER_CLOSED)
 		return;
 	this->state = CALLER_CLOSED;
+	this->listener->open--;
 	cds_list_del(&this->link);
 	if (uv_tcp_close_reset(&this->tcp, on_reset_closed))
 		uv_close((uv_handle_t *)&this->tcp, on_closed);
@@ -216,13 +221,19 @@
 	return http_status_str((enum http_status)status);
 }
 
+/* Connections are asked back early where they run short. */
+static bool is_crowded(const listener_t *this)
+{
+	return this->open * CROWDED_OF > this->options.max_callers * CROWDED_FROM;
+}
+
 static GString *answer_head(caller_t *this, unsigned int status, const char *headers)
 {
 	GString *head = g_string_sized_new(512);
 
 	g_string_append_printf(head, "HTTP/1.1 %u %s\r\n", status, status_text(status));
 	g_string_append(head, headers);
-	if (this->close_after || this->listener->draining) {
+	if (this->close_after || this->listener->draining || is_crowded(this->listener)) {
 		this->close_after = true;
 		g_string_append(head, "Connection: close\r\n");
 	}
@@ -256,8 +267,8 @@
 	g_string_free(ahead, TRUE);
 }
 
-void caller_answer(caller_t *this, unsigned int status, const char *headers, const char *body,
-	size_t body_len)
+void caller_answer(
+	caller_t *this, unsigned int status, const char *headers, const char *body, size_t body_len)
 {
 	GString *bytes = answer_head(this, status, headers);
 
@@ -587,7 +598,7 @@
 		log_warn("accept-failed", "error=%s", uv_strerror(status));
 		return;
 	}
-	if (this->count >= this->options.max_callers)
+	if (this->open >= this->options.max_callers)
 		close_longest_idle(this);
 	caller = g_new0(caller_t, 1);
 	caller->listener = this;
@@ -595,11 +606,12 @@
 	caller->tcp.data = caller;
 	caller->since = clock_now();
 	this->count++;
+	this->open++;
 	cds_list_add_tail(&caller->link, &this->callers);
 	http_parser_init(&caller->parser, HTTP_REQUEST);
 	caller->parser.data = caller;
 	if (uv_accept(stream, (uv_stream_t *)&caller->tcp) ||
-		this->count > this->options.max_callers) {
+		this->open > this->options.max_callers) {
 		caller_close(caller);
 		return;
 	}
@@ -639,7 +651,7 @@
 
 unsigned int listener_callers(const listener_t *this)
 {
-	return this->count;
+	return this->open;
 }
 
 static bool is_overdue(const caller_t *this, instant_t now)
--- a/src/gateway/endpoint_link.c
+++ b/src/gateway/endpoint_link.c
@@ -285,8 +285,8 @@
 	if (this->state == LINK_CLOSED)
 		return;
 	if (this->ended)
-		link_settle(this, used == len && !this->out &&
-					  HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
+		link_settle(this,
+			used == len && !this->out && HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
 	else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
 		link_fail(this, LINK_MALFORMED);
 }
@@ -459,8 +459,7 @@
 	uv_ip4_addr(ip, port, &sin);
 	if (uv_tcp_connect(&this->connect, &this->tcp, (struct sockaddr *)&sin, on_connected))
 		return false;
-	uv_timer_start(
-		&this->timer, on_connect_timeout, this->options->connect_timeout_ms, 0);
+	uv_timer_start(&this->timer, on_connect_timeout, this->options->connect_timeout_ms, 0);
 	return true;
 }
 
--- a/src/gateway/endpoint_link.h
+++ b/src/gateway/endpoint_link.h
@@ -31,7 +31,7 @@
 	unsigned int load_running;
 	unsigned int load_waiting;
 	unsigned int load_slots;
-	bool is_encoded;  /* the body is not the endpoint's plain one */
+	bool is_encoded; /* the body is not the endpoint's plain one */
 	bool is_event_stream;
 	int64_t length; /* of the body, -1: not told */
 } link_answer_t;
@@ -51,8 +51,9 @@
 	const vocabulary_t *vocabulary;
 	const char *bind_ip; /* NULL: any */
 	unsigned int connect_timeout_ms;
-	unsigned int silence_timeout_ms; /* unacknowledged bytes, and probes while nothing is sent */
-	unsigned int *open_count;	 /* kept at the number of links */
+	unsigned int
+		silence_timeout_ms; /* unacknowledged bytes, and probes while nothing is sent */
+	unsigned int *open_count;   /* kept at the number of links */
 } endpoint_link_options_t;
 
 typedef struct link_request {
--- a/src/gateway/event_stream.c
+++ b/src/gateway/event_stream.c
@@ -75,8 +75,7 @@
 	return end ? (size_t)(end - data) + 2 : 0;
 }
 
-event_result_t event_stream_feed(
-	event_stream_t *this, const char *data, size_t len, GString *out)
+event_result_t event_stream_feed(event_stream_t *this, const char *data, size_t len, GString *out)
 {
 	GString *partial = this->partial;
 	size_t at = 0;
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -25,8 +25,7 @@
 void event_stream_init(event_stream_t *this);
 void event_stream_clear(event_stream_t *this);
 /* Appends the whole events within `data` to `out`. */
-event_result_t event_stream_feed(
-	event_stream_t *this, const char *data, size_t len, GString *out);
+event_result_t event_stream_feed(event_stream_t *this, const char *data, size_t len, GString *out);
 /* Forgets a partial event: its connection broke. */
 void event_stream_cut(event_stream_t *this);
 /* True when no partial event is left. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,12 +7,14 @@
 #include "edge/log.h"
 #include "settings/fleet_text.h"
 
-#define TICK_MS 20	      /* sweeps: timeouts are kept to within this */
-#define STOP_NOTICE (3 * USEC_PER_SEC) /* for the balancer to see that this router is unready */
-#define STOP_IDLE (1200 * USEC_PER_MSEC) /* by then the balancer sends no new callers */
-#define STOP_TAKES (2500 * USEC_PER_MSEC) /* requests that come later may not be through in time */
-#define STOP_MARGIN_MS 700    /* before the end by force: what still runs is ended */
-#define MIN_CALLER_KB 24      /* memory that a caller's connection may take, kernel's part included */
+#define TICK_MS 20			  /* sweeps: timeouts are kept to within this */
+#define STOP_NOTICE (3 * USEC_PER_SEC)	  /* for the balancer to see that this router is unready */
+#define STOP_IDLE (1200 * USEC_PER_MSEC)  /* by then the balancer sends no new callers */
+#define STOP_TAKES (2500 * USEC_PER_MSEC) /* requests that come later may not be through in time   \
+					   */
+#define STOP_MARGIN_MS 700		  /* before the end by force: what still runs is ended */
+#define OTHER_DESCRIPTORS 900		  /* for files, endpoints, peers and the store */
+#define MIN_CALLER_KB 24 /* memory that a caller's connection may take, kernel's part included */
 
 static const catalog_limits_t default_limits = {
 	.header_bytes = 16384,
@@ -62,8 +64,8 @@
 	GString *text = g_string_new(NULL);
 
 	gateway_metrics(this, text);
-	caller_answer(caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
-		text->len);
+	caller_answer(
+		caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
 	g_string_free(text, TRUE);
 }
 
@@ -136,8 +138,7 @@
 		if (action.kind == PLACEMENT_START)
 			call_start(call, action.engine);
 		else
-			call_reject(call,
-				action.no_engine ? REASON_NO_ENDPOINT : REASON_OVERLOADED,
+			call_reject(call, action.no_engine ? REASON_NO_ENDPOINT : REASON_OVERLOADED,
 				action.retry_after_ms / 1000.0);
 	}
 }
@@ -218,7 +219,8 @@
 	faults_init(&faults, "catalog");
 	catalog = this->adapter->decode_catalog(row->value, row->len, &faults);
 	if (!catalog) {
-		log_warn("catalog-refused", "row_version=%" G_GUINT64_FORMAT " faults=%u first=\"%s\"",
+		log_warn("catalog-refused",
+			"row_version=%" G_GUINT64_FORMAT " faults=%u first=\"%s\"",
 			(guint64)row->version, faults.count, faults.text->str);
 	} else if (this->catalog && catalog->version <= this->catalog->version) {
 		catalog_put(catalog);
@@ -278,7 +280,8 @@
 	}
 	if (changed)
 		log_notice("endpoint-changed",
-			"endpoint=%s service=%s address=%s state=%d gone=%d row_version=%" G_GUINT64_FORMAT,
+			"endpoint=%s service=%s address=%s state=%d gone=%d "
+			"row_version=%" G_GUINT64_FORMAT,
 			row->key, entry.service ? entry.service : "-",
 			entry.address ? entry.address : "-", entry.state, row->is_deleted,
 			(guint64)row->version);
@@ -394,8 +397,7 @@
 {
 	if (!this->stopping)
 		return;
-	if (now >= this->stop_at ||
-		(now >= this->stop_began + STOP_NOTICE && !this->call_count))
+	if (now >= this->stop_at || (now >= this->stop_began + STOP_NOTICE && !this->call_count))
 		finish_stop(this);
 }
 
@@ -414,6 +416,7 @@
 	if (peers_saw_stranger(this->peers))
 		watch_refresh(this->roster_watch);
 	check_stop(this, now);
+	log_flush();
 }
 
 static void on_signal(uv_signal_t *signal, int number)
@@ -456,7 +459,9 @@
 static unsigned int max_callers(const gateway_settings_t *settings)
 {
 	unsigned int by_memory = settings->memory_mb * 1024 / 2 / MIN_CALLER_KB;
-	unsigned int by_descriptors = settings->descriptors / 2;
+	unsigned int by_descriptors = settings->descriptors > 2 * OTHER_DESCRIPTORS
+					      ? settings->descriptors - OTHER_DESCRIPTORS
+					      : settings->descriptors / 2;
 
 	return by_memory < by_descriptors ? by_memory : by_descriptors;
 }
@@ -465,8 +470,7 @@
 {
 	const gateway_settings_t *settings = this->settings;
 
-	this->callers =
-		listen_on(this, settings->caller_address, &call_ops, max_callers(settings));
+	this->callers = listen_on(this, settings->caller_address, &call_ops, max_callers(settings));
 	this->ready = listen_on(this, settings->ready_address, &status_ops, 64);
 	if (*settings->metrics_address)
 		this->metrics = listen_on(this, settings->metrics_address, &status_ops, 16);
@@ -573,10 +577,10 @@
 	}
 	start_timers(this);
 	join_roster(this);
-	this->catalog_watch = follow(
-		this, this->adapter->catalog_table, settings->store_wait_ms, &catalog_ops);
-	this->endpoint_watch = follow(
-		this, this->adapter->endpoint_table, settings->store_wait_ms, &endpoint_ops);
+	this->catalog_watch =
+		follow(this, this->adapter->catalog_table, settings->store_wait_ms, &catalog_ops);
+	this->endpoint_watch =
+		follow(this, this->adapter->endpoint_table, settings->store_wait_ms, &endpoint_ops);
 	log_notice("started", "name=%s failure_domain=%s callers=%s", settings->name,
 		settings->failure_domain, settings->caller_address);
 	return this;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,8 +39,8 @@
 	catalog_t *catalog;
 	directory_t *directory;
 	rowbook_t *book;
-	bool directory_known;	      /* a whole listing was read */
-	instant_t lapse_grace_until;  /* registrations that vanish before it may return */
+	bool directory_known;	     /* a whole listing was read */
+	instant_t lapse_grace_until; /* registrations that vanish before it may return */
 	peers_t *peers;
 	roster_t *roster;
 	watch_t *roster_watch;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -1,3 +1,4 @@
+#include "edge/log.h"
 #include "gateway/gateway.h"
 
 static void put(GString *out, const char *name, uint64_t value)
@@ -31,6 +32,7 @@
 	put(out, "owner_withdrawn_total", owned->withdrawn);
 	put(out, "routers_alive", members_alive(placement_members(placement)));
 	put(out, "store_losses_total", this->store_losses);
+	put(out, "log_lines_dropped_total", log_dropped());
 	for (int i = 0; i < REASON_COUNT; i++)
 		g_string_append_printf(out,
 			"amaranthwall_calls_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -25,14 +25,22 @@
 } setting_t;
 
 #define TEXT(name, fallback)                                                                       \
-	{#name, SETTING_TEXT, offsetof(gateway_settings_t, name), fallback, 0, 0, 0}
+	{                                                                                          \
+#name, SETTING_TEXT, offsetof(gateway_settings_t, name), fallback, 0, 0, 0         \
+	}
 #define ADDRESS(name, fallback)                                                                    \
-	{#name, SETTING_ADDRESS, offsetof(gateway_settings_t, name), fallback, 0, 0, 0}
+	{                                                                                          \
+#name, SETTING_ADDRESS, offsetof(gateway_settings_t, name), fallback, 0, 0, 0      \
+	}
 #define COUNT(name, fallback, min, max)                                                            \
-	{#name, SETTING_COUNT, offsetof(gateway_settings_t, name), NULL, fallback, min, max}
+	{                                                                                          \
+#name, SETTING_COUNT, offsetof(gateway_settings_t, name), NULL, fallback, min, max \
+	}
 
 #define RATIO(name, fallback, min, max)                                                            \
-	{#name, SETTING_RATIO, offsetof(gateway_settings_t, name), NULL, fallback, min, max}
+	{                                                                                          \
+#name, SETTING_RATIO, offsetof(gateway_settings_t, name), NULL, fallback, min, max \
+	}
 
 static const setting_t settings_table[] = {
 	TEXT(name, NULL),
--- a/src/gateway/news.c
+++ b/src/gateway/news.c
@@ -108,8 +108,7 @@
 
 	if (!g_queue_is_empty(&peer->sending))
 		return; /* what it wanted before is still under way */
-	rowbook_each_after(
-		this->options.book, note->table, note->version, send_row, &sending);
+	rowbook_each_after(this->options.book, note->table, note->version, send_row, &sending);
 }
 
 static void hear_piece(news_t *this, peer_news_t *peer, const note_t *note)
@@ -133,8 +132,7 @@
 	transfer->done += note->size;
 	if (transfer->done < note->whole)
 		return;
-	this->options.on_row(
-		this->options.ctx, transfer->table, &transfer->row, note->value == 0);
+	this->options.on_row(this->options.ctx, transfer->table, &transfer->row, note->value == 0);
 	transfer_clear(transfer);
 }
 
@@ -174,8 +172,7 @@
 	return false;
 }
 
-static void write_versions(
-	news_t *this, peer_news_t *peer, note_writer_t *writer, instant_t now)
+static void write_versions(news_t *this, peer_news_t *peer, note_writer_t *writer, instant_t now)
 {
 	for (unsigned int i = 0; i < BOOK_TABLES; i++) {
 		uint64_t newest = rowbook_newest(this->options.book, (book_table_t)i);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -20,7 +20,7 @@
 	uint64_t strangers;
 	uv_poll_t polls[PEER_SOCKET_FDS];
 	unsigned int open_polls;
-	int links[MEMBER_MAX];	  /* by member slot, -1: none */
+	int links[MEMBER_MAX]; /* by member slot, -1: none */
 	uint64_t incarnations[MEMBER_MAX];
 	instant_t broken_check;
 	char buffer[NOTE_MESSAGE_MAX];
@@ -79,8 +79,7 @@
 	}
 }
 
-static void send_message(
-	peers_t *this, unsigned int slot, const note_head_t *head, instant_t now)
+static void send_message(peers_t *this, unsigned int slot, const note_head_t *head, instant_t now)
 {
 	const char *bytes;
 	size_t size;
--- a/src/gateway/retry_budget.c
+++ b/src/gateway/retry_budget.c
@@ -38,8 +38,8 @@
 		requests += this->requests[i];
 		repeats += this->repeats[i];
 	}
-	if (repeats + 1 > this->options->ratio * requests +
-				 this->options->allowance / this->options->routers)
+	if (repeats + 1 >
+		this->options->ratio * requests + this->options->allowance / this->options->routers)
 		return false;
 	this->repeats[at]++;
 	return true;
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -12,10 +12,10 @@
 #define RETRY_BUDGET_SLOTS 20
 
 typedef struct retry_budget_options {
-	double ratio;		/* repeats for each request */
-	double allowance;	/* repeats on top, of the whole fleet */
-	unsigned int routers;	/* that the allowance is parted among */
-	uint64_t window;	/* microseconds */
+	double ratio;	      /* repeats for each request */
+	double allowance;     /* repeats on top, of the whole fleet */
+	unsigned int routers; /* that the allowance is parted among */
+	uint64_t window;      /* microseconds */
 } retry_budget_options_t;
 
 typedef struct retry_budget {
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -87,7 +87,7 @@
 	pthread_cond_broadcast(&this->wake);
 	pthread_mutex_unlock(&this->lock);
 	pthread_join(this->thread, NULL);
-	this->store->ops->delete(this->store);
+	this->store->ops->delete (this->store);
 	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
 	g_free(this);
--- a/src/gateway/store.h
+++ b/src/gateway/store.h
@@ -35,8 +35,8 @@
 	row_result_t (*wait)(store_t *this, const char *table, unsigned int wait_ms, GArray *rows,
 		uint64_t *version);
 	/* Writes a row whose version must be `expected`, 0: none; or any, with STORE_ANY. */
-	row_result_t (*put)(store_t *this, const char *table, const store_row_t *row,
-		uint64_t expected);
+	row_result_t (*put)(
+		store_t *this, const char *table, const store_row_t *row, uint64_t expected);
 	row_result_t (*remove)(store_t *this, const char *table, const char *key);
 	void (*delete)(store_t *this);
 } store_ops_t;
--- a/src/gateway/watch.c
+++ b/src/gateway/watch.c
@@ -60,8 +60,7 @@
 		if (!news->rows)
 			ops->on_lost(this->options.ctx);
 		else if (news->is_whole)
-			ops->on_table(
-				this->options.ctx, news->rows, news->version, news->outage);
+			ops->on_table(this->options.ctx, news->rows, news->version, news->outage);
 		else
 			ops->on_rows(this->options.ctx, news->rows);
 		news_delete(news);
@@ -141,8 +140,8 @@
 static void follow(watch_t *this)
 {
 	GArray *rows = store_rows_new();
-	row_result_t result = this->store->ops->wait(this->store, this->options.table,
-		this->options.wait_ms, rows, &this->version);
+	row_result_t result = this->store->ops->wait(
+		this->store, this->options.table, this->options.wait_ms, rows, &this->version);
 
 	if (result == ROWS_GOOD && rows->len) {
 		post(this, rows, false, 0);
@@ -223,7 +222,7 @@
 
 	while ((news = take_news(this)))
 		news_delete(news);
-	this->store->ops->delete(this->store);
+	this->store->ops->delete (this->store);
 	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
 	g_free(this);
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -14,7 +14,8 @@
 typedef struct watch watch_t;
 
 typedef struct watch_ops {
-	/* All rows of the table as of `version`; `outage` is how long the store was out of reach before. */
+	/* All rows of the table as of `version`; `outage` is how long the store was out of reach
+	 * before. */
 	void (*on_table)(void *ctx, const GArray *rows, uint64_t version, uint64_t outage);
 	void (*on_rows)(void *ctx, const GArray *rows);
 	/* The store went out of reach. */
--- a/standin/row_store_standin.c
+++ b/standin/row_store_standin.c
@@ -23,11 +23,21 @@
 	GPtrArray *rows; /* in the order of their versions */
 	uint64_t version;
 	uint64_t compacted; /* history before it is gone */
-	store_fault_t fault;
 	unsigned int calls;
-	bool quit;
+	int fault; /* store_fault_t, by atomic operations, as is the next */
+	int quit;
 };
 
+static bool has_fault(row_store_standin_t *this, store_fault_t fault)
+{
+	return __atomic_load_n(&this->fault, __ATOMIC_SEQ_CST) == (int)fault;
+}
+
+static bool must_quit(row_store_standin_t *this)
+{
+	return __atomic_load_n(&this->quit, __ATOMIC_SEQ_CST);
+}
+
 static void row_delete(void *item)
 {
 	row_t *row = item;
@@ -101,8 +111,9 @@
 
 static enum MHD_Result finish(row_store_standin_t *this, server_call_t *call, GString *out)
 {
-	g_string_append_printf(out, "],\"hasMore\":false,\"ver\":%" G_GUINT64_FORMAT
-				    ",\"nowMs\":%" G_GUINT64_FORMAT "}",
+	g_string_append_printf(out,
+		"],\"hasMore\":false,\"ver\":%" G_GUINT64_FORMAT ",\"nowMs\":%" G_GUINT64_FORMAT
+		"}",
 		(guint64)this->version, (guint64)(clock_now() / USEC_PER_MSEC));
 	pthread_mutex_unlock(&this->lock);
 	return server_json(call, 200, out);
@@ -134,11 +145,11 @@
 			return server_json(call, 410, out);
 		}
 		if (append_rows(this, out, table, after, true) || clock_now() >= until ||
-			this->quit)
+			must_quit(this))
 			return finish(this, call, out);
 		pthread_mutex_unlock(&this->lock);
 		g_string_free(out, TRUE);
-		if (this->fault == STORE_SILENT)
+		if (has_fault(this, STORE_SILENT))
 			return server_drop(call);
 		sleep_ms(FEED_STEP_MS);
 	}
@@ -147,8 +158,8 @@
 static bool holds(row_store_standin_t *this, json_value_t *expected)
 {
 	for (json_value_t *v = expected ? expected->first : NULL; v; v = v->next) {
-		const row_t *row = find(this, json_get_string(v, "table", ""),
-			json_get_string(v, "key", ""));
+		const row_t *row =
+			find(this, json_get_string(v, "table", ""), json_get_string(v, "key", ""));
 		uint64_t version = row && !row->is_deleted ? row->version : 0;
 
 		if (version != (uint64_t)json_get_int(v, "ver", 0))
@@ -178,7 +189,7 @@
 		apply(this, json_get(doc->root, "remove"));
 	}
 	jsondoc_delete(doc);
-	if (this->fault == STORE_LOSES) {
+	if (has_fault(this, STORE_LOSES)) {
 		pthread_mutex_unlock(&this->lock);
 		g_string_free(out, TRUE);
 		return server_drop(call);
@@ -197,9 +208,9 @@
 	pthread_mutex_lock(&this->lock);
 	this->calls++;
 	pthread_mutex_unlock(&this->lock);
-	while (this->fault == STORE_SILENT && !this->quit)
+	while (has_fault(this, STORE_SILENT) && !must_quit(this))
 		sleep_ms(FEED_STEP_MS);
-	if (this->fault == STORE_UNAVAILABLE)
+	if (has_fault(this, STORE_UNAVAILABLE))
 		return server_answer(call, 503, "text/plain", "", 0);
 	if (!strcmp(call->path, "/rows-get"))
 		return get(this, call);
@@ -226,7 +237,7 @@
 
 void row_store_standin_delete(row_store_standin_t *this)
 {
-	this->quit = true;
+	__atomic_store_n(&this->quit, 1, __ATOMIC_SEQ_CST);
 	server_delete(this->server);
 	g_ptr_array_unref(this->rows);
 	pthread_mutex_destroy(&this->lock);
@@ -274,7 +285,7 @@
 
 void row_store_standin_set_fault(row_store_standin_t *this, store_fault_t fault)
 {
-	this->fault = fault;
+	__atomic_store_n(&this->fault, (int)fault, __ATOMIC_SEQ_CST);
 }
 
 void row_store_standin_compact(row_store_standin_t *this)
--- a/tests/engine_sim.c
+++ b/tests/engine_sim.c
@@ -171,8 +171,7 @@
 		this->counts[job->workspace].read_again += chain->tokens[0];
 	g_hash_table_add(this->caches, key);
 	if (this->options.broken_engine == i + 1) {
-		scheduler_fail(
-			this->scheduler, 0, job->ask.ticket, PLACE_UNREACHED, this->now);
+		scheduler_fail(this->scheduler, 0, job->ask.ticket, PLACE_UNREACHED, this->now);
 		g_hash_table_remove(this->jobs, &job->ask.ticket);
 		return;
 	}
@@ -257,8 +256,7 @@
 		for (unsigned int i = 0; i < this->offer_count; i++) {
 			offer_t *offer = &this->offers[i];
 
-			offer->due += offer->per_second / 1000 * 2 *
-				      g_rand_double(this->random);
+			offer->due += offer->per_second / 1000 * 2 * g_rand_double(this->random);
 			for (; offer->due >= 1; offer->due -= 1)
 				arrive(this, offer);
 		}
--- a/tests/engine_sim.h
+++ b/tests/engine_sim.h
@@ -38,9 +38,9 @@
 	unsigned int timely; /* first token within the objective */
 	unsigned int late;
 	unsigned int refused;
-	uint64_t tokens;	   /* of those that were served */
+	uint64_t tokens;	  /* of those that were served */
 	uint64_t longest_refusal; /* how long a refused one was held at most */
-	uint64_t read_again;	   /* shared tokens that an engine had to read */
+	uint64_t read_again;	  /* shared tokens that an engine had to read */
 } sim_count_t;
 
 typedef struct sim sim_t;
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -206,8 +206,8 @@
 	return answer;
 }
 
-char *fixture_request(const char *method, const char *path, const char *id, const char *extra,
-	const char *body)
+char *fixture_request(
+	const char *method, const char *path, const char *id, const char *extra, const char *body)
 {
 	return g_strdup_printf("%s %s HTTP/1.1\r\nHost: " FIXTURE_HOST "\r\nRequest-Id: %s\r\n"
 			       "Authorization: Bearer k1\r\n%sContent-Length: %zu\r\n\r\n%s",
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -23,7 +23,8 @@
 	bool stopped;
 } fixture_t;
 
-/* Routes /order/ (at most once), /status/ (repeatable), /draft/ (resumable stream), /note/ (stream). */
+/* Routes /order/ (at most once), /status/ (repeatable), /draft/ (resumable stream), /note/
+ * (stream). */
 fixture_t *fixture_new(void);
 void fixture_delete(fixture_t *this);
 /* Starts an endpoint and registers it. */
@@ -38,8 +39,8 @@
 /* Sends `text` on a new connection and reads until it closes or `ms` pass; to be freed. */
 char *fixture_exchange(fixture_t *this, const char *text, unsigned int ms);
 /* A request's text; `extra` is header lines. To be freed. */
-char *fixture_request(const char *method, const char *path, const char *id, const char *extra,
-	const char *body);
+char *fixture_request(
+	const char *method, const char *path, const char *id, const char *extra, const char *body);
 /* Reads until `what` has come or `ms` pass; to be freed. */
 char *fixture_read_until(int fd, const char *what, unsigned int ms);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,4 +1,5 @@
-/* threaded: gateway - what callers and endpoints see of the data path, against endpoints that misbehave */
+/* threaded: gateway - what callers and endpoints see of the data path, against endpoints that
+ * misbehave */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -11,6 +12,7 @@
 #include <unistd.h>
 
 #include "edge/clock.h"
+#include "edge/log.h"
 #include "tests/gateway_fixture.h"
 
 #define SOON_MS 3000
@@ -851,5 +853,6 @@
 		cmocka_unit_test(test_planned_stop_cuts_nothing),
 	};
 
+	log_init("test", FALSE);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -70,8 +70,7 @@
 		.self = router_id(i),
 		.incarnation = ++this->incarnation,
 		.seed = 77 + i,
-		.scheduler = {.late_wait = 300 * USEC_PER_MSEC,
-			.max_backlog = 60 * USEC_PER_MSEC},
+		.scheduler = {.late_wait = 300 * USEC_PER_MSEC, .max_backlog = 60 * USEC_PER_MSEC},
 	};
 
 	this->nodes[i] = placement_new(&options, this->now);
@@ -202,8 +201,7 @@
 		if (job->over || !job->began || this->frozen[job->router])
 			continue;
 		if (this->now >= job->began + RUN_SPAN / 10)
-			placement_first_token(
-				this->nodes[job->router], &job->request, this->now);
+			placement_first_token(this->nodes[job->router], &job->request, this->now);
 		if (this->now < job->began + RUN_SPAN)
 			continue;
 		placement_end(this->nodes[job->router], &job->request, 50, this->now);
