--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -172,8 +172,7 @@
 	unsigned int looked = 0;
 	sched_record_t *record;
 
-	cds_list_for_each_entry_reverse(record, &lane->timely, link)
-	{
+	cds_list_for_each_entry_reverse (record, &lane->timely, link) {
 		engine_choice_t choice = any_engine;
 		instant_t first_at;
 
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -1,16 +1,13 @@
 #include "gateway/caller.h"
 
-#include <arpa/inet.h>
 #include <http_parser.h>
 #include <string.h>
 #include <strings.h>
 
 #include "edge/clock.h"
 #include "edge/log.h"
-#include "settings/router_settings.h"
 
 #define READ_SIZE 16384
-#define BACKLOG 1024
 #define MAX_AHEAD 65536	    /* bytes that a caller may send before its turn */
 #define CHOKED_BYTES 131072 /* unwritten bytes, from which on the endpoint is read no further */
 #define LINGER (2 * USEC_PER_SEC) /* for the caller to read an answer that ends its connection */
@@ -25,21 +22,10 @@
 	CALLER_CLOSED,
 } caller_state_t;
 
-struct listener {
-	uv_tcp_t tcp;
-	listener_options_t options;
-	struct cds_list_head callers;
-	unsigned int count; /* with those whose memory is still to go */
-	unsigned int open;
-	bool draining;
-	instant_t idle_from; /* while draining: callers without a request are closed then */
-	bool closed;
-};
-
 struct caller {
 	uv_tcp_t tcp;
-	listener_t *listener;
-	struct cds_list_head link;
+	caller_host_t *host;
+	struct cds_list_head link; /* in its host's list */
 	http_parser parser;
 	caller_state_t state;
 	instant_t since; /* last request's end, or this request's first byte */
@@ -82,23 +68,17 @@
 	memset(request, 0, sizeof(*request));
 }
 
-static void listener_release(listener_t *this)
-{
-	if (this->closed && !this->count)
-		g_free(this);
-}
-
 static void on_closed(uv_handle_t *handle)
 {
 	caller_t *this = handle->data;
-	listener_t *listener = this->listener;
+	caller_host_t *host = this->host;
 
 	request_clear(this);
 	if (this->ahead)
 		g_string_free(this->ahead, TRUE);
 	g_free(this);
-	listener->count--;
-	listener_release(listener);
+	host->count--;
+	host->on_closed(host);
 }
 
 static void caller_close(caller_t *this)
@@ -106,19 +86,19 @@
 	if (this->state == CALLER_CLOSED)
 		return;
 	this->state = CALLER_CLOSED;
-	this->listener->open--;
+	this->host->open--;
 	cds_list_del(&this->link);
 	uv_close((uv_handle_t *)&this->tcp, on_closed);
 }
 
-static void caller_gone(caller_t *this)
+void caller_gone(caller_t *this)
 {
 	void *exchange = this->exchange;
 
 	this->exchange = NULL;
 	caller_close(this);
 	if (exchange)
-		this->listener->options.ops->on_gone(exchange);
+		this->host->ops->on_gone(exchange);
 }
 
 static void on_reset_closed(uv_handle_t *handle)
@@ -132,7 +112,7 @@
 	if (this->state == CALLER_CLOSED)
 		return;
 	this->state = CALLER_CLOSED;
-	this->listener->open--;
+	this->host->open--;
 	cds_list_del(&this->link);
 	if (uv_tcp_close_reset(&this->tcp, on_reset_closed))
 		uv_close((uv_handle_t *)&this->tcp, on_closed);
@@ -177,7 +157,7 @@
 	if (status)
 		caller_gone(this);
 	else if (this->exchange && this->begun && !caller_is_choked(this))
-		this->listener->options.ops->on_drained(this->exchange);
+		this->host->ops->on_drained(this->exchange);
 }
 
 /* Takes `bytes` over. */
@@ -222,9 +202,9 @@
 }
 
 /* Connections are asked back early where they run short. */
-static bool is_crowded(const listener_t *this)
+static bool is_crowded(const caller_host_t *host)
 {
-	return this->open * CROWDED_OF > this->options.max_callers * CROWDED_FROM;
+	return host->open * CROWDED_OF > host->max_callers * CROWDED_FROM;
 }
 
 static GString *answer_head(caller_t *this, unsigned int status, const char *headers)
@@ -233,7 +213,7 @@
 
 	g_string_append_printf(head, "HTTP/1.1 %u %s\r\n", status, status_text(status));
 	g_string_append(head, headers);
-	if (this->close_after || this->listener->draining || is_crowded(this->listener)) {
+	if (this->close_after || this->host->draining || is_crowded(this->host)) {
 		this->close_after = true;
 		g_string_append(head, "Connection: close\r\n");
 	}
@@ -336,7 +316,7 @@
 
 static const catalog_limits_t *limits_of(const caller_t *this)
 {
-	return this->listener->options.limits(this->listener->options.ctx);
+	return this->host->limits(this->host->ctx);
 }
 
 static int on_message_begin(http_parser *parser)
@@ -515,10 +495,10 @@
 
 static void request_ready(caller_t *this)
 {
-	const listener_options_t *options = &this->listener->options;
+	const caller_host_t *host = this->host;
 
 	this->state = CALLER_OWED;
-	options->ops->on_request(options->ctx, this, &this->request);
+	host->ops->on_request(host->ctx, this, &this->request);
 }
 
 static void caller_parse(caller_t *this, const char *data, size_t len)
@@ -567,103 +547,54 @@
 	uv_read_start((uv_stream_t *)&this->tcp, on_alloc, on_read);
 }
 
-/* --- the listener ----------------------------------------------------- */
-
-/* A caller without a request makes room for one that may have one. */
-static void close_longest_idle(listener_t *this)
-{
-	caller_t *longest = NULL;
-	caller_t *caller;
-
-	cds_list_for_each_entry (caller, &this->callers, link) {
-		if (caller->state == CALLER_CLOSING) {
-			longest = caller;
-			break;
-		}
-		if (caller->state != CALLER_READING || caller->in_request)
-			continue;
-		if (!longest || caller->since < longest->since)
-			longest = caller;
-	}
-	if (longest)
-		caller_gone(longest);
-}
-
-static void on_connection(uv_stream_t *stream, int status)
-{
-	listener_t *this = stream->data;
-	caller_t *caller;
-
-	if (status) {
-		log_warn("accept-failed", "error=%s", uv_strerror(status));
-		return;
-	}
-	if (this->open >= this->options.max_callers)
-		close_longest_idle(this);
-	caller = g_new0(caller_t, 1);
-	caller->listener = this;
-	uv_tcp_init(this->options.loop, &caller->tcp);
-	caller->tcp.data = caller;
-	caller->since = clock_now();
-	this->count++;
-	this->open++;
-	cds_list_add_tail(&caller->link, &this->callers);
-	http_parser_init(&caller->parser, HTTP_REQUEST);
-	caller->parser.data = caller;
-	if (uv_accept(stream, (uv_stream_t *)&caller->tcp) ||
-		this->open > this->options.max_callers) {
-		caller_close(caller);
-		return;
-	}
-	uv_tcp_nodelay(&caller->tcp, 1);
-	start_reading(caller);
-}
+/* --- as its host sees it ------------------------------------------------ */
 
-listener_t *listener_new(const listener_options_t *options)
+caller_t *caller_new(caller_host_t *host, uv_stream_t *listening)
 {
-	listener_t *this = g_new0(listener_t, 1);
-	struct sockaddr_in sin;
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
-	int error;
+	caller_t *this = g_new0(caller_t, 1);
 
-	this->options = *options;
-	CDS_INIT_LIST_HEAD(&this->callers);
-	address_split(options->address, ip, sizeof(ip), &port);
-	uv_ip4_addr(ip, port, &sin);
-	uv_tcp_init(options->loop, &this->tcp);
+	this->host = host;
+	this->since = clock_now();
+	uv_tcp_init(host->loop, &this->tcp);
 	this->tcp.data = this;
-	error = uv_tcp_bind(&this->tcp, (struct sockaddr *)&sin, 0);
-	if (!error)
-		error = uv_listen((uv_stream_t *)&this->tcp, BACKLOG, on_connection);
-	if (!error)
-		return this;
-	log_warn("listen-failed", "address=%s error=%s", options->address, uv_strerror(error));
-	listener_delete(this);
-	return NULL;
+	http_parser_init(&this->parser, HTTP_REQUEST);
+	this->parser.data = this;
+	host->count++;
+	host->open++;
+	cds_list_add_tail(&this->link, &host->callers);
+	if (uv_accept(listening, (uv_stream_t *)&this->tcp) || host->open > host->max_callers) {
+		caller_close(this);
+		return NULL;
+	}
+	uv_tcp_nodelay(&this->tcp, 1);
+	start_reading(this);
+	return this;
 }
 
-void listener_drain(listener_t *this, instant_t idle_from)
+caller_t *caller_of_link(struct cds_list_head *link)
 {
-	this->draining = true;
-	this->idle_from = idle_from;
+	return caa_container_of(link, caller_t, link);
 }
 
-unsigned int listener_callers(const listener_t *this)
+instant_t caller_idle_since(const caller_t *this)
 {
-	return this->open;
+	if (this->state == CALLER_CLOSING)
+		return 0;
+	if (this->state != CALLER_READING || this->in_request)
+		return INSTANT_NEVER;
+	return this->since;
 }
 
 static bool is_overdue(const caller_t *this, instant_t now)
 {
 	const catalog_limits_t *limits = limits_of(this);
+	const caller_host_t *host = this->host;
 
 	switch (this->state) {
 	case CALLER_READING:
 		if (this->in_request && !this->in_body)
 			return now >= this->since + limits->header_timeout_ms * USEC_PER_MSEC;
-		if (this->listener->draining && !this->in_request &&
-			now >= this->listener->idle_from)
+		if (host->draining && !this->in_request && now >= host->idle_from)
 			return true;
 		return now >= this->since + limits->idle_timeout_ms * USEC_PER_MSEC;
 	case CALLER_CLOSING:
@@ -673,39 +604,14 @@
 	}
 }
 
-void listener_sweep(listener_t *this, instant_t now)
-{
-	caller_t *caller;
-	caller_t *after;
-
-	cds_list_for_each_entry_safe (caller, after, &this->callers, link) {
-		if (!is_overdue(caller, now))
-			continue;
-		if (caller->state == CALLER_READING && caller->in_request) {
-			caller->refusal = 408;
-			refuse(caller);
-		} else {
-			caller_gone(caller);
-		}
-	}
-}
-
-static void on_listener_closed(uv_handle_t *handle)
-{
-	listener_t *this = handle->data;
-
-	this->closed = true;
-	listener_release(this);
-}
-
-void listener_delete(listener_t *this)
+void caller_sweep(caller_t *this, instant_t now)
 {
-	caller_t *caller;
-	caller_t *after;
-
-	if (!this)
+	if (!is_overdue(this, now))
 		return;
-	cds_list_for_each_entry_safe (caller, after, &this->callers, link)
-		caller_gone(caller);
-	uv_close((uv_handle_t *)&this->tcp, on_listener_closed);
+	if (this->state == CALLER_READING && this->in_request) {
+		this->refusal = 408;
+		refuse(this);
+	} else {
+		caller_gone(this);
+	}
 }
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -13,7 +13,6 @@
 #include "gateway/catalog.h"
 
 typedef struct caller caller_t;
-typedef struct listener listener_t;
 
 /* What a request's head said; strings live until the exchange is over. */
 typedef struct caller_request {
@@ -35,24 +34,33 @@
 	void (*on_drained)(void *exchange);
 } caller_ops_t;
 
-typedef struct listener_options {
+/* What callers of one listening address have in common. */
+typedef struct caller_host caller_host_t;
+struct caller_host {
 	uv_loop_t *loop;
-	const char *address; /* ip:port */
 	const caller_ops_t *ops;
 	void *ctx;
 	/* The limits in force; asked at each request. */
 	const catalog_limits_t *(*limits)(void *ctx);
 	unsigned int max_callers;
-} listener_options_t;
+	struct cds_list_head callers;
+	unsigned int count; /* with those whose memory is still to go */
+	unsigned int open;
+	bool draining;	     /* answers carry "Connection: close" */
+	instant_t idle_from; /* while draining: callers without a request are closed then */
+	/* The memory of a caller went. */
+	void (*on_closed)(caller_host_t *host);
+};
 
-listener_t *listener_new(const listener_options_t *options);
-/* Answers carry "Connection: close" from now on; callers that idle are closed from `idle_from`. */
-void listener_drain(listener_t *this, instant_t idle_from);
-/* Closes what idles or dawdles beyond the limits. */
-void listener_sweep(listener_t *this, instant_t now);
-unsigned int listener_callers(const listener_t *this);
-/* Closes everything; the memory goes when the loop has run once more. */
-void listener_delete(listener_t *this);
+/* Takes a connection that waits at `listening`; NULL when it could not be had or kept. */
+caller_t *caller_new(caller_host_t *host, uv_stream_t *listening);
+caller_t *caller_of_link(struct cds_list_head *link);
+/* Since when it has no request, 0 when it is being closed; INSTANT_NEVER when it has one. */
+instant_t caller_idle_since(const caller_t *this);
+/* Closes it when it idles or dawdles beyond the limits. */
+void caller_sweep(caller_t *this, instant_t now);
+/* Closes it; the exchange, if any, hears of it. */
+void caller_gone(caller_t *this);
 
 const char *caller_header(const caller_request_t *request, const char *name);
 void caller_set_exchange(caller_t *this, void *exchange);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/adapter.h"
 #include "gateway/call.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/listener.h"
 #include "gateway/peers.h"
 #include "gateway/retry_budget.h"
 #include "gateway/roster.h"
