--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -58,6 +58,8 @@
 	place_request_t place;
 	bool in_queue;	/* a place is asked for, or in use */
 	bool undecided; /* the decision is still to come */
+	instant_t queued_at;
+	uint64_t queued; /* how long it waited for places, microseconds */
 
 	/* dispatch */
 	served_endpoint_t *endpoint;
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -18,7 +18,8 @@
 	call->in_queue = true;
 	call->undecided = true;
 	call->state = CALL_QUEUED;
-	placement_request(placement_of(call), place, clock_now());
+	call->queued_at = clock_now();
+	placement_request(placement_of(call), place, call->queued_at);
 	return STEP_WAIT;
 }
 
@@ -26,6 +27,7 @@
 static bool still_wanted(call_t *this)
 {
 	this->undecided = false;
+	this->queued += clock_now() - this->queued_at;
 	if (this->state != CALL_OVER)
 		return true;
 	call_leave_queue(this, PLACE_UNUSED);
