Fuzz targets for events, notes and the adapter's decoders

Found on their first runs: an event's number was read on into the next line when its own was empty, so that a stream in pieces gave other events than the same in one (fuzz-events); a list that claims 128 GB made the library take them (fuzz-note).

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -54,6 +54,9 @@
 run embed build-asan/embed
 run fuzz-message scripts/fuzz.sh message
 run fuzz-text scripts/fuzz.sh text
+run fuzz-events scripts/fuzz.sh events
+run fuzz-decode scripts/fuzz.sh decode
+run fuzz-note scripts/fuzz.sh note
 # A process test lists its cases in a line "# cases: a b"; each runs on ports of its own, some at a time.
 run_process_tests() {
 	local dir base=20000 t name c
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -18,6 +18,19 @@
 	printf '{"services":[{"name":"m","kind":"model"}],"endpoints":[{"name":"e","service":"m","address":"127.0.0.1:1"}],"workspaces":[],"routes":[{"path":"/o*","service":"by-model"}]}' >"$corpus/text"
 	printf '{"number":1,"change":"c","text":"t"}' >"$corpus/row"
 	;;
+events)
+	sources="src/gateway/event_stream.c"
+	printf '\x03id: 1\ndata: a\n\nid: 2\ndata: b\n\n' >"$corpus/two"
+	;;
+decode)
+	sources="platform/decode.c src/gateway/catalog.c src/gateway/directory.c src/settings/*.c"
+	printf '{"version":7,"routes":[{"name":"r","host":"shop.example","prefix":"/a/","kind":"streaming","timeoutMs":12000,"maxAttempts":2,"resumable":true,"backends":[{"service":"m","weight":9}]}],"services":[{"name":"m","maxConns":9,"engine":{"slots":2,"kvCapacity":9,"stride":7}}],"limits":{"maxHeaderBytes":9},"tenants":[{"name":"w","apiKeys":["k"]}]}' >"$corpus/config"
+	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","born":7}' >"$corpus/entry"
+	;;
+note)
+	sources="src/edge/note_codec.c src/core/allocator.c"
+	printf '\x95\x01\x02\x03\x04\x00\x94\x02\x05\x06\x00\x94\x0f\x07\x08\x09' >"$corpus/notes"
+	;;
 esac
 clang -std=gnu11 -g -O1 -D_GNU_SOURCE -Isrc -I. -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined \
 	$(pkg-config --cflags glib-2.0) -o build-fuzz/$name tests/fuzz_$name.c $sources \
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -9,6 +9,14 @@
 #define MAX_FIELDS 24
 #define NOTE_MOST_BYTES 400 /* of the largest note */
 #define NEVER_US INT64_MAX
+/* First bytes of msgpack's values. */
+#define WIRE_SMALL 0x80
+#define WIRE_LIST 0x90
+#define WIRE_NIL 0xc0
+#define WIRE_BYTES 0xc4
+#define WIRE_INTEGERS 0xcc
+#define WIRE_LIST_16 0xdc
+#define WIRE_NEGATIVE 0xe0
 
 struct note_writer {
 	msgpack_sbuffer buffer;
@@ -183,26 +191,52 @@
 
 /* --- reading ------------------------------------------------------------ */
 
+static uint8_t next_byte(const note_reader_t *this)
+{
+	return this->at < this->size ? (uint8_t)this->data[this->at] : WIRE_NIL;
+}
+
+/* The head of a list; -1 when it is none, or claims more fields than any note has. */
+static int read_list_head(note_reader_t *this)
+{
+	uint8_t byte = next_byte(this);
+
+	if (byte >= WIRE_LIST && byte < WIRE_LIST + 16) {
+		this->at++;
+		return byte - WIRE_LIST;
+	}
+	if (byte != WIRE_LIST_16 || this->size - this->at < 3)
+		return -1;
+	this->at += 3;
+	return (uint8_t)this->data[this->at - 2] << 8 | (uint8_t)this->data[this->at - 1];
+}
+
+static bool is_integer(uint8_t byte)
+{
+	return byte < WIRE_SMALL || byte >= WIRE_NEGATIVE ||
+	       (byte >= WIRE_INTEGERS && byte < WIRE_INTEGERS + 8);
+}
+
+static bool unpack(note_reader_t *this, msgpack_unpacked *unpacked)
+{
+	return msgpack_unpack_next(unpacked, this->data, this->size, &this->at) ==
+	       MSGPACK_UNPACK_SUCCESS;
+}
+
+/* Value by value: the library would take the memory that a list only claims. */
 static bool read_fields(note_reader_t *this, fields_t *fields)
 {
-	const msgpack_object *object = &this->unpacked.data;
+	int count = read_list_head(this);
 
 	*fields = (fields_t){0};
-	if (msgpack_unpack_next(&this->unpacked, this->data, this->size, &this->at) !=
-		MSGPACK_UNPACK_SUCCESS)
+	if (count < 1 || count > MAX_FIELDS)
 		return false;
-	if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > MAX_FIELDS)
-		return false;
-	fields->count = object->via.array.size;
-	for (unsigned int i = 0; i < fields->count; i++) {
-		const msgpack_object *item = &object->via.array.ptr[i];
-
-		if (item->type != MSGPACK_OBJECT_POSITIVE_INTEGER &&
-			item->type != MSGPACK_OBJECT_NEGATIVE_INTEGER)
+	for (int i = 0; i < count; i++) {
+		if (!is_integer(next_byte(this)) || !unpack(this, &this->unpacked))
 			return false;
-		fields->value[i] = item->via.i64;
+		fields->value[fields->count++] = this->unpacked.data.via.i64;
 	}
-	return fields->count > 0;
+	return true;
 }
 
 note_reader_t *note_reader_new(const char *data, size_t size, note_head_t *head)
@@ -284,9 +318,9 @@
 static bool read_bytes(
 	note_reader_t *this, msgpack_unpacked *unpacked, const char **bytes, uint32_t *size)
 {
-	if (msgpack_unpack_next(unpacked, this->data, this->size, &this->at) !=
-			MSGPACK_UNPACK_SUCCESS ||
-		unpacked->data.type != MSGPACK_OBJECT_BIN)
+	uint8_t byte = next_byte(this);
+
+	if (byte < WIRE_BYTES || byte >= WIRE_BYTES + 3 || !unpack(this, unpacked))
 		return false;
 	*bytes = unpacked->data.via.bin.ptr;
 	*size = unpacked->data.via.bin.size;
--- a/src/gateway/event_stream.c
+++ b/src/gateway/event_stream.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#define MAX_DIGITS 18	     /* of an event's number */
 #define MAX_EVENT (1U << 20) /* bytes; an event holds a few tokens */
 
 void event_stream_init(event_stream_t *this)
@@ -28,6 +29,23 @@
 	return !this->partial->len;
 }
 
+/* The digits between `at` and `end`, blanks before them left out; -2 when there is more or less. */
+static int64_t parse_number(const char *at, const char *end)
+{
+	int64_t number = 0;
+
+	while (at < end && *at == ' ')
+		at++;
+	if (at == end || end - at > MAX_DIGITS)
+		return -2;
+	for (; at < end; at++) {
+		if (*at < '0' || *at > '9')
+			return -2;
+		number = number * 10 + (*at - '0');
+	}
+	return number;
+}
+
 /* The number in the event's "id:" line; -1 without one, -2 when it is no number. */
 static int64_t event_number(const char *event, size_t len)
 {
@@ -39,12 +57,8 @@
 
 		if (!stop)
 			break;
-		if (stop - line > 3 && !strncmp(line, "id:", 3)) {
-			char *after;
-			gint64 number = g_ascii_strtoll(line + 3, &after, 10);
-
-			return after == line + 3 || number < 0 ? -2 : number;
-		}
+		if (stop - line >= 3 && !strncmp(line, "id:", 3))
+			return parse_number(line + 3, stop);
 		line = stop + 1;
 	}
 	return -1;
