--- a/src/gateway/gateway_news.c
+++ b/src/gateway/gateway_news.c
@@ -5,6 +5,10 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 
+#define PACE_ROUTERS 8	   /* fleet for which the settings' waits and pauses are meant */
+#define MOST_WAIT_MS 30000 /* that the store lets a read wait */
+#define MOST_PAUSE_MS 800  /* well within the time in which news must be in force */
+
 static void take_catalog(gateway_t *this, const store_row_t *row)
 {
 	faults_t faults;
@@ -169,6 +173,28 @@
 	return watch_new(&options);
 }
 
+static unsigned int at_most(unsigned int value, unsigned int most)
+{
+	return value < most ? value : most;
+}
+
+void gateway_pace_store(gateway_t *this)
+{
+	const gateway_settings_t *settings = this->settings;
+	unsigned int routers = members_expected(placement_members(peers_placement(this->peers)));
+	unsigned int times = (routers + PACE_ROUTERS - 1) / PACE_ROUTERS;
+	unsigned int wait_ms = at_most(settings->store_wait_ms * times, MOST_WAIT_MS);
+	unsigned int pause_ms = at_most(settings->store_pause_ms * times, MOST_PAUSE_MS);
+
+	if (routers == this->paced_for)
+		return;
+	this->paced_for = routers;
+	watch_set_pace(this->catalog_watch, wait_ms, pause_ms);
+	watch_set_pace(this->endpoint_watch, wait_ms, pause_ms);
+	watch_set_pace(this->roster_watch, at_most(settings->roster_wait_ms * times, MOST_WAIT_MS),
+		pause_ms);
+}
+
 void gateway_follow_store(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
--- a/src/gateway/watch.c
+++ b/src/gateway/watch.c
@@ -23,6 +23,8 @@
 	struct cds_list_head news;
 	bool quit;
 	bool refresh;
+	unsigned int wait_ms; /* by the lock, as is the next */
+	unsigned int pause_ms;
 	uint64_t version;
 	instant_t lost_at; /* 0: within reach */
 	unsigned int failures;
@@ -137,15 +139,28 @@
 	post(this, rows, true, outage);
 }
 
+static void get_pace(watch_t *this, unsigned int *wait_ms, unsigned int *pause_ms)
+{
+	pthread_mutex_lock(&this->lock);
+	*wait_ms = this->wait_ms;
+	*pause_ms = this->pause_ms;
+	pthread_mutex_unlock(&this->lock);
+}
+
 static void follow(watch_t *this)
 {
 	GArray *rows = store_rows_new();
-	row_result_t result = this->store->ops->wait(
-		this->store, this->options.table, this->options.wait_ms, rows, &this->version);
+	unsigned int wait_ms;
+	unsigned int pause_ms;
+	row_result_t result;
+
+	get_pace(this, &wait_ms, &pause_ms);
+	result = this->store->ops->wait(
+		this->store, this->options.table, wait_ms, rows, &this->version);
 
 	if (result == ROWS_GOOD && rows->len) {
 		post(this, rows, false, 0);
-		pause_for(this, this->options.pause_ms);
+		pause_for(this, pause_ms);
 		return;
 	}
 	g_array_unref(rows);
@@ -189,6 +204,8 @@
 	watch_t *this = g_new0(watch_t, 1);
 
 	this->options = *options;
+	this->wait_ms = options->wait_ms;
+	this->pause_ms = options->pause_ms;
 	this->store = options->adapter->open_store(&options->store);
 	CDS_INIT_LIST_HEAD(&this->news);
 	pthread_mutex_init(&this->lock, NULL);
@@ -200,6 +217,14 @@
 	return this;
 }
 
+void watch_set_pace(watch_t *this, unsigned int wait_ms, unsigned int pause_ms)
+{
+	pthread_mutex_lock(&this->lock);
+	this->wait_ms = wait_ms;
+	this->pause_ms = pause_ms;
+	pthread_mutex_unlock(&this->lock);
+}
+
 void watch_refresh(watch_t *this)
 {
 	pthread_mutex_lock(&this->lock);
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -35,6 +35,8 @@
 } watch_options_t;
 
 watch_t *watch_new(const watch_options_t *options);
+/* How long a read waits for news, and the pause after one, from the next read on. */
+void watch_set_pace(watch_t *this, unsigned int wait_ms, unsigned int pause_ms);
 /* Reads the table anew as soon as the present answer is there. */
 void watch_refresh(watch_t *this);
 /* Joins the thread; the memory goes when the loop has run once more. */
