Shared prompt parts are copied from the engine that has them

Change: a grant names an engine to copy from, where the owner knows one; else the router names the prompt's home. Also one way to load settings files, and an unknown adapter is a named fault.

--- a/src/cmd/gateway.c
+++ b/src/cmd/gateway.c
@@ -7,11 +7,8 @@
 #include "edge/log.h"
 #include "gateway/gateway.h"
 
-#define DEFAULT_ADAPTER "rows"
-
 typedef struct arguments {
 	const char *settings;
-	const char *adapter;
 	bool check;
 	bool verbose;
 } arguments_t;
@@ -19,7 +16,6 @@
 static const struct argp_option options[] = {
 	{"settings", 's', "FILE", 0,
 		"settings of this gateway; else the platform's variable names it", 0},
-	{"adapter", 'a', "NAME", 0, "platform adapter (" DEFAULT_ADAPTER ")", 0},
 	{"check", 'c', 0, 0, "only check the settings", 0},
 	{"verbose", 'v', 0, 0, "log each request", 0},
 	{0},
@@ -33,9 +29,6 @@
 	case 's':
 		arguments->settings = text;
 		break;
-	case 'a':
-		arguments->adapter = text;
-		break;
 	case 'c':
 		arguments->check = true;
 		break;
@@ -73,27 +66,25 @@
 
 int command_gateway(int argc, char **argv)
 {
-	arguments_t arguments = {.adapter = DEFAULT_ADAPTER};
-	const adapter_t *adapter;
+	arguments_t arguments = {0};
 	gateway_settings_t *settings;
 	faults_t faults;
 	int code;
 
 	argp_parse(&parser, argc, argv, 0, NULL, &arguments);
-	adapter = adapter_find(arguments.adapter);
-	if (!adapter) {
-		fprintf(stderr, "there is no adapter \"%s\"\n", arguments.adapter);
-		return EXIT_USAGE;
-	}
 	if (!arguments.settings)
-		arguments.settings = getenv(adapter->settings_variable);
+		arguments.settings = adapter_settings_path();
 	if (!arguments.settings) {
-		fprintf(stderr, "--settings FILE is missing, and %s is not set\n",
-			adapter->settings_variable);
+		fputs("--settings FILE is missing, and the platform names none\n", stderr);
 		return EXIT_USAGE;
 	}
 	faults_init(&faults, arguments.settings);
 	settings = gateway_settings_load(arguments.settings, &faults);
+	if (settings && !adapter_find(settings->adapter)) {
+		faults_add(&faults, 0, "adapter: there is none named \"%s\"", settings->adapter);
+		gateway_settings_delete(settings);
+		settings = NULL;
+	}
 	if (!settings) {
 		fputs(faults.text->str, stderr);
 		faults_clear(&faults);
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -10,6 +10,7 @@
 #define BASE_WEIGHT 0.05
 #define PACE_SAMPLE 1500 /* unread tokens from which on a sample tells the pace of reading */
 #define BASE_SAMPLE 300	 /* and up to which it tells the rest */
+#define COPY_QUICKER 4	 /* times, that a token is copied from another engine rather than read */
 #define OWN_HASH_STEP 0x9e3779b97f4a7c16ULL /* even: shared parts have odd hashes */
 #define MEMORY_MARGIN 16 /* a sixteenth of the memory is left to the engine's own blocks */
 
@@ -110,6 +111,16 @@
 	return unread;
 }
 
+uint32_t engine_unread_with_copy(
+	const engine_t *this, const engine_work_t *work, uint32_t elsewhere)
+{
+	uint32_t unread = engine_unread(this, work);
+
+	if (unread < elsewhere + COPY_LEAST)
+		return unread;
+	return elsewhere + (unread - elsewhere) / COPY_QUICKER;
+}
+
 /* --- prediction ------------------------------------------------------- */
 
 uint64_t engine_backlog(const engine_t *this, instant_t now)
@@ -122,9 +133,13 @@
 	return (uint64_t)(this->first_us + this->token_us * engine_unread(this, work));
 }
 
-instant_t engine_first_at(const engine_t *this, const engine_work_t *work, instant_t now)
+instant_t engine_first_at(
+	const engine_t *this, const engine_work_t *work, uint32_t elsewhere, instant_t now)
 {
-	return now + engine_backlog(this, now) + engine_first_alone(this, work);
+	uint32_t unread = engine_unread_with_copy(this, work, elsewhere);
+
+	return now + engine_backlog(this, now) +
+	       (uint64_t)(this->first_us + this->token_us * unread);
 }
 
 static uint32_t memory_of(const engine_work_t *work)
@@ -143,11 +158,12 @@
 
 /* --- what happens ------------------------------------------------------ */
 
-void engine_begin(engine_t *this, engine_run_t *run, const engine_work_t *work, instant_t now)
+void engine_begin(engine_t *this, engine_run_t *run, const engine_work_t *work, uint32_t elsewhere,
+	instant_t now)
 {
 	instant_t from = now + engine_backlog(this, now);
 
-	run->unread = engine_unread(this, work);
+	run->unread = engine_unread_with_copy(this, work, elsewhere);
 	run->memory = memory_of(work);
 	run->own = run->memory;
 	run->began = now;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -14,6 +14,7 @@
 #include "core/types.h"
 
 #define ENGINE_MAX_PARTS 4
+#define COPY_LEAST 512	      /* tokens, from which on copying is worth its beginning */
 #define ENGINE_CACHE_SETS 256 /* of remembered chains of prompt parts, a power of two */
 #define ENGINE_CACHE_WAYS 4
 
@@ -66,8 +67,12 @@
 void engine_init(engine_t *this, id_t32 id, unsigned int slots, uint64_t token_memory);
 /* Tokens of the prompt that it would have to read. */
 uint32_t engine_unread(const engine_t *this, const engine_work_t *work);
+/* The same, counted in reading time, if another engine has all but `elsewhere` of it to copy. */
+uint32_t engine_unread_with_copy(
+	const engine_t *this, const engine_work_t *work, uint32_t elsewhere);
 /* When the first token would come if the work began now. */
-instant_t engine_first_at(const engine_t *this, const engine_work_t *work, instant_t now);
+instant_t engine_first_at(
+	const engine_t *this, const engine_work_t *work, uint32_t elsewhere, instant_t now);
 /* The same, if the engine had nothing else to read. */
 uint64_t engine_first_alone(const engine_t *this, const engine_work_t *work);
 /* How long what it has to read will keep it. */
@@ -75,7 +80,8 @@
 /* A slot and memory are free. */
 bool engine_has_room(const engine_t *this, const engine_work_t *work);
 
-void engine_begin(engine_t *this, engine_run_t *run, const engine_work_t *work, instant_t now);
+void engine_begin(engine_t *this, engine_run_t *run, const engine_work_t *work, uint32_t elsewhere,
+	instant_t now);
 /* The first token has come. */
 void engine_read(engine_t *this, engine_run_t *run, instant_t now);
 void engine_end(engine_t *this, engine_run_t *run, instant_t now);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -22,6 +22,7 @@
 	request->asks = 0;
 	request->is_read = false;
 	request->on_own = false;
+	request->source = 0;
 	if (!placement_has_usable(this, request->pool)) {
 		placement_reject(this, request, NO_ENGINE_RETRY_MS);
 		return;
@@ -110,6 +111,7 @@
 			.kind = action.kind == SCHEDULER_GRANT ? NOTE_GRANT : NOTE_REFUSE,
 			.ticket = action.ticket,
 			.engine = action.engine,
+			.source = action.source,
 			.value = action.retry_after_ms,
 		};
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -41,11 +41,12 @@
 typedef struct note {
 	note_kind_t kind;
 	uint64_t ticket;
-	id_t32 engine;	  /* GRANT, HOLD */
-	id_t32 pool;	  /* ASK, FILL, SERVED */
-	id_t32 workspace; /* SERVED */
-	int32_t tokens;	  /* SERVED */
-	uint32_t value;	  /* retry_after_ms, answer tokens, rows still to come */
+	id_t32 engine;						     /* GRANT, HOLD */
+	id_t32 source; /* GRANT: engine to copy shared parts from */ /* GRANT, HOLD */
+	id_t32 pool;						     /* ASK, FILL, SERVED */
+	id_t32 workspace;					     /* SERVED */
+	int32_t tokens;						     /* SERVED */
+	uint32_t value; /* retry_after_ms, answer tokens, rows still to come */
 	scheduler_fill_t fill;
 	ask_t ask; /* ASK; instants are the receiver's once decoded */
 	held_place_t place;
@@ -81,6 +82,7 @@
 	uint64_t ticket;
 	unsigned int owner; /* member slot */
 	id_t32 engine;
+	id_t32 source;	     /* engine to copy the prompt's shared parts from, 0: none */
 	instant_t answer_by; /* of the owner, while no word has come */
 	instant_t repeat_at; /* of the ask: its answer may be lost */
 	unsigned int asks;
--- a/src/core/placement_ask.c
+++ b/src/core/placement_ask.c
@@ -117,6 +117,20 @@
 	return best;
 }
 
+id_t32 placement_likely_source(
+	const placement_t *this, const place_request_t *request, id_t32 engine)
+{
+	const prompt_chain_t *chain = &request->work.chain;
+	unsigned int ranked[CANDIDATES];
+
+	if (!chain->count || chain->tokens[chain->count - 1] < COPY_LEAST)
+		return 0;
+	if (!rank_engines(this, request, chain->hash[chain->count - 1], ranked) ||
+		this->engines[ranked[0]].engine.id == engine)
+		return 0;
+	return this->engines[ranked[0]].engine.id;
+}
+
 /*
  * Whom to ask: the least full owner, unless one that has probably read the
  * prompt's shared parts is not much fuller.
--- a/src/core/placement_hear.c
+++ b/src/core/placement_hear.c
@@ -70,9 +70,12 @@
 {
 	place_request_t *request = find_asked(this, slot, note->ticket);
 
-	if (request && placement_find_engine(this, note->engine))
+	if (request && placement_find_engine(this, note->engine)) {
+		request->source = note->source;
+		if (!request->source)
+			request->source = placement_likely_source(this, request, note->engine);
 		placement_start(this, request, note->engine, slot);
-	else if (!is_running(this, slot, note->ticket))
+	} else if (!is_running(this, slot, note->ticket))
 		placement_withdraw_at(this, slot, note->ticket, now);
 }
 
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -75,6 +75,9 @@
 double placement_fill_at(placement_t *this, unsigned int slot, id_t32 pool, instant_t now);
 /* The member in `slot` owns a usable engine of the pool. */
 bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool);
+/* The engine where the shared parts were probably read, when it is not `engine`; 0: none. */
+id_t32 placement_likely_source(
+	const placement_t *this, const place_request_t *request, id_t32 engine);
 bool placement_has_usable(const placement_t *this, id_t32 pool);
 /* Asks an owner, or the next one. */
 void placement_ask(placement_t *this, place_request_t *request, instant_t now);
--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -27,9 +27,9 @@
 }
 
 instant_t sched_engine_first_at(
-	const sched_engine_t *this, const engine_work_t *work, instant_t now)
+	const sched_engine_t *this, const engine_work_t *work, uint32_t elsewhere, instant_t now)
 {
-	return engine_first_at(&this->model, work, now) +
+	return engine_first_at(&this->model, work, elsewhere, now) +
 	       (instant_t)(this->failing * FAILING_PENALTY);
 }
 
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -35,7 +35,7 @@
 unsigned int sched_engine_slots(const sched_engine_t *this, instant_t now);
 /* When the first token would come, and later where requests fail. */
 instant_t sched_engine_first_at(
-	const sched_engine_t *this, const engine_work_t *work, instant_t now);
+	const sched_engine_t *this, const engine_work_t *work, uint32_t elsewhere, instant_t now);
 void sched_engine_note_good(sched_engine_t *this);
 void sched_engine_note_failure(sched_engine_t *this, place_end_t end, instant_t now);
 /* The engine told that `load` requests run or wait there. */
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -34,6 +34,7 @@
 	instant_t told_at; /* when its router last told that it has the place */
 	sched_lane_t *lane;
 	sched_engine_t *engine; /* NULL while it waits */
+	id_t32 source;		/* engine to copy the prompt's shared parts from, 0: none */
 	engine_run_t run;
 } sched_record_t;
 
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -79,29 +79,52 @@
 
 /* --- which engine ------------------------------------------------------ */
 
-/* What the engine that has most of the prompt would have to read, with room or without. */
-static uint32_t least_unread(const sched_pool_t *this, const ask_t *ask)
+/* The engine that has most of the prompt, with room or without; NULL without a usable one. */
+static const sched_engine_t *best_read(const sched_pool_t *this, const ask_t *ask)
 {
 	const sched_engine_t *engine;
-	uint32_t least = UINT32_MAX;
+	const sched_engine_t *best = NULL;
+	uint32_t least = 0;
 
 	cds_list_for_each_entry (engine, &this->engines, link) {
 		uint32_t unread = engine_unread(&engine->model, &ask->work);
 
-		if (engine->usable && unread < least)
-			least = unread;
+		if (!engine->usable || (best && unread >= least))
+			continue;
+		best = engine;
+		least = unread;
 	}
-	return least;
+	return best;
+}
+
+id_t32 sched_pool_source(const sched_pool_t *this, const ask_t *ask, const sched_engine_t *engine)
+{
+	const sched_engine_t *best = best_read(this, ask);
+	uint32_t unread = engine_unread(&engine->model, &ask->work);
+
+	if (!best || best == engine ||
+		unread < engine_unread(&best->model, &ask->work) + COPY_LEAST)
+		return 0;
+	return best->model.id;
 }
 
 /* Which engines come into question. */
 typedef struct engine_choice {
 	unsigned int reserve; /* a part of the slots that is left free, 0: none */
 	uint32_t most_unread; /* tokens of the prompt */
+	uint32_t elsewhere;   /* tokens that no engine has read */
 } engine_choice_t;
 
-static const engine_choice_t any_engine = {0, UINT32_MAX};
-static const engine_choice_t late_engine = {LATE_RESERVE, UINT32_MAX};
+static engine_choice_t choice_for(const sched_pool_t *this, const ask_t *ask, unsigned int reserve)
+{
+	const sched_engine_t *best = best_read(this, ask);
+
+	return (engine_choice_t){
+		.reserve = reserve,
+		.most_unread = UINT32_MAX,
+		.elsewhere = best ? engine_unread(&best->model, &ask->work) : UINT32_MAX,
+	};
+}
 
 /* The usable engine on which the first token would come soonest; NULL when none has room. */
 static sched_engine_t *best_engine(const sched_pool_t *this, const ask_t *ask,
@@ -123,7 +146,7 @@
 		if (choice->most_unread != UINT32_MAX &&
 			engine_unread(model, &ask->work) > choice->most_unread)
 			continue;
-		at = sched_engine_first_at(engine, &ask->work, now);
+		at = sched_engine_first_at(engine, &ask->work, choice->elsewhere, now);
 		if (model->id == ask->avoid)
 			at += AVOID_PENALTY;
 		if (best && at >= *first_at)
@@ -173,11 +196,11 @@
 	sched_record_t *record;
 
 	cds_list_for_each_entry_reverse (record, &lane->timely, link) {
-		engine_choice_t choice = any_engine;
+		engine_choice_t choice = choice_for(this, &record->ask, 0);
 		instant_t first_at;
 
 		if (at_home)
-			choice.most_unread = least_unread(this, &record->ask) + HOME_SLACK;
+			choice.most_unread = choice.elsewhere + HOME_SLACK;
 		*engine = best_engine(this, &record->ask, &choice, now, &first_at);
 		if (*engine && first_at <= record->ask.first_by)
 			return record;
@@ -240,6 +263,7 @@
 static sched_choice_t next_late(sched_pool_t *this, instant_t now)
 {
 	sched_choice_t best = {0};
+	engine_choice_t choice;
 	sched_lane_t *lane;
 	instant_t first_at;
 
@@ -253,8 +277,8 @@
 	}
 	if (!best.record)
 		return best;
-	best.engine = best_engine(
-		this, &best.record->ask, this->timely ? &any_engine : &late_engine, now, &first_at);
+	choice = choice_for(this, &best.record->ask, this->timely ? 0 : LATE_RESERVE);
+	best.engine = best_engine(this, &best.record->ask, &choice, now, &first_at);
 	if (!best.engine)
 		best.record = NULL;
 	return best;
--- a/src/core/sched_pool.h
+++ b/src/core/sched_pool.h
@@ -45,6 +45,8 @@
  */
 void sched_pool_expire(sched_pool_t *this, instant_t now, instant_t *next,
 	void (*refuse)(void *ctx, sched_record_t *record), void *ctx);
+/* An engine that has read clearly more of the prompt than `engine`, to copy from; 0: none. */
+id_t32 sched_pool_source(const sched_pool_t *this, const ask_t *ask, const sched_engine_t *engine);
 /* The shortest span to a first token on any engine that were idle, UINT64_MAX without one. */
 uint64_t sched_pool_alone_span(const sched_pool_t *this, const ask_t *ask);
 void sched_pool_count_grant(sched_pool_t *this, instant_t now);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -163,11 +163,17 @@
 		.router = record->router,
 		.ticket = record->ask.ticket,
 		.engine = record->engine->model.id,
+		.source = record->source,
 	};
 
 	push(this, &action);
 }
 
+static const engine_t *source_model(const scheduler_t *this, id_t32 source)
+{
+	return &find_engine(this, source)->model;
+}
+
 static void grant(
 	scheduler_t *this, sched_pool_t *pool, const sched_choice_t *choice, instant_t now)
 {
@@ -177,7 +183,11 @@
 	sched_pool_dequeue(pool, record);
 	sched_pool_count_grant(pool, now);
 	sched_lane_serve(record->lane, ask_cost(&record->ask), now);
-	engine_begin(&choice->engine->model, &record->run, work, now);
+	record->source = sched_pool_source(pool, &record->ask, choice->engine);
+	engine_begin(&choice->engine->model, &record->run, work,
+		record->source ? engine_unread(source_model(this, record->source), work)
+			       : UINT32_MAX,
+		now);
 	record->engine = choice->engine;
 	record->told_at = now;
 	this->running++;
@@ -341,7 +351,7 @@
 	record->engine = engine;
 	record->told_at = now;
 	this->running++;
-	engine_begin(&engine->model, &record->run, &record->ask.work, now);
+	engine_begin(&engine->model, &record->run, &record->ask.work, UINT32_MAX, now);
 	if (place->is_read)
 		engine_read(&engine->model, &record->run, now);
 }
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -35,6 +35,7 @@
 	unsigned int router; /* who asked */
 	uint64_t ticket;
 	id_t32 engine;
+	id_t32 source; /* of a grant: engine to copy the prompt's shared parts from, 0: none */
 	uint32_t retry_after_ms;
 } scheduler_action_t;
 
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -168,6 +168,7 @@
 		put(&fields, (int64_t)note->ticket);
 		put(&fields, note->engine);
 		put(&fields, note->value);
+		put(&fields, note->source);
 		break;
 	}
 	write_fields(this, &fields);
@@ -383,6 +384,7 @@
 		note->ticket = (uint64_t)get(&fields);
 		note->engine = (id_t32)get(&fields);
 		note->value = (uint32_t)get(&fields);
+		note->source = (id_t32)get(&fields);
 		return true;
 	}
 }
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -28,6 +28,8 @@
 	store_t *(*open_store)(const store_options_t *options);
 } adapter_t;
 
+/* The settings file that a platform's variable names, or NULL. */
+const char *adapter_settings_path(void);
 /* The adapter of that name, or NULL. */
 const adapter_t *adapter_find(const char *name);
 
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -61,10 +61,24 @@
 	}
 }
 
+/* Where the endpoint may copy the prompt's shared parts from; NULL: nowhere. */
+static const char *source_of(const call_t *call)
+{
+	const served_endpoint_t *source;
+
+	if (!call->gateway->vocabulary->copy_from || !call->place.source)
+		return NULL;
+	source = directory_find(call->gateway->directory, call->place.source);
+	if (!source || source == call->endpoint || source->state != ENDPOINT_READY)
+		return NULL;
+	return source->address;
+}
+
 static GString *build_request(const call_t *call, instant_t now)
 {
 	const vocabulary_t *words = call->gateway->vocabulary;
 	const caller_request_t *request = call->request;
+	const char *source = source_of(call);
 	GString *out = g_string_sized_new(1024 + request->body->len);
 
 	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", request->method, request->target->str);
@@ -78,6 +92,8 @@
 		g_string_append_printf(out, "%s: %" G_GINT64_FORMAT "\r\n", words->resume_after,
 			(gint64)call->events.last);
 	g_string_append_printf(out, "%s: %s\r\n", words->expected_endpoint, call->endpoint->name);
+	if (source)
+		g_string_append_printf(out, "%s: %s\r\n", words->copy_from, source);
 	if (request->body->len || (strcmp(request->method, "GET") && !request->is_head))
 		g_string_append_printf(out, "Content-Length: %zu\r\n", (size_t)request->body->len);
 	g_string_append(out, "\r\n");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,7 +40,7 @@
 	catalog_t *catalog;
 	directory_t *directory;
 	rowbook_t *book;
-	unsigned int paced_for; /* routers that the watches' pace was worked out for */
+	unsigned int paced_for;	     /* routers that the watches' pace was worked out for */
 	bool directory_known;	     /* a whole listing was read */
 	instant_t lapse_grace_until; /* registrations that vanish before it may return */
 	peers_t *peers;
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -101,23 +101,11 @@
 
 gateway_settings_t *gateway_settings_load(const char *path, faults_t *faults)
 {
-	gateway_settings_t *this = NULL;
-	jsondoc_t *doc = NULL;
-	GError *error = NULL;
-	char *text = NULL;
-	gsize len = 0;
+	jsondoc_t *doc = faults_load(faults, path);
+	gateway_settings_t *this;
 
-	if (!g_file_get_contents(path, &text, &len, &error)) {
-		faults_add(faults, 0, "%s", error->message);
-		g_error_free(error);
+	if (!doc)
 		return NULL;
-	}
-	doc = jsondoc_new(text, len);
-	if (doc->error || doc->root->type != JSON_OBJECT) {
-		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
-			doc->error ? doc->error : "give one object {...}");
-		goto out;
-	}
 	this = g_new0(gateway_settings_t, 1);
 	for (size_t i = 0; i < ARRAY_LEN(settings_table); i++) {
 		if (settings_table[i].kind <= SETTING_ADDRESS)
@@ -126,14 +114,11 @@
 			read_number(this, faults, doc->root, &settings_table[i]);
 	}
 	faults_unknown_keys(faults, doc->root);
-	if (faults->count) {
-		gateway_settings_delete(this);
-		this = NULL;
-	}
-out:
 	jsondoc_delete(doc);
-	g_free(text);
-	return this;
+	if (!faults->count)
+		return this;
+	gateway_settings_delete(this);
+	return NULL;
 }
 
 void gateway_settings_delete(gateway_settings_t *this)
--- a/src/gateway/vocabulary.h
+++ b/src/gateway/vocabulary.h
@@ -19,7 +19,9 @@
 	const char *token_usage;       /* prompt tokens, most tokens of the answer */
 	const char *length_hint;       /* rough tokens of the answer */
 	const char *resume_after;      /* number of the last event that arrived */
-	const char *const *withheld;   /* of callers, not passed on; NULL at the end */
+	const char *copy_from; /* set for endpoints: address of one that has shared parts; NULL:
+				  can't */
+	const char *const *withheld; /* of callers, not passed on; NULL at the end */
 } vocabulary_t;
 
 const vocabulary_t *vocabulary_default(void);
--- a/src/settings/faults.c
+++ b/src/settings/faults.c
@@ -101,3 +101,25 @@
 	}
 	return v->number;
 }
+
+jsondoc_t *faults_load(faults_t *this, const char *path)
+{
+	jsondoc_t *doc = NULL;
+	GError *error = NULL;
+	char *text = NULL;
+	gsize len = 0;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		faults_add(this, 0, "%s", error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	doc = jsondoc_new(text, len);
+	g_free(text);
+	if (!doc->error && doc->root->type == JSON_OBJECT)
+		return doc;
+	faults_add(this, doc->error ? doc->error_line : 1, "%s",
+		doc->error ? doc->error : "give one object {...}");
+	jsondoc_delete(doc);
+	return NULL;
+}
--- a/src/settings/faults.h
+++ b/src/settings/faults.h
@@ -15,6 +15,8 @@
 
 void faults_init(faults_t *this, const char *file);
 void faults_clear(faults_t *this);
+/* Reads the file of `faults`, which must hold one object; NULL when it does not. */
+jsondoc_t *faults_load(faults_t *this, const char *path);
 void faults_add(faults_t *this, unsigned int line, const char *format, ...) G_GNUC_PRINTF(3, 4);
 /* Adds a fault for every member of `object` and below that no reader asked for. */
 void faults_unknown_keys(faults_t *this, const json_value_t *object);
--- a/src/settings/router_settings.c
+++ b/src/settings/router_settings.c
@@ -133,33 +133,18 @@
 
 router_settings_t *router_settings_load(const char *path, faults_t *faults)
 {
-	router_settings_t *this = NULL;
-	jsondoc_t *doc = NULL;
-	GError *error = NULL;
-	char *text = NULL;
-	gsize len = 0;
-
-	if (!g_file_get_contents(path, &text, &len, &error)) {
-		faults_add(faults, 0, "%s", error->message);
-		g_error_free(error);
+	jsondoc_t *doc = faults_load(faults, path);
+	router_settings_t *this;
+
+	if (!doc)
 		return NULL;
-	}
-	doc = jsondoc_new(text, len);
-	if (doc->error || doc->root->type != JSON_OBJECT) {
-		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
-			doc->error ? doc->error : "give one object {...}");
-		goto out;
-	}
 	this = g_new0(router_settings_t, 1);
 	read_root(this, faults, doc->root);
-	if (faults->count) {
-		router_settings_delete(this);
-		this = NULL;
-	}
-out:
 	jsondoc_delete(doc);
-	g_free(text);
-	return this;
+	if (!faults->count)
+		return this;
+	router_settings_delete(this);
+	return NULL;
 }
 
 void router_settings_delete(router_settings_t *this)
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -314,6 +314,31 @@
 	scheduler_delete(this);
 }
 
+/* The engine that read the shared parts is full: another copies them from it. */
+static void test_shared_parts_are_copied(void **state)
+{
+	scheduler_t *this = one_engine(1);
+	instant_t now = USEC_PER_SEC;
+	scheduler_action_t action;
+	ask_t ask;
+
+	for (uint64_t ticket = 1; ticket <= 2; ticket++) {
+		if (ticket == 2)
+			scheduler_own(this, 101, SIM_POOL, 1, 0);
+		ask = plain_ask(ticket, now);
+		ask.work.prompt = 6000;
+		ask.work.chain = (prompt_chain_t){1, {77}, {5000}};
+		scheduler_ask(this, 3, &ask, now);
+		scheduler_run(this, now);
+		assert_true(scheduler_next_action(this, &action));
+		assert_int_equal(action.kind, SCHEDULER_GRANT);
+		assert_int_equal(action.engine, 99 + ticket);
+		assert_int_equal(action.source, ticket == 1 ? 0 : 100);
+		now += 100 * USEC_PER_MSEC;
+	}
+	scheduler_delete(this);
+}
+
 static void test_leaving_engine_gets_nothing_new(void **state)
 {
 	scheduler_t *this = one_engine(2);
@@ -344,6 +369,7 @@
 		cmocka_unit_test(test_lost_end_is_put_right_by_a_report),
 		cmocka_unit_test(test_held_places_count),
 		cmocka_unit_test(test_foreign_load_is_left_room),
+		cmocka_unit_test(test_shared_parts_are_copied),
 		cmocka_unit_test(test_leaving_engine_gets_nothing_new),
 	};
 
