--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -2,16 +2,12 @@
 
 #include <string.h>
 
-#define NOTE_BATCH 64
-#define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
-#define FILL_SPACING                                                                               \
-	(4 * USEC_PER_MSEC) /* times the routers: between two messages for this alone */
-#define SERVED_SPACING                                                                             \
-	(12 * USEC_PER_MSEC) /* times the routers: between two tellings of service                 \
-			      */
+/* Spacings are times the routers of the fleet, so that a router's sends don't grow with it. */
+#define FILL_SPACING (4 * USEC_PER_MSEC)    /* between two messages for fullness alone */
+#define SERVED_SPACING (12 * USEC_PER_MSEC) /* between two tellings of service */
+#define HEARTBEAT_FLEET (20 * USEC_PER_MSEC)
+#define HEARTBEAT_LEAST (100 * USEC_PER_MSEC) /* not times the routers */
 #define REPORT_INTERVAL (1 * USEC_PER_SEC)
-#define HEARTBEAT_FLEET (20 * USEC_PER_MSEC) /* between two heartbeats of a router, to whomever */
-#define HEARTBEAT_LEAST (100 * USEC_PER_MSEC)
 #define NO_ENGINE_RETRY_MS 1000 /* a registration takes about a second to arrive */
 
 /* --- requests ---------------------------------------------------------- */
--- a/src/core/placement_ask.c
+++ b/src/core/placement_ask.c
@@ -1,8 +1,6 @@
 #include "core/placement_internal.h"
 
-#define ANSWER_SPAN                                                                                \
-	(25 * USEC_PER_MSEC) /* for an owner's first word: ten times a usual round trip */
-#define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
+#define ANSWER_SPAN (25 * USEC_PER_MSEC) /* ten times a usual round trip */
 #define MAX_ASKS 3	 /* owners that are asked before a router starts work on its own */
 #define CANDIDATES 3	 /* engines on which a prompt's shared parts may stand */
 #define FILL_NONE 1000.0 /* of an owner without a usable engine */
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -4,6 +4,8 @@
 #include "core/placement.h"
 
 #define MAX_POOLS 16
+#define NOTE_BATCH 64			  /* by which lists grow */
+#define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
 
 typedef struct engine_view {
 	placement_engine_t engine;
--- a/src/core/placement_view.c
+++ b/src/core/placement_view.c
@@ -1,7 +1,5 @@
 #include "core/placement_internal.h"
 
-#define NOTE_BATCH 64
-
 /* --- small things ----------------------------------------------------- */
 
 void placement_push(placement_t *this, const placement_action_t *action)
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -36,7 +36,6 @@
 	bool in_value;
 	bool whole;
 	unsigned int refusal; /* status of a request that can't be taken */
-	bool expects_continue;
 	GString *ahead;
 	void *exchange;
 	bool close_after;
@@ -101,11 +100,6 @@
 		this->host->ops->on_gone(exchange);
 }
 
-static void on_reset_closed(uv_handle_t *handle)
-{
-	on_closed(handle);
-}
-
 void caller_abort(caller_t *this)
 {
 	this->exchange = NULL;
@@ -114,7 +108,7 @@
 	this->state = CALLER_CLOSED;
 	this->host->open--;
 	cds_list_del(&this->link);
-	if (uv_tcp_close_reset(&this->tcp, on_reset_closed))
+	if (uv_tcp_close_reset(&this->tcp, on_closed))
 		uv_close((uv_handle_t *)&this->tcp, on_closed);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,15 +7,13 @@
 #include "edge/log.h"
 #include "settings/fleet_text.h"
 
-#define TICK_MS 20			 /* sweeps: timeouts are kept to within this */
-#define STOP_NOTICE (3 * USEC_PER_SEC)	 /* for the balancer to see that this router is unready */
-#define STOP_IDLE (1200 * USEC_PER_MSEC) /* by then the balancer sends no new callers */
-#define STOP_TAKES                                                                                 \
-	(2500 * USEC_PER_MSEC) /* requests that come later may not be through in time              \
-				*/
-#define STOP_MARGIN_MS 700     /* before the end by force: what still runs is ended */
-#define OTHER_DESCRIPTORS 900  /* for files, endpoints, peers and the store */
-#define MIN_CALLER_KB 24 /* memory that a caller's connection may take, kernel's part included */
+#define TICK_MS 20			  /* sweeps: timeouts are kept to within this */
+#define STOP_NOTICE (3 * USEC_PER_SEC)	  /* for the balancer to see that this router is unready */
+#define STOP_IDLE (1200 * USEC_PER_MSEC)  /* by then the balancer sends no new callers */
+#define STOP_TAKES (2500 * USEC_PER_MSEC) /* what comes later may not be through in time */
+#define STOP_MARGIN_MS 700		  /* before the end by force: what still runs is ended */
+#define OTHER_DESCRIPTORS 900		  /* for files, endpoints, peers and the store */
+#define MIN_CALLER_KB 24		  /* of memory for a caller, the kernel's part included */
 
 static const catalog_limits_t default_limits = {
 	.header_bytes = 16384,
