--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -213,16 +213,20 @@
 	endpoint_link_trim(endpoint, *(const instant_t *)ctx, false);
 }
 
+static void cut_call(call_t *call)
+{
+	log_warn("call-cut", "id=%s state=%d", call->id, (int)call->state);
+	call_answer(call, call_may_have_run(call) ? REASON_GAVE_UP : REASON_STOPPING);
+}
+
 static void finish_stop(gateway_t *this)
 {
 	call_t *call;
 	call_t *after;
 
 	this->left = this->call_count;
-	cds_list_for_each_entry_safe (call, after, &this->calls, link) {
-		log_warn("call-cut", "id=%s state=%d", call->id, (int)call->state);
-		call_answer(call, call_may_have_run(call) ? REASON_GAVE_UP : REASON_STOPPING);
-	}
+	cds_list_for_each_entry_safe (call, after, &this->calls, link)
+		cut_call(call);
 	uv_stop(&this->loop);
 }
 
