A router that is not known yet may come back; the roster's row is kept

Two faults: a key that the roster did not have yet was refused with 400, after which ZeroMQ never tries again; and the removal of the row by the earlier start, delayed by the store, took the new start's row away. Ruled out: levels that were not told (all other routers agree), the store's news (all listed by 23.4 s). Now: 300 (try again); a row is removed only in the version that was written; a router that finds its row gone writes it anew. test_a_key_that_is_known_later was seen failing with 400.

--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -260,7 +260,8 @@
 		this->stats.refused_keys++;
 	zmq_send(this->zap, "1.0", 3, ZMQ_SNDMORE);
 	zmq_send(this->zap, zmq_msg_data(&frames[1]), zmq_msg_size(&frames[1]), ZMQ_SNDMORE);
-	zmq_send(this->zap, link ? "200" : "400", 3, ZMQ_SNDMORE);
+	/* 300 has the peer try again: its key may be known then; 400 would end it for good. */
+	zmq_send(this->zap, link ? "200" : "300", 3, ZMQ_SNDMORE);
 	zmq_send(this->zap, "", 0, ZMQ_SNDMORE);
 	zmq_send(this->zap, user, strlen(user), ZMQ_SNDMORE);
 	zmq_send(this->zap, "", 0, 0);
--- a/src/gateway/gateway_news.c
+++ b/src/gateway/gateway_news.c
@@ -139,17 +139,35 @@
 
 static const watch_ops_t endpoint_ops = {on_endpoint_table, on_endpoint_rows, on_store_lost};
 
-static void on_roster_rows(void *ctx, const GArray *rows)
+/* True when the own row was among them. */
+static bool take_roster(gateway_t *this, const GArray *rows)
 {
-	gateway_t *this = ctx;
+	bool has_own = false;
+
+	for (unsigned int i = 0; i < rows->len; i++) {
+		const store_row_t *row = &g_array_index(rows, store_row_t, i);
+
+		if (strcmp(row->key, this->settings->name)) {
+			peers_take_row(this->peers, row);
+			continue;
+		}
+		has_own = true;
+		roster_check(this->roster, row);
+	}
+	return has_own;
+}
 
-	for (unsigned int i = 0; i < rows->len; i++)
-		peers_take_row(this->peers, &g_array_index(rows, store_row_t, i));
+static void on_roster_rows(void *ctx, const GArray *rows)
+{
+	take_roster(ctx, rows);
 }
 
 static void on_roster_table(void *ctx, const GArray *rows, uint64_t version, uint64_t outage)
 {
-	on_roster_rows(ctx, rows);
+	gateway_t *this = ctx;
+
+	if (!take_roster(this, rows))
+		roster_check(this->roster, NULL);
 }
 
 static const watch_ops_t roster_ops = {on_roster_table, on_roster_rows, on_store_lost};
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -164,8 +164,6 @@
 	roster_entry_t entry;
 	jsondoc_t *doc = NULL;
 
-	if (!strcmp(row->key, this->options.name))
-		return;
 	if (row->is_deleted) {
 		unsigned int slot = placement_add_member(this->placement, name_id(row->key));
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -31,7 +31,7 @@
 void peers_delete(peers_t *this);
 
 placement_t *peers_placement(peers_t *this);
-/* A row of the roster. */
+/* Another router's row of the roster. */
 void peers_take_row(peers_t *this, const store_row_t *row);
 /* Takes what came, decides, and sends what is due. */
 void peers_step(peers_t *this, instant_t now);
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -15,6 +15,8 @@
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
 	bool quit;
+	bool unlisted;	  /* the row is gone, though it was written */
+	uint64_t version; /* of the row, as written; 0: not yet */
 };
 
 static row_result_t publish(roster_t *this)
@@ -31,19 +33,20 @@
 		text, ",\"incarnation\":%" G_GUINT64_FORMAT "}", (guint64)self->incarnation);
 	row.value = text->str;
 	row.len = text->len;
-	result = this->store->ops->put(this->store, ROSTER_TABLE, &row, STORE_ANY);
+	result = this->store->ops->put(this->store, ROSTER_TABLE, &row, STORE_ANY, &this->version);
 	g_string_free(text, TRUE);
 	return result;
 }
 
-/* False when it is time to quit. */
+/* Waits until the row is to be written again; false when it is time to quit. */
 static bool wait_until(roster_t *this, instant_t until)
 {
 	bool quit;
 
 	pthread_mutex_lock(&this->lock);
-	while (!this->quit && cond_wait_until(&this->wake, &this->lock, until))
+	while (!this->quit && !this->unlisted && cond_wait_until(&this->wake, &this->lock, until))
 		;
+	this->unlisted = false;
 	quit = this->quit;
 	pthread_mutex_unlock(&this->lock);
 	return !quit;
@@ -52,20 +55,37 @@
 static void *run(void *ctx)
 {
 	roster_t *this = ctx;
-	bool published = false;
+	row_result_t result;
 
 	do {
-		row_result_t result = publish(this);
-
-		published = result == ROWS_GOOD;
-		if (!published)
+		result = publish(this);
+		if (result != ROWS_GOOD)
 			log_warn("roster-unwritten", "result=%d", (int)result);
-	} while (wait_until(this, published ? INSTANT_NEVER : clock_now() + RETRY_PAUSE));
-	if (published)
-		this->store->ops->remove(this->store, ROSTER_TABLE, this->options.self.name);
+	} while (wait_until(this, result == ROWS_GOOD ? INSTANT_NEVER : clock_now() + RETRY_PAUSE));
+	if (this->version)
+		this->store->ops->remove(
+			this->store, ROSTER_TABLE, this->options.self.name, this->version);
 	return NULL;
 }
 
+void roster_check(roster_t *this, const store_row_t *row)
+{
+	const roster_entry_t *self = &this->options.self;
+	roster_entry_t entry = {0};
+	jsondoc_t *doc = NULL;
+	bool good = row && !row->is_deleted &&
+		    roster_decode(row->value, row->len, row->key, &entry, &doc) &&
+		    entry.incarnation >= self->incarnation;
+
+	jsondoc_delete(doc);
+	if (good)
+		return;
+	pthread_mutex_lock(&this->lock);
+	this->unlisted = true;
+	pthread_cond_broadcast(&this->wake);
+	pthread_mutex_unlock(&this->lock);
+}
+
 roster_t *roster_new(const roster_options_t *options)
 {
 	roster_t *this = g_new0(roster_t, 1);
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -26,6 +26,11 @@
 } roster_options_t;
 
 roster_t *roster_new(const roster_options_t *options);
+/*
+ * Looks at the own row as the store has it, NULL: it has none.  A row of an
+ * earlier start, or one that was removed late by it, is written anew.
+ */
+void roster_check(roster_t *this, const store_row_t *row);
 /* Removes the row, if the store answers at once. */
 void roster_delete(roster_t *this);
 
--- a/src/gateway/store.h
+++ b/src/gateway/store.h
@@ -34,10 +34,14 @@
 	/* Waits up to `wait_ms` for rows that changed after `*version`, and moves that on. */
 	row_result_t (*wait)(store_t *this, const char *table, unsigned int wait_ms, GArray *rows,
 		uint64_t *version);
-	/* Writes a row whose version must be `expected`, 0: none; or any, with STORE_ANY. */
-	row_result_t (*put)(
-		store_t *this, const char *table, const store_row_t *row, uint64_t expected);
-	row_result_t (*remove)(store_t *this, const char *table, const char *key);
+	/*
+	 * Writes a row whose version must be `expected`, 0: none; or any, with STORE_ANY.
+	 * `version` becomes the row's.
+	 */
+	row_result_t (*put)(store_t *this, const char *table, const store_row_t *row,
+		uint64_t expected, uint64_t *version);
+	/* Removes a row of that version: a call that comes late does no harm to a newer one. */
+	row_result_t (*remove)(store_t *this, const char *table, const char *key, uint64_t version);
 	void (*delete)(store_t *this);
 } store_ops_t;
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -772,6 +772,25 @@
 	}
 }
 
+/* The row by which routers find this one was removed by a late call of an earlier start. */
+static void test_lost_roster_row_is_written_anew(void **state)
+{
+	fixture_t *f = fixture_new();
+	instant_t until = clock_now() + SOON_MS * USEC_PER_MSEC;
+	char *row = NULL;
+
+	while (!(row = row_store_standin_get(f->store, "routers", "r")) && clock_now() < until)
+		sleep_ms(5);
+	assert_non_null(row);
+	g_free(row);
+	row_store_standin_drop(f->store, "routers", "r");
+	while (!(row = row_store_standin_get(f->store, "routers", "r")) && clock_now() < until)
+		sleep_ms(5);
+	assert_non_null(row);
+	g_free(row);
+	fixture_delete(f);
+}
+
 static void test_history_that_is_gone_is_read_anew(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -849,6 +868,7 @@
 		cmocka_unit_test(test_draining_and_dropped_endpoints_get_no_new_work),
 		cmocka_unit_test(test_unreadable_registration_leaves_the_others),
 		cmocka_unit_test(test_serves_on_while_the_store_is_away),
+		cmocka_unit_test(test_lost_roster_row_is_written_anew),
 		cmocka_unit_test(test_history_that_is_gone_is_read_anew),
 		cmocka_unit_test(test_planned_stop_cuts_nothing),
 	};
--- a/tests/test_peer_socket.c
+++ b/tests/test_peer_socket.c
@@ -7,6 +7,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "daemon/event_queue.h"
 #include "edge/peer_socket.h"
@@ -67,6 +68,21 @@
 	return size;
 }
 
+/* Pumps both sides once. */
+static size_t exchange_once(side_t *from, side_t *to, id_t32 *sender)
+{
+	char buffer[256];
+	int fd = event_fd_new();
+	size_t size = 0;
+
+	peer_socket_receive(from->socket, buffer, sizeof(buffer), &size, sender);
+	size = 0;
+	if (!peer_socket_receive(to->socket, buffer, sizeof(buffer), &size, sender))
+		peer_socket_wait(to->socket, fd, WAIT_US);
+	close(fd);
+	return size;
+}
+
 static void test_peers_talk_and_are_known(void **state)
 {
 	side_t a;
@@ -113,6 +129,34 @@
 	peer_socket_delete(stranger.socket);
 }
 
+/* A peer connects before its key is known here: once it is, its messages come. */
+static void test_a_key_that_is_known_later(void **state)
+{
+	peer_socket_options_t options = {0};
+	peer_address_t address;
+	id_t32 sender = 0;
+	side_t a;
+	side_t b;
+
+	prepare(&a, 23471);
+	prepare(&b, 23472);
+	options.bind_address = a.address;
+	options.public_key = a.public_key;
+	options.secret_key = a.secret_key;
+	a.socket = peer_socket_new(&options);
+	assert_non_null(a.socket);
+	open_side(&b, &a, 1);
+	for (int i = 0; i < WAIT_ROUNDS && !peer_socket_refused(a.socket); i++)
+		assert_int_equal(exchange_once(&b, &a, &sender), 0);
+	assert_true(peer_socket_refused(a.socket) > 0);
+	address = (peer_address_t){2, b.address, b.public_key};
+	assert_int_equal(peer_socket_add(a.socket, &address), 0);
+	assert_int_equal(exchange(&b, &a, "now known", &sender), strlen("now known"));
+	assert_int_equal(sender, 2);
+	peer_socket_delete(a.socket);
+	peer_socket_delete(b.socket);
+}
+
 static void test_an_address_in_use(void **state)
 {
 	side_t a;
@@ -134,6 +178,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_peers_talk_and_are_known),
 		cmocka_unit_test(test_a_foreign_key_is_refused),
+		cmocka_unit_test(test_a_key_that_is_known_later),
 		cmocka_unit_test(test_an_address_in_use),
 	};
 
