Engines that fail now and then still serve; who comes back is told by a quantile

Now the penalty only compares engines, broken answers lead to probes and not to rest, and the usual time left is a high quantile. test_only_engine_is_used_though_it_fails was seen failing before.

--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -3,9 +3,10 @@
 #define DOWN_FIRST (250 * USEC_PER_MSEC) /* doubles with each failure in a row */
 #define DOWN_DOUBLINGS 4
 #define FULL_PAUSE (40 * USEC_PER_MSEC) /* after a refusal: a request ends within it */
-#define PROBES 2			/* at once, at an engine that failed last */
+#define PROBED_FROM 2 /* failures in a row: one alone may be any request's bad luck */
+#define PROBES 2      /* at once, at an engine that failed so often */
 #define FAILING_WEIGHT 0.1
-#define FAILING_PENALTY (500.0 * USEC_PER_MSEC) /* where all requests fail */
+#define FAILING_PENALTY (500.0 * USEC_PER_MSEC) /* on an engine where all requests fail */
 #define FOREIGN_WEIGHT 0.2
 #define FOREIGN_MEMORY (1 * USEC_PER_SEC) /* that a report of foreign load is believed */
 
@@ -21,16 +22,14 @@
 
 	if (!this->usable || now < this->down_until)
 		return 0;
-	if (this->failures)
+	if (this->failures >= PROBED_FROM)
 		return PROBES;
 	return slots > foreign ? slots - foreign : 1;
 }
 
-instant_t sched_engine_first_at(
-	const sched_engine_t *this, const engine_work_t *work, uint32_t elsewhere, instant_t now)
+uint64_t sched_engine_penalty(const sched_engine_t *this)
 {
-	return engine_first_at(&this->model, work, elsewhere, now) +
-	       (instant_t)(this->failing * FAILING_PENALTY);
+	return (uint64_t)(this->failing * FAILING_PENALTY);
 }
 
 void sched_engine_note_good(sched_engine_t *this)
@@ -50,7 +49,7 @@
 	this->failing += FAILING_WEIGHT * (1 - this->failing);
 	doublings = this->failures < DOWN_DOUBLINGS ? this->failures : DOWN_DOUBLINGS;
 	this->failures++;
-	if (end == PLACE_UNREACHED || this->failures > 1)
+	if (end == PLACE_UNREACHED)
 		this->down_until = now + (DOWN_FIRST << doublings);
 }
 
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -33,9 +33,8 @@
 
 /* Slots that may be filled now. */
 unsigned int sched_engine_slots(const sched_engine_t *this, instant_t now);
-/* When the first token would come, and later where requests fail. */
-instant_t sched_engine_first_at(
-	const sched_engine_t *this, const engine_work_t *work, uint32_t elsewhere, instant_t now);
+/* What it counts as slower by against others, as its requests fail: microseconds. */
+uint64_t sched_engine_penalty(const sched_engine_t *this);
 void sched_engine_note_good(sched_engine_t *this);
 void sched_engine_note_failure(sched_engine_t *this, place_end_t end, instant_t now);
 /* The engine told that `load` requests run or wait there. */
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -131,12 +131,14 @@
 	const engine_choice_t *choice, instant_t now, instant_t *first_at)
 {
 	sched_engine_t *best = NULL;
+	instant_t best_rank = 0;
 	sched_engine_t *engine;
 
 	cds_list_for_each_entry (engine, &this->engines, link) {
 		const engine_t *model = &engine->model;
 		unsigned int kept = choice->reserve ? model->slots / choice->reserve : 0;
 		instant_t at;
+		instant_t rank;
 
 		if (!engine_has_room(model, &ask->work) ||
 			model->running + kept >= sched_engine_slots(engine, now))
@@ -146,12 +148,14 @@
 		if (choice->most_unread != UINT32_MAX &&
 			engine_unread(model, &ask->work) > choice->most_unread)
 			continue;
-		at = sched_engine_first_at(engine, &ask->work, choice->elsewhere, now);
+		at = engine_first_at(model, &ask->work, choice->elsewhere, now);
+		rank = at + sched_engine_penalty(engine);
 		if (model->id == ask->avoid)
-			at += AVOID_PENALTY;
-		if (best && at >= *first_at)
+			rank += AVOID_PENALTY;
+		if (best && rank >= best_rank)
 			continue;
 		best = engine;
+		best_rank = rank;
 		*first_at = at;
 	}
 	return best;
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -6,8 +6,9 @@
 #include "gateway/gateway.h"
 
 #define FIRST_MARGIN_MS 15 /* of the objective, for the ways to the caller and to the endpoint */
-#define RETURNING_FROM 20  /* a first attempt has at least nineteen twentieths */
-#define RETURNING_OF 19	   /* of the usual time left */
+#define USUAL_QUANTILE 0.85
+#define USUAL_STEP 0.02
+#define FIRST_ATTEMPT_FROM 0.93 /* of the usual time left; connecting takes some */
 
 /* The number in a header, `fallback` without one; false when it is none. */
 static bool read_number(const call_t *call, const char *name, int64_t fallback, int64_t *number)
@@ -66,16 +67,23 @@
 }
 
 /*
- * What the first attempt of a caller on this route usually has left; one with
- * clearly less was refused before, and can't be in time any more.
+ * Most callers on a route have the same time left at their first attempt; one
+ * with clearly less was refused before, and can't be in time any more.  The
+ * usual time is a high quantile: few with more don't move it, nor do many that
+ * come back.
  */
 static bool is_returning(const call_t *call, uint64_t left)
 {
-	uint64_t *usual = gateway_usual_time(call->gateway, call->route);
-
-	if (left > *usual)
-		*usual = left;
-	return left * RETURNING_FROM < *usual * RETURNING_OF;
+	double *usual = gateway_usual_time(call->gateway, call->route);
+	double step = *usual * USUAL_STEP;
+
+	if (*usual <= 0)
+		*usual = (double)left;
+	else if ((double)left > *usual)
+		*usual += step * USUAL_QUANTILE;
+	else
+		*usual -= step * (1 - USUAL_QUANTILE);
+	return (double)left < *usual * FIRST_ATTEMPT_FROM;
 }
 
 static void set_place(call_t *call)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -332,13 +332,13 @@
 	}
 }
 
-uint64_t *gateway_usual_time(gateway_t *this, const catalog_route_t *route)
+double *gateway_usual_time(gateway_t *this, const catalog_route_t *route)
 {
-	uint64_t *usual = g_hash_table_lookup(this->usual_times, route->name);
+	double *usual = g_hash_table_lookup(this->usual_times, route->name);
 
 	if (usual)
 		return usual;
-	usual = g_new0(uint64_t, 1);
+	usual = g_new0(double, 1);
 	g_hash_table_insert(this->usual_times, g_strdup(route->name), usual);
 	return usual;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,7 +49,7 @@
 	char public_key[PEER_KEY_SIZE];
 	char secret_key[PEER_KEY_SIZE];
 	uint64_t incarnation;
-	GHashTable *usual_times; /* route name -> uint64_t, ms */
+	GHashTable *usual_times; /* route name -> double, ms */
 	bool plan_due;
 	endpoint_link_options_t link_options;
 	unsigned int links;
@@ -77,8 +77,8 @@
 void gateway_add_call(gateway_t *this, call_t *call);
 void gateway_drop_call(gateway_t *this, call_t *call);
 retry_budget_t *gateway_budget(gateway_t *this, id_t32 service);
-/* The most time left that a caller on the route told of, in milliseconds. */
-uint64_t *gateway_usual_time(gateway_t *this, const catalog_route_t *route);
+/* The time left that callers on the route usually tell of at first, ms; 0: not known yet. */
+double *gateway_usual_time(gateway_t *this, const catalog_route_t *route);
 void gateway_count_outcome(gateway_t *this, reason_t reason);
 /* gateway_news.c: begins to follow the store's tables, and joins the roster. */
 void gateway_follow_store(gateway_t *this);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -339,6 +339,29 @@
 	scheduler_delete(this);
 }
 
+/* The only engine fails now and then: what can be in time still goes there. */
+static void test_only_engine_is_used_though_it_fails(void **state)
+{
+	scheduler_t *this = one_engine(4);
+	instant_t now = USEC_PER_SEC;
+
+	for (uint64_t ticket = 1; ticket <= 30; ticket++) {
+		ask_t ask = plain_ask(ticket, now);
+
+		ask.first_by = now + 120 * USEC_PER_MSEC;
+		scheduler_ask(this, 3, &ask, now);
+		assert_int_equal(count_grants(this, now), 1);
+		now += 30 * USEC_PER_MSEC;
+		if (ticket % 2) {
+			scheduler_fail(this, 3, ticket, PLACE_BROKEN, now);
+			continue;
+		}
+		scheduler_first_token(this, 3, ticket, now);
+		scheduler_end(this, 3, ticket, 1, now);
+	}
+	scheduler_delete(this);
+}
+
 static void test_leaving_engine_gets_nothing_new(void **state)
 {
 	scheduler_t *this = one_engine(2);
@@ -370,6 +393,7 @@
 		cmocka_unit_test(test_held_places_count),
 		cmocka_unit_test(test_foreign_load_is_left_room),
 		cmocka_unit_test(test_shared_parts_are_copied),
+		cmocka_unit_test(test_only_engine_is_used_though_it_fails),
 		cmocka_unit_test(test_leaving_engine_gets_nothing_new),
 	};
 
