--- a/src/daemon/router.c
+++ b/src/daemon/router.c
@@ -47,9 +47,11 @@
 static void on_version(void *ctx, uint64_t version)
 {
 	router_t *this = ctx;
+	/* The decider hears peers before the watcher stands. */
+	watcher_t *watcher = __atomic_load_n(&this->watcher, __ATOMIC_ACQUIRE);
 
-	if (this->watcher)
-		watcher_hear_version(this->watcher, version);
+	if (watcher)
+		watcher_hear_version(watcher, version);
 }
 
 static bool start_parts(router_t *this)
@@ -77,7 +79,7 @@
 	this->cancel_watch = cancel_watch_new();
 	watcher_options.platform = this->platform;
 	watcher_options.decider = this->decider;
-	this->watcher = watcher_new(&watcher_options);
+	__atomic_store_n(&this->watcher, watcher_new(&watcher_options), __ATOMIC_RELEASE);
 	this->operator_port = operator_port_new(this);
 	if (!this->operator_port) {
 		log_warn("start-failed", "what=operator_address address=%s",
--- a/src/daemon/watcher.c
+++ b/src/daemon/watcher.c
@@ -17,6 +17,7 @@
 struct watcher {
 	watcher_options_t options;
 	pthread_mutex_t lock;
+	pthread_mutex_t applying; /* one text at a time, so that each is seen in its order */
 	pthread_cond_t wake;
 	uint64_t heard_version;
 	GHashTable *leaving; /* endpoint names */
@@ -28,7 +29,7 @@
 
 /* --- the fleet text --------------------------------------------------- */
 
-static void apply(watcher_t *this, const text_row_t *row)
+static void apply_in_turn(watcher_t *this, const text_row_t *row)
 {
 	faults_t faults;
 	fleet_text_t *text;
@@ -51,6 +52,13 @@
 	faults_clear(&faults);
 }
 
+static void apply(watcher_t *this, const text_row_t *row)
+{
+	pthread_mutex_lock(&this->applying);
+	apply_in_turn(this, row);
+	pthread_mutex_unlock(&this->applying);
+}
+
 static bool fetch_from_table(watcher_t *this)
 {
 	platform_t *platform = this->options.platform;
@@ -241,6 +249,7 @@
 
 	this->options = *options;
 	pthread_mutex_init(&this->lock, NULL);
+	pthread_mutex_init(&this->applying, NULL);
 	cond_init(&this->wake);
 	this->leaving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	this->polls_load = !strcmp(options->settings->policy, "least");
@@ -262,6 +271,7 @@
 	g_hash_table_destroy(this->leaving);
 	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
+	pthread_mutex_destroy(&this->applying);
 	g_free(this);
 }
 
