--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -221,12 +221,14 @@
 
 static void finish_stop(gateway_t *this)
 {
-	call_t *call;
 	call_t *after;
+	call_t *call;
 
-	this->left = this->call_count;
-	cds_list_for_each_entry_safe (call, after, &this->calls, link)
-		cut_call(call);
+	cds_list_for_each_entry_safe (call, after, &this->calls, link) {
+		this->left++;
+		if (call->state != CALL_OVER)
+			cut_call(call);
+	}
 	uv_stop(&this->loop);
 }
 
