One piece of code where the gateway had written a second; state that nobody reads goes

Cause: read again as a whole, the gateway had its own copy of what stood elsewhere: the options of a command that runs a process, the check of an address, the parsing of a text that must hold one object, a metric's line, the headers that concern one connection (twice within it). It also kept what nothing reads: a route's priority, an endpoint's failure domain and connections, starts on one's own by engine, a timer, and a few more. Now: daemon_arguments, address_read, faults_parse, metrics_put, vocabulary_is_between_hops; in a file, leave_host, break_off and tell. watch.c's type no longer bears the name of news.h's. Conclusion: no behaviour, bound or test changed.

--- /dev/null
+++ b/src/cmd/daemon_arguments.c
@@ -0,0 +1,47 @@
+#include "cmd/daemon_arguments.h"
+
+#include <argp.h>
+
+typedef struct parsing {
+	daemon_arguments_t *arguments;
+	const daemon_arguments_options_t *options;
+} parsing_t;
+
+static error_t parse_option(int key, char *text, struct argp_state *state)
+{
+	parsing_t *parsing = state->input;
+
+	switch (key) {
+	case 's':
+		parsing->arguments->settings = text;
+		break;
+	case 'c':
+		parsing->arguments->check = true;
+		break;
+	case 'v':
+		parsing->arguments->verbose = true;
+		break;
+	case ARGP_KEY_END:
+		if (parsing->options->needs_settings && !parsing->arguments->settings)
+			argp_error(state, "--settings FILE is missing");
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+void daemon_arguments_parse(
+	daemon_arguments_t *this, const daemon_arguments_options_t *options, int argc, char **argv)
+{
+	const struct argp_option table[] = {
+		{"settings", 's', "FILE", 0, options->settings_doc, 0},
+		{"check", 'c', 0, 0, "only check the settings", 0},
+		{"verbose", 'v', 0, 0, "log each request", 0},
+		{0},
+	};
+	const struct argp parser = {table, parse_option, NULL, options->doc, NULL, NULL, NULL};
+	parsing_t parsing = {this, options};
+
+	argp_parse(&parser, argc, argv, 0, NULL, &parsing);
+}
--- a/src/cmd/gateway.c
+++ b/src/cmd/gateway.c
@@ -1,49 +1,17 @@
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "cmd/commands.h"
+#include "cmd/daemon_arguments.h"
 #include "edge/http_exchange.h"
 #include "edge/log.h"
 #include "gateway/gateway.h"
 
-typedef struct arguments {
-	const char *settings;
-	bool check;
-	bool verbose;
-} arguments_t;
-
-static const struct argp_option options[] = {
-	{"settings", 's', "FILE", 0,
-		"settings of this gateway; else the platform's variable names it", 0},
-	{"check", 'c', 0, 0, "only check the settings", 0},
-	{"verbose", 'v', 0, 0, "log each request", 0},
-	{0},
+static const daemon_arguments_options_t options = {
+	.doc = "Runs one gateway until SIGTERM or SIGINT, which begin a planned stop.",
+	.settings_doc = "settings of this gateway; else the platform's variable names it",
 };
 
-static error_t parse_option(int key, char *text, struct argp_state *state)
-{
-	arguments_t *arguments = state->input;
-
-	switch (key) {
-	case 's':
-		arguments->settings = text;
-		break;
-	case 'c':
-		arguments->check = true;
-		break;
-	case 'v':
-		arguments->verbose = true;
-		break;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-	return 0;
-}
-
-static const struct argp parser = {options, parse_option, NULL,
-	"Runs one gateway until SIGTERM or SIGINT, which begin a planned stop.", NULL, NULL, NULL};
-
 static int serve(const gateway_settings_t *settings)
 {
 	gateway_t *gateway;
@@ -66,12 +34,12 @@
 
 int command_gateway(int argc, char **argv)
 {
-	arguments_t arguments = {0};
+	daemon_arguments_t arguments = {0};
 	gateway_settings_t *settings;
 	faults_t faults;
 	int code;
 
-	argp_parse(&parser, argc, argv, 0, NULL, &arguments);
+	daemon_arguments_parse(&arguments, &options, argc, argv);
 	if (!arguments.settings)
 		arguments.settings = adapter_settings_path();
 	if (!arguments.settings) {
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -65,7 +65,6 @@
 	uint64_t known_version;
 	uint64_t random;
 	bool is_stopping;
-	bool has_former; /* no need to ask the peers any more */
 	instant_t former_until;
 	unsigned int running;
 	instant_t next_sweep;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -48,11 +48,11 @@
 		placement_unlink(request);
 }
 
-static void tell_owner(
-	placement_t *this, const place_request_t *request, const note_t *note, instant_t now)
+/* Slot 0 is this router itself, and hears it at once. */
+static void tell(placement_t *this, unsigned int slot, const note_t *note, instant_t now)
 {
-	if (request->owner)
-		placement_tell(this, request->owner, note, now);
+	if (slot)
+		placement_tell(this, slot, note, now);
 	else
 		placement_note(this, 0, note, now);
 }
@@ -64,7 +64,7 @@
 	if (request->state != PLACE_GIVEN || request->is_read)
 		return;
 	request->is_read = true;
-	tell_owner(this, request, &note, now);
+	tell(this, request->owner, &note, now);
 }
 
 void placement_load_report(
@@ -73,7 +73,7 @@
 	note_t note = {.kind = NOTE_LOAD, .ticket = request->ticket, .value = load};
 
 	if (request->state == PLACE_GIVEN)
-		tell_owner(this, request, &note, now);
+		tell(this, request->owner, &note, now);
 }
 
 void placement_fail(placement_t *this, place_request_t *request, place_end_t failure, instant_t now)
@@ -82,7 +82,7 @@
 
 	if (request->state != PLACE_GIVEN)
 		return;
-	tell_owner(this, request, &note, now);
+	tell(this, request->owner, &note, now);
 	placement_leave(this, request);
 }
 
@@ -92,7 +92,7 @@
 
 	if (request->state != PLACE_GIVEN)
 		return;
-	tell_owner(this, request, &note, now);
+	tell(this, request->owner, &note, now);
 	placement_leave(this, request);
 }
 
@@ -111,10 +111,7 @@
 			.value = action.retry_after_ms,
 		};
 
-		if (action.router)
-			placement_tell(this, action.router, &note, now);
-		else
-			placement_note(this, 0, &note, now);
+		tell(this, action.router, &note, now);
 	}
 }
 
--- a/src/core/placement_ask.c
+++ b/src/core/placement_ask.c
@@ -5,7 +5,6 @@
 #define CANDIDATES 3	 /* engines on which a prompt's shared parts may stand */
 #define FILL_NONE 1000.0 /* of an owner without a usable engine */
 #define FILL_CALM 0.75	 /* up to which no owner counts as fuller than another */
-#define FILL_FREE 0.95	 /* up to which an owner surely has a place */
 #define FILL_MARGIN 0.25 /* that an owner may be fuller where the shared parts were read */
 #define FILL_RANK 0.05	 /* less for each further place where they may have been */
 #define OWN_DIVISOR 2	 /* of an even share of slots, used without an owner */
@@ -220,7 +219,6 @@
 		return;
 	}
 	this->stats.on_own++;
-	best->on_own++;
 	request->on_own = true;
 	request->ticket = ++this->next_ticket;
 	placement_start(this, request, best->engine.id, best->owner);
@@ -298,9 +296,7 @@
 {
 	engine_view_t *view = placement_find_engine(this, request->engine);
 
-	if (view) {
+	if (view)
 		view->held -= view->held > 0;
-		view->on_own -= request->on_own && view->on_own;
-	}
 	placement_unlink(request);
 }
--- a/src/core/placement_hear.c
+++ b/src/core/placement_hear.c
@@ -1,7 +1,5 @@
 #include "core/placement_internal.h"
 
-#define FILL_FREE 0.95 /* up to which an owner surely has a place */
-
 /* --- hearing ----------------------------------------------------------- */
 
 static place_request_t *find_asked(const placement_t *this, unsigned int owner, uint64_t ticket)
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -6,12 +6,12 @@
 #define MAX_POOLS 16
 #define NOTE_BATCH 64			  /* by which lists grow */
 #define REPEAT_SPAN (200 * USEC_PER_MSEC) /* between two tellings of an ask that waits */
+#define FILL_FREE 0.95			  /* up to which an owner surely has a place */
 
 typedef struct engine_view {
 	placement_engine_t engine;
-	unsigned int owner;  /* member slot */
-	unsigned int on_own; /* running here without an owner's word */
-	unsigned int held;   /* running here, all */
+	unsigned int owner; /* member slot */
+	unsigned int held;  /* running here */
 } engine_view_t;
 
 /* How full a member's engines of a pool are, as far as is known here. */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -392,11 +392,6 @@
 
 /* --- engines ---------------------------------------------------------- */
 
-bool scheduler_owns(const scheduler_t *this, id_t32 engine)
-{
-	return find_engine(this, engine) != NULL;
-}
-
 void scheduler_own(
 	scheduler_t *this, id_t32 id, id_t32 pool_id, unsigned int slots, uint64_t token_memory)
 {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -13,8 +13,6 @@
  */
 #include "core/sched_pool.h"
 
-#define SCHEDULER_MAX_ENGINES 256
-
 /* A place in use, told again by its router to a new owner. */
 typedef struct held_place {
 	uint64_t ticket;
@@ -64,7 +62,6 @@
 void scheduler_disown(scheduler_t *this, id_t32 engine);
 /* It takes no new work, or does again; what runs there goes on. */
 void scheduler_set_usable(scheduler_t *this, id_t32 engine, bool usable);
-bool scheduler_owns(const scheduler_t *this, id_t32 engine);
 
 void scheduler_ask(scheduler_t *this, unsigned int router, const ask_t *ask, instant_t now);
 /* The place is not wanted any more, granted or not. */
--- a/src/daemon/decider.c
+++ b/src/daemon/decider.c
@@ -11,6 +11,7 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "edge/message_codec.h"
+#include "edge/metrics.h"
 
 #define MAX_WAIT (1 * USEC_PER_SEC)
 
@@ -511,8 +512,8 @@
 static void write_metrics(decider_t *this, GString *out)
 {
 	decider_report_metrics(this->node, peer_socket_stats(this->socket), out);
-	decider_report_count(out, "peer_messages_bad_total", this->bad_messages);
-	decider_report_count(out, "peer_messages_forged_total", this->forged_messages);
+	metrics_put(out, "peer_messages_bad_total", this->bad_messages);
+	metrics_put(out, "peer_messages_forged_total", this->forged_messages);
 }
 
 void decider_metrics(decider_t *this, GString *out)
--- a/src/daemon/decider_report.c
+++ b/src/daemon/decider_report.c
@@ -1,5 +1,7 @@
 #include "daemon/decider_report.h"
 
+#include "edge/metrics.h"
+
 static const char *member_state_name(const member_t *member)
 {
 	static const char *const names[] = {"unheard", "alive", "suspect", "dead"};
@@ -34,31 +36,26 @@
 	g_string_append_c(out, ']');
 }
 
-void decider_report_count(GString *out, const char *name, uint64_t value)
-{
-	g_string_append_printf(out, "amaranthwall_%s %" G_GUINT64_FORMAT "\n", name, value);
-}
-
 void decider_report_metrics(const node_t *node, const peer_socket_stats_t *socket, GString *out)
 {
 	const node_stats_t *stats = node_stats(node);
 
-	decider_report_count(out, "requests_arrived_total", stats->arrived);
-	decider_report_count(out, "requests_started_total", stats->started);
-	decider_report_count(out, "requests_rejected_total", stats->rejected);
-	decider_report_count(out, "requests_waiting", node_waiting(node));
-	decider_report_count(out, "requests_running", node_running(node));
-	decider_report_count(out, "grants_sent_total", stats->grants_sent);
-	decider_report_count(out, "grants_received_total", stats->grants_received);
-	decider_report_count(out, "grants_returned_total", stats->grants_returned);
-	decider_report_count(out, "members_alive", members_alive(node_members(node)));
-	decider_report_count(out, "peer_messages_sent_total", socket->sent);
-	decider_report_count(out, "peer_messages_received_total", socket->received);
-	decider_report_count(out, "peer_bytes_sent_total", socket->sent_bytes);
-	decider_report_count(out, "peer_bytes_received_total", socket->received_bytes);
-	decider_report_count(out, "peer_wire_bytes_total", socket->wire_bytes);
-	decider_report_count(out, "peer_wire_segments_total", socket->wire_segments);
-	decider_report_count(out, "peer_messages_not_sent_total", socket->not_sent);
-	decider_report_count(out, "peer_keys_refused_total", socket->refused_keys);
-	decider_report_count(out, "peer_messages_old_total", stats->dropped_messages);
+	metrics_put(out, "requests_arrived_total", stats->arrived);
+	metrics_put(out, "requests_started_total", stats->started);
+	metrics_put(out, "requests_rejected_total", stats->rejected);
+	metrics_put(out, "requests_waiting", node_waiting(node));
+	metrics_put(out, "requests_running", node_running(node));
+	metrics_put(out, "grants_sent_total", stats->grants_sent);
+	metrics_put(out, "grants_received_total", stats->grants_received);
+	metrics_put(out, "grants_returned_total", stats->grants_returned);
+	metrics_put(out, "members_alive", members_alive(node_members(node)));
+	metrics_put(out, "peer_messages_sent_total", socket->sent);
+	metrics_put(out, "peer_messages_received_total", socket->received);
+	metrics_put(out, "peer_bytes_sent_total", socket->sent_bytes);
+	metrics_put(out, "peer_bytes_received_total", socket->received_bytes);
+	metrics_put(out, "peer_wire_bytes_total", socket->wire_bytes);
+	metrics_put(out, "peer_wire_segments_total", socket->wire_segments);
+	metrics_put(out, "peer_messages_not_sent_total", socket->not_sent);
+	metrics_put(out, "peer_keys_refused_total", socket->refused_keys);
+	metrics_put(out, "peer_messages_old_total", stats->dropped_messages);
 }
--- a/src/daemon/decider_report.h
+++ b/src/daemon/decider_report.h
@@ -13,6 +13,5 @@
 void decider_report_status(const node_t *node, const router_settings_t *settings, GString *out);
 /* Appends metrics in the text exposition format. */
 void decider_report_metrics(const node_t *node, const peer_socket_stats_t *socket, GString *out);
-void decider_report_count(GString *out, const char *name, uint64_t value);
 
 #endif
--- a/src/daemon/operator_port.c
+++ b/src/daemon/operator_port.c
@@ -6,6 +6,8 @@
 #include <urcu/uatomic.h>
 
 #include "edge/clock.h"
+#include "edge/metrics.h"
+#include "settings/address.h"
 #include "settings/text_row.h"
 
 #define TEXT_TYPE "text/plain; version=0.0.4"
@@ -69,13 +71,10 @@
 {
 	answer->type = TEXT_TYPE;
 	for (unsigned int i = 0; i < COUNT_KINDS; i++)
-		g_string_append_printf(answer->text, "amaranthwall_%s %lu\n",
-			router_counter_name((router_counter_t)i),
+		metrics_put(answer->text, router_counter_name((router_counter_t)i),
 			uatomic_read(&this->router->counters[i]));
-	g_string_append_printf(answer->text,
-		"amaranthwall_requests_active %d\namaranthwall_text_version %" G_GUINT64_FORMAT
-		"\n",
-		uatomic_read(&this->router->active), snapshot_version(&this->router->snapshot));
+	metrics_put(answer->text, "requests_active", (uint64_t)uatomic_read(&this->router->active));
+	metrics_put(answer->text, "text_version", snapshot_version(&this->router->snapshot));
 	decider_metrics(this->router->decider, answer->text);
 }
 
--- a/src/edge/http_exchange.c
+++ b/src/edge/http_exchange.c
@@ -5,7 +5,7 @@
 #include <signal.h>
 #include <string.h>
 
-#include "settings/router_settings.h"
+#include "settings/address.h"
 
 #define READ_CHUNK 16384
 
--- a/src/filter/accept.c
+++ b/src/filter/accept.c
@@ -6,6 +6,7 @@
 
 #include "filter/relay.h"
 #include "filter/request.h"
+#include "settings/address.h"
 
 #define THREAD_STACK (256U << 10)
 #define HEADER_MEMORY (32U << 10)
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -67,7 +67,6 @@
 	unsigned int sends;
 	unsigned int runs; /* sends that may have run */
 	bool sent_now;	   /* bytes of the present attempt have left */
-	instant_t sent_at;
 
 	/* relay */
 	unsigned int status;
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -14,22 +14,13 @@
 /* Headers that concern one connection, or that the gateway sets itself. */
 static bool is_own(const call_t *call, const char *name)
 {
-	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection",
-		"Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-		"Content-Length", "Authorization", "Accept-Encoding"};
 	const vocabulary_t *words = call->gateway->vocabulary;
+	const char *const names[] = {"Proxy-Authorization", "Expect", "Authorization",
+		"Accept-Encoding", words->time_left_ms, words->workspace, words->expected_endpoint,
+		words->resume_after, NULL};
 
-	for (size_t i = 0; i < ARRAY_LEN(names); i++) {
-		if (!strcasecmp(name, names[i]))
-			return true;
-	}
-	for (const char *const *withheld = words->withheld; *withheld; withheld++) {
-		if (!strcasecmp(name, *withheld))
-			return true;
-	}
-	return !strcasecmp(name, words->time_left_ms) || !strcasecmp(name, words->workspace) ||
-	       !strcasecmp(name, words->expected_endpoint) ||
-	       !strcasecmp(name, words->resume_after);
+	return vocabulary_is_between_hops(name) || vocabulary_lists(names, name) ||
+	       vocabulary_lists(words->withheld, name);
 }
 
 /* The caller's "Connection" names this header as its own connection's. */
@@ -121,7 +112,6 @@
 	request.bytes = build_request(call, now);
 	call->state = CALL_SENT;
 	call->sends++;
-	call->sent_at = now;
 	call_reset_answer(call);
 	call->endpoint_link = endpoint_link_send(
 		&gateway->link_options, call->endpoint, &request, &call_link_ops, call);
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -35,6 +35,12 @@
 		call_note_load(call, answer->load_running + answer->load_waiting);
 }
 
+static void break_off(call_t *call, place_end_t failure, bool may_have_run)
+{
+	endpoint_link_abort(call->endpoint_link);
+	call_attempt_failed(call, failure, may_have_run);
+}
+
 static void on_answer(void *user, const link_answer_t *answer)
 {
 	call_t *call = user;
@@ -43,19 +49,12 @@
 	call->status = answer->status;
 	call->body_length = answer->length;
 	if (answer->not_run || answer->status == 421) {
-		endpoint_link_abort(call->endpoint_link);
-		call_attempt_failed(call, answer->not_run ? PLACE_REFUSED : PLACE_UNREACHED, false);
-		return;
-	}
-	if (is_dubious(answer)) {
-		endpoint_link_abort(call->endpoint_link);
-		call_attempt_failed(call, PLACE_BROKEN, true);
+		break_off(call, answer->not_run ? PLACE_REFUSED : PLACE_UNREACHED, false);
 		return;
 	}
-	if (call->answering && answer->status != 200) {
-		/* The caller has the head of a success already: this is no part of it. */
-		endpoint_link_abort(call->endpoint_link);
-		call_attempt_failed(call, PLACE_BROKEN, true);
+	/* Where the caller has the head of a success already, another status is no part of it. */
+	if (is_dubious(answer) || (call->answering && answer->status != 200)) {
+		break_off(call, PLACE_BROKEN, true);
 		return;
 	}
 	call->streaming = call->route->is_stream && answer->status == 200;
@@ -98,8 +97,7 @@
 		return;
 	log_warn("events-malformed", "id=%s endpoint=%s after=%" G_GINT64_FORMAT, call->id,
 		call->endpoint->name, (gint64)call->events.last);
-	endpoint_link_abort(call->endpoint_link);
-	call_attempt_failed(call, PLACE_BROKEN, true);
+	break_off(call, PLACE_BROKEN, true);
 }
 
 static void on_body(void *user, const char *data, size_t len)
@@ -141,7 +139,9 @@
 
 static bool is_failure_worth_retrying(const call_t *call)
 {
-	return call->repeatable && !call->answering && call->status >= 500;
+	return call->repeatable && !call->answering && call->status >= 500 &&
+	       call->runs + 1 < call->route->max_attempts &&
+	       instant_left(call->deadline, clock_now()) > 0;
 }
 
 static void on_end(void *user)
@@ -149,19 +149,11 @@
 	call_t *call = user;
 
 	call->endpoint_link = NULL;
-	if (call->streaming && !event_stream_is_whole(&call->events)) {
+	if ((call->streaming && !event_stream_is_whole(&call->events)) ||
+		is_failure_worth_retrying(call)) {
 		call_attempt_failed(call, PLACE_BROKEN, true);
 		return;
 	}
-	if (is_failure_worth_retrying(call)) {
-		instant_t now = clock_now();
-
-		if (call->runs + 1 < call->route->max_attempts &&
-			instant_left(call->deadline, now) > 0) {
-			call_attempt_failed(call, PLACE_BROKEN, true);
-			return;
-		}
-	}
 	call->whole = true;
 	call_run(call);
 }
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -33,7 +33,6 @@
 	bool in_body; /* of the request that is being read */
 	caller_request_t request;
 	size_t head_bytes;
-	bool in_value;
 	bool whole;
 	unsigned int refusal; /* status of a request that can't be taken */
 	GString *ahead;
@@ -80,14 +79,21 @@
 	host->on_closed(host);
 }
 
-static void caller_close(caller_t *this)
+/* False when it was closed before. */
+static bool leave_host(caller_t *this)
 {
 	if (this->state == CALLER_CLOSED)
-		return;
+		return false;
 	this->state = CALLER_CLOSED;
 	this->host->open--;
 	cds_list_del(&this->link);
-	uv_close((uv_handle_t *)&this->tcp, on_closed);
+	return true;
+}
+
+static void caller_close(caller_t *this)
+{
+	if (leave_host(this))
+		uv_close((uv_handle_t *)&this->tcp, on_closed);
 }
 
 void caller_gone(caller_t *this)
@@ -103,12 +109,7 @@
 void caller_abort(caller_t *this)
 {
 	this->exchange = NULL;
-	if (this->state == CALLER_CLOSED)
-		return;
-	this->state = CALLER_CLOSED;
-	this->host->open--;
-	cds_list_del(&this->link);
-	if (uv_tcp_close_reset(&this->tcp, on_closed))
+	if (leave_host(this) && uv_tcp_close_reset(&this->tcp, on_closed))
 		uv_close((uv_handle_t *)&this->tcp, on_closed);
 }
 
@@ -326,7 +327,6 @@
 	this->since = this->request.began;
 	this->in_request = true;
 	this->in_body = false;
-	this->in_value = false;
 	this->whole = false;
 	this->refusal = 0;
 	this->head_bytes = 0;
--- a/src/gateway/catalog.h
+++ b/src/gateway/catalog.h
@@ -14,10 +14,8 @@
 typedef struct catalog_service {
 	char *name;
 	id_t32 id;
-	unsigned int max_connections; /* that an endpoint accepts, of all routers; 0: unknown */
-	unsigned int slots;	      /* of an engine's batch; 0: the endpoint tells */
-	uint64_t token_memory;	      /* tokens that an engine keeps; 0: no engine */
-	unsigned int event_tokens;    /* in one event of its streams */
+	uint64_t token_memory;	   /* tokens that an engine keeps; 0: no engine */
+	unsigned int event_tokens; /* in one event of its streams */
 } catalog_service_t;
 
 typedef struct catalog_target {
@@ -37,7 +35,6 @@
 	unsigned int timeout_ms;
 	unsigned int target_ms; /* to the first byte */
 	unsigned int max_attempts;
-	unsigned int priority; /* 0 is the highest */
 	catalog_target_t *targets;
 	unsigned int target_count;
 	unsigned int total_weight;
--- a/src/gateway/directory.c
+++ b/src/gateway/directory.c
@@ -22,7 +22,6 @@
 	g_free(this->name);
 	g_free(this->service);
 	g_free(this->address);
-	g_free(this->failure_domain);
 	g_free(this);
 }
 
@@ -31,7 +30,6 @@
 	g_free(this->name);
 	g_free(this->service);
 	g_free(this->address);
-	g_free(this->failure_domain);
 }
 
 static void drop(void *item)
@@ -74,7 +72,6 @@
 	this->name = g_strdup(entry->name);
 	this->service = g_strdup(entry->service);
 	this->address = g_strdup(entry->address);
-	this->failure_domain = g_strdup(entry->failure_domain);
 	this->id = start_id(entry);
 	this->service_id = name_id(entry->service);
 	this->slots = entry->slots;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -23,7 +23,6 @@
 	char *name;
 	char *service;
 	char *address; /* ip:port */
-	char *failure_domain;
 	unsigned int slots;
 	endpoint_state_t state;
 	uint64_t born; /* of this start; another start under the same name knows nothing */
@@ -33,7 +32,6 @@
 	char *name;
 	char *service;
 	char *address;
-	char *failure_domain;
 	id_t32 id;
 	id_t32 service_id;
 	unsigned int slots;
@@ -41,7 +39,6 @@
 	uint64_t born;
 	instant_t missing_until; /* gone then, unless listed again; 0: not missing */
 	unsigned int refs;
-	unsigned int connections;
 	struct cds_list_head idle_links; /* endpoint_link_t, newest first */
 } served_endpoint_t;
 
--- a/src/gateway/endpoint_link.c
+++ b/src/gateway/endpoint_link.c
@@ -6,7 +6,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#include "settings/router_settings.h"
+#include "settings/address.h"
 
 #define READ_SIZE 16384
 #define MAX_ANSWER_HEAD 65536
@@ -44,7 +44,6 @@
 	GString *value;
 	bool in_value;
 	bool foreign; /* bears another request's id */
-	bool answered;
 	bool ended;
 	bool keep;
 	bool paused;
@@ -79,7 +78,6 @@
 		cds_list_del(&this->link);
 	this->state = LINK_CLOSED;
 	this->ops = NULL;
-	this->endpoint->connections--;
 	(*this->options->open_count)--;
 	uv_close((uv_handle_t *)&this->tcp, on_closed);
 	uv_close((uv_handle_t *)&this->timer, on_closed);
@@ -97,19 +95,6 @@
 
 /* --- parsing ---------------------------------------------------------- */
 
-static bool is_between_hops(const char *name)
-{
-	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection",
-		"Proxy-Authenticate", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length"};
-
-	for (size_t i = 0; i < ARRAY_LEN(names); i++) {
-		if (!strcasecmp(name, names[i]))
-			return true;
-	}
-	return false;
-}
-
 static void note_keep_alive(endpoint_link_t *this, const char *value)
 {
 	const char *timeout = strstr(value, "timeout=");
@@ -132,7 +117,6 @@
 	answer->has_load = true;
 	answer->load_running = running;
 	answer->load_waiting = waiting;
-	answer->load_slots = slots;
 }
 
 static void take_header(endpoint_link_t *this)
@@ -155,12 +139,10 @@
 		note_load(answer, value);
 	} else if (!strcasecmp(name, "Content-Encoding")) {
 		answer->is_encoded = strcasecmp(value, "identity") != 0;
-	} else if (!strcasecmp(name, "Content-Type")) {
-		answer->is_event_stream = !strncasecmp(value, "text/event-stream", 17);
 	} else if (!strcasecmp(name, "Keep-Alive")) {
 		note_keep_alive(this, value);
 	}
-	if (!is_between_hops(name))
+	if (!vocabulary_is_between_hops(name) && strcasecmp(name, "Proxy-Authenticate"))
 		g_string_append_printf(answer->headers, "%s: %s\r\n", name, value);
 	g_string_truncate(this->name, 0);
 	g_string_truncate(this->value, 0);
@@ -217,7 +199,6 @@
 		this->answer.length = (int64_t)parser->content_length;
 	if (this->foreign || is_interim(parser))
 		return 0;
-	this->answered = true;
 	this->ops->on_answer(this->user, &this->answer);
 	if (this->state != LINK_BUSY)
 		return -1;
@@ -418,7 +399,6 @@
 	this->id = g_strdup(request->id);
 	this->is_head = request->is_head;
 	this->out = request->bytes;
-	this->answered = false;
 	this->ended = false;
 	this->keep = false;
 	http_parser_init(&this->parser, HTTP_RESPONSE);
@@ -432,7 +412,6 @@
 
 	this->options = options;
 	this->endpoint = served_endpoint_get(endpoint);
-	this->endpoint->connections++;
 	(*options->open_count)++;
 	this->idle_span = IDLE_DEFAULT;
 	this->answer.headers = g_string_new(NULL);
--- a/src/gateway/endpoint_link.h
+++ b/src/gateway/endpoint_link.h
@@ -30,10 +30,8 @@
 	bool has_load;
 	unsigned int load_running;
 	unsigned int load_waiting;
-	unsigned int load_slots;
 	bool is_encoded; /* the body is not the endpoint's plain one */
-	bool is_event_stream;
-	int64_t length; /* of the body, -1: not told */
+	int64_t length;	 /* of the body, -1: not told */
 } link_answer_t;
 
 typedef struct endpoint_link endpoint_link_t;
@@ -49,7 +47,6 @@
 typedef struct endpoint_link_options {
 	uv_loop_t *loop;
 	const vocabulary_t *vocabulary;
-	const char *bind_ip; /* NULL: any */
 	unsigned int connect_timeout_ms;
 	unsigned int
 		silence_timeout_ms; /* unacknowledged bytes, and probes while nothing is sent */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,7 @@
 /*
  * gateway - one router's data path on an event loop: its parts, start and planned stop
  *
- * One thread runs the loop, the decisions (core/node) and every connection;
+ * One thread runs the loop, the decisions (core/placement) and every connection;
  * the store is read by threads of its own (watch).
  */
 #include <uv.h>
@@ -30,7 +30,6 @@
 	uv_loop_t loop;
 	uv_prepare_t prepare;
 	uv_timer_t tick;
-	uv_timer_t stop_timer;
 	uv_signal_t signals[3];
 	listener_t *callers;
 	listener_t *ready;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -1,38 +1,33 @@
 #include "edge/log.h"
+#include "edge/metrics.h"
 #include "gateway/gateway.h"
 
-static void put(GString *out, const char *name, uint64_t value)
-{
-	g_string_append_printf(
-		out, "amaranthwall_%s %" G_GUINT64_FORMAT "\n", name, (guint64)value);
-}
-
 void gateway_metrics(const gateway_t *this, GString *out)
 {
 	const placement_t *placement = peers_placement(this->peers);
 	const placement_stats_t *placed = placement_stats(placement);
 	const scheduler_stats_t *owned = scheduler_stats(placement_scheduler(placement));
 
-	put(out, "ready", gateway_is_ready(this));
-	put(out, "catalog_version", this->catalog ? this->catalog->version : 0);
-	put(out, "endpoints", directory_count(this->directory));
-	put(out, "callers", listener_callers(this->callers));
-	put(out, "endpoint_connections", this->links);
-	put(out, "calls_in_progress", this->call_count);
-	put(out, "asks_total", placed->asks);
-	put(out, "asks_unanswered_total", placed->unanswered);
-	put(out, "asks_elsewhere_total", placed->elsewhere);
-	put(out, "started_on_own_total", placed->on_own);
-	put(out, "owner_waiting", scheduler_waiting(placement_scheduler(placement)));
-	put(out, "owner_running", scheduler_running(placement_scheduler(placement)));
-	put(out, "owner_asked_total", owned->asked);
-	put(out, "owner_granted_total", owned->granted);
-	put(out, "owner_granted_late_total", owned->granted_late);
-	put(out, "owner_refused_total", owned->refused);
-	put(out, "owner_withdrawn_total", owned->withdrawn);
-	put(out, "routers_alive", members_alive(placement_members(placement)));
-	put(out, "store_losses_total", this->store_losses);
-	put(out, "log_lines_dropped_total", log_dropped());
+	metrics_put(out, "ready", gateway_is_ready(this));
+	metrics_put(out, "catalog_version", this->catalog ? this->catalog->version : 0);
+	metrics_put(out, "endpoints", directory_count(this->directory));
+	metrics_put(out, "callers", listener_callers(this->callers));
+	metrics_put(out, "endpoint_connections", this->links);
+	metrics_put(out, "calls_in_progress", this->call_count);
+	metrics_put(out, "asks_total", placed->asks);
+	metrics_put(out, "asks_unanswered_total", placed->unanswered);
+	metrics_put(out, "asks_elsewhere_total", placed->elsewhere);
+	metrics_put(out, "started_on_own_total", placed->on_own);
+	metrics_put(out, "owner_waiting", scheduler_waiting(placement_scheduler(placement)));
+	metrics_put(out, "owner_running", scheduler_running(placement_scheduler(placement)));
+	metrics_put(out, "owner_asked_total", owned->asked);
+	metrics_put(out, "owner_granted_total", owned->granted);
+	metrics_put(out, "owner_granted_late_total", owned->granted_late);
+	metrics_put(out, "owner_refused_total", owned->refused);
+	metrics_put(out, "owner_withdrawn_total", owned->withdrawn);
+	metrics_put(out, "routers_alive", members_alive(placement_members(placement)));
+	metrics_put(out, "store_losses_total", this->store_losses);
+	metrics_put(out, "log_lines_dropped_total", log_dropped());
 	for (int i = 0; i < REASON_COUNT; i++)
 		g_string_append_printf(out,
 			"amaranthwall_calls_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -1,11 +1,10 @@
 #include "gateway/gateway_settings.h"
 
-#include <arpa/inet.h>
 #include <stddef.h>
 #include <string.h>
 
 #include "core/types.h"
-#include "settings/router_settings.h"
+#include "settings/address.h"
 
 typedef enum setting_kind {
 	SETTING_TEXT,
@@ -74,22 +73,17 @@
 	gateway_settings_t *this, faults_t *faults, json_value_t *root, const setting_t *setting)
 {
 	char **field = (char **)((char *)this + setting->offset);
-	const char *text = faults_string(faults, root, setting->key, setting->text);
-	json_value_t *value = json_get(root, setting->key);
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
+	const char *text = setting->kind == SETTING_ADDRESS
+				   ? address_read(faults, root, setting->key, setting->text)
+				   : faults_string(faults, root, setting->key, setting->text);
 
-	if (setting->kind == SETTING_ADDRESS && *text &&
-		!address_split(text, ip, sizeof(ip), &port))
-		faults_add(faults, value->line, "%s: \"%s\" is no address; give IP:PORT in numbers",
-			setting->key, text);
 	*field = g_strdup(text);
 }
 
 static void read_number(
 	gateway_settings_t *this, faults_t *faults, json_value_t *root, const setting_t *setting)
 {
-	char *field = (char *)this + setting->offset;
+	void *field = (char *)this + setting->offset;
 
 	if (setting->kind == SETTING_RATIO)
 		*(double *)field = faults_number(
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -4,7 +4,7 @@
 
 #include "edge/clock.h"
 #include "edge/log.h"
-#include "settings/router_settings.h"
+#include "settings/address.h"
 
 #define BACKLOG 1024
 
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -141,11 +141,6 @@
 	return this->placement;
 }
 
-const peer_socket_stats_t *peers_socket_stats(peers_t *this)
-{
-	return peer_socket_stats(this->socket);
-}
-
 static void add_peer(peers_t *this, const roster_entry_t *entry)
 {
 	peer_address_t address = {name_id(entry->name), entry->address, entry->public_key};
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -37,6 +37,5 @@
 void peers_step(peers_t *this, instant_t now);
 /* A router whose key the roster does not have yet tried to connect, since the last call. */
 bool peers_saw_stranger(peers_t *this);
-const peer_socket_stats_t *peers_socket_stats(peers_t *this);
 
 #endif
--- a/src/gateway/vocabulary.c
+++ b/src/gateway/vocabulary.c
@@ -1,25 +1,21 @@
 #include "gateway/vocabulary.h"
 
 #include <stddef.h>
+#include <strings.h>
 
-static const char *const withheld[] = {NULL};
-
-static const vocabulary_t names = {
-	.request_id = "X-Request-Id",
-	.time_left_ms = "X-Deadline-Ms",
-	.workspace = "X-Workspace",
-	.expected_endpoint = "X-Endpoint",
-	.signature = "X-Endpoint-Signature",
-	.not_run = "X-Not-Run",
-	.load = "X-Load",
-	.prompt_parts = "X-Prompt-Parts",
-	.token_usage = "X-Tokens",
-	.length_hint = "X-Length-Hint",
-	.resume_after = "Last-Event-ID",
-	.withheld = withheld,
-};
+bool vocabulary_lists(const char *const *names, const char *name)
+{
+	for (; *names; names++) {
+		if (!strcasecmp(*names, name))
+			return true;
+	}
+	return false;
+}
 
-const vocabulary_t *vocabulary_default(void)
+bool vocabulary_is_between_hops(const char *name)
 {
-	return &names;
+	static const char *const names[] = {"Connection", "Keep-Alive", "Proxy-Connection", "TE",
+		"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", NULL};
+
+	return vocabulary_lists(names, name);
 }
--- a/src/gateway/vocabulary.h
+++ b/src/gateway/vocabulary.h
@@ -3,9 +3,10 @@
 /*
  * vocabulary - the header names by which the gateway speaks to callers and endpoints
  *
- * A deployment's adapter gives its own; vocabulary_default() is the product's.
+ * A deployment's adapter gives them.
  * Names compare without regard to case.
  */
+#include <stdbool.h>
 
 typedef struct vocabulary {
 	const char *request_id;	       /* of one attempt of a caller; endpoints echo it */
@@ -24,6 +25,9 @@
 	const char *const *withheld; /* of callers, not passed on; NULL at the end */
 } vocabulary_t;
 
-const vocabulary_t *vocabulary_default(void);
+/* The list, NULL at its end, has the name. */
+bool vocabulary_lists(const char *const *names, const char *name);
+/* A header that concerns one connection, in either direction. */
+bool vocabulary_is_between_hops(const char *name);
 
 #endif
--- a/src/gateway/watch.c
+++ b/src/gateway/watch.c
@@ -5,13 +5,13 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 
-typedef struct news {
+typedef struct reading {
 	struct cds_list_head link;
 	GArray *rows; /* NULL: the store was lost */
 	bool is_whole;
 	uint64_t version;
 	uint64_t outage;
-} news_t;
+} reading_t;
 
 struct watch {
 	watch_options_t options;
@@ -20,7 +20,7 @@
 	pthread_t thread;
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
-	struct cds_list_head news;
+	struct cds_list_head readings;
 	bool quit;
 	bool refresh;
 	unsigned int wait_ms; /* by the lock, as is the next */
@@ -32,40 +32,41 @@
 
 /* --- in the loop ------------------------------------------------------ */
 
-static news_t *take_news(watch_t *this)
+static reading_t *take_reading(watch_t *this)
 {
-	news_t *news = NULL;
+	reading_t *reading = NULL;
 
 	pthread_mutex_lock(&this->lock);
-	if (!cds_list_empty(&this->news)) {
-		news = cds_list_first_entry(&this->news, news_t, link);
-		cds_list_del(&news->link);
+	if (!cds_list_empty(&this->readings)) {
+		reading = cds_list_first_entry(&this->readings, reading_t, link);
+		cds_list_del(&reading->link);
 	}
 	pthread_mutex_unlock(&this->lock);
-	return news;
+	return reading;
 }
 
-static void news_delete(news_t *news)
+static void reading_delete(reading_t *reading)
 {
-	if (news->rows)
-		g_array_unref(news->rows);
-	g_free(news);
+	if (reading->rows)
+		g_array_unref(reading->rows);
+	g_free(reading);
 }
 
 static void on_async(uv_async_t *async)
 {
 	watch_t *this = async->data;
 	const watch_ops_t *ops = this->options.ops;
-	news_t *news;
+	reading_t *reading;
 
-	while ((news = take_news(this))) {
-		if (!news->rows)
+	while ((reading = take_reading(this))) {
+		if (!reading->rows)
 			ops->on_lost(this->options.ctx);
-		else if (news->is_whole)
-			ops->on_table(this->options.ctx, news->rows, news->version, news->outage);
+		else if (reading->is_whole)
+			ops->on_table(this->options.ctx, reading->rows, reading->version,
+				reading->outage);
 		else
-			ops->on_rows(this->options.ctx, news->rows);
-		news_delete(news);
+			ops->on_rows(this->options.ctx, reading->rows);
+		reading_delete(reading);
 	}
 }
 
@@ -73,14 +74,14 @@
 
 static void post(watch_t *this, GArray *rows, bool is_whole, uint64_t outage)
 {
-	news_t *news = g_new0(news_t, 1);
+	reading_t *reading = g_new0(reading_t, 1);
 
-	news->rows = rows;
-	news->is_whole = is_whole;
-	news->version = this->version;
-	news->outage = outage;
+	reading->rows = rows;
+	reading->is_whole = is_whole;
+	reading->version = this->version;
+	reading->outage = outage;
 	pthread_mutex_lock(&this->lock);
-	cds_list_add_tail(&news->link, &this->news);
+	cds_list_add_tail(&reading->link, &this->readings);
 	pthread_mutex_unlock(&this->lock);
 	uv_async_send(&this->async);
 }
@@ -207,7 +208,7 @@
 	this->wait_ms = options->wait_ms;
 	this->pause_ms = options->pause_ms;
 	this->store = options->adapter->open_store(&options->store);
-	CDS_INIT_LIST_HEAD(&this->news);
+	CDS_INIT_LIST_HEAD(&this->readings);
 	pthread_mutex_init(&this->lock, NULL);
 	cond_init(&this->wake);
 	uv_async_init(options->loop, &this->async, on_async);
@@ -243,10 +244,10 @@
 static void on_closed(uv_handle_t *handle)
 {
 	watch_t *this = handle->data;
-	news_t *news;
+	reading_t *reading;
 
-	while ((news = take_news(this)))
-		news_delete(news);
+	while ((reading = take_reading(this)))
+		reading_delete(reading);
 	this->store->ops->delete (this->store);
 	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
--- /dev/null
+++ b/src/settings/address.c
@@ -0,0 +1,37 @@
+#include "settings/address.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+bool address_split(const char *address, char *ip, size_t ip_size, uint16_t *port)
+{
+	const char *colon = strrchr(address, ':');
+	struct in_addr parsed;
+	char *end;
+	long number;
+
+	if (!colon || (size_t)(colon - address) >= ip_size)
+		return false;
+	memcpy(ip, address, (size_t)(colon - address));
+	ip[colon - address] = '\0';
+	number = strtol(colon + 1, &end, 10);
+	if (end == colon + 1 || *end || number < 0 || number > UINT16_MAX)
+		return false;
+	*port = (uint16_t)number;
+	return inet_pton(AF_INET, ip, &parsed) == 1;
+}
+
+const char *address_read(
+	faults_t *faults, json_value_t *object, const char *key, const char *fallback)
+{
+	const char *text = faults_string(faults, object, key, fallback);
+	json_value_t *v = json_get(object, key);
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port;
+
+	if (*text && !address_split(text, ip, sizeof(ip), &port))
+		faults_add(faults, v->line, "%s: \"%s\" is no address; give IP:PORT in numbers",
+			key, text);
+	return text;
+}
--- a/src/settings/faults.c
+++ b/src/settings/faults.c
@@ -102,9 +102,21 @@
 	return v->number;
 }
 
+jsondoc_t *faults_parse(faults_t *this, const char *text, gsize len)
+{
+	jsondoc_t *doc = jsondoc_new(text, len);
+
+	if (!doc->error && doc->root->type == JSON_OBJECT)
+		return doc;
+	faults_add(this, doc->error ? doc->error_line : 1, "%s",
+		doc->error ? doc->error : "give one object {...}");
+	jsondoc_delete(doc);
+	return NULL;
+}
+
 jsondoc_t *faults_load(faults_t *this, const char *path)
 {
-	jsondoc_t *doc = NULL;
+	jsondoc_t *doc;
 	GError *error = NULL;
 	char *text = NULL;
 	gsize len = 0;
@@ -114,12 +126,7 @@
 		g_error_free(error);
 		return NULL;
 	}
-	doc = jsondoc_new(text, len);
+	doc = faults_parse(this, text, len);
 	g_free(text);
-	if (!doc->error && doc->root->type == JSON_OBJECT)
-		return doc;
-	faults_add(this, doc->error ? doc->error_line : 1, "%s",
-		doc->error ? doc->error : "give one object {...}");
-	jsondoc_delete(doc);
-	return NULL;
+	return doc;
 }
--- a/src/settings/faults.h
+++ b/src/settings/faults.h
@@ -15,7 +15,9 @@
 
 void faults_init(faults_t *this, const char *file);
 void faults_clear(faults_t *this);
-/* Reads the file of `faults`, which must hold one object; NULL when it does not. */
+/* Reads a text, which must hold one object; NULL when it does not. */
+jsondoc_t *faults_parse(faults_t *this, const char *text, gsize len);
+/* Likewise the file of `faults`. */
 jsondoc_t *faults_load(faults_t *this, const char *path);
 void faults_add(faults_t *this, unsigned int line, const char *format, ...) G_GNUC_PRINTF(3, 4);
 /* Adds a fault for every member of `object` and below that no reader asked for. */
--- a/src/settings/fleet_text.c
+++ b/src/settings/fleet_text.c
@@ -5,7 +5,7 @@
 #include <xxhash.h>
 
 #include "settings/handover.h"
-#include "settings/router_settings.h"
+#include "settings/address.h"
 
 #define TOKEN_PREFIX "sha256:"
 #define TOKEN_HEX 64
@@ -317,16 +317,13 @@
 fleet_text_t *fleet_text_new(const char *source, uint64_t version, faults_t *faults)
 {
 	fleet_text_t *this = g_new0(fleet_text_t, 1);
-	jsondoc_t *doc = jsondoc_new(source, strlen(source));
+	jsondoc_t *doc = faults_parse(faults, source, strlen(source));
 
 	urcu_ref_init(&this->ref);
 	this->version = version;
 	this->source = g_strdup(source);
 	this->by_token = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
-	if (doc->error || doc->root->type != JSON_OBJECT)
-		faults_add(faults, doc->error ? doc->error_line : 1, "%s",
-			doc->error ? doc->error : "give one object {...}");
-	else
+	if (doc)
 		read_text(this, faults, doc->root);
 	g_hash_table_remove_all(this->by_token);
 	jsondoc_delete(doc);
--- a/src/settings/router_settings.h
+++ b/src/settings/router_settings.h
@@ -41,7 +41,4 @@
 router_settings_t *router_settings_load(const char *path, faults_t *faults);
 void router_settings_delete(router_settings_t *this);
 
-/* Splits "ip:port"; false when it is not a numeric address. */
-bool address_split(const char *address, char *ip, size_t ip_size, uint16_t *port);
-
 #endif
--- a/standin/main.c
+++ b/standin/main.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #include "edge/http_exchange.h"
-#include "settings/router_settings.h"
+#include "settings/address.h"
 #include "standin/engine_standin.h"
 #include "standin/platform_standin.h"
 #include "standin/service_standin.h"
--- a/standin/server.c
+++ b/standin/server.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <time.h>
 
-#include "settings/router_settings.h"
+#include "settings/address.h"
 
 #define THREAD_STACK (256U << 10)
 #define MAX_CONNECTIONS 8000
