Work that was done twice, or thrown away, is not done

Cause: a log line that is left out was formatted first, once or more for every request; a whole listing of the store compared every known row with every listed one, on the loop; a readable peer socket was read in the poll and again in the step that follows it at once. Now: left-out lines end before formatting; the listed keys are a set; the poll only wakes the loop, as its comment said. Ruled out: the two steps around act() stay, the second sends what the decisions led to; is_named() of placement_set_engines() is as quadratic, but the core has no hash of its own, and plans are few. No time was measured: the work is gone, what it cost is not known. Conclusion: no behaviour, bound or test changed.

--- a/src/edge/log.c
+++ b/src/edge/log.c
@@ -82,6 +82,11 @@
 	return level & G_LOG_LEVEL_MESSAGE ? "notice" : "info";
 }
 
+static bool is_left_out(GLogLevelFlags level)
+{
+	return !log_verbose && (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG));
+}
+
 static GLogWriterOutput write_line(
 	GLogLevelFlags level, const GLogField *fields, gsize count, void *ctx)
 {
@@ -89,7 +94,7 @@
 	const char *message = "";
 	char *line;
 
-	if (!log_verbose && (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
+	if (is_left_out(level))
 		return G_LOG_WRITER_HANDLED;
 	for (gsize i = 0; i < count; i++) {
 		if (!g_strcmp0(fields[i].key, "MESSAGE"))
@@ -118,6 +123,8 @@
 	va_list args;
 	char *pairs;
 
+	if (is_left_out(level))
+		return; /* before anything is formatted */
 	va_start(args, format);
 	pairs = g_strdup_vprintf(format, args);
 	va_end(args);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -131,9 +131,6 @@
 /* The next step takes it: here the loop is only woken. */
 static void on_readable(uv_poll_t *poll, int status, int events)
 {
-	peers_t *this = poll->data;
-
-	receive(this, clock_now());
 }
 
 placement_t *peers_placement(peers_t *this)
--- a/src/gateway/rowbook.c
+++ b/src/gateway/rowbook.c
@@ -75,18 +75,19 @@
 	}
 }
 
-static bool is_listed(const GArray *rows, const char *key)
+static GHashTable *keys_of(const GArray *rows)
 {
-	for (unsigned int i = 0; i < rows->len; i++) {
-		if (!strcmp(g_array_index(rows, store_row_t, i).key, key))
-			return true;
-	}
-	return false;
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (unsigned int i = 0; i < rows->len; i++)
+		g_hash_table_add(keys, g_array_index(rows, store_row_t, i).key);
+	return keys;
 }
 
 void rowbook_keep_only(rowbook_t *this, book_table_t table, const GArray *rows, uint64_t version,
 	void (*dropped)(void *ctx, const store_row_t *row), void *ctx)
 {
+	GHashTable *listed = keys_of(rows);
 	GHashTableIter iter;
 	void *item;
 
@@ -94,7 +95,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		store_row_t *row = item;
 
-		if (row->is_deleted || row->version > version || is_listed(rows, row->key))
+		if (row->is_deleted || row->version > version ||
+			g_hash_table_contains(listed, row->key))
 			continue;
 		row->is_deleted = true;
 		row->version = version;
@@ -103,4 +105,5 @@
 			this->newest[table] = version;
 		dropped(ctx, row);
 	}
+	g_hash_table_destroy(listed);
 }
