Idle connections to an endpoint are bounded by the router's share

Requests that may run only once always take a new connection, and each new connection was kept idle afterwards, without a bound: eight routers together held over a hundred to one endpoint, which resets what goes beyond its limit. What was on its way then has to be answered 502. Ruled out: slots (never exceeded), a broken endpoint (the same in all three). Change: a router keeps at most its share of half of what the endpoint accepts, less its slots; the oldest idle connection goes first. Test: test_endpoint_is_not_filled_with_idle_connections (before: 60 open of 50 accepted).

--- a/src/gateway/catalog.h
+++ b/src/gateway/catalog.h
@@ -14,8 +14,9 @@
 typedef struct catalog_service {
 	char *name;
 	id_t32 id;
-	uint64_t token_memory;	   /* tokens that an engine keeps; 0: no engine */
-	unsigned int event_tokens; /* in one event of its streams */
+	unsigned int max_connections; /* that an endpoint accepts, of all routers; 0: not told */
+	uint64_t token_memory;	      /* tokens that an engine keeps; 0: no engine */
+	unsigned int event_tokens;    /* in one event of its streams */
 } catalog_service_t;
 
 typedef struct catalog_target {
--- a/src/gateway/endpoint_link.c
+++ b/src/gateway/endpoint_link.c
@@ -70,12 +70,18 @@
 	g_free(this);
 }
 
+static void leave_idle(endpoint_link_t *this)
+{
+	cds_list_del(&this->link);
+	this->endpoint->idle_count--;
+}
+
 static void link_close(endpoint_link_t *this)
 {
 	if (this->state == LINK_CLOSED)
 		return;
 	if (this->state == LINK_IDLE)
-		cds_list_del(&this->link);
+		leave_idle(this);
 	this->state = LINK_CLOSED;
 	this->ops = NULL;
 	(*this->options->open_count)--;
@@ -235,6 +241,19 @@
 	.on_message_complete = on_message_complete,
 };
 
+static void link_keep(endpoint_link_t *this)
+{
+	served_endpoint_t *endpoint = this->endpoint;
+
+	this->state = LINK_IDLE;
+	this->idle_until = (instant_t)uv_now(this->options->loop) * USEC_PER_MSEC + this->idle_span;
+	uv_timer_stop(&this->timer);
+	cds_list_add(&this->link, &endpoint->idle_links);
+	endpoint->idle_count++;
+	if (endpoint->idle_count > endpoint->most_idle)
+		link_close(cds_list_entry(endpoint->idle_links.prev, endpoint_link_t, link));
+}
+
 /* The exchange is over: the link is kept when it is clean, and its user is told. */
 static void link_settle(endpoint_link_t *this, bool clean)
 {
@@ -242,15 +261,10 @@
 	void *user = this->user;
 
 	this->ops = NULL;
-	if (!clean || !this->keep || this->endpoint->state != ENDPOINT_READY) {
+	if (clean && this->keep && this->endpoint->state == ENDPOINT_READY)
+		link_keep(this);
+	else
 		link_close(this);
-	} else {
-		this->state = LINK_IDLE;
-		this->idle_until =
-			(instant_t)uv_now(this->options->loop) * USEC_PER_MSEC + this->idle_span;
-		uv_timer_stop(&this->timer);
-		cds_list_add(&this->link, &this->endpoint->idle_links);
-	}
 	ops->on_end(user);
 }
 
@@ -449,7 +463,7 @@
 	if (cds_list_empty(&endpoint->idle_links))
 		return NULL;
 	this = cds_list_first_entry(&endpoint->idle_links, endpoint_link_t, link);
-	cds_list_del(&this->link);
+	leave_idle(this);
 	return this;
 }
 
--- a/src/gateway/endpoint_link.h
+++ b/src/gateway/endpoint_link.h
@@ -4,9 +4,10 @@
  * endpoint_link - one connection to an endpoint, which carries one exchange at a time
  *
  * A link goes back to its endpoint's idle list only when its last answer was
- * whole, ours, and followed by nothing.  Answers that bear the id of another
- * request are read and dropped.  The user hears of an exchange through
- * endpoint_link_ops_t; after on_end or on_fail the link is no longer the user's.
+ * whole, ours, and followed by nothing, and the oldest idle one goes when there
+ * are more than the router's share of what the endpoint accepts.  Answers that bear the id of
+ * another request are read and dropped.  The user hears of an exchange through endpoint_link_ops_t;
+ * after on_end or on_fail the link is no longer the user's.
  */
 #include <http_parser.h>
 #include <uv.h>
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,6 +13,7 @@
 #define STOP_TAKES (2500 * USEC_PER_MSEC) /* what comes later may not be through in time */
 #define STOP_MARGIN_MS 700		  /* before the end by force: what still runs is ended */
 #define OTHER_DESCRIPTORS 900		  /* for files, endpoints, peers and the store */
+#define IDLE_DIVISOR 2			  /* half of an endpoint's connections, for its queue */
 #define MIN_CALLER_KB 24		  /* of memory for a caller, the kernel's part included */
 
 static const catalog_limits_t default_limits = {
@@ -53,6 +54,11 @@
 	return !this->stopping || now < this->stop_began + STOP_TAKES;
 }
 
+unsigned int gateway_routers(const gateway_t *this)
+{
+	return members_expected(placement_members(peers_placement(this->peers)));
+}
+
 bool gateway_is_ready(const gateway_t *this)
 {
 	return this->catalog && this->directory_known && !this->stopping;
@@ -170,6 +176,20 @@
 	g_array_append_val(builder->engines, engine);
 }
 
+/*
+ * An endpoint resets what goes beyond its limit, which all routers share, and
+ * accepts less while it has a queue.  Calls under way hold a slot each.
+ */
+static void share_connections(void *ctx, served_endpoint_t *endpoint)
+{
+	const gateway_t *this = ctx;
+	const catalog_service_t *service = service_of(this->catalog, endpoint);
+	unsigned int accepted = service ? service->max_connections / IDLE_DIVISOR : 0;
+	unsigned int spare = accepted > endpoint->slots ? accepted - endpoint->slots : 0;
+
+	endpoint->most_idle = accepted ? spare / gateway_routers(this) : endpoint->slots;
+}
+
 static void drop_idle_links(void *ctx, served_endpoint_t *endpoint)
 {
 	if (endpoint->state != ENDPOINT_READY)
@@ -188,6 +208,7 @@
 	placement_set_engines(peers_placement(this->peers),
 		(const placement_engine_t *)(void *)builder.engines->data, builder.engines->len,
 		clock_now());
+	directory_each(this->directory, share_connections, this);
 	directory_each(this->directory, drop_idle_links, NULL);
 	g_array_free(builder.engines, TRUE);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,6 +72,8 @@
 
 /* False late in a planned stop: what comes then is told to go elsewhere. */
 bool gateway_takes_work(const gateway_t *this, instant_t now);
+/* Routers that share the fleet's work, this one included. */
+unsigned int gateway_routers(const gateway_t *this);
 bool gateway_is_ready(const gateway_t *this);
 void gateway_add_call(gateway_t *this, call_t *call);
 void gateway_drop_call(gateway_t *this, call_t *call);
--- a/src/gateway/gateway_news.c
+++ b/src/gateway/gateway_news.c
@@ -199,7 +199,7 @@
 void gateway_pace_store(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
-	unsigned int routers = members_expected(placement_members(peers_placement(this->peers)));
+	unsigned int routers = gateway_routers(this);
 	unsigned int times = (routers + PACE_ROUTERS - 1) / PACE_ROUTERS;
 	unsigned int wait_ms = at_most(settings->store_wait_ms * times, MOST_WAIT_MS);
 	unsigned int pause_ms = at_most(settings->store_pause_ms * times, MOST_PAUSE_MS);
@@ -207,6 +207,7 @@
 	if (routers == this->paced_for)
 		return;
 	this->paced_for = routers;
+	this->plan_due = true; /* shares of the endpoints' connections depend on it */
 	watch_set_pace(this->catalog_watch, wait_ms, pause_ms);
 	watch_set_pace(this->endpoint_watch, wait_ms, pause_ms);
 	watch_set_pace(this->roster_watch, at_most(settings->roster_wait_ms * times, MOST_WAIT_MS),
--- a/standin/raw_endpoint.c
+++ b/standin/raw_endpoint.c
@@ -21,6 +21,8 @@
 	pthread_t threads[MAX_CONNECTIONS];
 	int fds[MAX_CONNECTIONS];
 	unsigned int connections;
+	unsigned int open;
+	unsigned int most_open;
 	unsigned int requests;
 	unsigned int cuts;
 };
@@ -127,6 +129,9 @@
 		g_string_free(request.body, TRUE);
 	}
 	shutdown(this->fd, SHUT_RDWR);
+	pthread_mutex_lock(&this->endpoint->lock);
+	this->endpoint->open--;
+	pthread_mutex_unlock(&this->endpoint->lock);
 	g_string_free(buffer, TRUE);
 	g_free(this);
 	return NULL;
@@ -144,6 +149,8 @@
 		g_assert(this->connections < MAX_CONNECTIONS);
 		*connection = (connection_t){this, this->connections, fd};
 		this->fds[this->connections] = fd;
+		this->open++;
+		this->most_open = MAX(this->most_open, this->open);
 		pthread_create(&this->threads[this->connections++], NULL, serve, connection);
 		pthread_mutex_unlock(&this->lock);
 	}
@@ -210,6 +217,11 @@
 	return read_count(this, &this->connections);
 }
 
+unsigned int raw_endpoint_most_open(raw_endpoint_t *this)
+{
+	return read_count(this, &this->most_open);
+}
+
 unsigned int raw_endpoint_cuts(raw_endpoint_t *this)
 {
 	return read_count(this, &this->cuts);
--- a/standin/raw_endpoint.h
+++ b/standin/raw_endpoint.h
@@ -27,6 +27,8 @@
 const char *raw_endpoint_address(const raw_endpoint_t *this);
 unsigned int raw_endpoint_requests(raw_endpoint_t *this);
 unsigned int raw_endpoint_connections(raw_endpoint_t *this);
+/* The most connections that were open at a time. */
+unsigned int raw_endpoint_most_open(raw_endpoint_t *this);
 /* Connections that the other side closed while a request was being answered. */
 unsigned int raw_endpoint_cuts(raw_endpoint_t *this);
 void raw_endpoint_note_cut(raw_endpoint_t *this);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -43,11 +43,11 @@
 {
 	char *text = g_strdup_printf(
 		"{\"version\":%u,\"routes\":[%s%s],\"services\":[{\"name\":\"shop\","
-		"\"healthPath\":\"/health\",\"maxConns\":50}],\"limits\":{\"maxHeaderBytes\":4096,"
+		"\"healthPath\":\"/health\",\"maxConns\":%u}],\"limits\":{\"maxHeaderBytes\":4096,"
 		"\"maxBodyBytes\":65536,\"headerTimeoutMs\":400,\"idleTimeoutMs\":1000},"
 		"\"tenants\":[{\"name\":\"w1\",\"apiKeys\":[\"k1\",\"k1b\"]},"
 		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
-		++this->version, routes, extra_routes);
+		++this->version, routes, extra_routes, FIXTURE_MAX_CONNECTIONS);
 
 	row_store_standin_put(this->store, "op", "config", text);
 	g_free(text);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -9,6 +9,7 @@
 
 #define FIXTURE_ENDPOINTS 4
 #define FIXTURE_HOST "shop.example"
+#define FIXTURE_MAX_CONNECTIONS 50 /* that an endpoint accepts, as the configuration says */
 #define STAMP "Server-Stamp: s.1\r\n"
 
 typedef struct fixture {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -295,6 +295,19 @@
 	fixture_delete(f);
 }
 
+/* Each order goes on a new connection: those that it leaves behind are not all kept. */
+static void test_endpoint_is_not_filled_with_idle_connections(void **state)
+{
+	fixture_t *f = fixture_new();
+
+	fixture_add_endpoint(f, good, NULL);
+	fixture_wait_ready(f, 1);
+	for (unsigned int i = 0; i < FIXTURE_MAX_CONNECTIONS + 10; i++)
+		g_free(ask(f, "/order/", "i", ""));
+	assert_in_range(raw_endpoint_most_open(f->endpoints[0]), 1, FIXTURE_MAX_CONNECTIONS);
+	fixture_delete(f);
+}
+
 static void test_chunked_body_arrives_whole(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -846,6 +859,7 @@
 		cmocka_unit_test(test_serves_byte_for_byte),
 		cmocka_unit_test(test_unknown_route_and_key),
 		cmocka_unit_test(test_kept_connections_and_requests_sent_ahead),
+		cmocka_unit_test(test_endpoint_is_not_filled_with_idle_connections),
 		cmocka_unit_test(test_chunked_body_arrives_whole),
 		cmocka_unit_test(test_malformed_requests_reach_nobody),
 		cmocka_unit_test(test_slow_head_and_idle_connection_are_closed),
