A stopped router leaves the roster at once and does not wait for the feeds

The clean way out joined the threads that watch the store, whose feeds are waited on for up to 30 s, before the roster's row was taken away; so the row stayed, and the others went on listing a router that had ended. Ruled out: the drain itself (the loop had ended in all of them), the store (in reach all the while). Change: gateway_run() ends with the row's removal; the process then ends. Test: test_stopped_router_is_on_the_roster_no_more (before: the row is there).

--- a/src/cmd/gateway.c
+++ b/src/cmd/gateway.c
@@ -26,10 +26,8 @@
 	}
 	left = gateway_run(gateway);
 	log_flush();
-	if (left)
-		_exit(EXIT_FAILED);
-	gateway_delete(gateway);
-	return EXIT_GOOD;
+	/* Feeds of the store may be waited on for longer than the stop may take. */
+	_exit(left ? EXIT_FAILED : EXIT_GOOD);
 }
 
 int command_gateway(int argc, char **argv)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -432,6 +432,8 @@
 unsigned int gateway_run(gateway_t *this)
 {
 	uv_run(&this->loop, UV_RUN_DEFAULT);
+	roster_delete(this->roster);
+	this->roster = NULL;
 	log_notice("stopped", "calls_ended=%u", this->left);
 	return this->left;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,7 +66,8 @@
 
 /* Starts everything; NULL with a log line saying what failed. */
 gateway_t *gateway_new(const gateway_settings_t *settings);
-/* Runs until a planned stop is over; returns the calls that it had to end. */
+/* Runs until a planned stop is over and the roster is left; returns the calls that it had to end.
+ */
 unsigned int gateway_run(gateway_t *this);
 void gateway_delete(gateway_t *this);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -804,6 +804,22 @@
 	fixture_delete(f);
 }
 
+/* The process ends without waiting for the store's feeds, and nobody has to find out. */
+static void test_stopped_router_is_on_the_roster_no_more(void **state)
+{
+	fixture_t *f = fixture_new();
+	instant_t until = clock_now() + SOON_MS * USEC_PER_MSEC;
+	char *row = NULL;
+
+	while (!(row = row_store_standin_get(f->store, "routers", "r")) && clock_now() < until)
+		sleep_ms(5);
+	assert_non_null(row);
+	g_free(row);
+	assert_int_equal(fixture_stop(f), 0);
+	assert_null(row_store_standin_get(f->store, "routers", "r"));
+	fixture_delete(f);
+}
+
 static void test_history_that_is_gone_is_read_anew(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -883,6 +899,7 @@
 		cmocka_unit_test(test_unreadable_registration_leaves_the_others),
 		cmocka_unit_test(test_serves_on_while_the_store_is_away),
 		cmocka_unit_test(test_lost_roster_row_is_written_anew),
+		cmocka_unit_test(test_stopped_router_is_on_the_roster_no_more),
 		cmocka_unit_test(test_history_that_is_gone_is_read_anew),
 		cmocka_unit_test(test_planned_stop_cuts_nothing),
 	};
