A stopping router serves what its deadline ends in time

Two of the three routers of its failure domain were away or stopping, and below half the balancer goes on sending callers to all of them. Ruled out: kept connections (they are told to close, and idle ones are closed after 1.2 s). Change: late in a stop, a call is still taken when its deadline, the route's timeout included, lies before the stop's end; nothing taken can be cut by it. Test: test_stopping_router_takes_what_ends_in_time.

--- a/src/gateway/call_admit.c
+++ b/src/gateway/call_admit.c
@@ -9,7 +9,7 @@
 {
 	instant_t now = clock_now();
 
-	if (!gateway_takes_work(call->gateway, now)) {
+	if (!gateway_takes_work(call->gateway, now, call->deadline)) {
 		call->retry_after_s = STOPPING_RETRY_S;
 		call->reason = REASON_STOPPING;
 		return STEP_ANSWER;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -10,7 +10,7 @@
 #define TICK_MS 20			  /* sweeps: timeouts are kept to within this */
 #define STOP_NOTICE (3 * USEC_PER_SEC)	  /* for the balancer to see that this router is unready */
 #define STOP_IDLE (1200 * USEC_PER_MSEC)  /* by then the balancer sends no new callers */
-#define STOP_TAKES (2500 * USEC_PER_MSEC) /* what comes later may not be through in time */
+#define STOP_TAKES (2500 * USEC_PER_MSEC) /* later, only what its deadline ends in time */
 #define STOP_MARGIN_MS 700		  /* before the end by force: what still runs is ended */
 #define OTHER_DESCRIPTORS 900		  /* for files, endpoints, peers and the store */
 #define IDLE_DIVISOR 2			  /* half of an endpoint's connections, for its queue */
@@ -49,9 +49,9 @@
 	return this->catalog ? &this->catalog->limits : &default_limits;
 }
 
-bool gateway_takes_work(const gateway_t *this, instant_t now)
+bool gateway_takes_work(const gateway_t *this, instant_t now, instant_t deadline)
 {
-	return !this->stopping || now < this->stop_began + STOP_TAKES;
+	return !this->stopping || now < this->stop_began + STOP_TAKES || deadline <= this->stop_at;
 }
 
 unsigned int gateway_routers(const gateway_t *this)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,8 +71,8 @@
 unsigned int gateway_run(gateway_t *this);
 void gateway_delete(gateway_t *this);
 
-/* False late in a planned stop: what comes then is told to go elsewhere. */
-bool gateway_takes_work(const gateway_t *this, instant_t now);
+/* False late in a planned stop for what might not be over in time. */
+bool gateway_takes_work(const gateway_t *this, instant_t now, instant_t deadline);
 /* Routers that share the fleet's work, this one included. */
 unsigned int gateway_routers(const gateway_t *this);
 bool gateway_is_ready(const gateway_t *this);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -869,6 +869,27 @@
 	fixture_delete(f);
 }
 
+/*
+ * Where most routers of a failure domain are away, the balancer goes on sending
+ * callers to one that stops: what is over in time is served.
+ */
+static void test_stopping_router_takes_what_ends_in_time(void **state)
+{
+	instant_t began = 100 * USEC_PER_SEC;
+	instant_t late = began + 4 * USEC_PER_SEC;
+	gateway_t gateway = {
+		.stopping = true,
+		.stop_began = began,
+		.stop_at = began + 7 * USEC_PER_SEC,
+	};
+
+	assert_true(gateway_takes_work(&gateway, began, began + 20 * USEC_PER_SEC));
+	assert_true(gateway_takes_work(&gateway, late, gateway.stop_at - USEC_PER_SEC));
+	assert_false(gateway_takes_work(&gateway, late, gateway.stop_at + 1));
+	gateway.stopping = false;
+	assert_true(gateway_takes_work(&gateway, late, late + 20 * USEC_PER_SEC));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -902,6 +923,7 @@
 		cmocka_unit_test(test_stopped_router_is_on_the_roster_no_more),
 		cmocka_unit_test(test_history_that_is_gone_is_read_anew),
 		cmocka_unit_test(test_planned_stop_cuts_nothing),
+		cmocka_unit_test(test_stopping_router_takes_what_ends_in_time),
 	};
 
 	log_init("test", FALSE);
