Callers that come back are known by what they ask for

The rule was "less than 0.93 of the usual time left", but first attempts tell of 0.85 to 1 of it, evenly spread; with long deadlines those that really come back lie in the same range. Change: an ask bears its subject, a hash over what is asked for; an owner that refused the same subject within 10 s knows it as late, by whatever router it comes. The time left stays as a second sign, from 0.8 of the usual down. The request's log line tells the longest pause between events. Test: test_refused_request_comes_back_as_late.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -72,6 +72,7 @@
 	id_t32 pool;
 	id_t32 workspace;
 	id_t32 avoid;
+	uint32_t subject; /* hash over what is asked for, the same when it is asked again */
 	engine_work_t work;
 	instant_t first_by;
 	instant_t deadline;
--- a/src/core/placement_ask.c
+++ b/src/core/placement_ask.c
@@ -235,6 +235,7 @@
 				.pool = request->pool,
 				.workspace = request->workspace,
 				.avoid = request->avoid,
+				.subject = request->subject,
 				.work = request->work,
 				.first_by = request->first_by,
 				.deadline = request->deadline,
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -14,7 +14,8 @@
 	uint64_t ticket; /* the asking router's own number */
 	id_t32 pool;
 	id_t32 workspace;
-	id_t32 avoid; /* engine on which it failed, 0: none */
+	id_t32 avoid;	  /* engine on which it failed, 0: none */
+	uint32_t subject; /* by which it is known when it comes back, 0: none */
 	engine_work_t work;
 	instant_t first_by; /* its first token is in time until then */
 	instant_t deadline;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "core/refusals.h"
+
 #define BUCKETS 1024
 #define ACTION_BATCH 256
 #define OUTSIZED_FACTOR 2 /* times its span on an idle engine, for what never could be in time */
@@ -18,6 +20,7 @@
 	unsigned int action_room;
 	unsigned int running;
 	instant_t now; /* of the present run */
+	refusals_t refusals;
 	scheduler_stats_t stats;
 };
 
@@ -151,6 +154,7 @@
 	};
 
 	push(this, &action);
+	refusals_note(&this->refusals, record->ask.subject, this->now);
 	this->stats.refused++;
 	sched_pool_dequeue(pool, record);
 	record_delete(this, record);
@@ -237,10 +241,11 @@
 	this->stats.asked++;
 	record = record_new(this, router, ask, now);
 	record->lane = lane_for(this, pool, ask->workspace);
+	record->ask.is_late |= refusals_has(&this->refusals, ask->subject, now);
 	alone = sched_pool_alone_span(pool, ask);
-	if (!ask->is_late && alone != UINT64_MAX && now + alone > ask->first_by)
+	if (!record->ask.is_late && alone != UINT64_MAX && now + alone > ask->first_by)
 		record->ask.first_by = now + OUTSIZED_FACTOR * alone;
-	sched_pool_enqueue(pool, record, ask->is_late, now);
+	sched_pool_enqueue(pool, record, record->ask.is_late, now);
 }
 
 static void release(scheduler_t *this, sched_record_t *record, instant_t now)
--- a/src/edge/note_codec.c
+++ b/src/edge/note_codec.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WIRE_VERSION 1
+#define WIRE_VERSION 2
 #define HEAD_FIELDS 5
 #define MAX_FIELDS 24
 #define NOTE_MOST_BYTES 400 /* of the largest note */
@@ -95,6 +95,7 @@
 	put(fields, ask->pool);
 	put(fields, ask->workspace);
 	put(fields, ask->avoid);
+	put(fields, ask->subject);
 	put(fields, span_left(ask->first_by, now));
 	put(fields, span_left(ask->deadline, now));
 	put(fields, ask->is_late + 2 * ask->insists);
@@ -287,6 +288,7 @@
 	ask->pool = (id_t32)get(fields);
 	ask->workspace = (id_t32)get(fields);
 	ask->avoid = (id_t32)get(fields);
+	ask->subject = (uint32_t)get(fields);
 	ask->first_by = instant_of(get(fields), now);
 	ask->deadline = instant_of(get(fields), now);
 	flags = get(fields);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -78,7 +78,9 @@
 	bool whole;	/* the endpoint's answer was read to its end */
 	event_stream_t events;
 	instant_t first_byte;
-	uint32_t cost; /* tokens that were generated */
+	instant_t events_at;	/* when the last events came, 0: none did */
+	uint64_t longest_pause; /* between two events, microseconds */
+	uint32_t cost;		/* tokens that were generated */
 };
 
 typedef struct call_filter {
--- a/src/gateway/call_account.c
+++ b/src/gateway/call_account.c
@@ -14,7 +14,7 @@
 		"id=%s workspace=%s route=%s endpoint=%s outcome=%s reason=%s status=%u sends=%u "
 		"runs=%u asks=%u on_own=%d queued_ms=%" G_GUINT64_FORMAT
 		" cost=%u prompt=%u first_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
-		" retry_after=%.3f left_ms=%" G_GUINT64_FORMAT
+		" pause_ms=%" G_GUINT64_FORMAT " retry_after=%.3f left_ms=%" G_GUINT64_FORMAT
 		" returning=%d catalog=%" G_GUINT64_FORMAT,
 		call->id ? call->id : "-", call->workspace ? call->workspace->name : "-",
 		call->route ? call->route->name : "-", call->endpoint ? call->endpoint->name : "-",
@@ -23,7 +23,8 @@
 		call->sends, call->runs, call->place.asks, call->place.on_own,
 		(guint64)(call->queued / USEC_PER_MSEC), call->cost, call->place.work.prompt,
 		(guint64)(first / USEC_PER_MSEC), (guint64)((now - call->arrived) / USEC_PER_MSEC),
-		call->retry_after_s, (guint64)call->time_left, call->place.is_late,
+		(guint64)(call->longest_pause / USEC_PER_MSEC), call->retry_after_s,
+		(guint64)call->time_left, call->place.is_late,
 		call->catalog ? (guint64)call->catalog->version : 0);
 	return STEP_NEXT;
 }
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -8,7 +8,7 @@
 #define FIRST_MARGIN_MS 15 /* of the objective, for the ways to the caller and to the endpoint */
 #define USUAL_QUANTILE 0.85
 #define USUAL_STEP 0.02
-#define FIRST_ATTEMPT_FROM 0.93 /* of the usual time left; connecting takes some */
+#define FIRST_ATTEMPT_FROM 0.8 /* of the usual time left; first attempts differ by some */
 
 /* The number in a header, `fallback` without one; false when it is none. */
 static bool read_number(const call_t *call, const char *name, int64_t fallback, int64_t *number)
@@ -86,12 +86,29 @@
 	return (double)left < *usual * FIRST_ATTEMPT_FROM;
 }
 
+/* The same for each attempt of a caller at the same thing. */
+static uint32_t subject_of(const call_t *call)
+{
+	const caller_request_t *request = call->request;
+	const char *usage = caller_header(request, call->gateway->vocabulary->token_usage);
+	const char *parts = caller_header(request, call->gateway->vocabulary->prompt_parts);
+	uint64_t hash = XXH64(request->target->str, request->target->len,
+		call->workspace ? call->workspace->id : 0);
+
+	if (usage)
+		hash = XXH64(usage, strlen(usage), hash);
+	if (parts)
+		hash = XXH64(parts, strlen(parts), hash);
+	return (uint32_t)XXH64(request->body->str, request->body->len, hash);
+}
+
 static void set_place(call_t *call)
 {
 	place_request_t *place = &call->place;
 
 	if (call->service->token_memory)
 		read_prefix(call);
+	place->subject = subject_of(call);
 	place->work.prompt = call->prompt_tokens;
 	place->work.answer = call->answer_tokens;
 	place->first_by = call->arrived + call->route->target_ms * USEC_PER_MSEC;
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -83,12 +83,24 @@
 		endpoint_link_pause(call->endpoint_link, true);
 }
 
+static void note_pause(call_t *call)
+{
+	instant_t now = clock_now();
+	uint64_t pause = call->events_at ? now - call->events_at : 0;
+
+	if (pause > call->longest_pause)
+		call->longest_pause = pause;
+	call->events_at = now;
+}
+
 static void take_events(call_t *call, const char *data, size_t len)
 {
 	GString *out = g_string_sized_new(len);
 	unsigned int before = call->events.passed;
 	event_result_t result = event_stream_feed(&call->events, data, len, out);
 
+	if (call->events.passed > before)
+		note_pause(call);
 	if (out->len)
 		pass_on(call, out->str, out->len);
 	g_string_free(out, TRUE);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -291,6 +291,44 @@
 	scheduler_delete(this);
 }
 
+/*
+ * A caller that was refused comes back by way of another router.  Its first
+ * attempt is what its time counts from, so it stands behind one that is new.
+ */
+static void test_refused_request_comes_back_as_late(void **state)
+{
+	scheduler_t *this = one_engine(1);
+	instant_t now = USEC_PER_SEC;
+	held_place_t place = {.ticket = 9, .engine = 100, .workspace = 1, .is_read = true};
+	ask_t ask = plain_ask(1, now);
+	scheduler_action_t action;
+
+	scheduler_hold(this, 4, &place, now);
+	ask.subject = 77;
+	scheduler_ask(this, 3, &ask, now);
+	now = ask.first_by;
+	assert_int_equal(count_grants(this, now), 0);
+	now += LATE_WAIT;
+	scheduler_run(this, now);
+	assert_true(scheduler_next_action(this, &action));
+	assert_int_equal(action.kind, SCHEDULER_REFUSE);
+
+	now += USEC_PER_SEC;
+	ask = plain_ask(2, now);
+	ask.subject = 78;
+	scheduler_ask(this, 3, &ask, now);
+	ask = plain_ask(3, now);
+	ask.subject = 77;
+	scheduler_ask(this, 5, &ask, now);
+	scheduler_end(this, 4, 9, 10, now);
+	scheduler_run(this, now);
+	assert_true(scheduler_next_action(this, &action));
+	assert_int_equal(action.kind, SCHEDULER_GRANT);
+	assert_int_equal(action.router, 3);
+	assert_int_equal(action.ticket, 2);
+	scheduler_delete(this);
+}
+
 /* Another owner, beyond a cut, fills the same engine: its reports show it. */
 static void test_foreign_load_is_left_room(void **state)
 {
@@ -391,6 +429,7 @@
 		cmocka_unit_test(test_places_come_back),
 		cmocka_unit_test(test_lost_end_is_put_right_by_a_report),
 		cmocka_unit_test(test_held_places_count),
+		cmocka_unit_test(test_refused_request_comes_back_as_late),
 		cmocka_unit_test(test_foreign_load_is_left_room),
 		cmocka_unit_test(test_shared_parts_are_copied),
 		cmocka_unit_test(test_only_engine_is_used_though_it_fails),
