A prompt that nobody has to be copied from is reckoned whole

Ruled out: a wrong memory of what the engines have read (parts and sums of the requests' headers agree with the model). Test: test_whole_prompt_is_read_without_a_source (before: 1999 of 8000).

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -116,7 +116,7 @@
 {
 	uint32_t unread = engine_unread(this, work);
 
-	if (unread < elsewhere + COPY_LEAST)
+	if (unread < COPY_LEAST || unread - COPY_LEAST < elsewhere)
 		return unread;
 	return elsewhere + (unread - elsewhere) / COPY_QUICKER;
 }
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -291,6 +291,22 @@
 	scheduler_delete(this);
 }
 
+/* What nobody has to be copied from is read whole, and reckoned so. */
+static void test_whole_prompt_is_read_without_a_source(void **state)
+{
+	static engine_t engine;
+	engine_work_t work = {.prompt = 8000, .answer = 10, .chain = {1, {77}, {5000}}};
+	engine_run_t first = {0};
+	engine_run_t second = {0};
+
+	engine_init(&engine, 100, 8, 0);
+	assert_int_equal(engine_unread_with_copy(&engine, &work, UINT32_MAX), 8000);
+	engine_begin(&engine, &first, &work, UINT32_MAX, USEC_PER_SEC);
+	assert_int_equal(first.unread, 8000);
+	engine_begin(&engine, &second, &work, UINT32_MAX, USEC_PER_SEC);
+	assert_int_equal(second.unread, 3000);
+}
+
 /*
  * A caller that was refused comes back by way of another router.  Its first
  * attempt is what its time counts from, so it stands behind one that is new.
@@ -429,6 +445,7 @@
 		cmocka_unit_test(test_places_come_back),
 		cmocka_unit_test(test_lost_end_is_put_right_by_a_report),
 		cmocka_unit_test(test_held_places_count),
+		cmocka_unit_test(test_whole_prompt_is_read_without_a_source),
 		cmocka_unit_test(test_refused_request_comes_back_as_late),
 		cmocka_unit_test(test_foreign_load_is_left_room),
 		cmocka_unit_test(test_shared_parts_are_copied),
