Prompts are spread over the longest pause that a stream may have

An engine reads prompts between the steps of what it generates; an owner sent the next as soon as the last was nearly read, so several in a row fell between two events of everything that ran beside them. Change: the configuration's longest pause reaches the owner; within a span of that length, prompts of at most 0.44 of it begin at an engine with streams.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -12,14 +12,14 @@
 #define BASE_SAMPLE 300	 /* and up to which it tells the rest */
 #define COPY_QUICKER 4	 /* times, that a token is copied from another engine rather than read */
 #define OWN_HASH_STEP 0x9e3779b97f4a7c16ULL /* even: shared parts have odd hashes */
-#define MEMORY_MARGIN 16 /* a sixteenth of the memory is left to the engine's own blocks */
+#define READING_PART 0.44 /* of the longest pause: the rest is for steps and one more prompt */
+#define MEMORY_MARGIN 16  /* a sixteenth of the memory is left to the engine's own blocks */
 
-void engine_init(engine_t *this, id_t32 id, unsigned int slots, uint64_t token_memory)
+void engine_init(engine_t *this, id_t32 id, const engine_limits_t *limits)
 {
 	memset(this, 0, sizeof(*this));
 	this->id = id;
-	this->slots = slots;
-	this->token_memory = token_memory;
+	this->limits = *limits;
 	this->token_us = FIRST_TOKEN_US;
 	this->first_us = FIRST_BASE_US;
 	CDS_INIT_LIST_HEAD(&this->runs);
@@ -65,9 +65,11 @@
 /* What running requests hold drives out what was used longest ago. */
 static void fit_cache(engine_t *this)
 {
-	uint64_t room = this->token_memory > this->memory ? this->token_memory - this->memory : 0;
+	uint64_t room = this->limits.token_memory > this->memory
+				? this->limits.token_memory - this->memory
+				: 0;
 
-	while (this->token_memory && this->cache_tokens > room)
+	while (this->limits.token_memory && this->cache_tokens > room)
 		forget_oldest(this);
 }
 
@@ -147,21 +149,43 @@
 	return work->prompt + work->answer;
 }
 
+bool engine_may_read(const engine_t *this, instant_t now)
+{
+	uint64_t window = this->limits.longest_pause;
+	uint64_t reading = 0;
+
+	if (!window || this->running == this->unread_runs)
+		return true;
+	for (unsigned int i = 0; i < ENGINE_READINGS; i++) {
+		if (now < this->readings[i].at + window)
+			reading += this->readings[i].span;
+	}
+	return (double)reading <= READING_PART * (double)window;
+}
+
 bool engine_has_room(const engine_t *this, const engine_work_t *work)
 {
-	uint64_t usable = this->token_memory - this->token_memory / MEMORY_MARGIN;
+	uint64_t usable = this->limits.token_memory - this->limits.token_memory / MEMORY_MARGIN;
 
-	if (this->running >= this->slots)
+	if (this->running >= this->limits.slots)
 		return false;
-	return !this->token_memory || !this->running || this->memory + memory_of(work) <= usable;
+	return !this->limits.token_memory || !this->running ||
+	       this->memory + memory_of(work) <= usable;
 }
 
 /* --- what happens ------------------------------------------------------ */
 
+static void note_reading(engine_t *this, instant_t at, uint64_t span)
+{
+	this->readings[this->next_reading] = (engine_reading_t){at, span};
+	this->next_reading = (this->next_reading + 1) % ENGINE_READINGS;
+}
+
 void engine_begin(engine_t *this, engine_run_t *run, const engine_work_t *work, uint32_t elsewhere,
 	instant_t now)
 {
 	instant_t from = now + engine_backlog(this, now);
+	uint64_t span;
 
 	run->unread = engine_unread_with_copy(this, work, elsewhere);
 	run->memory = memory_of(work);
@@ -172,7 +196,9 @@
 	this->running++;
 	this->unread_runs++;
 	this->memory += run->memory;
-	this->reads_until = from + (uint64_t)(this->token_us * run->unread);
+	span = (uint64_t)(this->token_us * run->unread);
+	this->reads_until = from + span;
+	note_reading(this, from, span);
 	for (unsigned int i = 0; i < work->chain.count; i++) {
 		remember(this, work->chain.hash[i], work->chain.tokens[i], now);
 		run->own -= work->chain.tokens[i] < run->own ? work->chain.tokens[i] : run->own;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -17,6 +17,7 @@
 #define COPY_LEAST 512	      /* tokens, from which on copying is worth its beginning */
 #define ENGINE_CACHE_SETS 256 /* of remembered chains of prompt parts, a power of two */
 #define ENGINE_CACHE_WAYS 4
+#define ENGINE_READINGS 16 /* of which the begin is remembered */
 
 /* The shared parts of a prompt: entry i names the parts 0 to i. */
 typedef struct prompt_chain {
@@ -47,10 +48,21 @@
 	instant_t used;
 } cached_chain_t;
 
+typedef struct engine_limits {
+	unsigned int slots;
+	uint64_t token_memory;	/* 0: unknown */
+	uint64_t longest_pause; /* between two events of a stream that is in time, 0: any */
+} engine_limits_t;
+
+/* A prompt that began to be read. */
+typedef struct engine_reading {
+	instant_t at;
+	uint64_t span;
+} engine_reading_t;
+
 typedef struct engine {
 	id_t32 id;
-	unsigned int slots;
-	uint64_t token_memory; /* 0: unknown */
+	engine_limits_t limits;
 	struct cds_list_head runs;
 	unsigned int running;
 	unsigned int unread_runs;
@@ -62,9 +74,11 @@
 	cached_chain_t cache[ENGINE_CACHE_SETS][ENGINE_CACHE_WAYS]; /* hash 0: empty */
 	uint64_t cache_tokens;
 	uint64_t ended;
+	engine_reading_t readings[ENGINE_READINGS]; /* a ring */
+	unsigned int next_reading;
 } engine_t;
 
-void engine_init(engine_t *this, id_t32 id, unsigned int slots, uint64_t token_memory);
+void engine_init(engine_t *this, id_t32 id, const engine_limits_t *limits);
 /* Tokens of the prompt that it would have to read. */
 uint32_t engine_unread(const engine_t *this, const engine_work_t *work);
 /* The same, counted in reading time, if another engine has all but `elsewhere` of it to copy. */
@@ -77,6 +91,8 @@
 uint64_t engine_first_alone(const engine_t *this, const engine_work_t *work);
 /* How long what it has to read will keep it. */
 uint64_t engine_backlog(const engine_t *this, instant_t now);
+/* One more prompt may be read without a pause too long in the streams beside it. */
+bool engine_may_read(const engine_t *this, instant_t now);
 /* A slot and memory are free. */
 bool engine_has_room(const engine_t *this, const engine_work_t *work);
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -94,8 +94,7 @@
 typedef struct placement_engine {
 	id_t32 id;
 	id_t32 pool;
-	unsigned int slots;
-	uint64_t token_memory;
+	engine_limits_t limits;
 	bool usable;
 } placement_engine_t;
 
--- a/src/core/placement_ask.c
+++ b/src/core/placement_ask.c
@@ -213,7 +213,7 @@
 		if (!best || view->held < best->held)
 			best = view;
 	}
-	share = best ? best->engine.slots / (OWN_DIVISOR * (routers ? routers : 1)) : 0;
+	share = best ? best->engine.limits.slots / (OWN_DIVISOR * (routers ? routers : 1)) : 0;
 	if (!best || best->held > share) {
 		placement_reject(this, request, 0);
 		return;
--- a/src/core/placement_view.c
+++ b/src/core/placement_view.c
@@ -57,8 +57,7 @@
 	const placement_engine_t *engine = &view->engine;
 
 	if (view->owner == 0) {
-		scheduler_own(this->scheduler, engine->id, engine->pool, engine->slots,
-			engine->token_memory);
+		scheduler_own(this->scheduler, engine->id, engine->pool, &engine->limits);
 		scheduler_set_usable(this->scheduler, engine->id, engine->usable);
 	} else {
 		scheduler_disown(this->scheduler, engine->id);
--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -18,7 +18,7 @@
 unsigned int sched_engine_slots(const sched_engine_t *this, instant_t now)
 {
 	unsigned int foreign = foreign_load(this, now);
-	unsigned int slots = this->model.slots;
+	unsigned int slots = this->model.limits.slots;
 
 	if (!this->usable || now < this->down_until)
 		return 0;
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -136,14 +136,15 @@
 
 	cds_list_for_each_entry (engine, &this->engines, link) {
 		const engine_t *model = &engine->model;
-		unsigned int kept = choice->reserve ? model->slots / choice->reserve : 0;
+		unsigned int kept = choice->reserve ? model->limits.slots / choice->reserve : 0;
 		instant_t at;
 		instant_t rank;
 
 		if (!engine_has_room(model, &ask->work) ||
 			model->running + kept >= sched_engine_slots(engine, now))
 			continue;
-		if (engine_backlog(model, now) > this->options->max_backlog)
+		if (engine_backlog(model, now) > this->options->max_backlog ||
+			!engine_may_read(model, now))
 			continue;
 		if (choice->most_unread != UINT32_MAX &&
 			engine_unread(model, &ask->work) > choice->most_unread)
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -397,20 +397,18 @@
 
 /* --- engines ---------------------------------------------------------- */
 
-void scheduler_own(
-	scheduler_t *this, id_t32 id, id_t32 pool_id, unsigned int slots, uint64_t token_memory)
+void scheduler_own(scheduler_t *this, id_t32 id, id_t32 pool_id, const engine_limits_t *limits)
 {
 	sched_engine_t *engine = find_engine(this, id);
 
 	if (engine) {
-		engine->model.slots = slots;
-		engine->model.token_memory = token_memory;
+		engine->model.limits = *limits;
 		return;
 	}
 	engine = allocator_new(this->allocator, 1, sizeof(*engine));
 	engine->pool = pool_for(this, pool_id);
 	engine->usable = true;
-	engine_init(&engine->model, id, slots, token_memory);
+	engine_init(&engine->model, id, limits);
 	cds_list_add_tail(&engine->link, &engine->pool->engines);
 }
 
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -55,9 +55,8 @@
 scheduler_t *scheduler_new(const scheduler_options_t *options);
 void scheduler_delete(scheduler_t *this);
 
-/* Owns the engine from now on, or learns its new size. */
-void scheduler_own(
-	scheduler_t *this, id_t32 engine, id_t32 pool, unsigned int slots, uint64_t token_memory);
+/* Owns the engine from now on, or learns its new limits. */
+void scheduler_own(scheduler_t *this, id_t32 engine, id_t32 pool, const engine_limits_t *limits);
 /* Owns it no more; what runs there is forgotten. */
 void scheduler_disown(scheduler_t *this, id_t32 engine);
 /* It takes no new work, or does again; what runs there goes on. */
--- a/src/gateway/catalog.c
+++ b/src/gateway/catalog.c
@@ -103,6 +103,17 @@
 	return left->prefix_len > right->prefix_len ? -1 : 1;
 }
 
+static void tighten_pauses(catalog_t *this, const catalog_route_t *route)
+{
+	for (unsigned int i = 0; i < route->target_count; i++) {
+		catalog_service_t *service = &this->services[route->targets[i].service];
+
+		if (!service->longest_pause_ms ||
+			route->longest_pause_ms < service->longest_pause_ms)
+			service->longest_pause_ms = route->longest_pause_ms;
+	}
+}
+
 void catalog_seal(catalog_t *this)
 {
 	GHashTableIter iter;
@@ -120,6 +131,8 @@
 		}
 		g_ptr_array_add(routes, route);
 		g_free(host);
+		if (route->longest_pause_ms)
+			tighten_pauses(this, route);
 	}
 	g_hash_table_iter_init(&iter, this->by_host);
 	while (g_hash_table_iter_next(&iter, NULL, &routes))
--- a/src/gateway/catalog.h
+++ b/src/gateway/catalog.h
@@ -14,9 +14,10 @@
 typedef struct catalog_service {
 	char *name;
 	id_t32 id;
-	unsigned int max_connections; /* that an endpoint accepts, of all routers; 0: not told */
-	uint64_t token_memory;	      /* tokens that an engine keeps; 0: no engine */
-	unsigned int event_tokens;    /* in one event of its streams */
+	unsigned int max_connections;  /* that an endpoint accepts, of all routers; 0: not told */
+	uint64_t token_memory;	       /* tokens that an engine keeps; 0: no engine */
+	unsigned int event_tokens;     /* in one event of its streams */
+	unsigned int longest_pause_ms; /* the shortest of its routes, 0: none tells */
 } catalog_service_t;
 
 typedef struct catalog_target {
@@ -34,7 +35,8 @@
 	bool resumable;
 	bool is_public; /* needs no key */
 	unsigned int timeout_ms;
-	unsigned int target_ms; /* to the first byte */
+	unsigned int target_ms;	       /* to the first byte */
+	unsigned int longest_pause_ms; /* between two events that are in time, 0: any */
 	unsigned int max_attempts;
 	catalog_target_t *targets;
 	unsigned int target_count;
@@ -71,7 +73,8 @@
 catalog_t *catalog_get(catalog_t *this);
 void catalog_put(catalog_t *this);
 
-/* Takes the route over; catalog_seal() makes all routes findable. */
+/* Takes the route over; catalog_seal() makes all routes findable, and services know their pauses.
+ */
 catalog_route_t *catalog_add_route(catalog_t *this);
 catalog_workspace_t *catalog_add_workspace(catalog_t *this, const char *name);
 void catalog_add_key(catalog_t *this, const char *key, catalog_workspace_t *workspace);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -168,8 +168,13 @@
 	placement_engine_t engine = {
 		.id = endpoint->id,
 		.pool = endpoint->service_id,
-		.slots = endpoint->slots,
-		.token_memory = service ? service->token_memory : 0,
+		.limits =
+			{
+				.slots = endpoint->slots,
+				.token_memory = service ? service->token_memory : 0,
+				.longest_pause =
+					service ? service->longest_pause_ms * USEC_PER_MSEC : 0,
+			},
 		.usable = endpoint->state == ENDPOINT_READY,
 	};
 
--- a/tests/engine_sim.c
+++ b/tests/engine_sim.c
@@ -62,7 +62,8 @@
 	this->batches = g_ptr_array_new();
 	this->sizes = g_array_new(FALSE, FALSE, sizeof(unsigned int));
 	for (unsigned int i = 0; i < options->engines; i++) {
-		scheduler_own(this->scheduler, engine_id(i), SIM_POOL, options->slots, 0);
+		scheduler_own(this->scheduler, engine_id(i), SIM_POOL,
+			&(engine_limits_t){.slots = options->slots});
 		g_ptr_array_add(this->queues, g_ptr_array_new());
 		g_ptr_array_add(this->batches, g_ptr_array_new());
 	}
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -80,7 +80,10 @@
 			placement_add_member(this->nodes[i], router_id(k));
 	}
 	for (unsigned int k = 0; k < ENGINES; k++)
-		engines[k] = (placement_engine_t){engine_id(k), POOL, SLOTS, 0, true};
+		engines[k] = (placement_engine_t){.id = engine_id(k),
+			.pool = POOL,
+			.limits = {.slots = SLOTS},
+			.usable = true};
 	placement_set_engines(this->nodes[i], engines, ENGINES, this->now);
 }
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -209,7 +209,7 @@
 		.pool = {.late_wait = LATE_WAIT, .max_backlog = 60 * USEC_PER_MSEC}};
 	scheduler_t *this = scheduler_new(&options);
 
-	scheduler_own(this, 100, SIM_POOL, slots, 0);
+	scheduler_own(this, 100, SIM_POOL, &(engine_limits_t){.slots = slots});
 	return this;
 }
 
@@ -299,7 +299,7 @@
 	engine_run_t first = {0};
 	engine_run_t second = {0};
 
-	engine_init(&engine, 100, 8, 0);
+	engine_init(&engine, 100, &(engine_limits_t){.slots = 8});
 	assert_int_equal(engine_unread_with_copy(&engine, &work, UINT32_MAX), 8000);
 	engine_begin(&engine, &first, &work, UINT32_MAX, USEC_PER_SEC);
 	assert_int_equal(first.unread, 8000);
@@ -307,6 +307,31 @@
 	assert_int_equal(second.unread, 3000);
 }
 
+/* Prompts that come close together stall what is generated beside them: they are spread. */
+static void test_prompts_are_spread_over_the_longest_pause(void **state)
+{
+	engine_limits_t limits = {.slots = 64, .longest_pause = 250 * USEC_PER_MSEC};
+	scheduler_t *this = one_engine(64);
+	held_place_t place = {.ticket = 99, .engine = 100, .workspace = 1, .is_read = true};
+	instant_t now = USEC_PER_SEC;
+	uint64_t ticket = 0;
+	unsigned int begun = 0;
+
+	scheduler_own(this, 100, SIM_POOL, &limits);
+	scheduler_hold(this, 4, &place, now);
+	while (ticket < 40) {
+		ask_t ask = plain_ask(++ticket, now);
+
+		ask.work.prompt = 3000;
+		scheduler_ask(this, 3, &ask, now);
+	}
+	/* 40 prompts of 3000 tokens, at 10 us a token as long as nothing else is learnt. */
+	for (unsigned int ms = 0; ms < 250; ms += 5)
+		begun += count_grants(this, now + ms * USEC_PER_MSEC);
+	assert_in_range(begun * 30, 1, 250);
+	scheduler_delete(this);
+}
+
 /*
  * A caller that was refused comes back by way of another router.  Its first
  * attempt is what its time counts from, so it stands behind one that is new.
@@ -378,7 +403,7 @@
 
 	for (uint64_t ticket = 1; ticket <= 2; ticket++) {
 		if (ticket == 2)
-			scheduler_own(this, 101, SIM_POOL, 1, 0);
+			scheduler_own(this, 101, SIM_POOL, &(engine_limits_t){.slots = 1});
 		ask = plain_ask(ticket, now);
 		ask.work.prompt = 6000;
 		ask.work.chain = (prompt_chain_t){1, {77}, {5000}};
@@ -446,6 +471,7 @@
 		cmocka_unit_test(test_lost_end_is_put_right_by_a_report),
 		cmocka_unit_test(test_held_places_count),
 		cmocka_unit_test(test_whole_prompt_is_read_without_a_source),
+		cmocka_unit_test(test_prompts_are_spread_over_the_longest_pause),
 		cmocka_unit_test(test_refused_request_comes_back_as_late),
 		cmocka_unit_test(test_foreign_load_is_left_room),
 		cmocka_unit_test(test_shared_parts_are_copied),
