The retry allowance is parted among the routers that there are

Change: the allowance is parted among the routers of the roster, at least among as many as the settings expect; the metric routers_listed tells how many there are.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -278,7 +278,7 @@
 		listener_sweep(this->metrics, now);
 	directory_each(this->directory, trim_links, &now);
 	this->plan_due |= directory_sweep(this->directory, now);
-	gateway_pace_store(this);
+	gateway_fit_fleet(this);
 	if (peers_saw_stranger(this->peers))
 		watch_refresh(this->roster_watch);
 	check_stop(this, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,7 +39,7 @@
 	catalog_t *catalog;
 	directory_t *directory;
 	rowbook_t *book;
-	unsigned int paced_for;	     /* routers that the watches' pace was worked out for */
+	unsigned int paced_for;	     /* routers that gateway_fit_fleet() knows of */
 	bool directory_known;	     /* a whole listing was read */
 	instant_t lapse_grace_until; /* registrations that vanish before it may return */
 	peers_t *peers;
@@ -84,8 +84,8 @@
 void gateway_count_outcome(gateway_t *this, reason_t reason);
 /* gateway_news.c: begins to follow the store's tables, and joins the roster. */
 void gateway_follow_store(gateway_t *this);
-/* The store is asked at a rate that hardly grows with the fleet. */
-void gateway_pace_store(gateway_t *this);
+/* Takes over how many routers there are: pace of asking the store, shares of what they share. */
+void gateway_fit_fleet(gateway_t *this);
 /* A row that a peer told is as good as what the store tells. */
 void gateway_take_peer_row(void *ctx, book_table_t table, const store_row_t *row, bool last);
 /* Appends metrics in the text exposition format. */
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -26,6 +26,7 @@
 	metrics_put(out, "owner_refused_total", owned->refused);
 	metrics_put(out, "owner_withdrawn_total", owned->withdrawn);
 	metrics_put(out, "routers_alive", members_alive(placement_members(placement)));
+	metrics_put(out, "routers_listed", gateway_routers(this));
 	metrics_put(out, "store_losses_total", this->store_losses);
 	metrics_put(out, "log_lines_dropped_total", log_dropped());
 	for (int i = 0; i < REASON_COUNT; i++)
--- a/src/gateway/gateway_news.c
+++ b/src/gateway/gateway_news.c
@@ -196,7 +196,7 @@
 	return value < most ? value : most;
 }
 
-void gateway_pace_store(gateway_t *this)
+void gateway_fit_fleet(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
 	unsigned int routers = gateway_routers(this);
@@ -208,6 +208,7 @@
 		return;
 	this->paced_for = routers;
 	this->plan_due = true; /* shares of the endpoints' connections depend on it */
+	this->budget_options.routers = MAX(routers, settings->expected_routers);
 	watch_set_pace(this->catalog_watch, wait_ms, pause_ms);
 	watch_set_pace(this->endpoint_watch, wait_ms, pause_ms);
 	watch_set_pace(this->roster_watch, at_most(settings->roster_wait_ms * times, MOST_WAIT_MS),
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -14,7 +14,7 @@
 typedef struct retry_budget_options {
 	double ratio;	      /* repeats for each request */
 	double allowance;     /* repeats on top, of the whole fleet */
-	unsigned int routers; /* that the allowance is parted among */
+	unsigned int routers; /* that the allowance is parted among; may change */
 	uint64_t window;      /* microseconds */
 } retry_budget_options_t;
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -820,6 +820,42 @@
 	fixture_delete(f);
 }
 
+static void list_router(fixture_t *f, const char *name, const char *address)
+{
+	char *row = g_strdup_printf("{\"address\":\"%s\",\"public_key\":\"%s\","
+				    "\"incarnation\":1}",
+		address, f->gateway->public_key);
+
+	row_store_standin_put(f->store, "routers", name, row);
+	g_free(row);
+}
+
+/* The fleet's allowance of repeats is parted among those that there are. */
+static void test_more_routers_share_the_retry_allowance(void **state)
+{
+	fixture_t *f = fixture_new();
+	instant_t until = clock_now() + SOON_MS * USEC_PER_MSEC;
+	bool seen = false;
+
+	list_router(f, "r2", "127.0.0.1:9");
+	list_router(f, "r3", "127.0.0.1:9");
+	while (!seen && clock_now() < until) {
+		int fd = fixture_connect(f->ready);
+		char *answer;
+
+		raw_write(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\n" CLOSE "\r\n");
+		answer = fixture_read_until(fd, "routers_listed 3\n", 100);
+		seen = strstr(answer, "routers_listed 3\n") != NULL;
+		g_free(answer);
+		close(fd);
+	}
+	assert_true(seen);
+	sleep_ms(100);
+	assert_int_equal(fixture_stop(f), 0);
+	assert_int_equal(f->gateway->budget_options.routers, 3);
+	fixture_delete(f);
+}
+
 static void test_history_that_is_gone_is_read_anew(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -921,6 +957,7 @@
 		cmocka_unit_test(test_serves_on_while_the_store_is_away),
 		cmocka_unit_test(test_lost_roster_row_is_written_anew),
 		cmocka_unit_test(test_stopped_router_is_on_the_roster_no_more),
+		cmocka_unit_test(test_more_routers_share_the_retry_allowance),
 		cmocka_unit_test(test_history_that_is_gone_is_read_anew),
 		cmocka_unit_test(test_planned_stop_cuts_nothing),
 		cmocka_unit_test(test_stopping_router_takes_what_ends_in_time),
