Test: three requests after one another have an id each, as callers' do

It sent three requests under the same id; when the endpoint's extra answer came only after the next request had gone out on the same connection, it bore the right id and was taken for the answer. Change: an id each; the endpoint now waits 0, 1 and 2 ms before the extra answer, so that both orders are met. What must hold is unchanged. Not covered: our own second attempt of a call on the connection of its first, which has the same id by right.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -81,6 +81,7 @@
 static bool two_answers(void *ctx, int fd, const raw_request_t *request)
 {
 	write_answer(fd, request->id, "", "first");
+	sleep_ms(request->number % 3);
 	write_answer(fd, request->id, "", "second");
 	return true;
 }
@@ -514,14 +515,16 @@
 	fixture_delete(f);
 }
 
+/* It may come before the next request is sent on the connection, or after. */
 static void test_extra_answer_goes_to_nobody(void **state)
 {
+	static const char *const ids[] = {"id1", "id2", "id3"};
 	fixture_t *f = fixture_new();
 
 	fixture_add_endpoint(f, two_answers, NULL);
 	fixture_wait_ready(f, 1);
-	for (unsigned int i = 0; i < 3; i++) {
-		char *answer = ask(f, "/status/", "id1", "");
+	for (size_t i = 0; i < ARRAY_LEN(ids); i++) {
+		char *answer = ask(f, "/status/", ids[i], "");
 
 		assert_has(answer, "first");
 		assert_lacks(answer, "second");
