One check of what an engine takes, one rule for when copying pays

Read again as a whole: whether an engine may begin with a prompt stood twice, and the second place did not know of the reading within a pause, so that all waiting work was looked through for an engine that takes none. Whether copying pays stood twice as well, and the second place still had the sum that wrapped around; a caller that tells of 4 thousand million tokens could reach it. Tests had three loops of their own for the metrics and the roster's row, and a pause that nothing needed. Now: takes_prompt(), engine_copy_pays(), fixture_wait_metrics(), is_on_roster(); paced_for is fitted_routers, as more than the pace follows it. Behaviour is the same but for the sum: test_copying_has_to_pay. The other tests keep what they assert.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -113,12 +113,17 @@
 	return unread;
 }
 
+bool engine_copy_pays(uint32_t unread, uint32_t elsewhere)
+{
+	return unread >= COPY_LEAST && unread - COPY_LEAST >= elsewhere;
+}
+
 uint32_t engine_unread_with_copy(
 	const engine_t *this, const engine_work_t *work, uint32_t elsewhere)
 {
 	uint32_t unread = engine_unread(this, work);
 
-	if (unread < COPY_LEAST || unread - COPY_LEAST < elsewhere)
+	if (!engine_copy_pays(unread, elsewhere))
 		return unread;
 	return elsewhere + (unread - elsewhere) / COPY_QUICKER;
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -81,6 +81,8 @@
 void engine_init(engine_t *this, id_t32 id, const engine_limits_t *limits);
 /* Tokens of the prompt that it would have to read. */
 uint32_t engine_unread(const engine_t *this, const engine_work_t *work);
+/* Copying what another engine has, all but `elsewhere` of it, is worth its beginning. */
+bool engine_copy_pays(uint32_t unread, uint32_t elsewhere);
 /* The same, counted in reading time, if another engine has all but `elsewhere` of it to copy. */
 uint32_t engine_unread_with_copy(
 	const engine_t *this, const engine_work_t *work, uint32_t elsewhere);
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -103,11 +103,20 @@
 	uint32_t unread = engine_unread(&engine->model, &ask->work);
 
 	if (!best || best == engine ||
-		unread < engine_unread(&best->model, &ask->work) + COPY_LEAST)
+		!engine_copy_pays(unread, engine_unread(&best->model, &ask->work)))
 		return 0;
 	return best->model.id;
 }
 
+/* It may begin with a prompt, with `kept` slots left free. */
+static bool takes_prompt(
+	const sched_pool_t *this, const sched_engine_t *engine, unsigned int kept, instant_t now)
+{
+	return engine->model.running + kept < sched_engine_slots(engine, now) &&
+	       engine_backlog(&engine->model, now) <= this->options->max_backlog &&
+	       engine_may_read(&engine->model, now);
+}
+
 /* Which engines come into question. */
 typedef struct engine_choice {
 	unsigned int reserve; /* a part of the slots that is left free, 0: none */
@@ -140,11 +149,7 @@
 		instant_t at;
 		instant_t rank;
 
-		if (!engine_has_room(model, &ask->work) ||
-			model->running + kept >= sched_engine_slots(engine, now))
-			continue;
-		if (engine_backlog(model, now) > this->options->max_backlog ||
-			!engine_may_read(model, now))
+		if (!engine_has_room(model, &ask->work) || !takes_prompt(this, engine, kept, now))
 			continue;
 		if (choice->most_unread != UINT32_MAX &&
 			engine_unread(model, &ask->work) > choice->most_unread)
@@ -181,8 +186,7 @@
 	const sched_engine_t *engine;
 
 	cds_list_for_each_entry (engine, &this->engines, link) {
-		if (engine->model.running < sched_engine_slots(engine, now) &&
-			engine_backlog(&engine->model, now) <= this->options->max_backlog)
+		if (takes_prompt(this, engine, 0, now))
 			return true;
 	}
 	return false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,7 +39,7 @@
 	catalog_t *catalog;
 	directory_t *directory;
 	rowbook_t *book;
-	unsigned int paced_for;	     /* routers that gateway_fit_fleet() knows of */
+	unsigned int fitted_routers; /* routers that gateway_fit_fleet() knows of */
 	bool directory_known;	     /* a whole listing was read */
 	instant_t lapse_grace_until; /* registrations that vanish before it may return */
 	peers_t *peers;
--- a/src/gateway/gateway_news.c
+++ b/src/gateway/gateway_news.c
@@ -204,9 +204,9 @@
 	unsigned int wait_ms = at_most(settings->store_wait_ms * times, MOST_WAIT_MS);
 	unsigned int pause_ms = at_most(settings->store_pause_ms * times, MOST_PAUSE_MS);
 
-	if (routers == this->paced_for)
+	if (routers == this->fitted_routers)
 		return;
-	this->paced_for = routers;
+	this->fitted_routers = routers;
 	this->plan_due = true; /* shares of the endpoints' connections depend on it */
 	this->budget_options.routers = MAX(routers, settings->expected_routers);
 	watch_set_pace(this->catalog_watch, wait_ms, pause_ms);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -214,25 +214,31 @@
 		method, path, id, extra, strlen(body), body);
 }
 
-void fixture_wait_ready(fixture_t *this, unsigned int endpoints)
+bool fixture_wait_metrics(fixture_t *this, const char *one, const char *other)
 {
 	instant_t until = clock_now() + WAIT_MS * USEC_PER_MSEC;
-	char want[64];
+	bool good = false;
 
-	g_snprintf(want, sizeof(want), "amaranthwall_endpoints %u\n", endpoints);
-	while (clock_now() < until) {
+	while (!good && clock_now() < until) {
 		int fd = fixture_connect(this->ready);
 		char *answer;
-		bool good;
 
 		raw_write(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
 		answer = read_bytes(fd, NULL, WAIT_MS);
-		good = strstr(answer, want) && strstr(answer, "amaranthwall_ready 1");
+		good = strstr(answer, one) && strstr(answer, other);
 		g_free(answer);
 		close(fd);
-		if (good)
-			return;
-		sleep_ms(STEP_MS);
+		if (!good)
+			sleep_ms(STEP_MS);
 	}
-	abort();
+	return good;
+}
+
+void fixture_wait_ready(fixture_t *this, unsigned int endpoints)
+{
+	char want[64];
+
+	g_snprintf(want, sizeof(want), "amaranthwall_endpoints %u\n", endpoints);
+	if (!fixture_wait_metrics(this, want, "amaranthwall_ready 1"))
+		abort();
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -32,6 +32,8 @@
 raw_endpoint_t *fixture_add_endpoint(fixture_t *this, raw_script_t script, void *ctx);
 void fixture_register(fixture_t *this, unsigned int endpoint, const char *state);
 void fixture_put_config(fixture_t *this, const char *extra_routes);
+/* Waits until the metrics have both at once; false when they do not soon. */
+bool fixture_wait_metrics(fixture_t *this, const char *one, const char *other);
 void fixture_wait_ready(fixture_t *this, unsigned int endpoints);
 /* Ends the gateway as SIGTERM does, and waits for its end. */
 unsigned int fixture_stop(fixture_t *this);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -788,22 +788,28 @@
 	}
 }
 
-/* The row by which routers find this one was removed by a late call of an earlier start. */
-static void test_lost_roster_row_is_written_anew(void **state)
+/* True when the router's own row is in the store, soon. */
+static bool is_on_roster(fixture_t *f)
 {
-	fixture_t *f = fixture_new();
 	instant_t until = clock_now() + SOON_MS * USEC_PER_MSEC;
 	char *row = NULL;
+	bool listed;
 
 	while (!(row = row_store_standin_get(f->store, "routers", "r")) && clock_now() < until)
 		sleep_ms(5);
-	assert_non_null(row);
+	listed = row != NULL;
 	g_free(row);
+	return listed;
+}
+
+/* The row by which routers find this one was removed by a late call of an earlier start. */
+static void test_lost_roster_row_is_written_anew(void **state)
+{
+	fixture_t *f = fixture_new();
+
+	assert_true(is_on_roster(f));
 	row_store_standin_drop(f->store, "routers", "r");
-	while (!(row = row_store_standin_get(f->store, "routers", "r")) && clock_now() < until)
-		sleep_ms(5);
-	assert_non_null(row);
-	g_free(row);
+	assert_true(is_on_roster(f));
 	fixture_delete(f);
 }
 
@@ -811,13 +817,8 @@
 static void test_stopped_router_is_on_the_roster_no_more(void **state)
 {
 	fixture_t *f = fixture_new();
-	instant_t until = clock_now() + SOON_MS * USEC_PER_MSEC;
-	char *row = NULL;
 
-	while (!(row = row_store_standin_get(f->store, "routers", "r")) && clock_now() < until)
-		sleep_ms(5);
-	assert_non_null(row);
-	g_free(row);
+	assert_true(is_on_roster(f));
 	assert_int_equal(fixture_stop(f), 0);
 	assert_null(row_store_standin_get(f->store, "routers", "r"));
 	fixture_delete(f);
@@ -837,23 +838,10 @@
 static void test_more_routers_share_the_retry_allowance(void **state)
 {
 	fixture_t *f = fixture_new();
-	instant_t until = clock_now() + SOON_MS * USEC_PER_MSEC;
-	bool seen = false;
 
 	list_router(f, "r2", "127.0.0.1:9");
 	list_router(f, "r3", "127.0.0.1:9");
-	while (!seen && clock_now() < until) {
-		int fd = fixture_connect(f->ready);
-		char *answer;
-
-		raw_write(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\n" CLOSE "\r\n");
-		answer = fixture_read_until(fd, "routers_listed 3\n", 100);
-		seen = strstr(answer, "routers_listed 3\n") != NULL;
-		g_free(answer);
-		close(fd);
-	}
-	assert_true(seen);
-	sleep_ms(100);
+	assert_true(fixture_wait_metrics(f, "routers_listed 3\n", "amaranthwall_ready"));
 	assert_int_equal(fixture_stop(f), 0);
 	assert_int_equal(f->gateway->budget_options.routers, 3);
 	fixture_delete(f);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -307,6 +307,15 @@
 	assert_int_equal(second.unread, 3000);
 }
 
+/* However large a prompt its caller tells of, copying has to spare something. */
+static void test_copying_has_to_pay(void **state)
+{
+	assert_true(engine_copy_pays(COPY_LEAST + 1, 1));
+	assert_false(engine_copy_pays(COPY_LEAST, 1));
+	assert_false(engine_copy_pays(0, 0));
+	assert_false(engine_copy_pays(UINT32_MAX, UINT32_MAX));
+}
+
 /* Prompts that come close together stall what is generated beside them: they are spread. */
 static void test_prompts_are_spread_over_the_longest_pause(void **state)
 {
@@ -471,6 +480,7 @@
 		cmocka_unit_test(test_lost_end_is_put_right_by_a_report),
 		cmocka_unit_test(test_held_places_count),
 		cmocka_unit_test(test_whole_prompt_is_read_without_a_source),
+		cmocka_unit_test(test_copying_has_to_pay),
 		cmocka_unit_test(test_prompts_are_spread_over_the_longest_pause),
 		cmocka_unit_test(test_refused_request_comes_back_as_late),
 		cmocka_unit_test(test_foreign_load_is_left_room),
