Duration of the loop's turns, age of the store's rows and outdated grants are logged

The logs could not tell the hypotheses of the incident apart: a gap between two lines does not say what the turn did. loop-slow names the time spent accepting callers and on placement with the counts beside it; rows-delayed the wait of a table's rows for the loop; grant-outdated a grant for an endpoint that the router knows is not ready. The metrics get a histogram of the turns' durations. No decision is changed.

--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -1,4 +1,5 @@
 #include "edge/clock.h"
+#include "edge/log.h"
 #include "gateway/call.h"
 #include "gateway/gateway.h"
 
@@ -48,6 +49,9 @@
 		call_fail(this, call_may_have_run(this) ? REASON_GAVE_UP : REASON_NO_ENDPOINT);
 		return;
 	}
+	if (endpoint->state != ENDPOINT_READY)
+		log_warn("grant-outdated", "id=%s endpoint=%s state=%d", this->id, endpoint->name,
+			(int)endpoint->state);
 	this->endpoint = registered_endpoint_get(endpoint);
 	call_next(this);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,7 +19,8 @@
 #define RESERVED_DESCRIPTORS 900 /* for files, endpoints, peers and the store */
 /* Only half of an endpoint's connection limit is used, because its queue takes connections too. */
 #define CONNECTION_DIVISOR 2
-#define CALLER_MEMORY_KB 24 /* least memory per caller, kernel buffers included */
+#define SLOW_TURN (200 * USEC_PER_MSEC) /* a turn of the loop that is logged; callers notice it */
+#define CALLER_MEMORY_KB 24		/* least memory per caller, kernel buffers included */
 
 /* Apply until the first catalog is loaded. */
 static const catalog_limits_t default_limits = {
@@ -33,12 +34,26 @@
 
 static void on_request(void *ctx, caller_t *caller, const caller_request_t *request)
 {
-	call_run(call_new(ctx, caller, request));
+	gateway_t *this = ctx;
+
+	this->turn.requests++;
+	call_run(call_new(this, caller, request));
 }
 
 static void on_caller_gone(void *exchange)
 {
-	call_on_caller_gone(exchange);
+	call_t *call = exchange;
+
+	call->gateway->turn.callers_gone++;
+	call_on_caller_gone(call);
+}
+
+static void on_accepted(void *ctx, uint64_t time_taken)
+{
+	gateway_t *this = ctx;
+
+	this->turn.accepted++;
+	this->turn.accept_time += time_taken;
 }
 
 static void on_caller_drained(void *exchange)
@@ -242,6 +257,25 @@
 	peers_step(this->peers, now);
 	run_placement_actions(this);
 	peers_step(this->peers, now); /* sends what the actions caused */
+	this->turn.placement_time += clock_now() - now;
+}
+
+static void on_turn(void *ctx, uint64_t busy)
+{
+	gateway_t *this = ctx;
+	const turn_stats_t *turn = &this->turn;
+
+	if (busy >= SLOW_TURN)
+		log_warn("loop-slow",
+			"busy_ms=%" G_GUINT64_FORMAT " accept_ms=%" G_GUINT64_FORMAT
+			" placement_ms=%" G_GUINT64_FORMAT
+			" accepted=%u requests=%u callers_gone=%u callers=%u calls=%u",
+			(guint64)(busy / USEC_PER_MSEC),
+			(guint64)(turn->accept_time / USEC_PER_MSEC),
+			(guint64)(turn->placement_time / USEC_PER_MSEC), turn->accepted,
+			turn->requests, turn->callers_gone, listener_caller_count(this->callers),
+			this->call_count);
+	this->turn = (turn_stats_t){0};
 }
 
 /* --- timers and planned stop ------------------------------------------ */
@@ -329,6 +363,7 @@
 		.ops = ops,
 		.ctx = this,
 		.limits = get_limits,
+		.on_accepted = on_accepted,
 		.max_callers = max_callers,
 	};
 
@@ -358,11 +393,13 @@
 
 static void start_event_handlers(gateway_t *this)
 {
+	loop_watch_options_t watch_options = {&this->loop, on_turn, this};
 	static const int signal_numbers[] = {SIGTERM, SIGINT, SIGHUP};
 
 	uv_prepare_init(&this->loop, &this->prepare);
 	this->prepare.data = this;
 	uv_prepare_start(&this->prepare, on_prepare);
+	this->loop_watch = loop_watch_new(&watch_options);
 	uv_timer_init(&this->loop, &this->tick);
 	this->tick.data = this;
 	uv_timer_start(&this->tick, on_tick, TICK_MS, TICK_MS);
@@ -481,6 +518,7 @@
 	listener_delete(this->ready);
 	listener_delete(this->metrics);
 	endpoint_registry_for_each(this->endpoint_registry, close_idle_connections, NULL);
+	loop_watch_delete(this->loop_watch);
 	uv_prepare_stop(&this->prepare);
 	peers_delete(this->peers);
 	uv_run(&this->loop, UV_RUN_NOWAIT);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/call.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/listener.h"
+#include "gateway/loop_watch.h"
 #include "gateway/peers.h"
 #include "gateway/retry_budget.h"
 #include "gateway/roster.h"
@@ -24,6 +25,15 @@
 #define PEER_KEY_SIZE 41      /* bytes of a Z85 key, terminating zero included */
 #define PUBLIC_WORKSPACE 1U   /* workspace id of requests on public routes */
 
+/* What one turn of the event loop did, and the time that its parts took in microseconds. */
+typedef struct turn_stats {
+	unsigned int accepted; /* connections of callers */
+	unsigned int requests;
+	unsigned int callers_gone; /* during their call */
+	uint64_t accept_time;
+	uint64_t placement_time; /* messages of peers and the decisions that follow */
+} turn_stats_t;
+
 struct gateway {
 	const gateway_settings_t *settings;
 	const adapter_t *adapter;
@@ -32,6 +42,8 @@
 	uv_prepare_t prepare;
 	uv_timer_t tick;
 	uv_signal_t signals[3];
+	loop_watch_t *loop_watch;
+	turn_stats_t turn;
 	listener_t *callers;
 	listener_t *ready;
 	listener_t *metrics;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -30,6 +30,7 @@
 	metrics_append(out, "routers_listed", gateway_router_count(this));
 	metrics_append(out, "store_losses_total", this->store_losses);
 	metrics_append(out, "log_lines_dropped_total", log_dropped_lines());
+	loop_watch_write_metrics(this->loop_watch, out);
 	for (int i = 0; i < REASON_COUNT; i++)
 		g_string_append_printf(out,
 			"amaranthwall_calls_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -11,6 +11,7 @@
 struct listener {
 	caller_group_t group;
 	uv_tcp_t tcp;
+	void (*on_accepted)(void *ctx, uint64_t time_taken);
 	bool handle_closed;
 };
 
@@ -47,6 +48,7 @@
 static void on_connection(uv_stream_t *stream, int status)
 {
 	listener_t *this = stream->data;
+	instant_t began = clock_now();
 
 	if (status) {
 		log_warn("accept-failed", "error=%s", uv_strerror(status));
@@ -57,6 +59,7 @@
 	if (!caller_new(&this->group, stream))
 		log_info("connection-rejected", "callers=%u most=%u", this->group.connected,
 			this->group.max_callers);
+	this->on_accepted(this->group.ctx, clock_now() - began);
 }
 
 listener_t *listener_new(const listener_options_t *options)
@@ -75,6 +78,7 @@
 		.max_callers = options->max_callers,
 		.on_closed = on_caller_closed,
 	};
+	this->on_accepted = options->on_accepted;
 	CDS_INIT_LIST_HEAD(&this->group.callers);
 	address_parse(options->address, ip, sizeof(ip), &port);
 	uv_ip4_addr(ip, port, &sin);
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -12,6 +12,8 @@
 	void *ctx;
 	/* Returns the current limits; called for each check, as they may change. */
 	const catalog_limits_t *(*limits)(void *ctx);
+	/* Called for each connection, with the time in microseconds that accepting it took. */
+	void (*on_accepted)(void *ctx, uint64_t time_taken);
 	unsigned int max_callers;
 } listener_options_t;
 
--- a/src/gateway/table_watch.c
+++ b/src/gateway/table_watch.c
@@ -5,6 +5,8 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 
+#define DELAY_LOGGED (200 * USEC_PER_MSEC) /* rows that wait longer for the loop are logged */
+
 /* What the thread passes to the loop. */
 typedef struct update {
 	struct cds_list_head link;
@@ -12,6 +14,7 @@
 	bool is_full_table;
 	uint64_t version;
 	uint64_t outage;
+	instant_t posted_at;
 } update_t;
 
 struct table_watch {
@@ -57,6 +60,15 @@
 	g_free(update);
 }
 
+static void log_if_delayed(const table_watch_t *this, const update_t *update)
+{
+	uint64_t waited = clock_now() - update->posted_at;
+
+	if (waited >= DELAY_LOGGED)
+		log_warn("rows-delayed", "table=%s waited_ms=%" G_GUINT64_FORMAT,
+			this->options.table, (guint64)(waited / USEC_PER_MSEC));
+}
+
 static void on_async(uv_async_t *async)
 {
 	table_watch_t *this = async->data;
@@ -64,6 +76,7 @@
 	update_t *update;
 
 	while ((update = pop_update(this))) {
+		log_if_delayed(this, update);
 		if (!update->rows)
 			ops->on_unreachable(this->options.ctx);
 		else if (update->is_full_table)
@@ -85,6 +98,7 @@
 	update->is_full_table = is_full_table;
 	update->version = this->version;
 	update->outage = outage;
+	update->posted_at = clock_now();
 	pthread_mutex_lock(&this->lock);
 	cds_list_add_tail(&update->link, &this->updates);
 	pthread_mutex_unlock(&this->lock);
