Accepting a caller at the limit no longer looks at all callers

Callers saw: requests cut or never answered for 2 to 4 s at each peak of traffic at a router of 0.12 cores; requests whose callers had left were sent on afterwards (GONE). Cause: at the bound of callers, each accepted connection looked at all of them for the one that is idle longest, and each tick at all of them for timeouts. Now each caller is in the list of what it is waited for. All in a list have the same timeout and join it at the end, so the first one is the next to time out and the one idle longest. Test: test_accepting_at_the_limit_does_not_examine_all_callers; with a counter put into the old walk it failed (64 looked at for one accepted).

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -10,10 +10,7 @@
 #define READ_SIZE 16384
 #define MAX_PIPELINED_BYTES 65536 /* buffered during a response before reading stops */
 #define WRITE_HIGH_WATER 131072	  /* unwritten bytes above which reading the endpoint stops */
-#define LINGER_TIMEOUT (2 * USEC_PER_SEC) /* for the caller to read the last response and close */
 #define CHUNK_HEAD_SIZE 16
-#define CROWDED_NUMERATOR 2 /* crowded: over two thirds of the permitted callers are connected */
-#define CROWDED_DENOMINATOR 3
 
 typedef enum caller_state {
 	CALLER_READING,
@@ -28,9 +25,7 @@
 	struct cds_list_head link; /* in its group's list */
 	http_parser parser;
 	caller_state_t state;
-	instant_t timeout_start; /* of the timeout that applies in this state */
-	bool in_request;
-	bool in_body; /* the current request's headers are complete */
+	caller_wait_t wait;
 	caller_request_t request;
 	size_t head_bytes;
 	bool request_complete;
@@ -49,6 +44,11 @@
 
 static void caller_parse(caller_t *this, const char *data, size_t len);
 
+static void set_wait(caller_t *this, caller_wait_kind_t kind)
+{
+	caller_group_set_wait(this->group, &this->wait, kind, clock_now());
+}
+
 /* --- closing ---------------------------------------------------------- */
 
 static void request_clear(caller_t *this)
@@ -87,6 +87,7 @@
 	this->state = CALLER_CLOSED;
 	this->group->connected--;
 	cds_list_del(&this->link);
+	set_wait(this, CALLER_WAIT_NONE);
 	return true;
 }
 
@@ -135,7 +136,7 @@
 	uv_shutdown_t *shutdown = g_new0(uv_shutdown_t, 1);
 
 	this->state = CALLER_CLOSING;
-	this->timeout_start = clock_now();
+	set_wait(this, CALLER_WAIT_CLOSE);
 	if (uv_shutdown(shutdown, (uv_stream_t *)&this->tcp, on_shutdown)) {
 		g_free(shutdown);
 		caller_close(this);
@@ -199,19 +200,14 @@
 	return http_status_str((enum http_status)status);
 }
 
-/* When true, each response closes its connection, so that new callers find room. */
-static bool is_crowded(const caller_group_t *group)
-{
-	return group->connected * CROWDED_DENOMINATOR > group->max_callers * CROWDED_NUMERATOR;
-}
-
 static GString *format_head(caller_t *this, unsigned int status, const char *headers)
 {
 	GString *head = g_string_sized_new(512);
 
 	g_string_append_printf(head, "HTTP/1.1 %u %s\r\n", status, status_text(status));
 	g_string_append(head, headers);
-	if (this->close_after_response || this->group->draining || is_crowded(this->group)) {
+	if (this->close_after_response || this->group->draining ||
+		caller_group_is_crowded(this->group)) {
 		this->close_after_response = true;
 		g_string_append(head, "Connection: close\r\n");
 	}
@@ -223,15 +219,14 @@
 {
 	this->exchange = NULL;
 	request_clear(this);
-	this->in_request = false;
 	this->request_complete = false;
 	this->head_sent = false;
-	this->timeout_start = clock_now();
 	if (this->close_after_response) {
 		caller_shutdown(this);
 		return;
 	}
 	this->state = CALLER_READING;
+	set_wait(this, CALLER_WAIT_IDLE);
 }
 
 static void parse_pipelined(caller_t *this)
@@ -327,9 +322,7 @@
 	this->request.values = g_ptr_array_new_with_free_func(g_free);
 	this->request.body = g_string_new(NULL);
 	this->request.began = clock_now();
-	this->timeout_start = this->request.began;
-	this->in_request = true;
-	this->in_body = false;
+	set_wait(this, CALLER_WAIT_HEAD);
 	this->request_complete = false;
 	this->error_status = 0;
 	this->head_bytes = 0;
@@ -403,7 +396,7 @@
 		g_ptr_array_add(this->request.values, g_strdup(""));
 	this->request.method = http_method_str((enum http_method)parser->method);
 	this->request.is_head = parser->method == HTTP_HEAD;
-	this->in_body = true;
+	set_wait(this, CALLER_WAIT_BODY);
 	if (parser->upgrade || parser->method == HTTP_CONNECT) {
 		this->error_status = 400;
 		return -1;
@@ -427,7 +420,7 @@
 		return -1;
 	}
 	g_string_append_len(this->request.body, at, (gssize)len);
-	this->timeout_start = clock_now(); /* a slow body is allowed while it makes progress */
+	set_wait(this, CALLER_WAIT_BODY); /* a slow body is allowed while it makes progress */
 	return 0;
 }
 
@@ -495,6 +488,7 @@
 	const caller_group_t *group = this->group;
 
 	this->state = CALLER_RESPONDING;
+	set_wait(this, CALLER_WAIT_NONE);
 	group->ops->on_request(group->ctx, this, &this->request);
 }
 
@@ -551,7 +545,7 @@
 	caller_t *this = g_new0(caller_t, 1);
 
 	this->group = group;
-	this->timeout_start = clock_now();
+	this->wait.kind = CALLER_WAIT_NONE;
 	uv_tcp_init(group->loop, &this->tcp);
 	this->tcp.data = this;
 	http_parser_init(&this->parser, HTTP_REQUEST);
@@ -559,6 +553,7 @@
 	group->allocated++;
 	group->connected++;
 	cds_list_add_tail(&this->link, &group->callers);
+	set_wait(this, CALLER_WAIT_IDLE);
 	if (uv_accept(listen_stream, (uv_stream_t *)&this->tcp) ||
 		group->connected > group->max_callers) {
 		caller_close(this);
@@ -574,40 +569,14 @@
 	return caa_container_of(link, caller_t, link);
 }
 
-instant_t caller_idle_since(const caller_t *this)
+caller_t *caller_of_wait(caller_wait_t *wait)
 {
-	if (this->state == CALLER_CLOSING)
-		return 0;
-	if (this->state != CALLER_READING || this->in_request)
-		return INSTANT_NEVER;
-	return this->timeout_start;
+	return caa_container_of(wait, caller_t, wait);
 }
 
-static bool is_timed_out(const caller_t *this, instant_t now)
+void caller_time_out(caller_t *this)
 {
-	const catalog_limits_t *limits = limits_of(this);
-	const caller_group_t *group = this->group;
-
-	switch (this->state) {
-	case CALLER_READING:
-		if (this->in_request && !this->in_body)
-			return now >=
-			       this->timeout_start + limits->header_timeout_ms * USEC_PER_MSEC;
-		if (group->draining && !this->in_request && now >= group->close_idle_from)
-			return true;
-		return now >= this->timeout_start + limits->idle_timeout_ms * USEC_PER_MSEC;
-	case CALLER_CLOSING:
-		return now >= this->timeout_start + LINGER_TIMEOUT;
-	default:
-		return false;
-	}
-}
-
-void caller_check_timeouts(caller_t *this, instant_t now)
-{
-	if (!is_timed_out(this, now))
-		return;
-	if (this->state == CALLER_READING && this->in_request) {
+	if (this->wait.kind == CALLER_WAIT_HEAD || this->wait.kind == CALLER_WAIT_BODY) {
 		this->error_status = 408;
 		reject_request(this);
 	} else {
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -7,12 +7,7 @@
  * complete.  A disconnect is detected in every state.  caller_ops_t notifies the
  * user of the connection about each exchange, a request with its response.
  */
-#include <urcu/list.h>
-#include <uv.h>
-
-#include "gateway/catalog.h"
-
-typedef struct caller caller_t;
+#include "gateway/caller_group.h"
 
 /* A parsed request; its strings are valid until the exchange ends. */
 typedef struct caller_request {
@@ -25,7 +20,7 @@
 	instant_t began; /* arrival of the first byte */
 } caller_request_t;
 
-typedef struct caller_ops {
+struct caller_ops {
 	/*
 	 * A complete request, which needs a response.  The handler may pass its own object to
 	 * caller_set_exchange(), for the two handlers below to receive.
@@ -35,40 +30,16 @@
 	void (*on_gone)(void *exchange);
 	/* A queued write completed, and caller_is_write_blocked() is false. */
 	void (*on_drained)(void *exchange);
-} caller_ops_t;
-
-/* State shared by the callers of one listening address. */
-typedef struct caller_group caller_group_t;
-struct caller_group {
-	uv_loop_t *loop;
-	const caller_ops_t *ops;
-	void *ctx;
-	/* Returns the current limits; called for each check, as they may change. */
-	const catalog_limits_t *(*limits)(void *ctx);
-	unsigned int max_callers;
-	struct cds_list_head callers;
-	unsigned int allocated; /* includes closed callers whose memory is not freed yet */
-	unsigned int connected;
-	bool draining;		   /* responses carry "Connection: close" */
-	instant_t close_idle_from; /* while draining, idle callers are closed from this time on */
-	/* Called after a closed caller's memory was freed. */
-	void (*on_closed)(caller_group_t *group);
 };
 
 /* Accepts a connection from `listen_stream`; NULL if that fails or the group is full. */
 caller_t *caller_new(caller_group_t *group, uv_stream_t *listen_stream);
-/* The caller that contains the list node. */
+/* The caller with this node of its group's list of callers. */
 caller_t *caller_of_link(struct cds_list_head *link);
-/*
- * Start of the idle time: 0, as if idle longest, when the connection is being closed;
- * INSTANT_NEVER while a request is read or answered.
- */
-instant_t caller_idle_since(const caller_t *this);
-/*
- * Closes the connection if its idle, drain or closing time is up.  A request that
- * stays incomplete for too long gets status 408.
- */
-void caller_check_timeouts(caller_t *this, instant_t now);
+/* The caller with this wait. */
+caller_t *caller_of_wait(caller_wait_t *wait);
+/* Closes the connection as its wait took too long; an incomplete request gets status 408. */
+void caller_time_out(caller_t *this);
 /* Closes the connection, and calls on_gone for its exchange, if any. */
 void caller_disconnect(caller_t *this);
 
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -13,6 +13,7 @@
 	metrics_append(out, "catalog_version", this->catalog ? this->catalog->version : 0);
 	metrics_append(out, "endpoints", endpoint_registry_count(this->endpoint_registry));
 	metrics_append(out, "callers", listener_caller_count(this->callers));
+	metrics_append(out, "callers_examined_total", listener_callers_examined(this->callers));
 	metrics_append(out, "endpoint_connections", this->open_connections);
 	metrics_append(out, "calls_in_progress", this->call_count);
 	metrics_append(out, "asks_total", placement_counters->slot_requests);
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -26,23 +26,12 @@
 	free_if_unused(caa_container_of(group, listener_t, group));
 }
 
-/* Makes room for a new connection by closing the one that is idle longest. */
-static void close_longest_idle(listener_t *this)
+static void make_room(listener_t *this)
 {
-	instant_t longest_since = INSTANT_NEVER;
-	caller_t *longest = NULL;
-	struct cds_list_head *link;
-
-	cds_list_for_each (link, &this->group.callers) {
-		caller_t *caller = caller_of_link(link);
+	caller_wait_t *wait = caller_group_least_needed(&this->group);
 
-		if (caller_idle_since(caller) >= longest_since)
-			continue;
-		longest = caller;
-		longest_since = caller_idle_since(caller);
-	}
-	if (longest)
-		caller_disconnect(longest);
+	if (wait)
+		caller_disconnect(caller_of_wait(wait));
 }
 
 static void on_connection(uv_stream_t *stream, int status)
@@ -55,7 +44,7 @@
 		return;
 	}
 	if (this->group.connected >= this->group.max_callers)
-		close_longest_idle(this);
+		make_room(this);
 	if (!caller_new(&this->group, stream))
 		log_info("connection-rejected", "callers=%u most=%u", this->group.connected,
 			this->group.max_callers);
@@ -79,7 +68,7 @@
 		.on_closed = on_caller_closed,
 	};
 	this->on_accepted = options->on_accepted;
-	CDS_INIT_LIST_HEAD(&this->group.callers);
+	caller_group_init(&this->group);
 	address_parse(options->address, ip, sizeof(ip), &port);
 	uv_ip4_addr(ip, port, &sin);
 	uv_tcp_init(options->loop, &this->tcp);
@@ -105,13 +94,17 @@
 	return this->group.connected;
 }
 
+uint64_t listener_callers_examined(const listener_t *this)
+{
+	return this->group.examined;
+}
+
 void listener_check_timeouts(listener_t *this, instant_t now)
 {
-	struct cds_list_head *link;
-	struct cds_list_head *next;
+	caller_wait_t *wait;
 
-	cds_list_for_each_safe (link, next, &this->group.callers)
-		caller_check_timeouts(caller_of_link(link), now);
+	while ((wait = caller_group_next_expired(&this->group, now)))
+		caller_time_out(caller_of_wait(wait));
 }
 
 static void on_closed(uv_handle_t *handle)
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -21,7 +21,9 @@
 listener_t *listener_new(const listener_options_t *options);
 /* Responses carry "Connection: close" from now on; idle callers are closed from that instant. */
 void listener_drain(listener_t *this, instant_t close_idle_from);
-/* Applies the timeouts to every caller. */
+/* Number of callers looked at so far to make room for others. */
+uint64_t listener_callers_examined(const listener_t *this);
+/* Closes the callers whose time is up. */
 void listener_check_timeouts(listener_t *this, instant_t now);
 unsigned int listener_caller_count(const listener_t *this);
 /* Closes all sockets; memory is freed when the loop runs the close callbacks. */
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -48,10 +48,11 @@
 	char *text = g_strdup_printf(
 		"{\"version\":%u,\"routes\":[%s%s],\"services\":[{\"name\":\"shop\","
 		"\"healthPath\":\"/health\",\"maxConns\":%u}],\"limits\":{\"maxHeaderBytes\":4096,"
-		"\"maxBodyBytes\":65536,\"headerTimeoutMs\":400,\"idleTimeoutMs\":1000},"
+		"\"maxBodyBytes\":65536,\"headerTimeoutMs\":400,\"idleTimeoutMs\":%u},"
 		"\"tenants\":[{\"name\":\"w1\",\"apiKeys\":[\"k1\",\"k1b\"]},"
 		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
-		++this->config_version, routes, extra_routes, FIXTURE_MAX_CONNECTIONS);
+		++this->config_version, routes, extra_routes, FIXTURE_MAX_CONNECTIONS,
+		this->idle_timeout_ms);
 
 	row_store_standin_put(this->store, "op", "config", text);
 	g_free(text);
@@ -88,7 +89,7 @@
 	return GUINT_TO_POINTER(gateway_run(this->gateway));
 }
 
-static gateway_settings_t *make_settings(fixture_t *this)
+static gateway_settings_t *make_settings(fixture_t *this, const char *extra)
 {
 	char peer[32];
 	char *path = NULL;
@@ -104,9 +105,9 @@
 			       "\"caller_address\":\"%s\",\"ready_address\":\"%s\","
 			       "\"peer_address\":\"%s\",\"store_address\":\"%s\","
 			       "\"stop_grace_s\":6,\"expected_routers\":1,"
-			       "\"retry_allowance\":100}",
+			       "\"retry_allowance\":100%s}",
 		this->caller_address, this->ready_address, peer,
-		row_store_standin_address(this->store));
+		row_store_standin_address(this->store), extra);
 	g_file_set_contents(path, text, -1, NULL);
 	error_list_init(&errors, path);
 	settings = gateway_settings_load(path, &errors);
@@ -121,12 +122,20 @@
 }
 
 fixture_t *fixture_new(void)
+{
+	fixture_options_t options = {.settings = "", .idle_timeout_ms = 1000};
+
+	return fixture_new_with(&options);
+}
+
+fixture_t *fixture_new_with(const fixture_options_t *options)
 {
 	fixture_t *this = g_new0(fixture_t, 1);
 
 	http_init();
 	this->store = row_store_standin_new("127.0.0.1:0");
-	this->settings = make_settings(this);
+	this->idle_timeout_ms = options->idle_timeout_ms;
+	this->settings = make_settings(this, options->settings);
 	fixture_put_config(this, "");
 	this->gateway = gateway_new(this->settings);
 	if (!this->gateway)
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -22,10 +22,11 @@
 	gateway_t *gateway;
 	pthread_t thread;
 	raw_endpoint_t *endpoints[FIXTURE_ENDPOINTS];
-	char caller_address[32];     /* where the gateway listens for callers */
-	char ready_address[32];	     /* where it serves /readiness and /metrics */
-	unsigned int config_version; /* of the last configuration written */
-	bool stopped;		     /* the gateway's thread has ended */
+	char caller_address[32];      /* where the gateway listens for callers */
+	char ready_address[32];	      /* where it serves /readiness and /metrics */
+	unsigned int config_version;  /* of the last configuration written */
+	unsigned int idle_timeout_ms; /* of the configurations written */
+	bool stopped;		      /* the gateway's thread has ended */
 } fixture_t;
 
 /*
@@ -34,6 +35,13 @@
  * be resumed).
  */
 fixture_t *fixture_new(void);
+
+typedef struct fixture_options {
+	const char *settings;	      /* JSON that follows the last fixed setting, or "" */
+	unsigned int idle_timeout_ms; /* of callers */
+} fixture_options_t;
+
+fixture_t *fixture_new_with(const fixture_options_t *options);
 /* Also stops the gateway, without a planned stop, if fixture_stop() was not called. */
 void fixture_delete(fixture_t *this);
 /*
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -399,6 +399,30 @@
 	fixture_delete(f);
 }
 
+#define MAX_CALLERS 64 /* of a gateway with the least number of descriptors */
+
+/* A full gateway closes the caller that is idle longest, and finds it without looking at all. */
+static void test_accepting_at_the_limit_does_not_examine_all_callers(void **state)
+{
+	fixture_options_t options = {.settings = ",\"descriptors\":128", .idle_timeout_ms = 60000};
+	fixture_t *f = fixture_new_with(&options);
+	int callers[MAX_CALLERS + 1];
+	char byte;
+
+	fixture_wait_ready(f, 0);
+	for (unsigned int i = 0; i < MAX_CALLERS; i++)
+		callers[i] = fixture_connect(f->caller_address);
+	assert_true(fixture_wait_metrics(
+		f, "amaranthwall_callers 64\n", "amaranthwall_callers_examined_total 0\n"));
+	callers[MAX_CALLERS] = fixture_connect(f->caller_address);
+	assert_int_equal(recv(callers[0], &byte, sizeof(byte), 0), 0);
+	assert_true(fixture_wait_metrics(
+		f, "amaranthwall_callers 64\n", "amaranthwall_callers_examined_total 1\n"));
+	for (unsigned int i = 0; i <= MAX_CALLERS; i++)
+		close(callers[i]);
+	fixture_delete(f);
+}
+
 /*
  * A response without a length whose last bytes and reset arrive together: the gateway must not
  * take the reset for the regular end of the response.
@@ -961,6 +985,7 @@
 		cmocka_unit_test(test_chunked_request_body_is_forwarded_with_length),
 		cmocka_unit_test(test_malformed_requests_are_rejected_and_not_forwarded),
 		cmocka_unit_test(test_incomplete_head_gets_408_and_idle_connection_is_closed),
+		cmocka_unit_test(test_accepting_at_the_limit_does_not_examine_all_callers),
 		cmocka_unit_test(
 			test_response_without_length_is_served_after_close_but_not_after_reset),
 		cmocka_unit_test(test_failed_idempotent_request_is_retried_on_other_endpoint),
