A grant for an endpoint that this router knows to leave is declined

Cause, found in the code and shown by a test: the owner of an engine may learn late that it leaves, as it stands still or is cut off from the store. handle_grant() and call_on_slot_granted() only asked whether the endpoint exists. Now such a grant is withdrawn at its owner, which counts as full until its next report, and the request goes to the next one. Test: test_grant_for_leaving_engine_is_not_used; it failed before (requests of the router that knows ran on the leaving engine).

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -84,7 +84,8 @@
 	/* Set by the embedder before placement_request(). */
 	id_t32 pool;
 	id_t32 workspace;
-	id_t32 avoid; /* engine on which the request failed before, 0: none */
+	/* Engine on which the request failed before, 0: none; a declined grant replaces it. */
+	id_t32 avoid;
 	/* Hash over the content of the request, the same for each retry; 0: none. */
 	uint32_t request_fingerprint;
 	engine_work_t work;
@@ -147,6 +148,7 @@
 	uint64_t unanswered;	/* slot requests without a reply in time */
 	uint64_t without_grant; /* requests started without a grant */
 	uint64_t redirected;	/* slot requests answered by ENTRY_NOT_OWNER or ENTRY_FULL */
+	uint64_t declined;	/* grants for engines that accept no requests any more */
 } placement_stats_t;
 
 typedef struct placement placement_t;
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -68,18 +68,52 @@
 	return false;
 }
 
+/* Sends the request to another owner: its present one has no free slot, or no usable engine. */
+static void try_next_owner(
+	placement_t *this, placement_request_t *request, bool owns_engines, instant_t now)
+{
+	pool_usage_t *usage = placement_pool_usage(&this->peers[request->owner], request->pool);
+
+	this->stats.redirected++;
+	if (usage && owns_engines)
+		usage->received.taken = usage->received.slots + 1;
+	else if (usage)
+		usage->received = (slot_usage_t){0};
+	placement_send_request(this, request, now);
+}
+
+static bool is_usable(const placement_t *this, id_t32 engine)
+{
+	const engine_state_t *state = placement_find_engine(this, engine);
+
+	return state && state->engine.usable;
+}
+
+/* The owner may not know yet that the engine leaves. */
+static void decline_grant(
+	placement_t *this, placement_request_t *request, id_t32 engine, instant_t now)
+{
+	this->stats.declined++;
+	placement_withdraw(this, request->owner, request->ticket, now);
+	request->avoid = engine;
+	try_next_owner(this, request, true, now);
+}
+
 static void handle_grant(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
 	placement_request_t *request = find_pending(this, slot, entry->ticket);
 
-	if (request && placement_find_engine(this, entry->engine)) {
+	if (request && is_usable(this, entry->engine)) {
 		request->source = entry->source;
 		if (!request->source)
 			request->source = placement_likely_source(this, request, entry->engine);
 		placement_start(this, request, entry->engine, slot);
-	} else if (!is_running(this, slot, entry->ticket))
+	} else if (request) {
+		decline_grant(this, request, entry->engine, now);
+	} else if (!is_running(this, slot, entry->ticket)) {
 		placement_withdraw(this, slot, entry->ticket, now);
+	}
 }
 
 static void handle_refusal(
@@ -91,34 +125,22 @@
 		placement_reject(this, request, entry->value);
 }
 
-/* Sends the request to another owner: the one in `slot` has no free slot, or no usable engine. */
-static void try_next_owner(
-	placement_t *this, unsigned int slot, uint64_t ticket, bool owns_engines, instant_t now)
-{
-	placement_request_t *request = find_pending(this, slot, ticket);
-	pool_usage_t *usage;
-
-	if (!request)
-		return;
-	this->stats.redirected++;
-	usage = placement_pool_usage(&this->peers[slot], request->pool);
-	if (usage && owns_engines)
-		usage->received.taken = usage->received.slots + 1;
-	else if (usage)
-		usage->received = (slot_usage_t){0};
-	placement_send_request(this, request, now);
-}
-
 static void handle_not_owner(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	try_next_owner(this, slot, entry->ticket, false, now);
+	placement_request_t *request = find_pending(this, slot, entry->ticket);
+
+	if (request)
+		try_next_owner(this, request, false, now);
 }
 
 static void handle_full(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	try_next_owner(this, slot, entry->ticket, true, now);
+	placement_request_t *request = find_pending(this, slot, entry->ticket);
+
+	if (request)
+		try_next_owner(this, request, true, now);
 }
 
 static void handle_withdrawal(
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -43,15 +43,15 @@
 	if (!record_decision(this))
 		return;
 	endpoint = endpoint_registry_find(this->gateway->endpoint_registry, id);
-	if (!endpoint) {
+	if (!endpoint || endpoint->state != ENDPOINT_READY) {
+		/* The registry has changed since the placement was told of the engines. */
+		log_info("grant-outdated", "id=%s endpoint=%s", this->id,
+			endpoint ? endpoint->name : "-");
 		call_leave_placement(this, SLOT_UNUSED);
-		this->retry_after_s = NOT_READY_RETRY_S;
-		call_fail(this, call_may_have_run(this) ? REASON_GAVE_UP : REASON_NO_ENDPOINT);
+		this->placement_request.avoid = id;
+		call_requeue(this);
 		return;
 	}
-	if (endpoint->state != ENDPOINT_READY)
-		log_warn("grant-outdated", "id=%s endpoint=%s state=%d", this->id, endpoint->name,
-			(int)endpoint->state);
 	this->endpoint = registered_endpoint_get(endpoint);
 	call_next(this);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -68,9 +68,21 @@
 	return 200 + i;
 }
 
-static void start_router(fleet_t *this, unsigned int i)
+/* Tells router `i` of all engines; `unusable` is the index of one that accepts no requests. */
+static void set_engines(fleet_t *this, unsigned int i, unsigned int unusable)
 {
 	placement_engine_t engines[ENGINES];
+
+	for (unsigned int k = 0; k < ENGINES; k++)
+		engines[k] = (placement_engine_t){.id = engine_id(k),
+			.pool = POOL,
+			.limits = {.slots = SLOTS},
+			.usable = k != unusable};
+	placement_set_engines(this->placements[i], engines, ENGINES, this->now);
+}
+
+static void start_router(fleet_t *this, unsigned int i)
+{
 	placement_options_t options = {
 		.self = router_id(i),
 		.incarnation = ++this->incarnation,
@@ -84,12 +96,7 @@
 		if (k != i)
 			placement_add_member(this->placements[i], router_id(k));
 	}
-	for (unsigned int k = 0; k < ENGINES; k++)
-		engines[k] = (placement_engine_t){.id = engine_id(k),
-			.pool = POOL,
-			.limits = {.slots = SLOTS},
-			.usable = true};
-	placement_set_engines(this->placements[i], engines, ENGINES, this->now);
+	set_engines(this, i, ENGINES);
 }
 
 static fleet_t *fleet_new(uint32_t seed)
@@ -478,6 +485,32 @@
 	fleet_delete(f);
 }
 
+/*
+ * An owner may learn late that an engine leaves.  A router that knows it uses no grant for that
+ * engine, and its requests start elsewhere.
+ */
+static void test_grant_for_leaving_engine_is_not_used(void **state)
+{
+	for (unsigned int leaving = 0; leaving < ENGINES; leaving++) {
+		fleet_t *f = fleet_new(8);
+
+		fleet_run(f, 500);
+		set_engines(f, 0, leaving);
+		fleet_load(f, 2000, 60);
+		fleet_run(f, 2000);
+		assert_int_equal(f->rejected, 0);
+		assert_int_equal(f->started, f->jobs->len);
+		assert_int_equal(slots_held_at_owners(f), 0);
+		for (unsigned int i = 0; i < f->jobs->len; i++) {
+			const job_t *job = f->jobs->pdata[i];
+
+			if (job->router == 0)
+				assert_int_not_equal(job->request.engine, engine_id(leaving));
+		}
+		fleet_delete(f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -489,6 +522,7 @@
 		cmocka_unit_test(test_duplicate_and_late_messages_are_ignored),
 		cmocka_unit_test(test_stopping_owner_hands_over_its_engines),
 		cmocka_unit_test(test_cancelled_requests_leave_no_slots_in_use),
+		cmocka_unit_test(test_grant_for_leaving_engine_is_not_used),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
