A workspace's waiting requests are bounded at the router that has them

Now a router keeps waiting what its owners grant this workspace within 0.3 s, 32 at least, and refuses the rest at once with the time to come back. While none waits longer than 50 ms the replies may be on their way, and all are admitted. Tests: test_flood_at_one_router_is_refused_without_asking_owners failed before (5,003 slot requests for 5,000 requests, now 953, the same 624 started); test_flood_leaves_slots_to_other_workspace_at_the_same_router passed before too.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -20,6 +20,8 @@
 
 void placement_request(placement_t *this, placement_request_t *request, instant_t now)
 {
+	backlog_t *backlog = placement_backlog(this, request);
+
 	request->state = PLACEMENT_NONE;
 	request->owners_tried = 0;
 	request->prefill_done = false;
@@ -29,6 +31,11 @@
 		placement_reject(this, request, NO_ENGINE_RETRY_MS);
 		return;
 	}
+	if (!request->was_started && !backlog_admits(backlog, now)) {
+		this->stats.refused++;
+		placement_reject(this, request, grant_rate_retry_after(&backlog->grants, now));
+		return;
+	}
 	placement_send_request(this, request, now);
 }
 
@@ -332,16 +339,30 @@
 	this->next_report_at = now + REPORT_INTERVAL;
 	CDS_INIT_LIST_HEAD(&this->pending);
 	CDS_INIT_LIST_HEAD(&this->running);
+	for (unsigned int i = 0; i < BACKLOG_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&this->backlogs[i]);
 	members_init(&this->members, allocator, options->self);
 	this->peers = allocator_new(allocator, MEMBER_MAX, sizeof(*this->peers));
 	this->scheduler = scheduler_new(&options->scheduler);
 	return this;
 }
 
+static void delete_backlogs(placement_t *this)
+{
+	backlog_t *backlog;
+	backlog_t *next;
+
+	for (unsigned int i = 0; i < BACKLOG_BUCKETS; i++) {
+		cds_list_for_each_entry_safe (backlog, next, &this->backlogs[i], link)
+			allocator_delete(this->allocator, backlog);
+	}
+}
+
 void placement_delete(placement_t *this)
 {
 	if (!this)
 		return;
+	delete_backlogs(this);
 	for (unsigned int i = 0; i < this->members.count; i++)
 		allocator_delete(this->allocator, this->peers[i].entries);
 	scheduler_delete(this->scheduler);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -8,7 +8,8 @@
  * engine that has probably cached the shared parts of the prompt, or to one with
  * free slots.  An owner that does not reply is skipped until it sends a message.
  * When no owner is left, a router starts a bounded number of requests without a
- * grant.
+ * grant.  A workspace whose requests wait for more slots than the owners grant it soon is
+ * refused without asking them.
  *
  * A placement does no I/O and reads no clock.  Routers exchange messages that
  * consist of a header and entries.  A lost entry costs at most a delay, as each
@@ -16,6 +17,7 @@
  *
  * Parameters called `slot` are member slots (member.h), not slots of an engine.
  */
+#include "core/backlog.h"
 #include "core/member.h"
 #include "core/scheduler.h"
 
@@ -91,9 +93,11 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
-	bool is_late; /* counts as unable to meet first_token_deadline */
+	bool is_late;	  /* counts as unable to meet first_token_deadline */
+	bool was_started; /* an attempt has failed: never refused for the workspace's backlog */
 
 	/* Set by the placement. */
+	backlog_entry_t backlog_entry;
 	struct cds_list_head link;
 	placement_state_t state;
 	uint64_t ticket;
@@ -148,6 +152,7 @@
 	uint64_t unanswered;	/* slot requests without a reply in time */
 	uint64_t without_grant; /* requests started without a grant */
 	uint64_t redirected;	/* slot requests answered by ENTRY_NOT_OWNER or ENTRY_FULL */
+	uint64_t refused;	/* requests refused for their workspace's backlog */
 	uint64_t declined;	/* grants for engines that accept no requests any more */
 } placement_stats_t;
 
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -4,6 +4,7 @@
 #include "core/placement.h"
 
 #define MAX_POOLS 16
+#define BACKLOG_BUCKETS 256
 #define LIST_GROWTH 64 /* elements added to a list that is full */
 /* Interval at which a router repeats a slot request that waits at its owner. */
 #define RESEND_INTERVAL (200 * USEC_PER_MSEC)
@@ -48,6 +49,7 @@
 	unsigned int engine_capacity;
 	uint64_t owned_view;	      /* members_t.view that the engines' owners are based on */
 	struct cds_list_head pending; /* placement_request_t: sent to an owner, or queued there */
+	struct cds_list_head backlogs[BACKLOG_BUCKETS];
 	struct cds_list_head running; /* placement_request_t: granted, or started without a grant */
 	placement_action_t *actions;
 	unsigned int action_first;
@@ -95,12 +97,14 @@
 /* Returns the message entry of the slot request. */
 message_entry_t placement_request_entry(const placement_request_t *request);
 /* Starts the request on `engine`, as granted by the member in slot `owner`. */
-void placement_start(
-	placement_t *this, placement_request_t *request, id_t32 engine, unsigned int owner);
+void placement_start(placement_t *this, placement_request_t *request, id_t32 engine,
+	unsigned int owner, instant_t now);
 void placement_reject(placement_t *this, placement_request_t *request, uint32_t retry_after_ms);
 void placement_withdraw(placement_t *this, unsigned int slot, uint64_t ticket, instant_t now);
 /* Ends the use of a granted slot at this router. */
 void placement_release_slot(placement_t *this, placement_request_t *request);
+/* Returns the backlog of the request's workspace and pool, created at first use. */
+backlog_t *placement_backlog(placement_t *this, const placement_request_t *request);
 /* Removes the request from its list. */
 void placement_unlink(placement_request_t *request);
 
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -108,7 +108,7 @@
 		request->source = entry->source;
 		if (!request->source)
 			request->source = placement_likely_source(this, request, entry->engine);
-		placement_start(this, request, entry->engine, slot);
+		placement_start(this, request, entry->engine, slot, now);
 	} else if (request) {
 		decline_grant(this, request, entry->engine, now);
 	} else if (!is_running(this, slot, entry->ticket)) {
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -160,20 +160,49 @@
 	return best;
 }
 
-void placement_unlink(placement_request_t *request)
+static struct cds_list_head *backlog_bucket(placement_t *this, const placement_request_t *request)
+{
+	return &this->backlogs[mix(request->pool, request->workspace) % BACKLOG_BUCKETS];
+}
+
+backlog_t *placement_backlog(placement_t *this, const placement_request_t *request)
+{
+	struct cds_list_head *bucket = backlog_bucket(this, request);
+	backlog_t *backlog;
+
+	cds_list_for_each_entry (backlog, bucket, link) {
+		if (backlog->pool == request->pool && backlog->workspace == request->workspace)
+			return backlog;
+	}
+	backlog = allocator_new(this->allocator, 1, sizeof(*backlog));
+	backlog_init(backlog, request->pool, request->workspace);
+	cds_list_add(&backlog->link, bucket);
+	return backlog;
+}
+
+/* Leaves the request in its workspace's backlog. */
+static void leave_list(placement_request_t *request)
 {
 	cds_list_del(&request->link);
 	request->state = PLACEMENT_NONE;
 }
 
-void placement_start(
-	placement_t *this, placement_request_t *request, id_t32 engine, unsigned int owner)
+void placement_unlink(placement_request_t *request)
+{
+	leave_list(request);
+	backlog_remove(&request->backlog_entry);
+}
+
+void placement_start(placement_t *this, placement_request_t *request, id_t32 engine,
+	unsigned int owner, instant_t now)
 {
 	placement_action_t action = {.kind = PLACEMENT_START, .request = request, .engine = engine};
 	engine_state_t *state = placement_find_engine(this, engine);
 
 	if (request->state != PLACEMENT_NONE)
-		cds_list_del(&request->link);
+		leave_list(request);
+	backlog_remove(&request->backlog_entry);
+	grant_rate_count(&placement_backlog(this, request)->grants, now);
 	cds_list_add_tail(&request->link, &this->running);
 	request->state = PLACEMENT_GRANTED;
 	request->engine = engine;
@@ -198,7 +227,8 @@
 		.kind = PLACEMENT_REJECT, .request = request, .retry_after_ms = retry_after_ms};
 
 	if (request->state != PLACEMENT_NONE)
-		placement_unlink(request);
+		leave_list(request);
+	backlog_remove(&request->backlog_entry);
 	action.no_engine = !placement_has_usable_engine(this, request->pool);
 	placement_push_action(this, &action);
 }
@@ -232,7 +262,7 @@
 	this->stats.without_grant++;
 	request->without_grant = true;
 	request->ticket = ++this->next_ticket;
-	placement_start(this, request, best->engine.id, best->owner);
+	placement_start(this, request, best->engine.id, best->owner, now);
 	placement_report_slot(this, request, now);
 }
 
@@ -286,13 +316,14 @@
 		request->owners_tried < MAX_OWNERS_TRIED ? choose_owner(this, request, now) : -1;
 
 	if (request->state != PLACEMENT_NONE)
-		placement_unlink(request);
+		leave_list(request);
 	if (owner < 0) {
 		start_without_grant(this, request, now);
 		return;
 	}
 	request->owners_tried++;
 	cds_list_add_tail(&request->link, &this->pending);
+	backlog_add(placement_backlog(this, request), &request->backlog_entry, now);
 	send_request(this, request, (unsigned int)owner, now);
 }
 
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -10,12 +10,7 @@
 #define PREFERRED_MAX_LEAD 40000
 /* A late request goes first when its lane's level is below this fraction of the timely one's. */
 #define STARVATION_RATIO 0.7
-#define RETRY_MIN_MS 400 /* retry delay when no other refused caller is expected back */
-#define RETRY_MAX_MS 8000
-#define RETRY_GRANT_SHARE 0.25		  /* of the grants, reserved for callers that retry */
-#define AVOID_PENALTY (1 * USEC_PER_SEC)  /* on the engine where the request failed before */
-#define RATE_WEIGHT 0.3			  /* of a new sample in the moving average */
-#define RATE_WINDOW (500 * USEC_PER_MSEC) /* over which the grants of a sample are counted */
+#define AVOID_PENALTY (1 * USEC_PER_SEC) /* on the engine where the request failed before */
 
 void sched_pool_init(sched_pool_t *this, id_t32 id, const sched_pool_options_t *options)
 {
@@ -49,39 +44,6 @@
 	count_waiting(this, record, -1);
 }
 
-/* --- retry delays ------------------------------------------------------- */
-
-void sched_pool_count_grant(sched_pool_t *this, instant_t now)
-{
-	double rate;
-
-	this->granted++;
-	if (!this->rate_since)
-		this->rate_since = now;
-	if (now < this->rate_since + RATE_WINDOW)
-		return;
-	rate = (double)this->granted / (double)(now - this->rate_since);
-	this->grant_rate = this->grant_rate > 0
-				   ? this->grant_rate + RATE_WEIGHT * (rate - this->grant_rate)
-				   : rate;
-	this->granted = 0;
-	this->rate_since = now;
-}
-
-/* Spreads the retries of refused callers over time, at the rate of the slots reserved for them. */
-uint32_t sched_pool_retry_after(sched_pool_t *this, instant_t now)
-{
-	instant_t first = now + RETRY_MIN_MS * USEC_PER_MSEC;
-	double spacing = this->grant_rate > 0 ? 1 / (this->grant_rate * RETRY_GRANT_SHARE) : 0;
-	uint64_t ms;
-
-	if (this->last_retry_at < first)
-		this->last_retry_at = first;
-	this->last_retry_at += (uint64_t)spacing;
-	ms = (this->last_retry_at - now) / USEC_PER_MSEC;
-	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)ms;
-}
-
 /* --- choice of the engine ----------------------------------------------- */
 
 /* Returns the usable engine that has most of the prompt cached, even if it has no room, or NULL. */
--- a/src/core/sched_pool.h
+++ b/src/core/sched_pool.h
@@ -5,6 +5,7 @@
  *
  * A pool only makes choices; the scheduler carries them out.
  */
+#include "core/grant_rate.h"
 #include "core/sched_lane.h"
 
 typedef struct sched_pool_options {
@@ -20,10 +21,7 @@
 	struct cds_list_head engines; /* sched_engine_t */
 	unsigned int timely;	      /* requests that wait and can be in time */
 	unsigned int late;	      /* requests that wait and count as late */
-	unsigned int granted;	      /* since `rate_since` */
-	instant_t rate_since;
-	double grant_rate;	 /* moving average, grants per microsecond */
-	instant_t last_retry_at; /* latest time that a refused caller got for its retry */
+	grant_rate_t grants;
 };
 
 /* A request and the engine on which it can start. */
@@ -54,9 +52,5 @@
 	const sched_pool_t *this, const slot_request_t *request, const sched_engine_t *engine);
 /* Returns the shortest time to the first token if all engines were idle; UINT64_MAX without any. */
 uint64_t sched_pool_idle_first_token_delay(const sched_pool_t *this, const slot_request_t *request);
-/* Counts a grant for the grant rate. */
-void sched_pool_count_grant(sched_pool_t *this, instant_t now);
-/* Returns the delay in ms until a slot is expected for one more refused caller. */
-uint32_t sched_pool_retry_after(sched_pool_t *this, instant_t now);
 
 #endif
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -155,7 +155,7 @@
 		.kind = SCHEDULER_REFUSE,
 		.router = record->router,
 		.ticket = record->request.ticket,
-		.retry_after_ms = sched_pool_retry_after(pool, this->now),
+		.retry_after_ms = grant_rate_retry_after(&pool->grants, this->now),
 	};
 
 	push_action(this, &action);
@@ -190,7 +190,7 @@
 	const engine_work_t *work = &record->request.work;
 
 	sched_pool_dequeue(pool, record);
-	sched_pool_count_grant(pool, now);
+	grant_rate_count(&pool->grants, now);
 	sched_lane_charge_local(record->lane, slot_request_cost(&record->request), now);
 	record->source = sched_pool_copy_source(pool, &record->request, choice->engine);
 	engine_begin_request(&choice->engine->model, &record->engine_request, work,
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -249,7 +249,7 @@
 	}
 }
 
-static job_t *request_slot(fleet_t *this, unsigned int router)
+static job_t *request_slot_for(fleet_t *this, unsigned int router, id_t32 workspace)
 {
 	job_t *job = g_new0(job_t, 1);
 
@@ -257,7 +257,7 @@
 	job->arrived = this->now;
 	job->request = (placement_request_t){
 		.pool = POOL,
-		.workspace = 1,
+		.workspace = workspace,
 		.work = {.prompt = 500, .answer = 50},
 		.first_token_deadline = this->now + 300 * USEC_PER_MSEC,
 		.deadline = this->now + 5 * USEC_PER_SEC,
@@ -269,6 +269,11 @@
 	return job;
 }
 
+static job_t *request_slot(fleet_t *this, unsigned int router)
+{
+	return request_slot_for(this, router, 1);
+}
+
 /* Runs for `ms`; every `interval` ms each router that is not frozen gets one request. */
 static void fleet_load(fleet_t *this, unsigned int ms, unsigned int interval)
 {
@@ -511,6 +516,54 @@
 	}
 }
 
+/*
+ * One workspace sends eight times what the engines can serve to one router.  The router refuses
+ * most of it by itself, and all slots stay in use.
+ */
+static void test_flood_at_one_router_is_refused_without_asking_owners(void **state)
+{
+	const unsigned int capacity_per_s = ENGINES * SLOTS * 1000 / (RUN_DURATION / USEC_PER_MSEC);
+	const unsigned int seconds = 5;
+	fleet_t *f = fleet_new(9);
+	const placement_stats_t *stats = placement_stats(f->placements[0]);
+
+	fleet_run(f, 500);
+	for (unsigned int ms = 0; ms < seconds * 1000; ms++) {
+		request_slot(f, 0);
+		fleet_run(f, 1);
+	}
+	assert_true(stats->slot_requests < f->jobs->len / 2);
+	assert_true(f->started >= capacity_per_s * seconds * 9 / 10);
+	fleet_run(f, 2000);
+	assert_int_equal(f->started + f->rejected, f->jobs->len);
+	assert_int_equal(slots_held_at_owners(f), 0);
+	fleet_delete(f);
+}
+
+/* A workspace whose callers use the flooded router too gets all that it asks for. */
+static void test_flood_leaves_slots_to_other_workspace_at_the_same_router(void **state)
+{
+	fleet_t *f = fleet_new(10);
+	unsigned int served = 0;
+	unsigned int asked = 0;
+
+	fleet_run(f, 500);
+	for (unsigned int ms = 0; ms < 5000; ms++) {
+		request_slot(f, 0);
+		if (ms % 50 == 0)
+			request_slot_for(f, 0, 2);
+		fleet_run(f, 1);
+	}
+	for (unsigned int i = 0; i < f->jobs->len; i++) {
+		const job_t *job = f->jobs->pdata[i];
+
+		asked += job->request.workspace == 2;
+		served += job->request.workspace == 2 && job->started_at;
+	}
+	assert_true(served * 100 >= asked * 95);
+	fleet_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -523,6 +576,8 @@
 		cmocka_unit_test(test_stopping_owner_hands_over_its_engines),
 		cmocka_unit_test(test_cancelled_requests_leave_no_slots_in_use),
 		cmocka_unit_test(test_grant_for_leaving_engine_is_not_used),
+		cmocka_unit_test(test_flood_at_one_router_is_refused_without_asking_owners),
+		cmocka_unit_test(test_flood_leaves_slots_to_other_workspace_at_the_same_router),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
