Requests are found by ticket, and pending ones are walked over only when due

Each entry of a peer walked over the pending requests to find its own, and each turn of the loop walked over all of them twice. Now an index by ticket finds them, and the walk is done when a reply is due, or after 10 ms for owners that were lost.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -13,6 +13,8 @@
 /* Lower bound of the heartbeat interval, not multiplied by the number of routers. */
 #define HEARTBEAT_MIN_INTERVAL (100 * USEC_PER_MSEC)
 
+/* Between two walks over the pending requests for owners that are lost. */
+#define PENDING_CHECK_INTERVAL (10 * USEC_PER_MSEC)
 #define REPORT_INTERVAL (1 * USEC_PER_SEC)
 #define NO_ENGINE_RETRY_MS 1000 /* a new registration arrives within about 1 s */
 
@@ -140,16 +142,20 @@
 }
 
 /*
+ * Walks over all pending requests, unless that was done a short time ago and no reply is due.
  * Sends a pending request to another owner when its owner is lost or did not
  * reply in time; an owner that did not reply is skipped until it sends a message.
  * Returns the earliest time at which another reply is due.
  */
 static instant_t check_pending(placement_t *this, instant_t now)
 {
-	instant_t next = INSTANT_NEVER;
+	instant_t next = now + PENDING_CHECK_INTERVAL;
 	placement_request_t *request;
 	placement_request_t *after;
 
+	if (now < this->next_pending_check)
+		return this->next_pending_check;
+	this->next_pending_check = next;
 	cds_list_for_each_entry_safe (request, after, &this->pending, link) {
 		const member_t *owner = &this->members.list[request->owner];
 		bool timed_out = request->state == PLACEMENT_REQUESTED && now >= request->reply_by;
@@ -170,7 +176,8 @@
 		if (request->state == PLACEMENT_REQUESTED)
 			next = instant_min(next, request->reply_by);
 	}
-	return next;
+	this->next_pending_check = instant_min(this->next_pending_check, next);
+	return this->next_pending_check;
 }
 
 static void tick_members(placement_t *this, instant_t now)
@@ -339,6 +346,8 @@
 	this->next_report_at = now + REPORT_INTERVAL;
 	CDS_INIT_LIST_HEAD(&this->pending);
 	CDS_INIT_LIST_HEAD(&this->running);
+	for (unsigned int i = 0; i < TICKET_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&this->tickets[i]);
 	for (unsigned int i = 0; i < BACKLOG_BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&this->backlogs[i]);
 	members_init(&this->members, allocator, options->self);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -99,6 +99,7 @@
 	/* Set by the placement. */
 	backlog_entry_t backlog_entry;
 	struct cds_list_head link;
+	struct cds_list_head ticket_link; /* in the index of the requests that have a ticket */
 	placement_state_t state;
 	uint64_t ticket;
 	unsigned int owner; /* member slot */
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -5,6 +5,7 @@
 
 #define MAX_POOLS 16
 #define BACKLOG_BUCKETS 256
+#define TICKET_BUCKETS 1024
 #define LIST_GROWTH 64 /* elements added to a list that is full */
 /* Interval at which a router repeats a slot request that waits at its owner. */
 #define RESEND_INTERVAL (200 * USEC_PER_MSEC)
@@ -49,6 +50,8 @@
 	unsigned int engine_capacity;
 	uint64_t owned_view;	      /* members_t.view that the engines' owners are based on */
 	struct cds_list_head pending; /* placement_request_t: sent to an owner, or queued there */
+	struct cds_list_head tickets[TICKET_BUCKETS]; /* pending and running requests */
+	instant_t next_pending_check;
 	struct cds_list_head backlogs[BACKLOG_BUCKETS];
 	struct cds_list_head running; /* placement_request_t: granted, or started without a grant */
 	placement_action_t *actions;
@@ -105,6 +108,9 @@
 void placement_release_slot(placement_t *this, placement_request_t *request);
 /* Returns the backlog of the request's workspace and pool, created at first use. */
 backlog_t *placement_backlog(placement_t *this, const placement_request_t *request);
+/* Returns the pending or running request with this ticket at this owner, or NULL. */
+placement_request_t *placement_find_request(
+	const placement_t *this, unsigned int owner, uint64_t ticket);
 /* Removes the request from its list. */
 void placement_unlink(placement_request_t *request);
 
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -5,13 +5,9 @@
 static placement_request_t *find_pending(
 	const placement_t *this, unsigned int owner, uint64_t ticket)
 {
-	placement_request_t *request;
+	placement_request_t *request = placement_find_request(this, owner, ticket);
 
-	cds_list_for_each_entry (request, &this->pending, link) {
-		if (request->ticket == ticket && request->owner == owner)
-			return request;
-	}
-	return NULL;
+	return request && request->state != PLACEMENT_GRANTED ? request : NULL;
 }
 
 /* Returns whether our engines of the pool are full while another owner probably has a free slot. */
@@ -59,13 +55,9 @@
 /* Returns whether the request runs already, because an earlier copy of the grant arrived. */
 static bool is_running(const placement_t *this, unsigned int owner, uint64_t ticket)
 {
-	const placement_request_t *request;
+	const placement_request_t *request = placement_find_request(this, owner, ticket);
 
-	cds_list_for_each_entry (request, &this->running, link) {
-		if (request->ticket == ticket && request->owner == owner)
-			return true;
-	}
-	return false;
+	return request && request->state == PLACEMENT_GRANTED;
 }
 
 /* Sends the request to another owner: its present one has no free slot, or no usable engine. */
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -180,10 +180,30 @@
 	return backlog;
 }
 
+placement_request_t *placement_find_request(
+	const placement_t *this, unsigned int owner, uint64_t ticket)
+{
+	placement_request_t *request;
+
+	cds_list_for_each_entry (request, &this->tickets[ticket % TICKET_BUCKETS], ticket_link) {
+		if (request->ticket == ticket && request->owner == owner)
+			return request;
+	}
+	return NULL;
+}
+
+/* Adds the request, which has a ticket, to the pending or the running ones. */
+static void enter_list(placement_t *this, placement_request_t *request, struct cds_list_head *list)
+{
+	cds_list_add_tail(&request->link, list);
+	cds_list_add(&request->ticket_link, &this->tickets[request->ticket % TICKET_BUCKETS]);
+}
+
 /* Leaves the request in its workspace's backlog. */
 static void leave_list(placement_request_t *request)
 {
 	cds_list_del(&request->link);
+	cds_list_del(&request->ticket_link);
 	request->state = PLACEMENT_NONE;
 }
 
@@ -203,7 +223,7 @@
 		leave_list(request);
 	backlog_remove(&request->backlog_entry);
 	grant_rate_count(&placement_backlog(this, request)->grants, now);
-	cds_list_add_tail(&request->link, &this->running);
+	enter_list(this, request, &this->running);
 	request->state = PLACEMENT_GRANTED;
 	request->engine = engine;
 	request->owner = owner;
@@ -293,6 +313,7 @@
 	pool_usage_t *usage;
 
 	request->ticket = ++this->next_ticket;
+	enter_list(this, request, &this->pending);
 	request->owner = owner;
 	request->resend_at = now + RESEND_INTERVAL;
 	entry = placement_request_entry(request);
@@ -304,6 +325,7 @@
 	}
 	request->state = PLACEMENT_REQUESTED;
 	request->reply_by = now + REPLY_TIMEOUT;
+	this->next_pending_check = instant_min(this->next_pending_check, request->reply_by);
 	usage = placement_pool_usage(&this->peers[owner], request->pool);
 	if (usage)
 		usage->received.taken++;
@@ -322,7 +344,6 @@
 		return;
 	}
 	request->owners_tried++;
-	cds_list_add_tail(&request->link, &this->pending);
 	backlog_add(placement_backlog(this, request), &request->backlog_entry, now);
 	send_request(this, request, (unsigned int)owner, now);
 }
