A router that lacks rows asks one peer at a time for them

Cause: a router without rows asked every peer that told of a version, and each of 61 peers sent the whole catalog and all endpoints. Now a second peer is asked only when the first has not sent all rows within 1 s, or at once when rows are still missing after its last one. Test: test_starting_router_asks_one_peer_at_a_time; it failed before (60 requests).

--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
-#define REQUEST_DELAY (400 * USEC_PER_MSEC)    /* the store usually delivers the rows within it */
-#define REQUEST_RETRY_DELAY (1 * USEC_PER_SEC) /* after a request without an answer */
+#define REQUEST_DELAY (400 * USEC_PER_MSEC) /* the store usually delivers the rows within it */
+/* After a request without an answer, until the next request to this or another peer. */
+#define REQUEST_RETRY_DELAY (1 * USEC_PER_SEC)
 #define CHUNK_SIZE 16384
 
 /* A row that is being sent to or received from a peer in chunks. */
@@ -23,6 +24,8 @@
 
 struct row_gossip {
 	row_gossip_options_t options;
+	/* Until then the peer that was asked for rows has time to send them; 0: none was asked. */
+	instant_t answer_by[CACHED_TABLE_COUNT];
 	peer_gossip_t peers[MEMBER_MAX];
 };
 
@@ -136,6 +139,8 @@
 	transfer->bytes_done += entry->size;
 	if (transfer->bytes_done < entry->total_size)
 		return;
+	if (!entry->value)
+		this->answer_by[transfer->table] = 0;
 	this->options.on_row(this->options.ctx, transfer->table, &transfer->row, entry->value == 0);
 	transfer_clear(transfer);
 }
@@ -161,7 +166,7 @@
 	const row_gossip_t *this, const peer_gossip_t *peer, cached_table_t table, instant_t now)
 {
 	return peer->request_at[table] && now >= peer->request_at[table] &&
-	       is_behind(this, peer, table);
+	       now >= this->answer_by[table] && is_behind(this, peer, table);
 }
 
 bool row_gossip_is_due(const row_gossip_t *this, unsigned int slot, instant_t now)
@@ -194,6 +199,7 @@
 		if (is_request_due(this, peer, (cached_table_t)i, now)) {
 			entry_writer_add(writer, &entry, now);
 			peer->request_at[i] = now + REQUEST_RETRY_DELAY;
+			this->answer_by[i] = now + REQUEST_RETRY_DELAY;
 		} else if (!is_behind(this, peer, (cached_table_t)i)) {
 			peer->request_at[i] = 0;
 		}
--- a/src/gateway/row_gossip.h
+++ b/src/gateway/row_gossip.h
@@ -5,7 +5,7 @@
  *
  * A message to a peer contains the newest known version of each table whose
  * version changed since the last message.  If a router is behind a peer's
- * version for a short time, it requests the newer rows from that peer.  So a
+ * version for a short time, it requests the newer rows from that peer, one peer at a time.  So a
  * router that the store refuses, or that restarted during a store outage, still
  * gets the rows that the others have.
  */
--- /dev/null
+++ b/tests/test_row_gossip.c
@@ -0,0 +1,144 @@
+/* row_gossip - which peer is asked for rows, and when; time is given */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "gateway/row_gossip.h"
+
+#define PEERS 60
+#define VERSION 100
+#define SECOND USEC_PER_SEC
+
+typedef struct gossip_fixture {
+	row_cache_t *cache;
+	row_gossip_t *gossip;
+	entry_writer_t *writer;
+} gossip_fixture_t;
+
+static void store_row(void *ctx, cached_table_t table, const store_row_t *row, bool last)
+{
+	gossip_fixture_t *f = ctx;
+
+	row_cache_put(f->cache, table, row);
+}
+
+static gossip_fixture_t *gossip_fixture_new(void)
+{
+	gossip_fixture_t *f = g_new0(gossip_fixture_t, 1);
+	row_gossip_options_t options = {.on_row = store_row, .ctx = f};
+
+	f->cache = row_cache_new();
+	options.row_cache = f->cache;
+	f->gossip = row_gossip_new(&options);
+	f->writer = entry_writer_new();
+	return f;
+}
+
+static void gossip_fixture_delete(gossip_fixture_t *f)
+{
+	row_gossip_delete(f->gossip);
+	row_cache_delete(f->cache);
+	entry_writer_delete(f->writer);
+	g_free(f);
+}
+
+/* Number of requests for rows in the next message to each peer. */
+static unsigned int count_requests(gossip_fixture_t *f, instant_t now)
+{
+	message_header_t header = {.from = 1, .incarnation = 1, .seq = 1};
+	unsigned int count = 0;
+
+	for (unsigned int slot = 1; slot <= PEERS; slot++) {
+		entry_reader_t *reader;
+		message_entry_t entry;
+		const char *bytes;
+		size_t size;
+
+		entry_writer_begin(f->writer, &header);
+		row_gossip_write(f->gossip, slot, f->writer, now);
+		bytes = entry_writer_data(f->writer, &size);
+		reader = entry_reader_new(bytes, size, &header);
+		while (entry_reader_next(reader, &entry, now))
+			count += entry.kind == ENTRY_ROW_REQUEST;
+		entry_reader_delete(reader);
+	}
+	return count;
+}
+
+static void announce(gossip_fixture_t *f, unsigned int slot, instant_t now)
+{
+	message_entry_t entry = {
+		.kind = ENTRY_ROW_VERSION, .table = CACHED_ENDPOINTS, .version = VERSION};
+
+	row_gossip_handle_entry(f->gossip, slot, &entry, now);
+}
+
+static void send_row(
+	gossip_fixture_t *f, unsigned int slot, uint64_t version, unsigned int left, instant_t now)
+{
+	message_entry_t entry = {
+		.kind = ENTRY_ROW_CHUNK,
+		.table = CACHED_ENDPOINTS,
+		.version = version,
+		.key = "i-1",
+		.bytes = "{}",
+		.size = 2,
+		.total_size = 2,
+		.value = left,
+	};
+
+	row_gossip_handle_entry(f->gossip, slot, &entry, now);
+}
+
+/* A router that starts hears of the same rows from every peer; each would send all of them. */
+static void test_starting_router_asks_one_peer_at_a_time(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+
+	for (unsigned int slot = 1; slot <= PEERS; slot++)
+		announce(f, slot, SECOND);
+	assert_int_equal(count_requests(f, SECOND), 1);
+	assert_int_equal(count_requests(f, SECOND + 900 * USEC_PER_MSEC), 0);
+	assert_int_equal(count_requests(f, 2 * SECOND), 1);
+	gossip_fixture_delete(f);
+}
+
+static void test_no_further_peer_is_asked_once_all_rows_have_arrived(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+
+	for (unsigned int slot = 1; slot <= PEERS; slot++)
+		announce(f, slot, SECOND);
+	assert_int_equal(count_requests(f, SECOND), 1);
+	send_row(f, 1, VERSION, 0, SECOND);
+	assert_int_equal(count_requests(f, 3 * SECOND), 0);
+	gossip_fixture_delete(f);
+}
+
+/* The rows of a peer that knows less than another one leave the router behind. */
+static void test_next_peer_is_asked_at_once_if_rows_are_still_missing(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+
+	announce(f, 1, SECOND);
+	announce(f, 2, SECOND);
+	assert_int_equal(count_requests(f, SECOND), 1);
+	send_row(f, 1, VERSION - 1, 0, SECOND);
+	assert_int_equal(count_requests(f, SECOND), 1);
+	gossip_fixture_delete(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_starting_router_asks_one_peer_at_a_time),
+		cmocka_unit_test(test_no_further_peer_is_asked_once_all_rows_have_arrived),
+		cmocka_unit_test(test_next_peer_is_asked_at_once_if_rows_are_still_missing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
