Bytes of an endpoint that never end are cut off

Cause, shown by tests: interim responses, another request's response and trailers were read until the deadline of the call (504, and a busy router meanwhile); a body without end was passed on until then.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -74,6 +74,7 @@
 	GString *headers;
 	GString *body;		/* response body, buffered until complete or too large */
 	int64_t body_length;	/* -1: unknown */
+	uint64_t body_bytes;	/* received in the current attempt */
 	bool response_started;	/* the head was sent to the caller */
 	bool streaming;		/* the body is forwarded event by event */
 	bool response_complete; /* the endpoint's response was read to its end */
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -10,6 +10,8 @@
 
 #define READ_SIZE 16384
 #define MAX_RESPONSE_HEAD 65536
+/* Bytes of one exchange beside the response's body: heads, framing, another request's response. */
+#define MAX_OVERHEAD (1 << 20)
 #define DEFAULT_IDLE_TIMEOUT (4 * USEC_PER_SEC) /* if the endpoint announces none */
 #define IDLE_MARGIN (1 * USEC_PER_SEC)		/* closes this long before the endpoint would */
 #define KEEPALIVE_PROBES 2
@@ -40,6 +42,7 @@
 	GString *outgoing; /* the request, until it is completely written */
 	/* the response being read */
 	connection_response_t response;
+	size_t overhead; /* bytes received that are not part of the response's body */
 	GString *header_name;
 	GString *header_value;
 	bool in_header_value;
@@ -217,6 +220,7 @@
 
 	if (this->id_mismatch)
 		return 0;
+	this->overhead -= len;
 	this->ops->on_body(this->user, at, len);
 	return this->state != CONNECTION_BUSY ? -1 : 0;
 }
@@ -278,6 +282,7 @@
 		connection_close(this); /* unsolicited bytes on an idle connection */
 		return;
 	}
+	this->overhead += len;
 	used = http_parser_execute(&this->parser, &parser_settings, data, len);
 	if (this->state == CONNECTION_CLOSED)
 		return;
@@ -285,7 +290,7 @@
 		connection_finish_exchange(
 			this, used == len && !this->outgoing &&
 				      HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
-	else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
+	else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK || this->overhead > MAX_OVERHEAD)
 		connection_fail(this, CONNECTION_FAILURE_MALFORMED);
 }
 
@@ -416,6 +421,7 @@
 	this->id = g_strdup(request->id);
 	this->is_head = request->is_head;
 	this->outgoing = request->bytes;
+	this->overhead = 0;
 	this->response_complete = false;
 	this->keep_alive = false;
 	http_parser_init(&this->parser, HTTP_RESPONSE);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -52,6 +52,7 @@
 	ADDRESS(store_address, NULL),
 	COUNT(memory_mb, 256, 16, 1 << 20),
 	COUNT(descriptors, 4096, 128, 1 << 20),
+	COUNT(max_response_bytes, 16 << 20, 1024, 1 << 30),
 	COUNT(stop_grace_s, 8, 2, 600),
 	COUNT(lapse_grace_ms, 2200, 0, 60000),
 	RATIO(retry_ratio, 0.1, 0, 10),
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -20,7 +20,8 @@
 	char *store_address;
 	unsigned int memory_mb;
 	unsigned int descriptors;
-	unsigned int stop_grace_s;    /* from a planned stop until the process is killed */
+	unsigned int max_response_bytes; /* body of one response; a longer one is cut off */
+	unsigned int stop_grace_s;	 /* from a planned stop until the process is killed */
 	unsigned int lapse_grace_ms;  /* for lapsed registrations to return after a store outage */
 	double retry_ratio;	      /* retries allowed per request */
 	unsigned int retry_allowance; /* further retries per window, for the whole fleet */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -199,6 +199,34 @@
 	return false;
 }
 
+/* Bytes without end; the counters are updated by the endpoint's threads. */
+typedef struct endless {
+	const char *start;
+	const char *repeated;
+	size_t longest; /* bytes written on one connection until the gateway closed it */
+} endless_t;
+
+#define ENDLESS_BLOCK 65536
+
+/* Writes `start` and then `repeated` until the gateway closes the connection. */
+static bool write_without_end(void *ctx, int fd, const raw_request_t *request)
+{
+	endless_t *endless = ctx;
+	GString *block = g_string_new(NULL);
+	size_t written = 0;
+	ssize_t n;
+
+	raw_write(fd, endless->start);
+	while (block->len < ENDLESS_BLOCK)
+		g_string_append(block, endless->repeated);
+	while ((n = send(fd, block->str, block->len, MSG_NOSIGNAL)) > 0)
+		written += (size_t)n;
+	if (written > __atomic_load_n(&endless->longest, __ATOMIC_RELAXED))
+		__atomic_store_n(&endless->longest, written, __ATOMIC_RELAXED);
+	g_string_free(block, TRUE);
+	return false;
+}
+
 /* --- helpers ---------------------------------------------------------- */
 
 static char *post(fixture_t *f, const char *path, const char *id, const char *extra)
@@ -423,6 +451,78 @@
 	fixture_delete(f);
 }
 
+#define ENDLESS_OK "HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: id1\r\n"
+/* Far above what the gateway reads and the sockets buffer, far below what two seconds bring. */
+#define ENDLESS_MAX_BYTES (32U << 20)
+
+/* Bytes that never become a response are cut off, and another endpoint serves the request. */
+static void test_endless_bytes_before_a_body_end_the_attempt(void **state)
+{
+	static const endless_t cases[] = {
+		{.start = "", .repeated = "x"},
+		{.start = "", .repeated = "\r\n"},
+		{.start = "", .repeated = "HTTP/1.1 100 Continue\r\n\r\n"},
+		{.start = "HTTP/1.1 200 ", .repeated = "x"},
+		{.start = "HTTP/1.1 200 OK\r\n", .repeated = "X-A: b\r\n"},
+		{.start = "HTTP/1.1 200 OK\r\nX-", .repeated = "a"},
+		{.start = "HTTP/1.1 200 OK\r\nX-A: ", .repeated = "b"},
+		{.start = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", .repeated = "x"},
+		{.start = ENDLESS_OK "Transfer-Encoding: chunked\r\n\r\n5;", .repeated = "x"},
+		{.start = ENDLESS_OK "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+			.repeated = "X-A: b\r\n"},
+	};
+
+	for (size_t i = 0; i < ARRAY_LEN(cases); i++) {
+		endless_t endless = cases[i];
+		fixture_t *f = fixture_new();
+
+		fixture_add_endpoint(f, write_without_end, &endless);
+		fixture_add_endpoint(f, respond_hello, NULL);
+		fixture_wait_ready(f, 2);
+		for (unsigned int k = 0; k < 8 && !raw_endpoint_request_count(f->endpoints[0]);
+			k++) {
+			char *response = post(f, "/status/", "id1", "");
+
+			assert_contains(response, "hello");
+			g_free(response);
+		}
+		assert_true(raw_endpoint_request_count(f->endpoints[0]) > 0);
+		fixture_delete(f);
+		assert_true(endless.longest < ENDLESS_MAX_BYTES);
+	}
+}
+
+/* A body that never ends is cut off at a limit, and its caller can tell that it is not whole. */
+static void test_endless_body_is_cut_off_at_the_limit(void **state)
+{
+	static const endless_t cases[] = {
+		{.start = ENDLESS_OK "\r\n", .repeated = "x"},
+		{.start = ENDLESS_OK "Content-Length: 99999999999\r\n\r\n", .repeated = "x"},
+		{.start = ENDLESS_OK "Transfer-Encoding: chunked\r\n\r\n",
+			.repeated = "5\r\nhello\r\n"},
+		{.start = ENDLESS_OK "Content-Type: text/event-stream\r\n\r\n",
+			.repeated = "data: x\n\n"},
+		{.start = ENDLESS_OK "Content-Type: text/event-stream\r\n\r\n", .repeated = "x"},
+	};
+	fixture_options_t options = {
+		.settings = ",\"max_response_bytes\":1000000", .idle_timeout_ms = 1000};
+
+	for (size_t i = 0; i < 2 * ARRAY_LEN(cases); i++) {
+		endless_t endless = cases[i / 2];
+		fixture_t *f = fixture_new_with(&options);
+		char *response;
+
+		fixture_add_endpoint(f, write_without_end, &endless);
+		fixture_wait_ready(f, 1);
+		response = post(f, i % 2 ? "/note/" : "/order/", "id1", "");
+		assert_true(strlen(response) < 2000000);
+		assert_not_contains(response, "\r\n0\r\n\r\n");
+		g_free(response);
+		fixture_delete(f);
+		assert_true(endless.longest < ENDLESS_MAX_BYTES);
+	}
+}
+
 /*
  * A response without a length whose last bytes and reset arrive together: the gateway must not
  * take the reset for the regular end of the response.
@@ -986,6 +1086,8 @@
 		cmocka_unit_test(test_malformed_requests_are_rejected_and_not_forwarded),
 		cmocka_unit_test(test_incomplete_head_gets_408_and_idle_connection_is_closed),
 		cmocka_unit_test(test_accepting_at_the_limit_does_not_examine_all_callers),
+		cmocka_unit_test(test_endless_bytes_before_a_body_end_the_attempt),
+		cmocka_unit_test(test_endless_body_is_cut_off_at_the_limit),
 		cmocka_unit_test(
 			test_response_without_length_is_served_after_close_but_not_after_reset),
 		cmocka_unit_test(test_failed_idempotent_request_is_retried_on_other_endpoint),
