One turn of the loop accepts at most 64 callers

Cause: the listener accepted until the kernel had no more; while it does, more arrive. Now the others wait in the kernel until the next turn, and what calls in progress need is done in between. Test: test_one_turn_accepts_a_bounded_number_of_callers; it fails without the bound.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -245,11 +245,20 @@
 	g_array_free(list.engines, TRUE);
 }
 
+static void begin_turn(gateway_t *this)
+{
+	listener_begin_turn(this->callers);
+	listener_begin_turn(this->ready);
+	if (this->metrics)
+		listener_begin_turn(this->metrics);
+}
+
 static void on_prepare(uv_prepare_t *prepare)
 {
 	gateway_t *this = prepare->data;
 	instant_t now = clock_now();
 
+	begin_turn(this);
 	if (this->engines_outdated && this->catalog) {
 		this->engines_outdated = false;
 		update_engines(this);
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -7,11 +7,16 @@
 #include "settings/address.h"
 
 #define BACKLOG 1024
+/* The others wait in the kernel, so that a flood of connections does not delay calls in progress.
+ */
+#define MAX_ACCEPTED_PER_TURN 64
 
 struct listener {
 	caller_group_t group;
 	uv_tcp_t tcp;
 	void (*on_accepted)(void *ctx, uint64_t time_taken);
+	unsigned int accepted; /* in the current turn of the loop */
+	bool accept_pending;   /* a connection is held back until the next turn */
 	bool handle_closed;
 };
 
@@ -34,23 +39,41 @@
 		caller_disconnect(caller_of_wait(wait));
 }
 
-static void on_connection(uv_stream_t *stream, int status)
+static void accept_caller(listener_t *this)
 {
-	listener_t *this = stream->data;
 	instant_t began = clock_now();
 
-	if (status) {
-		log_warn("accept-failed", "error=%s", uv_strerror(status));
-		return;
-	}
+	this->accepted++;
 	if (this->group.connected >= this->group.max_callers)
 		make_room(this);
-	if (!caller_new(&this->group, stream))
+	if (!caller_new(&this->group, (uv_stream_t *)&this->tcp))
 		log_info("connection-rejected", "callers=%u most=%u", this->group.connected,
 			this->group.max_callers);
 	this->on_accepted(this->group.ctx, clock_now() - began);
 }
 
+/* libuv reports no more connections until one that is held back is accepted. */
+static void on_connection(uv_stream_t *stream, int status)
+{
+	listener_t *this = stream->data;
+
+	if (status)
+		log_warn("accept-failed", "error=%s", uv_strerror(status));
+	else if (this->accepted >= MAX_ACCEPTED_PER_TURN)
+		this->accept_pending = true;
+	else
+		accept_caller(this);
+}
+
+void listener_begin_turn(listener_t *this)
+{
+	this->accepted = 0;
+	if (!this->accept_pending)
+		return;
+	this->accept_pending = false;
+	accept_caller(this);
+}
+
 listener_t *listener_new(const listener_options_t *options)
 {
 	listener_t *this = g_new0(listener_t, 1);
