A slow router no longer takes its owners for silent

Cause: an owner has 25 ms to reply, by this router's clock. Now the time that the router itself lately lost between two ticks is added, twice: a request waits for the end of one turn, its reply for that of another.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -13,6 +13,9 @@
 /* Lower bound of the heartbeat interval, not multiplied by the number of routers. */
 #define HEARTBEAT_MIN_INTERVAL (100 * USEC_PER_MSEC)
 
+/* Ticks are at most this far apart, unless the embedder is slow. */
+#define TICK_INTERVAL (20 * USEC_PER_MSEC)
+#define OWN_DELAY_DECAY 16 /* part by which the delay shrinks with each tick */
 /* Between two walks over the pending requests for owners that are lost. */
 #define PENDING_CHECK_INTERVAL (10 * USEC_PER_MSEC)
 #define REPORT_INTERVAL (1 * USEC_PER_SEC)
@@ -248,10 +251,23 @@
 	}
 }
 
+/* A router that is slow itself must not take its owners for silent. */
+static void measure_own_delay(placement_t *this, instant_t now)
+{
+	uint64_t gap = this->ticked_at ? now - this->ticked_at : 0;
+	uint64_t delay = gap > TICK_INTERVAL ? gap - TICK_INTERVAL : 0;
+
+	this->ticked_at = now;
+	this->own_delay -= this->own_delay / OWN_DELAY_DECAY;
+	if (delay > this->own_delay)
+		this->own_delay = delay;
+}
+
 instant_t placement_tick(placement_t *this, instant_t now)
 {
 	instant_t next;
 
+	measure_own_delay(this, now);
 	tick_members(this, now);
 	if (now >= this->next_report_at) {
 		this->next_report_at = now + REPORT_INTERVAL;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -199,7 +199,10 @@
 void placement_handle_entry(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
 
-/* Does the work that is due; returns the latest time of the next call. */
+/*
+ * Does the work that is due; returns the latest time of the next call.  Has to be called every
+ * 20 ms: a longer gap is taken for slowness of this router, which gives owners more time to reply.
+ */
 instant_t placement_tick(placement_t *this, instant_t now);
 bool placement_next_action(placement_t *this, placement_action_t *action);
 /* Begins the next message that is due: sets its receiver and header; false when none is due. */
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -52,6 +52,8 @@
 	struct cds_list_head pending; /* placement_request_t: sent to an owner, or queued there */
 	struct cds_list_head tickets[TICKET_BUCKETS]; /* pending and running requests */
 	instant_t next_pending_check;
+	instant_t ticked_at;
+	uint64_t own_delay; /* recent time for which this router has kept replies waiting */
 	struct cds_list_head backlogs[BACKLOG_BUCKETS];
 	struct cds_list_head running; /* placement_request_t: granted, or started without a grant */
 	placement_action_t *actions;
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -1,7 +1,8 @@
 #include "core/placement_internal.h"
 
-#define REPLY_TIMEOUT (25 * USEC_PER_MSEC) /* ten times a typical round trip */
-#define MAX_OWNERS_TRIED 3		   /* before a router starts the request without a grant */
+#define REPLY_TIMEOUT (25 * USEC_PER_MSEC)  /* ten times a typical round trip */
+#define MAX_OWN_DELAY (500 * USEC_PER_MSEC) /* most that our own slowness adds to it */
+#define MAX_OWNERS_TRIED 3		    /* before a router starts the request without a grant */
 #define MAX_CANDIDATES 3	/* engines that may have cached the shared parts of a prompt */
 #define UTILIZATION_NONE 1000.0 /* stands for an owner without a usable engine */
 /* Differences between owners count only above this utilization. */
@@ -306,6 +307,12 @@
 	};
 }
 
+/* The request may wait for the end of one turn of our loop, and its reply for that of another. */
+static uint64_t own_delay(const placement_t *this)
+{
+	return instant_min(2 * this->own_delay, MAX_OWN_DELAY);
+}
+
 static void send_request(
 	placement_t *this, placement_request_t *request, unsigned int owner, instant_t now)
 {
@@ -324,7 +331,7 @@
 		return;
 	}
 	request->state = PLACEMENT_REQUESTED;
-	request->reply_by = now + REPLY_TIMEOUT;
+	request->reply_by = now + REPLY_TIMEOUT + own_delay(this);
 	this->next_pending_check = instant_min(this->next_pending_check, request->reply_by);
 	usage = placement_pool_usage(&this->peers[owner], request->pool);
 	if (usage)
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -42,7 +42,9 @@
 /* Several routers in one program, and the network between them. */
 typedef struct fleet {
 	placement_t *placements[ROUTERS];
-	bool frozen[ROUTERS];	    /* the router does not run, messages to it wait */
+	bool frozen[ROUTERS];	  /* the router does not run, messages to it wait */
+	unsigned int slow_router; /* runs only every `slow_ms`, if that is not 0 */
+	unsigned int slow_ms;
 	bool cut[ROUTERS][ROUTERS]; /* from one router to another: messages are lost */
 	unsigned int lose_per_mille;
 	instant_t now;
@@ -232,6 +234,8 @@
 {
 	for (unsigned int k = 0; k < ms; k++) {
 		this->now += STEP_US;
+		if (this->slow_ms)
+			this->frozen[this->slow_router] = this->now / STEP_US % this->slow_ms != 0;
 		deliver_due_messages(this);
 		finish_jobs(this);
 		for (unsigned int i = 0; i < ROUTERS; i++) {
@@ -540,6 +544,29 @@
 	fleet_delete(f);
 }
 
+/*
+ * A router that runs only every 60 ms gets each reply late.  It does not give up on owners that
+ * have replied, which would send each request to several of them.
+ */
+static void test_slow_router_does_not_take_its_owners_for_silent(void **state)
+{
+	fleet_t *f = fleet_new(11);
+	const placement_stats_t *stats = placement_stats(f->placements[0]);
+
+	f->slow_router = 0;
+	f->slow_ms = 60;
+	fleet_run(f, 1000);
+	for (unsigned int t = 0; t < 60; t++) {
+		request_slot(f, 0);
+		fleet_run(f, 60);
+	}
+	fleet_run(f, 1000);
+	assert_int_equal(stats->unanswered, 0);
+	assert_int_equal(stats->without_grant, 0);
+	assert_int_equal(f->started, f->jobs->len);
+	fleet_delete(f);
+}
+
 /* A workspace whose callers use the flooded router too gets all that it asks for. */
 static void test_flood_leaves_slots_to_other_workspace_at_the_same_router(void **state)
 {
@@ -577,6 +604,7 @@
 		cmocka_unit_test(test_cancelled_requests_leave_no_slots_in_use),
 		cmocka_unit_test(test_grant_for_leaving_engine_is_not_used),
 		cmocka_unit_test(test_flood_at_one_router_is_refused_without_asking_owners),
+		cmocka_unit_test(test_slow_router_does_not_take_its_owners_for_silent),
 		cmocka_unit_test(test_flood_leaves_slots_to_other_workspace_at_the_same_router),
 	};
 
