Peer sockets without news cost one system call a turn, not several each

Now their descriptors are looked at together, messages are received once a turn, and a monitor is read only when it has an event.

--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <linux/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,8 @@
 	uint8_t key[KEY_SIZE];
 	void *push;
 	void *monitor;
+	int monitor_fd;
+	bool monitor_pending;
 	int fd;		   /* -1 while not connected */
 	bool disconnected; /* not yet returned by peer_socket_next_disconnected() */
 	bool cut;	   /* see peer_socket_set_cut() */
@@ -36,7 +39,18 @@
 	void *context;
 	void *pull;
 	void *zap;
-	void *monitor;		    /* events of incoming connections */
+	void *monitor; /* events of incoming connections */
+	/*
+	 * ZeroMQ's descriptors of the sockets.  One that is not readable has nothing new: looking
+	 * at all of them takes one system call, an attempt to receive takes several each.
+	 */
+	int pull_fd;
+	int zap_fd;
+	int monitor_fd;
+	/* Not received to the end since the descriptor was readable, or since the start. */
+	bool pull_pending;
+	bool zap_pending;
+	bool monitor_pending;
 	int accepted[MAX_ACCEPTED]; /* descriptors of incoming connections */
 	unsigned int accepted_count;
 	peer_connection_t connections[MAX_PEERS];
@@ -60,6 +74,15 @@
 	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
 }
 
+static int poll_fd(void *socket)
+{
+	size_t size = sizeof(int);
+	int fd = -1;
+
+	zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+	return fd;
+}
+
 /* Opens a socket that reports when connections of `socket` are opened and closed. */
 static void *open_monitor(peer_socket_t *this, void *socket)
 {
@@ -83,6 +106,7 @@
 
 	this->pull = zmq_socket(this->context, ZMQ_PULL);
 	this->monitor = open_monitor(this, this->pull);
+	this->monitor_fd = poll_fd(this->monitor);
 	set_common_options(this->pull);
 	set_int(this->pull, ZMQ_CURVE_SERVER, 1);
 	zmq_setsockopt(this->pull, ZMQ_MAXMSGSIZE, &max, sizeof(max));
@@ -100,6 +124,8 @@
 
 	connection->push = zmq_socket(this->context, ZMQ_PUSH);
 	connection->monitor = open_monitor(this, connection->push);
+	connection->monitor_fd = poll_fd(connection->monitor);
+	connection->monitor_pending = true;
 	connection->fd = -1;
 	set_common_options(connection->push);
 	set_int(connection->push, ZMQ_IMMEDIATE, 1);
@@ -157,19 +183,10 @@
 	return open_connection(this, connection) ? (int)(connection - this->connections) : -1;
 }
 
-static int poll_fd(void *socket)
-{
-	size_t size = sizeof(int);
-	int fd = -1;
-
-	zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
-	return fd;
-}
-
 void peer_socket_fds(peer_socket_t *this, int fds[PEER_SOCKET_FDS])
 {
-	fds[0] = poll_fd(this->pull);
-	fds[1] = poll_fd(this->zap);
+	fds[0] = this->pull_fd;
+	fds[1] = this->zap_fd;
 }
 
 peer_socket_t *peer_socket_new(const peer_socket_options_t *options)
@@ -186,6 +203,11 @@
 		if (peer_socket_add(this, &options->peers[i]) < 0)
 			goto fail;
 	}
+	this->pull_fd = poll_fd(this->pull);
+	this->zap_fd = poll_fd(this->zap);
+	this->pull_pending = true;
+	this->zap_pending = true;
+	this->monitor_pending = true;
 	return this;
 fail:
 	peer_socket_delete(this);
@@ -278,6 +300,9 @@
 	zmq_msg_t frames[ZAP_FRAMES];
 	int count;
 
+	if (!this->zap_pending)
+		return;
+	this->zap_pending = false;
 	while ((count = receive_frames(this->zap, frames)) > 0) {
 		if (count >= 2)
 			answer_zap_request(this, frames, count);
@@ -296,6 +321,19 @@
 	return true;
 }
 
+static void find_pending(peer_socket_t *this)
+{
+	struct pollfd fds[] = {
+		{.fd = this->pull_fd, .events = POLLIN},
+		{.fd = this->zap_fd, .events = POLLIN},
+	};
+
+	if (poll(fds, ARRAY_LEN(fds), 0) < 1)
+		return;
+	this->pull_pending |= fds[0].revents != 0;
+	this->zap_pending |= fds[1].revents != 0;
+}
+
 bool peer_socket_receive(
 	peer_socket_t *this, char *buffer, size_t size, size_t *received, id_t32 *sender)
 {
@@ -303,11 +341,16 @@
 	const char *user;
 	bool accepted_message = false;
 
+	if (!this->pull_pending)
+		find_pending(this);
 	answer_zap_requests(this);
+	if (!this->pull_pending)
+		return false;
 	while (!accepted_message) {
 		zmq_msg_init(&frame);
 		if (zmq_msg_recv(&frame, this->pull, ZMQ_DONTWAIT) < 0) {
 			zmq_msg_close(&frame);
+			this->pull_pending = false;
 			return false;
 		}
 		user = zmq_msg_gets(&frame, "User-Id");
@@ -334,6 +377,9 @@
 	};
 
 	zmq_poll(items, ARRAY_LEN(items), (long)((timeout + 999) / 1000));
+	/* zmq_poll() may have consumed the descriptors' signals. */
+	this->pull_pending = true;
+	this->zap_pending = true;
 }
 
 void peer_socket_set_cut(peer_socket_t *this, unsigned int peer, bool cut)
@@ -361,6 +407,7 @@
 	uint16_t event;
 	int fd;
 
+	connection->monitor_pending = false;
 	while (next_event(connection->monitor, &event, &fd)) {
 		connection->disconnected |= event == ZMQ_EVENT_DISCONNECTED;
 		connection->fd = event == ZMQ_EVENT_DISCONNECTED ? -1 : fd;
@@ -380,6 +427,7 @@
 	uint16_t event;
 	int fd;
 
+	this->monitor_pending = false;
 	while (next_event(this->monitor, &event, &fd)) {
 		remove_accepted(this, fd);
 		if (event == ZMQ_EVENT_ACCEPTED && this->accepted_count < MAX_ACCEPTED)
@@ -387,11 +435,22 @@
 	}
 }
 
+/* Reads the events of the connections whose monitors have any. */
 static void update_connections(peer_socket_t *this)
 {
-	update_accepted(this);
+	struct pollfd fds[MAX_PEERS + 1];
+
+	fds[0] = (struct pollfd){.fd = this->monitor_fd, .events = POLLIN};
 	for (unsigned int i = 0; i < this->count; i++)
-		update_connection(&this->connections[i]);
+		fds[i + 1] =
+			(struct pollfd){.fd = this->connections[i].monitor_fd, .events = POLLIN};
+	poll(fds, this->count + 1, 0);
+	if (this->monitor_pending || fds[0].revents)
+		update_accepted(this);
+	for (unsigned int i = 0; i < this->count; i++) {
+		if (this->connections[i].monitor_pending || fds[i + 1].revents)
+			update_connection(&this->connections[i]);
+	}
 }
 
 bool peer_socket_next_disconnected(peer_socket_t *this, unsigned int *peer)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -263,6 +263,7 @@
 		this->engines_outdated = false;
 		update_engines(this);
 	}
+	peers_receive(this->peers, now);
 	peers_step(this->peers, now);
 	run_placement_actions(this);
 	peers_step(this->peers, now); /* sends what the actions caused */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -54,7 +54,7 @@
 	entry_reader_delete(reader);
 }
 
-static void receive_messages(peers_t *this, instant_t now)
+void peers_receive(peers_t *this, instant_t now)
 {
 	id_t32 sender;
 	size_t size;
@@ -122,7 +122,6 @@
 	message_header_t header;
 	unsigned int slot;
 
-	receive_messages(this, now);
 	report_broken_connections(this, now);
 	wake_for_gossip(this, now);
 	placement_tick(this->placement, now);
@@ -130,7 +129,7 @@
 		send_message(this, slot, &header, now);
 }
 
-/* Only wakes the loop: the next peers_step() reads the messages. */
+/* Only wakes the loop: the next peers_receive() reads the messages. */
 static void on_readable(uv_poll_t *poll, int status, int events)
 {
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -33,7 +33,9 @@
 placement_t *peers_placement(peers_t *this);
 /* Handles another router's row of the roster: adds, updates or unlists the peer. */
 void peers_handle_row(peers_t *this, const store_row_t *row);
-/* Handles the received messages, runs the placement and sends the messages that are due. */
+/* Handles all messages that have arrived; has to be called in each turn of the loop. */
+void peers_receive(peers_t *this, instant_t now);
+/* Runs the placement and sends the messages that are due. */
 void peers_step(peers_t *this, instant_t now);
 /* True if an unknown peer, whose key is not in the roster, tried to connect since the last call. */
 bool peers_saw_unknown_peer(peers_t *this);
