An overloaded router asks the balancer for a pause

Callers saw: at each peak a tenth of all tries ended at their deadline or without a connection, nearly all at one router of 0.12 cores; the 19 others of its failure domain were idle. With less work for each request it serves more, but its processor time ends. Now a router that was busy for nine tenths of a second reports for 6 s that it is not ready. It serves what it has and whoever still comes; the balancer sends new connections to others. Weighed: forwarding to other routers (costs the busy one as much as relaying), a flag to peers (a new message format) so that a fleet that is busy as a whole makes no pauses: instead each router takes connections for a third of the time at least. A router that starts is not paused.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -83,7 +83,8 @@
 
 bool gateway_is_ready(const gateway_t *this)
 {
-	return this->catalog && this->endpoints_loaded && !this->stopping;
+	return this->catalog && this->endpoints_loaded && !this->stopping &&
+	       !overload_is_paused(&this->overload, clock_now());
 }
 
 static void send_metrics(const gateway_t *this, caller_t *caller)
@@ -286,6 +287,9 @@
 			turn->requests, turn->callers_gone, listener_caller_count(this->callers),
 			this->call_count);
 	this->turn = (turn_stats_t){0};
+	if (overload_record(&this->overload, busy, clock_now()))
+		log_warn("overloaded", "callers=%u calls=%u", listener_caller_count(this->callers),
+			this->call_count);
 }
 
 /* --- timers and planned stop ------------------------------------------ */
@@ -410,6 +414,7 @@
 	this->prepare.data = this;
 	uv_prepare_start(&this->prepare, on_prepare);
 	this->loop_watch = loop_watch_new(&watch_options);
+	overload_init(&this->overload, clock_now());
 	uv_timer_init(&this->loop, &this->tick);
 	this->tick.data = this;
 	uv_timer_start(&this->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
  */
 #include <uv.h>
 
+#include "core/overload.h"
 #include "gateway/adapter.h"
 #include "gateway/call.h"
 #include "gateway/gateway_settings.h"
@@ -44,6 +45,7 @@
 	uv_signal_t signals[3];
 	loop_watch_t *loop_watch;
 	turn_stats_t turn;
+	overload_t overload;
 	listener_t *callers;
 	listener_t *ready;
 	listener_t *metrics;
@@ -93,7 +95,10 @@
 bool gateway_accepts_call(const gateway_t *this, instant_t now, instant_t deadline);
 /* Number of routers that share the fleet's work, this one included. */
 unsigned int gateway_router_count(const gateway_t *this);
-/* True once the catalog and the endpoints are loaded, until a planned stop begins. */
+/*
+ * True once the catalog and the endpoints are loaded, until a planned stop begins; false also
+ * while an overloaded router asks for no new connections.
+ */
 bool gateway_is_ready(const gateway_t *this);
 void gateway_add_call(gateway_t *this, call_t *call);
 void gateway_remove_call(gateway_t *this, call_t *call);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -1,3 +1,4 @@
+#include "edge/clock.h"
 #include "edge/log.h"
 #include "edge/metrics.h"
 #include "gateway/gateway.h"
@@ -10,6 +11,7 @@
 		scheduler_stats(placement_scheduler(placement));
 
 	metrics_append(out, "ready", gateway_is_ready(this));
+	metrics_append(out, "overload_pause", overload_is_paused(&this->overload, clock_now()));
 	metrics_append(out, "catalog_version", this->catalog ? this->catalog->version : 0);
 	metrics_append(out, "endpoints", endpoint_registry_count(this->endpoint_registry));
 	metrics_append(out, "callers", listener_caller_count(this->callers));
