A change of owners is reported to the new owners only

Now only slots whose engine has a new owner are reported, to that owner; the full report goes out every second as before. Test: test_death_of_a_member_causes_no_message_to_every_other; it failed before.

--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -81,7 +81,7 @@
 void placement_report_slot(placement_t *this, placement_request_t *request, instant_t now);
 /* Reports all slots in use, so that the owners can free those that are no longer in use. */
 void placement_report_all_slots(placement_t *this, instant_t now);
-/* Recomputes the owners of the engines; reports all slots in use if any owner changed. */
+/* Recomputes the owners of the engines; reports the slots in use to new owners. */
 void placement_assign_owners(placement_t *this, instant_t now);
 
 /* placement_request.c: slot requests and the choice of their owner */
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -105,6 +105,19 @@
 	}
 }
 
+/* Reports the slots in use whose engine got a new owner. */
+static void report_moved_slots(placement_t *this, instant_t now)
+{
+	placement_request_t *request;
+
+	cds_list_for_each_entry (request, &this->running, link) {
+		const engine_state_t *engine = placement_find_engine(this, request->engine);
+
+		if (engine && engine->owner != request->owner)
+			placement_report_slot(this, request, now);
+	}
+}
+
 void placement_assign_owners(placement_t *this, instant_t now)
 {
 	bool changed = false;
@@ -119,5 +132,5 @@
 	}
 	this->owned_view = this->members.view;
 	if (changed)
-		placement_report_all_slots(this, now);
+		report_moved_slots(this, now);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -591,6 +591,69 @@
 	fleet_delete(f);
 }
 
+#define MANY_MEMBERS 50
+
+static void receive_heartbeats(
+	placement_t *placement, unsigned int first, uint64_t seq, instant_t now)
+{
+	for (unsigned int i = first; i <= MANY_MEMBERS; i++) {
+		message_header_t header = {.from = router_id(i), .incarnation = 1, .seq = seq};
+		unsigned int slot;
+
+		placement_accept_message(placement, &header, &slot, now);
+	}
+}
+
+/* Takes all messages that are due; returns the number of ENTRY_REPORT_END in them. */
+static unsigned int take_report_ends(placement_t *placement, instant_t now)
+{
+	unsigned int count = 0;
+	message_header_t header;
+	message_entry_t entry;
+	unsigned int slot;
+
+	while (placement_next_message(placement, &slot, &header, now)) {
+		while (placement_next_entry(placement, slot, &entry))
+			count += entry.kind == ENTRY_REPORT_END;
+	}
+	return count;
+}
+
+/*
+ * When many routers die or return, each change of owners would cause a message from every router
+ * to every other.
+ */
+static void test_death_of_a_member_causes_no_message_to_every_other(void **state)
+{
+	instant_t now = USEC_PER_SEC;
+	placement_options_t options = {.self = router_id(0), .incarnation = 1, .seed = 1};
+	placement_t *placement = placement_new(&options, now);
+	placement_engine_t engines[ENGINES];
+	unsigned int report_ends = 0;
+
+	for (unsigned int i = 1; i <= MANY_MEMBERS; i++)
+		placement_add_member(placement, router_id(i));
+	receive_heartbeats(placement, 1, 1, now);
+	for (unsigned int k = 0; k < ENGINES; k++)
+		engines[k] = (placement_engine_t){.id = engine_id(k),
+			.pool = POOL,
+			.limits = {.slots = SLOTS},
+			.usable = true};
+	placement_set_engines(placement, engines, ENGINES, now);
+	placement_tick(placement, now);
+	take_report_ends(placement, now);
+	/* The first half of the members falls silent and dies 2.5 s later. */
+	for (unsigned int ms = 1; ms <= 3500; ms++) {
+		now += STEP_US;
+		if (ms % 100 == 0)
+			receive_heartbeats(placement, MANY_MEMBERS / 2, ms, now);
+		placement_tick(placement, now);
+		report_ends += take_report_ends(placement, now);
+	}
+	assert_true(report_ends <= 3 * MANY_MEMBERS);
+	placement_delete(placement);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -602,6 +665,7 @@
 		cmocka_unit_test(test_duplicate_and_late_messages_are_ignored),
 		cmocka_unit_test(test_stopping_owner_hands_over_its_engines),
 		cmocka_unit_test(test_cancelled_requests_leave_no_slots_in_use),
+		cmocka_unit_test(test_death_of_a_member_causes_no_message_to_every_other),
 		cmocka_unit_test(test_grant_for_leaving_engine_is_not_used),
 		cmocka_unit_test(test_flood_at_one_router_is_refused_without_asking_owners),
 		cmocka_unit_test(test_slow_router_does_not_take_its_owners_for_silent),
