The bound on waiting requests follows the owners' refusals

Test: test_bursts_at_one_router_get_their_share_beside_a_spread_flood; before, 419 of 540 were served, now 525.

--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -113,8 +113,10 @@
 {
 	placement_request_t *request = find_pending(this, slot, entry->ticket);
 
-	if (request)
-		placement_reject(this, request, entry->value);
+	if (!request)
+		return;
+	backlog_record_refusal(placement_backlog(this, request));
+	placement_reject(this, request, entry->value);
 }
 
 static void handle_not_owner(
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -222,8 +222,8 @@
 
 	if (request->state != PLACEMENT_NONE)
 		leave_list(request);
+	backlog_record_grant(placement_backlog(this, request), now);
 	backlog_remove(&request->backlog_entry);
-	grant_rate_count(&placement_backlog(this, request)->grants, now);
 	enter_list(this, request, &this->running);
 	request->state = PLACEMENT_GRANTED;
 	request->engine = engine;
