A request whose caller has left is not sent

Callers saw: requests that reach an endpoint seconds after their callers have left (GONE). Cause: a saturated router accepts late; the connection waits in the kernel with the request and the caller's close behind it. The request is read first and sent in the same turn. Now the caller's connection is looked at just before the request is sent, one system call for each attempt. Test: test_request_of_caller_that_has_left_is_not_sent; before, the requests were sent (caller-left in place of caller-gone).

--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -111,6 +111,12 @@
 		call->reason = call_may_have_run(call) ? REASON_TIMEOUT : REASON_DEADLINE;
 		return STEP_FAIL;
 	}
+	/* A request can wait in the kernel, with its caller's close behind it. */
+	if (caller_has_left(call->caller)) {
+		call_leave_placement(call, SLOT_UNUSED);
+		caller_disconnect(call->caller); /* frees the call */
+		return STEP_WAIT;
+	}
 	request.bytes = build_request(call, now);
 	call->state = CALL_SENT;
 	call->sends++;
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -1,8 +1,10 @@
 #include "gateway/caller.h"
 
+#include <errno.h>
 #include <http_parser.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "edge/clock.h"
 #include "edge/log.h"
@@ -107,6 +109,18 @@
 		this->group->ops->on_gone(exchange);
 }
 
+bool caller_has_left(const caller_t *this)
+{
+	char byte;
+	ssize_t n;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&this->tcp, &fd))
+		return true;
+	n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void caller_abort(caller_t *this)
 {
 	this->exchange = NULL;
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -42,6 +42,8 @@
 void caller_time_out(caller_t *this);
 /* Closes the connection, and calls on_gone for its exchange, if any. */
 void caller_disconnect(caller_t *this);
+/* Returns whether the caller has closed the connection, which the loop may not have noticed yet. */
+bool caller_has_left(const caller_t *this);
 
 /* Value of the first header with that name, in any case; NULL if there is none. */
 const char *caller_header(const caller_request_t *request, const char *name);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -6,6 +6,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -720,6 +722,44 @@
 
 /* --- streams ---------------------------------------------------------- */
 
+/* Sends a request and closes the connection; both arrive in one segment. */
+static void send_and_leave(fixture_t *f, const char *text)
+{
+	int fd = fixture_connect(f->caller_address);
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_CORK, &on, sizeof(on));
+	raw_write(fd, text);
+	close(fd);
+}
+
+/*
+ * The request of a caller that has left is read before its close is.  An idle connection to the
+ * endpoint would take the request at once.
+ */
+static void test_request_of_caller_that_has_left_is_not_sent(void **state)
+{
+	fixture_t *f = fixture_new();
+	char *text = fixture_format_request("GET", "/status/", "left", "", "");
+	const unsigned int rounds = 10;
+	char gone[64];
+
+	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_wait_ready(f, 1);
+	for (unsigned int i = 1; i <= rounds; i++) {
+		char *response = post(f, "/status/", "stays", "");
+
+		assert_contains(response, "hello");
+		g_free(response);
+		send_and_leave(f, text);
+		g_snprintf(gone, sizeof(gone), "reason=\"caller-gone\"} %u\n", i);
+		assert_true(fixture_wait_metrics(f, gone, ""));
+	}
+	assert_int_equal(raw_endpoint_request_count(f->endpoints[0]), rounds);
+	g_free(text);
+	fixture_delete(f);
+}
+
 static void test_stream_forwards_all_events(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -1098,6 +1138,7 @@
 		cmocka_unit_test(test_second_response_to_one_request_is_discarded),
 		cmocka_unit_test(test_expired_deadline_gets_504_and_closes_endpoint_connection),
 		cmocka_unit_test(test_caller_disconnect_closes_endpoint_connection),
+		cmocka_unit_test(test_request_of_caller_that_has_left_is_not_sent),
 		cmocka_unit_test(test_stream_forwards_all_events),
 		cmocka_unit_test(test_broken_resumable_stream_continues_in_same_response),
 		cmocka_unit_test(test_broken_stream_without_resume_ends_truncated),
