The test of bursts beside a spread flood checks its result again

Found in the last reading of the change. The assertion is back as it was. Every other test of the changed files was searched for the same loss: none.

--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -621,6 +621,7 @@
 		asked += job->request.workspace == 2;
 		served += job->request.workspace == 2 && job->started_at;
 	}
+	assert_true(served * 100 >= asked * 90);
 	fleet_delete(f);
 }
 
