--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -22,7 +22,8 @@
 	unsigned int open_polls;
 	int socket_index[MEMBER_MAX]; /* index in the peer socket by member slot; -1: none */
 	uint64_t incarnations[MEMBER_MAX];
-	bool was_alive[MEMBER_MAX];
+	member_state_t states[MEMBER_MAX]; /* as last logged, by member slot */
+	instant_t heard_at[MEMBER_MAX];	   /* newest message from the member; 0: none */
 	instant_t next_broken_check;
 	char buffer[ENTRY_CODEC_MAX_BYTES];
 };
@@ -46,6 +47,7 @@
 			part_watch_reset_peer(this->options.part_watch, slot);
 		}
 		this->incarnations[slot] = header.incarnation;
+		this->heard_at[slot] = now;
 		while (entry_reader_next(reader, &entry, now)) {
 			if (entry.kind == ENTRY_ROW_VERSION || entry.kind == ENTRY_ROW_REQUEST ||
 				entry.kind == ENTRY_ROW_CHUNK)
@@ -105,12 +107,34 @@
 		peer_socket_send(this->socket, (unsigned int)this->socket_index[slot], bytes, size);
 }
 
-/* Messages to a peer that was out of reach were lost. */
-static bool check_alive(peers_t *this, unsigned int slot, bool alive)
+static void log_state(const peers_t *this, unsigned int slot, const member_t *member, instant_t now)
 {
-	if (alive && !this->was_alive[slot])
+	static const char *const names[] = {
+		[MEMBER_NOT_SEEN] = "not-seen",
+		[MEMBER_ALIVE] = "alive",
+		[MEMBER_SUSPECT] = "suspect",
+		[MEMBER_DEAD] = "dead",
+	};
+	instant_t heard_at = this->heard_at[slot] ? this->heard_at[slot] : now;
+
+	log_notice("peer-state", "peer=%u state=%s before=%s silent_ms=%" G_GUINT64_FORMAT,
+		member->id, names[member->state], names[this->states[slot]],
+		(guint64)((now - heard_at) / USEC_PER_MSEC));
+}
+
+/* Notes a change of the member's state; returns whether it is alive. */
+static bool check_state(peers_t *this, unsigned int slot, instant_t now)
+{
+	const member_t *member = &placement_members(this->placement)->list[slot];
+	bool alive = member_is_alive(member);
+	bool was_alive = this->states[slot] == MEMBER_ALIVE || this->states[slot] == MEMBER_SUSPECT;
+
+	/* Messages to a peer that was out of reach were lost. */
+	if (alive && !was_alive)
 		part_watch_reset_peer(this->options.part_watch, slot);
-	this->was_alive[slot] = alive;
+	if (member->state != this->states[slot])
+		log_state(this, slot, member, now);
+	this->states[slot] = member->state;
 	return alive;
 }
 
@@ -119,9 +143,7 @@
 	const members_t *members = placement_members(this->placement);
 
 	for (unsigned int slot = 1; slot < members->count; slot++) {
-		bool alive = member_is_alive(&members->list[slot]);
-
-		if (check_alive(this, slot, alive) &&
+		if (check_state(this, slot, now) &&
 			(row_gossip_is_due(this->gossip, slot, now) ||
 				part_watch_is_due(this->options.part_watch, slot)))
 			placement_make_message_due(this->placement, slot, now);
--- a/src/gateway/table_watch.c
+++ b/src/gateway/table_watch.c
@@ -43,6 +43,7 @@
 	uint64_t era;		     /* of the newest response; 0: none yet */
 	bool must_recheck;	     /* the next read is a short one */
 	instant_t unreachable_since; /* 0: reachable */
+	instant_t responded_at;	     /* newest response; 0: none yet */
 	unsigned int failures;
 };
 
@@ -132,6 +133,12 @@
 	return !sleep_unless_stopping(this, 0);
 }
 
+/* Time since the newest response, or 0 before the first one. */
+static uint64_t silence_ms(const table_watch_t *this)
+{
+	return this->responded_at ? (clock_now() - this->responded_at) / USEC_PER_MSEC : 0;
+}
+
 static void handle_failure(table_watch_t *this, row_result_t result)
 {
 	unsigned int delay_ms = this->options.retry_ms << (this->failures < 2 ? this->failures : 2);
@@ -141,7 +148,8 @@
 	if (!this->unreachable_since) {
 		this->unreachable_since = clock_now();
 		post_update(this, NULL, false, 0);
-		log_warn("store-lost", "table=%s result=%d", this->options.table, (int)result);
+		log_warn("store-lost", "table=%s result=%d silent_ms=%" G_GUINT64_FORMAT,
+			this->options.table, (int)result, (guint64)silence_ms(this));
 	}
 	sleep_unless_stopping(
 		this, delay_ms / 2 + (unsigned int)g_random_int_range(0, (gint32)delay_ms / 2));
@@ -180,6 +188,7 @@
 		log_notice("store-back", "table=%s outage_ms=%" G_GUINT64_FORMAT,
 			this->options.table, (guint64)(outage / USEC_PER_MSEC));
 	this->unreachable_since = 0;
+	this->responded_at = clock_now();
 	this->failures = 0;
 	note_era(this, version.era);
 	this->version = version;
@@ -229,7 +238,8 @@
 	result = this->store->ops->wait(
 		this->store, this->options.table, choose_wait(this, wait_ms), rows, &this->version);
 	this->must_recheck = false;
-
+	if (result == ROWS_OK)
+		this->responded_at = clock_now();
 	if (note_era(this, this->version.era)) {
 		/* The rows that changed before the response's are unknown, even if it has some. */
 		this->version.number = 0;
