Failing test: CONFIG and DRAIN while links between routers are silent

Two gateways whose links go through a proxy that drops the bytes of open connections, while new ones work; the second router's reads that wait at the store are silent too.

--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -101,6 +101,8 @@
 	error_list_t errors;
 	int fd = g_file_open_tmp(NULL, &path, NULL);
 
+	if (options->store_address)
+		store = options->store_address;
 	find_free_address(this->caller_address, sizeof(this->caller_address));
 	find_free_address(this->ready_address, sizeof(this->ready_address));
 	find_free_address(peer, sizeof(peer));
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -44,7 +44,8 @@
 	const char *name;	      /* of the router; NULL: "r" */
 	/* Of another fixture, which has written the configuration; NULL: a store of its own. */
 	row_store_standin_t *store;
-	bool use_second_address; /* of the store; see row_store_standin_set_refusing() */
+	bool use_second_address;   /* of the store; see row_store_standin_set_refusing() */
+	const char *store_address; /* a proxy before the store; NULL: the store itself */
 } fixture_options_t;
 
 fixture_t *fixture_new_with(const fixture_options_t *options);
--- /dev/null
+++ b/tests/test_silent_connection.c
@@ -0,0 +1,242 @@
+/* threaded: silent_connection - open connections that go silent without a reset are renewed */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "gateway/roster.h"
+#include "standin/silent_proxy.h"
+#include "tests/gateway_fixture.h"
+
+#define WAIT_MS 10000
+#define QUIET_TIME (1500 * USEC_PER_MSEC)
+#define HANDSHAKE_BYTES 2000 /* more than the handshake of a link between routers */
+/* A read that waits at the store does not end within WAIT_MS by itself. */
+#define LONG_WAITS ",\"store_wait_ms\":30000,\"roster_wait_ms\":30000"
+#define ROUTE(name)                                                                                \
+	",{\"name\":\"" name "\",\"host\":\"" FIXTURE_HOST "\",\"prefix\":\"/" name "/\","         \
+	"\"kind\":\"idempotent\",\"timeoutMs\":1000,\"maxAttempts\":1,\"public\":true,"            \
+	"\"service\":\"shop\"}"
+
+/* Two routers; the links between them and the second one's connections to the store can go silent.
+ */
+typedef struct pair {
+	silent_proxy_t *store;
+	fixture_t *first;
+	fixture_t *second;
+	silent_proxy_t *to_first;
+	silent_proxy_t *to_second;
+} pair_t;
+
+static bool respond_hello(void *ctx, int fd, const raw_request_t *request)
+{
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n"
+				     "Content-Length: 5\r\n\r\nhello",
+		request->id);
+
+	raw_write(fd, text);
+	g_free(text);
+	return true;
+}
+
+static void wait_metric(fixture_t *f, const char *name, unsigned int value)
+{
+	char *metric = g_strdup_printf("amaranthwall_%s %u\n", name, value);
+
+	assert_true(fixture_wait_metrics(f, metric, ""));
+	g_free(metric);
+}
+
+/* Whether a GET for the public route `name` gets an endpoint's response. */
+static bool is_served(fixture_t *f, const char *name)
+{
+	char *text = g_strdup_printf("GET /%s/ HTTP/1.1\r\nHost: " FIXTURE_HOST
+				     "\r\nRequest-Id: i\r\nConnection: close\r\n\r\n",
+		name);
+	char *response = fixture_send_and_read(f, text, WAIT_MS);
+	bool served = strstr(response, "hello") != NULL;
+
+	g_free(response);
+	g_free(text);
+	return served;
+}
+
+static bool is_served_within(fixture_t *f, const char *name, unsigned int ms)
+{
+	instant_t deadline = clock_now() + ms * USEC_PER_MSEC;
+	bool served = false;
+
+	while (!(served = is_served(f, name)) && clock_now() < deadline)
+		sleep_ms(10);
+	return served;
+}
+
+static bool is_rejected_within(fixture_t *f, const char *name, unsigned int ms)
+{
+	instant_t deadline = clock_now() + ms * USEC_PER_MSEC;
+	bool served = true;
+
+	while ((served = is_served(f, name)) && clock_now() < deadline)
+		sleep_ms(10);
+	return !served;
+}
+
+/* Replaces the address in the router's row by that of a proxy before it. */
+static silent_proxy_t *interpose_proxy(fixture_t *f)
+{
+	silent_proxy_t *proxy = silent_proxy_new(f->settings->peer_address);
+	instant_t deadline = clock_now() + WAIT_MS * USEC_PER_MSEC;
+	roster_entry_t entry;
+	jsondoc_t *doc = NULL;
+	char *row = NULL;
+	char *text;
+
+	while (!(row = row_store_standin_get(f->store, ROSTER_TABLE, f->name)) &&
+		clock_now() < deadline)
+		sleep_ms(5);
+	assert_non_null(row);
+	assert_true(roster_decode(row, strlen(row), f->name, &entry, &doc));
+	text = g_strdup_printf(
+		"{\"address\":\"%s\",\"public_key\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT "}",
+		silent_proxy_address(proxy), entry.public_key, (guint64)entry.incarnation);
+	row_store_standin_put(f->store, ROSTER_TABLE, f->name, text);
+	jsondoc_delete(doc);
+	g_free(text);
+	g_free(row);
+	return proxy;
+}
+
+static fixture_t *start_router(const char *name, row_store_standin_t *store, const char *address)
+{
+	fixture_options_t options = {
+		.settings = LONG_WAITS,
+		.idle_timeout_ms = 1000,
+		.name = name,
+		.store = store,
+		.store_address = address,
+	};
+
+	return fixture_new_with(&options);
+}
+
+/* Waits until more than the handshake of a link has passed. */
+static void wait_for_messages(silent_proxy_t *proxy)
+{
+	instant_t deadline = clock_now() + WAIT_MS * USEC_PER_MSEC;
+
+	while (silent_proxy_forwarded(proxy) < HANDSHAKE_BYTES && clock_now() < deadline)
+		sleep_ms(5);
+	assert_true(silent_proxy_forwarded(proxy) >= HANDSHAKE_BYTES);
+}
+
+/* Waits until all reads of the store are long ones: short ones follow a change for a while. */
+static void wait_for_long_reads(row_store_standin_t *store)
+{
+	instant_t quiet_at = clock_now() + QUIET_TIME;
+	unsigned int requests = row_store_standin_request_count(store);
+
+	while (clock_now() < quiet_at) {
+		sleep_ms(5);
+		if (row_store_standin_request_count(store) == requests)
+			continue;
+		requests = row_store_standin_request_count(store);
+		quiet_at = clock_now() + QUIET_TIME;
+	}
+}
+
+/* Starts both routers and waits until messages go through the proxies in both directions. */
+static void pair_init(pair_t *this)
+{
+	this->first = start_router("first", NULL, NULL);
+	fixture_add_endpoint(this->first, respond_hello, NULL);
+	fixture_put_config(this->first, ROUTE("any"));
+	fixture_wait_ready(this->first, 1);
+	this->to_first = interpose_proxy(this->first);
+	this->store = silent_proxy_new(row_store_standin_address(this->first->store));
+	this->second =
+		start_router("second", this->first->store, silent_proxy_address(this->store));
+	fixture_wait_ready(this->second, 1);
+	this->to_second = interpose_proxy(this->second);
+	wait_for_messages(this->to_first);
+	wait_for_messages(this->to_second);
+	wait_metric(this->first, "routers_alive", 2);
+	wait_metric(this->second, "routers_alive", 2);
+	wait_for_long_reads(this->first->store);
+}
+
+static void pair_clear(pair_t *this)
+{
+	/* Ends the reads that wait at the store, so that the second router can stop. */
+	silent_proxy_delete(this->store);
+	fixture_delete(this->second);
+	fixture_delete(this->first);
+	silent_proxy_delete(this->to_first);
+	silent_proxy_delete(this->to_second);
+}
+
+/* --- links between routers ---------------------------------------------- */
+
+/* The link is the only way on which the second router can learn of the change. */
+static void expect_change_arrives(pair_t *this)
+{
+	silent_proxy_silence(this->store, SILENT_BOTH);
+	fixture_put_config(this->first, ROUTE("added"));
+	assert_true(is_served_within(this->first, "added", WAIT_MS));
+	assert_true(is_served_within(this->second, "added", WAIT_MS));
+}
+
+static void test_links_silent_in_both_directions_are_renewed(void **state)
+{
+	pair_t pair;
+
+	pair_init(&pair);
+	silent_proxy_silence(pair.to_first, SILENT_BOTH);
+	silent_proxy_silence(pair.to_second, SILENT_BOTH);
+	expect_change_arrives(&pair);
+	wait_metric(pair.first, "routers_alive", 2);
+	wait_metric(pair.second, "routers_alive", 2);
+	pair_clear(&pair);
+}
+
+/* The first router goes on hearing the second one, which hears nothing. */
+static void test_link_silent_in_one_direction_is_renewed(void **state)
+{
+	pair_t pair;
+
+	pair_init(&pair);
+	silent_proxy_silence(pair.to_second, SILENT_TO_TARGET);
+	expect_change_arrives(&pair);
+	wait_metric(pair.second, "routers_alive", 2);
+	pair_clear(&pair);
+}
+
+/* A version that is told while the link is silent is told again once the link is renewed. */
+static void test_row_told_over_silent_link_is_told_again(void **state)
+{
+	pair_t pair;
+
+	pair_init(&pair);
+	silent_proxy_silence(pair.store, SILENT_BOTH);
+	silent_proxy_silence(pair.to_second, SILENT_TO_TARGET);
+	assert_true(is_served(pair.second, "any"));
+	fixture_register_endpoint(pair.first, 0, "draining");
+	assert_true(is_rejected_within(pair.second, "any", WAIT_MS));
+	pair_clear(&pair);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_links_silent_in_both_directions_are_renewed),
+		cmocka_unit_test(test_link_silent_in_one_direction_is_renewed),
+		cmocka_unit_test(test_row_told_over_silent_link_is_told_again),
+	};
+
+	log_init("test", FALSE);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
