Links between routers that go silent are renewed

Cause: a connection was renewed only when ZeroMQ reported its end or the peer's address or key changed. A connection that drops bytes without an error stayed in use for minutes; versions of rows told over it were never told again, as only changes are sent.

Ruled out: heartbeats of ZeroMQ, which cost a message in each direction for each link; confirmations go with messages that are sent anyway.

Not mended by this: a read of the store that waits in silence.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,5 +1,6 @@
 #include "core/placement_internal.h"
 
+#include <limits.h>
 #include <string.h>
 
 /*
@@ -13,6 +14,11 @@
 /* Lower bound of the heartbeat interval, not multiplied by the number of routers. */
 #define HEARTBEAT_MIN_INTERVAL (100 * USEC_PER_MSEC)
 
+/* Between two confirmations of a peer's messages, which go out with other messages. */
+#define RECEIPT_INTERVAL (400 * USEC_PER_MSEC)
+/* Time allowed for a confirmation beyond two heartbeats. */
+#define RECEIPT_TIMEOUT (1 * USEC_PER_SEC)
+
 /* Ticks are at most this far apart, unless the embedder is slow. */
 #define TICK_INTERVAL (20 * USEC_PER_MSEC)
 #define OWN_DELAY_DECAY 16 /* part by which the delay shrinks with each tick */
@@ -326,6 +332,8 @@
 			.seq = ++peer->seq,
 			.stopping = this->stopping,
 		};
+		link_watch_sent(&peer->link, header->seq,
+			RECEIPT_TIMEOUT + 2 * heartbeat_interval(this), now);
 		return true;
 	}
 	return false;
@@ -349,6 +357,44 @@
 	return true;
 }
 
+bool placement_next_receipt(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
+{
+	const member_t *member = &this->members.list[slot];
+	peer_state_t *peer = &this->peers[slot];
+
+	if (now < peer->receipt_at || member->seq == peer->receipt_seq)
+		return false;
+	peer->receipt_at = now + RECEIPT_INTERVAL;
+	peer->receipt_seq = member->seq;
+	*entry = (message_entry_t){
+		.kind = ENTRY_RECEIPT, .ticket = member->seq, .version = member->incarnation};
+	return true;
+}
+
+bool placement_next_silent_link(placement_t *this, unsigned int *slot, instant_t now)
+{
+	/* Confirmations may have arrived while this router was slow, and wait to be read. */
+	instant_t expired = now > this->own_delay ? now - this->own_delay : 0;
+
+	for (unsigned int i = 1; i < this->members.count; i++) {
+		if (this->members.list[i].listed_gone ||
+			!link_watch_expire(&this->peers[i].link, expired))
+			continue;
+		*slot = i;
+		return true;
+	}
+	return false;
+}
+
+void placement_repeat_reports(placement_t *this, unsigned int slot)
+{
+	peer_state_t *peer = &this->peers[slot];
+
+	for (unsigned int i = 0; i < peer->usage_count; i++)
+		peer->usages[i].sent = (slot_usage_t){.slots = UINT_MAX};
+}
+
 /* --- setup -------------------------------------------------------------- */
 
 placement_t *placement_new(const placement_options_t *options, instant_t now)
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -44,14 +44,19 @@
 	/* The placement ignores these as well. */
 	ENTRY_PART_END,	  /* an endpoint ended under a prompt part */
 	ENTRY_PART_SOUND, /* an answer to a prompt with the part was sound */
+	ENTRY_RECEIPT,	  /* the newest message that the sender has received from the receiver */
 	ENTRY_KINDS,
 } entry_kind_t;
 
 /* One entry of a message.  A field is set only for the kinds that its comment names. */
 typedef struct message_entry {
 	entry_kind_t kind;
-	uint64_t ticket; /* of the slot request; ENTRY_PART_END, ENTRY_PART_SOUND: the part */
-	id_t32 engine;	 /* ENTRY_GRANT, ENTRY_PART_END */
+	/*
+	 * Of the slot request; ENTRY_PART_END, ENTRY_PART_SOUND: the part; ENTRY_RECEIPT: the
+	 * message's sequence number.
+	 */
+	uint64_t ticket;
+	id_t32 engine; /* ENTRY_GRANT, ENTRY_PART_END */
 	/*
 	 * ENTRY_GRANT: engine to copy the shared parts from, 0: none; ENTRY_PART_END: time since
 	 * the prompt was sent, ms.
@@ -71,8 +76,10 @@
 	slot_request_t slot_request;
 	held_slot_t held_slot; /* ENTRY_HELD_SLOT */
 	unsigned int table;    /* ENTRY_ROW_VERSION, ENTRY_ROW_REQUEST, ENTRY_ROW_CHUNK */
-	uint64_t version;      /* the same kinds: the number of a store_version_t */
-	uint64_t era;	       /* the same kinds: its era */
+	/* The same kinds: the number of a store_version_t; ENTRY_RECEIPT: the receiver's
+	 * incarnation. */
+	uint64_t version;
+	uint64_t era; /* the same kinds: its era */
 	/* ENTRY_ROW_CHUNK only; the pointers are valid until the next entry is read. */
 	const char *key;
 	const char *bytes;
@@ -177,6 +184,13 @@
 void placement_set_listed(placement_t *this, unsigned int slot, bool listed);
 /* Records a lost connection: the router is soon dead unless it sends a message. */
 void placement_connection_lost(placement_t *this, unsigned int slot, instant_t now);
+/*
+ * Gives the router of a connection that must be renewed, as the router has not confirmed our
+ * messages; false when there is none.
+ */
+bool placement_next_silent_link(placement_t *this, unsigned int *slot, instant_t now);
+/* Repeats the reports to the router that are sent only when they change: some were lost. */
+void placement_repeat_reports(placement_t *this, unsigned int slot);
 /* Replaces the set of engines; those that are not in `engines` are removed. */
 void placement_set_engines(
 	placement_t *this, const placement_engine_t *engines, unsigned int count, instant_t now);
@@ -221,6 +235,12 @@
 void placement_make_message_due(placement_t *this, unsigned int slot, instant_t now);
 /* Takes the next entry queued for `slot`; false when there is none. */
 bool placement_next_entry(placement_t *this, unsigned int slot, message_entry_t *entry);
+/*
+ * Gives the confirmation of the router's messages if one is due; false when none is.  It comes
+ * last in a message, as routers of earlier versions do not read on after it.
+ */
+bool placement_next_receipt(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
 const members_t *placement_members(const placement_t *this);
 const scheduler_t *placement_scheduler(const placement_t *this);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -1,6 +1,7 @@
 #ifndef CORE_PLACEMENT_INTERNAL_H
 #define CORE_PLACEMENT_INTERNAL_H
 /* placement_internal - state shared by placement.c and placement_*.c; `slot` is a member slot */
+#include "core/link_watch.h"
 #include "core/placement.h"
 
 #define MAX_POOLS 16
@@ -37,6 +38,9 @@
 	uint64_t seq;	   /* of the last message sent */
 	instant_t send_at; /* when the next message is due */
 	instant_t sent_at;
+	link_watch_t link;    /* whether our messages arrive */
+	uint64_t receipt_seq; /* newest message of the peer that we have confirmed */
+	instant_t receipt_at; /* when the next confirmation may be sent */
 } peer_state_t;
 
 struct placement {
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -194,6 +194,14 @@
 		usage->received = entry->usage;
 }
 
+static void handle_receipt(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
+{
+	/* After a restart, peers go on confirming messages of the earlier incarnation. */
+	if (entry->version == this->options.incarnation)
+		link_watch_confirmed(&this->peers[slot].link, entry->ticket);
+}
+
 static void (*const handlers[ENTRY_KINDS])(
 	placement_t *, unsigned int, const message_entry_t *, instant_t) = {
 	[ENTRY_SLOT_REQUEST] = handle_slot_request,
@@ -211,6 +219,7 @@
 	[ENTRY_REPORT_END] = handle_report_end,
 	[ENTRY_SERVED_TOKENS] = handle_served_tokens,
 	[ENTRY_SLOT_USAGE] = handle_slot_usage,
+	[ENTRY_RECEIPT] = handle_receipt,
 };
 
 void placement_handle_entry(
--- a/src/daemon/node_thread.c
+++ b/src/daemon/node_thread.c
@@ -259,6 +259,15 @@
 		node_connection_lost(this->node, peer + 1, clock_now());
 }
 
+/* The connection to a peer that has died by silence may be silent itself. */
+static void renew_dead_links(node_thread_t *this, const members_t *members)
+{
+	for (unsigned int i = 1; i < this->view_count; i++) {
+		if (this->view[i].alive && !member_is_alive(&members->list[i]))
+			peer_socket_renew(this->socket, i - 1);
+	}
+}
+
 /* Copies a changed membership view for node_thread_router_is_alive(). */
 static void publish_view(node_thread_t *this)
 {
@@ -266,6 +275,7 @@
 
 	if (members->view == this->published_version)
 		return;
+	renew_dead_links(this, members);
 	pthread_mutex_lock(&this->view_lock);
 	for (unsigned int i = 0; i < members->count; i++)
 		this->view[i] = (member_view_t){members->list[i].id,
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -156,6 +156,10 @@
 		put_field(&fields, entry->usage.slots);
 		put_field(&fields, entry->usage.taken);
 		break;
+	case ENTRY_RECEIPT:
+		put_field(&fields, (int64_t)entry->ticket);
+		put_field(&fields, (int64_t)entry->version);
+		break;
 	case ENTRY_ROW_VERSION:
 	case ENTRY_ROW_REQUEST:
 		put_field(&fields, entry->table);
@@ -386,6 +390,10 @@
 		entry->usage.slots = (unsigned int)get_field(&fields);
 		entry->usage.taken = (unsigned int)get_field(&fields);
 		return true;
+	case ENTRY_RECEIPT:
+		entry->ticket = (uint64_t)get_field(&fields);
+		entry->version = (uint64_t)get_field(&fields);
+		return true;
 	case ENTRY_ROW_VERSION:
 	case ENTRY_ROW_REQUEST:
 		entry->table = (unsigned int)get_field(&fields);
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -14,6 +14,10 @@
 #define RECONNECT_MAX_MS 1000
 #define MAX_MESSAGE 65536
 #define HANDSHAKE_TIMEOUT_MS 5000
+/* Until a connection is closed whose bytes the peer's host does not acknowledge. */
+#define SILENCE_TIMEOUT_MS 3000
+#define KEEPALIVE_INTERVAL_S 1 /* of probes, after as much time without any segment */
+#define KEEPALIVE_PROBES 2
 #define KEY_SIZE 32
 #define Z85_KEY_SIZE 41
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01" /* of the ZeroMQ Authentication Protocol */
@@ -72,6 +76,11 @@
 	set_int(socket, ZMQ_SNDHWM, QUEUE_LIMIT);
 	set_int(socket, ZMQ_RCVHWM, QUEUE_LIMIT * 4);
 	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
+	set_int(socket, ZMQ_TCP_MAXRT, SILENCE_TIMEOUT_MS);
+	set_int(socket, ZMQ_TCP_KEEPALIVE, 1);
+	set_int(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_INTERVAL_S);
+	set_int(socket, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S);
+	set_int(socket, ZMQ_TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES);
 }
 
 static int poll_fd(void *socket)
@@ -140,13 +149,18 @@
 	return connected;
 }
 
+static void close_sockets(peer_connection_t *connection)
+{
+	if (!connection->push)
+		return;
+	zmq_socket_monitor(connection->push, NULL, 0);
+	zmq_close(connection->push);
+	zmq_close(connection->monitor);
+}
+
 static void close_connection(peer_connection_t *connection)
 {
-	if (connection->push) {
-		zmq_socket_monitor(connection->push, NULL, 0);
-		zmq_close(connection->push);
-		zmq_close(connection->monitor);
-	}
+	close_sockets(connection);
 	g_free((char *)connection->address.address);
 	g_free((char *)connection->address.public_key);
 	memset(connection, 0, sizeof(*connection));
@@ -183,6 +197,15 @@
 	return open_connection(this, connection) ? (int)(connection - this->connections) : -1;
 }
 
+bool peer_socket_renew(peer_socket_t *this, unsigned int peer)
+{
+	peer_connection_t *connection = &this->connections[peer];
+
+	close_sockets(connection);
+	connection->disconnected = false;
+	return open_connection(this, connection);
+}
+
 void peer_socket_fds(peer_socket_t *this, int fds[PEER_SOCKET_FDS])
 {
 	fds[0] = this->pull_fd;
--- a/src/edge/peer_socket.h
+++ b/src/edge/peer_socket.h
@@ -8,8 +8,9 @@
  * peer_socket_receive() gives the id of the peer that owns the connection's
  * key; the caller must drop a message whose `from` is another id.  Messages to
  * a peer that is not connected are not queued; queues are short, and closing a
- * socket discards what is left in them.  All calls must be made from one
- * thread.
+ * socket discards what is left in them.  A connection whose bytes stay unacknowledged, or
+ * whose keepalive probes stay unanswered, is closed after a few seconds.  All calls must be made
+ * from one thread.
  */
 #include "core/types.h"
 
@@ -53,6 +54,8 @@
  * can't be used.  The peers given in the options have the first indices.
  */
 int peer_socket_add(peer_socket_t *this, const peer_address_t *peer);
+/* Opens a new connection to the peer with index `peer`, and closes the present one. */
+bool peer_socket_renew(peer_socket_t *this, unsigned int peer);
 /*
  * Gives descriptors for the caller's event loop.  When one becomes readable,
  * peer_socket_receive() must be called until it returns false, since ZeroMQ
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -32,6 +32,7 @@
 	metrics_append(out, "owner_refused_total", scheduler_counters->refused);
 	metrics_append(out, "owner_withdrawn_total", scheduler_counters->withdrawn);
 	metrics_append(out, "routers_alive", members_alive(placement_members(placement)));
+	metrics_append(out, "peer_links_renewed_total", peers_links_renewed(this->peers));
 	metrics_append(out, "routers_listed", gateway_router_count(this));
 	metrics_append(out, "prompt_parts_blocked",
 		part_watch_blocked_count(this->part_watch, clock_now()));
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -9,7 +9,8 @@
 #include "gateway/roster.h"
 #include "settings/fleet_config.h"
 
-#define BROKEN_CHECK_INTERVAL (50 * USEC_PER_MSEC) /* between two checks for broken connections */
+#define LINK_CHECK_INTERVAL (50 * USEC_PER_MSEC) /* between two checks for lost and silent links   \
+						  */
 
 struct peers {
 	peers_options_t options;
@@ -24,7 +25,9 @@
 	uint64_t incarnations[MEMBER_MAX];
 	member_state_t states[MEMBER_MAX]; /* as last logged, by member slot */
 	instant_t heard_at[MEMBER_MAX];	   /* newest message from the member; 0: none */
-	instant_t next_broken_check;
+	bool lost[MEMBER_MAX]; /* messages to the member were lost since the last one sent */
+	instant_t next_link_check;
+	uint64_t links_renewed;
 	char buffer[ENTRY_CODEC_MAX_BYTES];
 };
 
@@ -71,21 +74,61 @@
 		handle_message(this, size, sender, now);
 }
 
-static void report_broken_connections(peers_t *this, instant_t now)
+static void report_lost_connections(peers_t *this, instant_t now)
 {
 	unsigned int index;
 
-	if (now < this->next_broken_check)
-		return;
-	this->next_broken_check = now + BROKEN_CHECK_INTERVAL;
 	while (peer_socket_next_disconnected(this->socket, &index)) {
 		for (unsigned int slot = 1; slot < MEMBER_MAX; slot++) {
-			if (this->socket_index[slot] == (int)index)
-				placement_connection_lost(this->placement, slot, now);
+			if (this->socket_index[slot] != (int)index)
+				continue;
+			placement_connection_lost(this->placement, slot, now);
+			this->lost[slot] = true;
 		}
 	}
 }
 
+static uint64_t silence_ms(const peers_t *this, unsigned int slot, instant_t now)
+{
+	instant_t heard_at = this->heard_at[slot] ? this->heard_at[slot] : now;
+
+	return (now - heard_at) / USEC_PER_MSEC;
+}
+
+static void renew_silent_links(peers_t *this, instant_t now)
+{
+	unsigned int slot;
+
+	while (placement_next_silent_link(this->placement, &slot, now)) {
+		if (this->socket_index[slot] < 0)
+			continue;
+		log_warn("peer-link-renewed", "peer=%u silent_ms=%" G_GUINT64_FORMAT,
+			placement_members(this->placement)->list[slot].id,
+			(guint64)silence_ms(this, slot, now));
+		peer_socket_renew(this->socket, (unsigned int)this->socket_index[slot]);
+		this->lost[slot] = true;
+		this->links_renewed++;
+	}
+}
+
+static void check_links(peers_t *this, instant_t now)
+{
+	if (now < this->next_link_check)
+		return;
+	this->next_link_check = now + LINK_CHECK_INTERVAL;
+	report_lost_connections(this, now);
+	renew_silent_links(this, now);
+}
+
+/* What is told only when it changes was lost with the earlier messages. */
+static void repeat_lost(peers_t *this, unsigned int slot)
+{
+	row_gossip_repeat_versions(this->gossip, slot);
+	part_watch_reset_peer(this->options.part_watch, slot);
+	placement_repeat_reports(this->placement, slot);
+	this->lost[slot] = false;
+}
+
 static void send_message(
 	peers_t *this, unsigned int slot, const message_header_t *header, instant_t now)
 {
@@ -93,6 +136,8 @@
 	size_t size;
 	message_entry_t entry;
 
+	if (this->lost[slot])
+		repeat_lost(this, slot);
 	entry_writer_begin(this->writer, header);
 	while (!entry_writer_is_full(this->writer) &&
 		placement_next_entry(this->placement, slot, &entry))
@@ -102,9 +147,13 @@
 	while (!entry_writer_is_full(this->writer) &&
 		part_watch_next_entry(this->options.part_watch, slot, &entry, now))
 		entry_writer_add(this->writer, &entry, now);
+	if (!entry_writer_is_full(this->writer) &&
+		placement_next_receipt(this->placement, slot, &entry, now))
+		entry_writer_add(this->writer, &entry, now);
 	bytes = entry_writer_data(this->writer, &size);
 	if (this->socket_index[slot] >= 0)
-		peer_socket_send(this->socket, (unsigned int)this->socket_index[slot], bytes, size);
+		this->lost[slot] = !peer_socket_send(
+			this->socket, (unsigned int)this->socket_index[slot], bytes, size);
 }
 
 static void log_state(const peers_t *this, unsigned int slot, const member_t *member, instant_t now)
@@ -115,11 +164,9 @@
 		[MEMBER_SUSPECT] = "suspect",
 		[MEMBER_DEAD] = "dead",
 	};
-	instant_t heard_at = this->heard_at[slot] ? this->heard_at[slot] : now;
-
 	log_notice("peer-state", "peer=%u state=%s before=%s silent_ms=%" G_GUINT64_FORMAT,
 		member->id, names[member->state], names[this->states[slot]],
-		(guint64)((now - heard_at) / USEC_PER_MSEC));
+		(guint64)silence_ms(this, slot, now));
 }
 
 /* Notes a change of the member's state; returns whether it is alive. */
@@ -164,7 +211,7 @@
 	message_header_t header;
 	unsigned int slot;
 
-	report_broken_connections(this, now);
+	check_links(this, now);
 	wake_for_gossip(this, now);
 	placement_tick(this->placement, now);
 	while (placement_next_message(this->placement, &slot, &header, now))
@@ -176,6 +223,11 @@
 {
 }
 
+uint64_t peers_links_renewed(const peers_t *this)
+{
+	return this->links_renewed;
+}
+
 placement_t *peers_placement(peers_t *this)
 {
 	return this->placement;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -33,6 +33,8 @@
 void peers_delete(peers_t *this);
 
 placement_t *peers_placement(peers_t *this);
+/* Number of links to other routers that were renewed, as they were silent. */
+uint64_t peers_links_renewed(const peers_t *this);
 /* Handles another router's row of the roster: adds, updates or unlists the peer. */
 void peers_handle_row(peers_t *this, const store_row_t *row);
 /* Handles all messages that have arrived; has to be called in each turn of the loop. */
--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -80,6 +80,11 @@
 	peer_init(peer);
 }
 
+void row_gossip_repeat_versions(row_gossip_t *this, unsigned int slot)
+{
+	memset(this->peers[slot].sent_version, 0, sizeof(this->peers[slot].sent_version));
+}
+
 void row_gossip_delete(row_gossip_t *this)
 {
 	if (!this)
--- a/src/gateway/row_gossip.h
+++ b/src/gateway/row_gossip.h
@@ -31,6 +31,8 @@
 	row_gossip_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
 /* Resets what is known of the peer in `slot`, which has restarted. */
 void row_gossip_reset_peer(row_gossip_t *this, unsigned int slot);
+/* Tells the peer in `slot` the newest versions again: messages to it were lost. */
+void row_gossip_repeat_versions(row_gossip_t *this, unsigned int slot);
 /*
  * Adds the versions, requests and rows that are due for the peer in `slot` to the message; true
  * if rows are left for another message.
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -147,6 +147,8 @@
 	entry_writer_begin(this->writer, header);
 	while (placement_next_entry(this->placements[from], slot, &entry))
 		entry_writer_add(this->writer, &entry, this->now);
+	if (placement_next_receipt(this->placements[from], slot, &entry, this->now))
+		entry_writer_add(this->writer, &entry, this->now);
 	bytes = entry_writer_data(this->writer, &message->size);
 	message->bytes = g_memdup2(bytes, message->size);
 	message->from = from;
@@ -625,6 +627,71 @@
 	fleet_delete(f);
 }
 
+/* Returns how many links router `i` has to renew, and renews them. */
+static unsigned int renew_links(fleet_t *this, unsigned int i)
+{
+	unsigned int count = 0;
+	unsigned int slot;
+
+	while (placement_next_silent_link(this->placements[i], &slot, this->now))
+		count++;
+	return count;
+}
+
+/* Losses, a router that is slow and one that is frozen for a while are no silent links. */
+static void test_links_that_work_are_not_renewed(void **state)
+{
+	fleet_t *f = fleet_new(21);
+	unsigned int renewed = 0;
+
+	f->lose_per_mille = 50;
+	f->slow_router = 1;
+	f->slow_ms = 300;
+	for (unsigned int ms = 0; ms < 10000; ms += 50) {
+		fleet_load(f, 50, 50);
+		for (unsigned int i = 0; i < ROUTERS; i++)
+			renewed += f->frozen[i] ? 0 : renew_links(f, i);
+	}
+	assert_int_equal(renewed, 0);
+	fleet_delete(f);
+}
+
+/*
+ * The sender of the silent direction hears the other side all the while.  That one gets no
+ * confirmations either, and so may renew its own direction, too.
+ */
+static void test_link_silent_in_one_direction_is_renewed_by_its_sender(void **state)
+{
+	fleet_t *f = fleet_new(22);
+
+	fleet_load(f, 1000, 50);
+	f->cut[0][1] = true;
+	fleet_load(f, 2500, 50);
+	assert_int_equal(renew_links(f, 0), 1);
+	renew_links(f, 1);
+	for (unsigned int i = 2; i < ROUTERS; i++)
+		assert_int_equal(renew_links(f, i), 0);
+	f->cut[0][1] = false;
+	fleet_load(f, 5000, 50);
+	for (unsigned int i = 0; i < ROUTERS; i++)
+		assert_int_equal(renew_links(f, i), 0);
+	fleet_delete(f);
+}
+
+/* Peers go on confirming messages of the earlier incarnation, which had higher numbers. */
+static void test_link_that_is_silent_from_a_restart_on_is_renewed(void **state)
+{
+	fleet_t *f = fleet_new(23);
+
+	fleet_run(f, 3000);
+	placement_delete(f->placements[0]);
+	start_router(f, 0);
+	f->cut[0][1] = true;
+	fleet_run(f, 3000);
+	assert_int_equal(renew_links(f, 0), 1);
+	fleet_delete(f);
+}
+
 #define MANY_MEMBERS 50
 
 static void receive_heartbeats(
@@ -701,6 +768,9 @@
 		cmocka_unit_test(test_cancelled_requests_leave_no_slots_in_use),
 		cmocka_unit_test(test_bursts_at_one_router_get_their_share_beside_a_spread_flood),
 		cmocka_unit_test(test_death_of_a_member_causes_no_message_to_every_other),
+		cmocka_unit_test(test_links_that_work_are_not_renewed),
+		cmocka_unit_test(test_link_silent_in_one_direction_is_renewed_by_its_sender),
+		cmocka_unit_test(test_link_that_is_silent_from_a_restart_on_is_renewed),
 		cmocka_unit_test(test_grant_for_leaving_engine_is_not_used),
 		cmocka_unit_test(test_flood_at_one_router_is_refused_without_asking_owners),
 		cmocka_unit_test(test_slow_router_does_not_take_its_owners_for_silent),
