Reads that wait at the store end 3 s after its host falls silent

Callers saw routes of an older configuration (CONFIG): reads that wait at the store had no bound but their own wait, up to 6.25 s and one to two more at 8 routers, 30 s and more at 62. A change aligns the waits of all routers.

Cause: no keepalive on connections to the store; neon gives no access to its sockets. Whole calls use libcurl now, with keepalive probes each second, of which two may stay unanswered, and timeouts to the millisecond. A fresh connection for each call, so libcurl repeats nothing.

Evidence: test_silent_reads_of_the_store_end_long_before_their_wait fails before (no probes).

Ruled out: shorter waits, which cost calls by the number of routers.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 CC = gcc
-PKGS = neon libmicrohttpd libzmq glib-2.0 yajl libxxhash libuv
+PKGS = neon libcurl libmicrohttpd libzmq glib-2.0 yajl libxxhash libuv
 BUILD ?= build
 SAN ?=
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Installs the Debian packages that the build, the tests and the linter need.
 set -eu
-packages="gcc make pkg-config liburcu-dev libzmq3-dev libmicrohttpd-dev libneon27-dev
+packages="gcc make pkg-config liburcu-dev libzmq3-dev libmicrohttpd-dev libneon27-dev libcurl4-openssl-dev
 libglib2.0-dev libyajl-dev libmsgpack-dev libxxhash-dev libuv1-dev libhttp-parser-dev libcmocka-dev clang libclang-rt-14-dev clang-format clang-tidy
 cppcheck curl procps"
 missing=""
--- a/src/edge/http_exchange.c
+++ b/src/edge/http_exchange.c
@@ -2,19 +2,10 @@
 
 #include <arpa/inet.h>
 #include <neon/ne_socket.h>
-#include <signal.h>
 #include <string.h>
 
 #include "settings/address.h"
 
-#define READ_BUFFER_SIZE 16384
-
-void http_init(void)
-{
-	ne_sock_init();
-	signal(SIGPIPE, SIG_IGN);
-}
-
 static void on_status(void *ctx, ne_session_status status, const ne_session_status_info *info)
 {
 	http_exchange_t *this = ctx;
@@ -86,38 +77,3 @@
 	}
 	memset(this, 0, sizeof(*this));
 }
-
-http_result_t http_call(
-	const http_options_t *options, size_t max_response, GString *response, int *status)
-{
-	return http_call_with_header(options, max_response, response, status, NULL, NULL);
-}
-
-http_result_t http_call_with_header(const http_options_t *options, size_t max_response,
-	GString *response, int *status, const char *name, char **value)
-{
-	http_exchange_t exchange;
-	http_result_t result = http_exchange_begin(&exchange, options);
-	char buffer[READ_BUFFER_SIZE];
-	ssize_t n;
-
-	if (value)
-		*value = NULL;
-	if (result != HTTP_OK)
-		goto out;
-	*status = exchange.status;
-	if (value)
-		*value = g_strdup(http_exchange_header(&exchange, name));
-	while ((n = http_exchange_read(&exchange, buffer, sizeof(buffer))) > 0) {
-		if (response->len + (size_t)n > max_response) {
-			result = HTTP_TOO_LARGE;
-			goto out;
-		}
-		g_string_append_len(response, buffer, n);
-	}
-	if (n < 0)
-		result = HTTP_INCOMPLETE;
-out:
-	http_exchange_delete(&exchange);
-	return result;
-}
--- a/src/edge/platform_http.c
+++ b/src/edge/platform_http.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "edge/http_exchange.h"
+#include "edge/http_call.h"
 #include "settings/jsondoc.h"
 
 #define MAX_RESPONSE (64U << 20)
--- a/tests/test_silent_connection.c
+++ b/tests/test_silent_connection.c
@@ -5,12 +5,17 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <arpa/inet.h>
+#include <limits.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "daemon/node_thread.h"
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "gateway/roster.h"
+#include "settings/address.h"
 #include "settings/fleet_config.h"
 #include "standin/silent_proxy.h"
 #include "tests/gateway_fixture.h"
@@ -231,6 +236,59 @@
 	pair_clear(&pair);
 }
 
+/* --- reads that wait at the store ----------------------------------------- */
+
+#define MAX_DESCRIPTORS 1024
+#define WATCHED_TABLES 3
+#define MAX_SILENCE_S 3
+
+/* Returns the time after which the system ends the connection if the other host is silent. */
+static int silence_limit(int fd)
+{
+	socklen_t size = sizeof(int);
+	int on = 0;
+	int idle = 0;
+	int interval = 0;
+	int probes = 0;
+
+	getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, &size);
+	getsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, &size);
+	getsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, &size);
+	getsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, &size);
+	return on ? idle + interval * probes : INT_MAX;
+}
+
+static bool is_connected_to(int fd, const char *address)
+{
+	struct sockaddr_in peer = {0};
+	socklen_t size = sizeof(peer);
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port = 0;
+
+	if (getpeername(fd, (struct sockaddr *)&peer, &size))
+		return false;
+	return address_parse(address, ip, sizeof(ip), &port) && ntohs(peer.sin_port) == port;
+}
+
+/* A proxy can't withhold the acknowledgements of a silent connection, so this looks at the probes.
+ */
+static void test_silent_reads_of_the_store_end_long_before_their_wait(void **state)
+{
+	fixture_t *f = start_router("r", NULL, NULL);
+	unsigned int reads = 0;
+
+	fixture_wait_ready(f, 0);
+	wait_for_long_reads(f->store);
+	for (int fd = 0; fd < MAX_DESCRIPTORS; fd++) {
+		if (!is_connected_to(fd, row_store_standin_address(f->store)))
+			continue;
+		reads++;
+		assert_in_range(silence_limit(fd), 1, MAX_SILENCE_S);
+	}
+	assert_int_equal(reads, WATCHED_TABLES);
+	fixture_delete(f);
+}
+
 /* --- routers of the product's own interface -------------------------------- */
 
 #define ROUTER_COUNT 2
@@ -328,6 +386,7 @@
 		cmocka_unit_test(test_links_silent_in_both_directions_are_renewed),
 		cmocka_unit_test(test_link_silent_in_one_direction_is_renewed),
 		cmocka_unit_test(test_row_told_over_silent_link_is_told_again),
+		cmocka_unit_test(test_silent_reads_of_the_store_end_long_before_their_wait),
 		cmocka_unit_test(test_router_that_died_by_silence_is_connected_again),
 	};
 
