Limits that endpoints name are read and logged

They are decoded once, in the connection; a malformed one is logged once and changes nothing. No decision uses them yet; rate_limit, with its tests, says how a limit is followed and which of two answers counts.

--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -35,6 +35,48 @@
 		call_report_load(call, response->load_running + response->load_waiting);
 }
 
+static int64_t rate_for_log(uint32_t rate)
+{
+	return rate == RATE_NONE ? -1 : (int64_t)rate;
+}
+
+static void note_malformed_limit(call_t *call)
+{
+	if (!call->endpoint->named_malformed_rate)
+		log_warn("endpoint-limit-malformed", "id=%s endpoint=%s", call->id,
+			call->endpoint->name);
+	call->endpoint->named_malformed_rate = true;
+}
+
+static void log_limit_change(call_t *call, uint32_t rate)
+{
+	registered_endpoint_t *endpoint = call->endpoint;
+
+	if (rate == endpoint->named_rate)
+		return;
+	log_notice("endpoint-limit",
+		"id=%s endpoint=%s rate_milli=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+		" sent_ms=%" G_GUINT64_FORMAT,
+		call->id, endpoint->name, (gint64)rate_for_log(rate),
+		(gint64)rate_for_log(endpoint->named_rate),
+		(guint64)((clock_now() - call->sent_at) / USEC_PER_MSEC));
+	endpoint->named_rate = rate;
+}
+
+/* A response without the marker may not be the endpoint's own, so it says of no limit that it
+ * ended. */
+static void report_limit(call_t *call, const connection_response_t *response)
+{
+	if (response->rate_limit_malformed) {
+		note_malformed_limit(call);
+		return;
+	}
+	if (response->rate_limit == RATE_NONE && !response->has_marker)
+		return;
+	call->endpoint->named_malformed_rate = false;
+	log_limit_change(call, response->rate_limit);
+}
+
 static void abort_attempt(call_t *call, slot_result_t failure, bool may_have_run)
 {
 	endpoint_connection_abort(call->connection);
@@ -46,6 +88,7 @@
 	call_t *call = user;
 
 	report_load(call, response);
+	report_limit(call, response);
 	part_watch_record_response(call->gateway->part_watch, call->endpoint->id, clock_now());
 	call->status = response->status;
 	call->body_length = response->content_length;
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -129,6 +129,16 @@
 	response->load_waiting = waiting;
 }
 
+static void parse_rate_limit(connection_response_t *response, const char *value)
+{
+	uint32_t rate;
+
+	if (!rate_limit_parse(value, &rate))
+		response->rate_limit_malformed = true;
+	else if (rate < response->rate_limit)
+		response->rate_limit = rate;
+}
+
 static void process_header(endpoint_connection_t *this)
 {
 	const header_names_t *names = this->options->header_names;
@@ -147,6 +157,8 @@
 		response->not_run = true;
 	} else if (!strcasecmp(name, names->load)) {
 		parse_load(response, value);
+	} else if (!strcasecmp(name, names->rate_limit)) {
+		parse_rate_limit(response, value);
 	} else if (!strcasecmp(name, "Content-Encoding")) {
 		response->is_encoded = strcasecmp(value, "identity") != 0;
 	} else if (!strcasecmp(name, "Keep-Alive")) {
@@ -166,7 +178,8 @@
 	if (this->response_complete || this->state != CONNECTION_BUSY)
 		return -1; /* unsolicited bytes */
 	g_string_truncate(headers, 0);
-	this->response = (connection_response_t){.headers = headers, .content_length = -1};
+	this->response = (connection_response_t){
+		.headers = headers, .content_length = -1, .rate_limit = RATE_NONE};
 	g_string_truncate(this->header_name, 0);
 	g_string_truncate(this->header_value, 0);
 	this->in_header_value = false;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -13,6 +13,7 @@
 #include <http_parser.h>
 #include <uv.h>
 
+#include "core/rate_limit.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/header_names.h"
 
@@ -33,9 +34,11 @@
 	bool has_load;
 	unsigned int load_running;
 	unsigned int load_waiting;
-	bool is_encoded;	/* the body has a content encoding */
-	int64_t content_length; /* -1: unknown */
-	bool ends_by_close;	/* the body has neither a length nor chunks */
+	uint32_t rate_limit;	   /* lowest named, see rate_limit.h; RATE_NONE: none */
+	bool rate_limit_malformed; /* one was named that can't be read */
+	bool is_encoded;	   /* the body has a content encoding */
+	int64_t content_length;	   /* -1: unknown */
+	bool ends_by_close;	   /* the body has neither a length nor chunks */
 } connection_response_t;
 
 typedef struct endpoint_connection endpoint_connection_t;
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/rate_limit.h"
 #include "settings/fleet_config.h"
 
 /*
@@ -97,6 +98,7 @@
 	this->incarnation = registration->incarnation;
 	this->era = registration->era;
 	this->ref_count = 1;
+	this->named_rate = RATE_NONE;
 	CDS_INIT_LIST_HEAD(&this->idle_connections);
 	return this;
 }
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -49,6 +49,8 @@
 	struct cds_list_head idle_connections; /* endpoint_connection_t, newest first */
 	unsigned int idle_connection_count;
 	unsigned int max_idle_connections; /* idle connections that this router may keep */
+	uint32_t named_rate;		   /* limit in its newest response, see rate_limit.h */
+	bool named_malformed_rate;	   /* its newest response had a limit that can't be read */
 } registered_endpoint_t;
 
 typedef struct endpoint_registry endpoint_registry_t;
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -16,10 +16,11 @@
 	const char *response_marker;   /* in each response that the endpoint itself produced */
 	const char *not_run;	       /* present if the endpoint did not execute the request */
 	const char *load;	       /* RUNNING,WAITING,SLOTS: the endpoint's load */
-	const char *prompt_parts;      /* ID:TOKENS,... in the prompt's order */
-	const char *token_usage;       /* PROMPT,MAX: prompt tokens, maximum output tokens */
-	const char *length_hint;       /* estimated output tokens */
-	const char *resume_after;      /* id of the last event received */
+	const char *rate_limit;	  /* requests a second that the endpoint takes from all routers */
+	const char *prompt_parts; /* ID:TOKENS,... in the prompt's order */
+	const char *token_usage;  /* PROMPT,MAX: prompt tokens, maximum output tokens */
+	const char *length_hint;  /* estimated output tokens */
+	const char *resume_after; /* id of the last event received */
 	const char
 		*copy_from; /* sent to endpoints: address to copy cached parts from; NULL: none */
 	const char *const *withheld; /* removed from callers' requests; NULL-terminated */
