Owners keep to the limits that endpoints name

Its owner, which grants the starts of all routers, spaces them by the rate. Routers report what responses name; a response whose request was sent before the known limit arrived can lower it, not raise or end it, as it may be older. The owner tells the others, which need the limit for starts without a grant and as the next owner; a limit that is new allows no burst. On the smaller side of a partition an owner uses its routers' part. While no start is due, the owner reports no free slot, so requests go elsewhere.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -202,6 +202,7 @@
 	}
 	if (this->owned_view != this->members.view)
 		placement_assign_owners(this, now);
+	placement_update_rate_share(this);
 }
 
 /* The entries are due at the time of the next report, but go out with any earlier message. */
@@ -278,6 +279,7 @@
 	if (now >= this->next_report_at) {
 		this->next_report_at = now + REPORT_INTERVAL;
 		placement_report_all_slots(this, now);
+		placement_announce_rates(this, now);
 	}
 	next = check_pending(this, now);
 	next = instant_min(next, scheduler_run(this->scheduler, now));
@@ -486,6 +488,7 @@
 	}
 	state = &this->engines[this->engine_count++];
 	*state = (engine_state_t){.owner = MEMBER_MAX};
+	rate_limit_init(&state->rate_limit);
 	return state;
 }
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -19,6 +19,7 @@
  */
 #include "core/backlog.h"
 #include "core/member.h"
+#include "core/rate_limit.h"
 #include "core/scheduler.h"
 
 typedef enum entry_kind {
@@ -45,6 +46,7 @@
 	ENTRY_PART_END,	  /* an endpoint ended under a prompt part */
 	ENTRY_PART_SOUND, /* an answer to a prompt with the part was sound */
 	ENTRY_RECEIPT,	  /* the newest message that the sender has received from the receiver */
+	ENTRY_RATE_LIMIT, /* the rate limit of an engine, from its owner or for it */
 	ENTRY_KINDS,
 } entry_kind_t;
 
@@ -56,10 +58,11 @@
 	 * message's sequence number.
 	 */
 	uint64_t ticket;
-	id_t32 engine; /* ENTRY_GRANT, ENTRY_PART_END */
+	id_t32 engine; /* ENTRY_GRANT, ENTRY_PART_END, ENTRY_RATE_LIMIT */
 	/*
 	 * ENTRY_GRANT: engine to copy the shared parts from, 0: none; ENTRY_PART_END: time since
-	 * the prompt was sent, ms.
+	 * the prompt was sent, ms; ENTRY_RATE_LIMIT: time since the request was sent whose response
+	 * named the limit, ms.
 	 */
 	id_t32 source;
 	id_t32 pool;	  /* ENTRY_SLOT_USAGE, ENTRY_SERVED_TOKENS */
@@ -68,7 +71,8 @@
 	/*
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
 	 * ENTRY_FAILURE: slot_result_t; ENTRY_END: generated tokens; ENTRY_ROW_CHUNK:
-	 * rows still to come; ENTRY_PART_END: time since the end, ms.
+	 * rows still to come; ENTRY_PART_END: time since the end, ms; ENTRY_RATE_LIMIT: the
+	 * rate, see rate_limit.h.
 	 */
 	uint32_t value;
 	slot_usage_t usage; /* ENTRY_SLOT_USAGE */
@@ -161,6 +165,9 @@
 	uint64_t incarnation;
 	uint64_t seed; /* of the random choice between owners */
 	scheduler_options_t scheduler;
+	/* Called when the limit of an engine that this router owns changes; may be NULL. */
+	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	void *ctx;
 	const allocator_t *allocator; /* NULL: allocator_default */
 } placement_options_t;
 
@@ -205,6 +212,12 @@
 /* Reports that the engine has `load` requests running or queued. */
 void placement_load_report(
 	placement_t *this, placement_request_t *request, unsigned int load, instant_t now);
+/*
+ * Reports the rate limit that the engine named in the response to a request sent at `sent_at`;
+ * RATE_NONE: it named none.
+ */
+void placement_rate_report(placement_t *this, const placement_request_t *request, uint32_t rate,
+	instant_t sent_at, instant_t now);
 /* Ends a granted request that failed. */
 void placement_fail(
 	placement_t *this, placement_request_t *request, slot_result_t failure, instant_t now);
@@ -242,6 +255,8 @@
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
+/* Number of engines that are known to have a rate limit. */
+unsigned int placement_rate_limited(const placement_t *this);
 const members_t *placement_members(const placement_t *this);
 const scheduler_t *placement_scheduler(const placement_t *this);
 const placement_stats_t *placement_stats(const placement_t *this);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -17,6 +17,9 @@
 	placement_engine_t engine;
 	unsigned int owner;	   /* member slot */
 	unsigned int running_here; /* requests of this router that run on the engine */
+	/* As known here; its starts are those without a grant. */
+	rate_limit_t rate_limit;
+	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
 } engine_state_t;
 
 /* Slot usage of a member's engines of a pool. */
@@ -88,6 +91,20 @@
 /* Recomputes the owners of the engines; reports the slots in use to new owners. */
 void placement_assign_owners(placement_t *this, instant_t now);
 
+/* placement_rate.c: rate limits of engines */
+/* Handles an ENTRY_RATE_LIMIT, of the engine's owner or for it. */
+void placement_handle_rate_limit(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* Tells the other routers of the limits of the engines that this router owns. */
+void placement_announce_rates(placement_t *this, instant_t now);
+/* Gives the engine's new owner the limit; `was_owner`: this router was the owner. */
+void placement_hand_over_rate(
+	placement_t *this, engine_state_t *state, bool was_owner, instant_t now);
+/* Limits the use of rates while this router may be on one side of a partition. */
+void placement_update_rate_share(placement_t *this);
+/* Counts a start without a grant, of which a router uses a part of its even share of the rate. */
+void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
+
 /* placement_request.c: slot requests and the choice of their owner */
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -126,9 +126,14 @@
 		engine_state_t *state = &this->engines[i];
 		unsigned int owner = members_owner(&this->members, state->engine.id);
 
-		changed |= owner != state->owner;
+		bool moved = owner != state->owner;
+		bool was_owner = state->owner == 0;
+
 		state->owner = owner;
 		apply_ownership(this, state);
+		if (moved)
+			placement_hand_over_rate(this, state, was_owner, now);
+		changed |= moved;
 	}
 	this->owned_view = this->members.view;
 	if (changed)
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -220,6 +220,7 @@
 	[ENTRY_SERVED_TOKENS] = handle_served_tokens,
 	[ENTRY_SLOT_USAGE] = handle_slot_usage,
 	[ENTRY_RECEIPT] = handle_receipt,
+	[ENTRY_RATE_LIMIT] = placement_handle_rate_limit,
 };
 
 void placement_handle_entry(
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -268,7 +268,8 @@
 		engine_state_t *state = &this->engines[i];
 
 		if (state->engine.pool != request->pool || !state->engine.usable ||
-			state->engine.id == request->avoid)
+			state->engine.id == request->avoid ||
+			!rate_limit_allows(&state->rate_limit, now))
 			continue;
 		if (!best || state->running_here < best->running_here)
 			best = state;
@@ -280,6 +281,7 @@
 		placement_reject(this, request, 0);
 		return;
 	}
+	placement_count_rate(this, best, now);
 	this->stats.without_grant++;
 	request->without_grant = true;
 	request->ticket = ++this->next_ticket;
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -42,4 +42,10 @@
  */
 bool rate_limit_parse(const char *text, uint32_t *rate);
 
+/* For logs: -1 stands for no limit. */
+static inline int64_t rate_limit_signed(uint32_t rate)
+{
+	return rate == RATE_NONE ? -1 : (int64_t)rate;
+}
+
 #endif
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -9,6 +9,7 @@
  * partition, are not used.
  */
 #include "core/engine.h"
+#include "core/rate_limit.h"
 
 /* How the use of a granted slot ended. */
 typedef enum slot_result {
@@ -31,6 +32,7 @@
 	instant_t down_until;	    /* no requests are sent before */
 	double external_load;	    /* moving average of the requests that others sent */
 	instant_t external_load_at; /* time of its last update */
+	rate_limit_t rate_limit;    /* of its requests from all routers */
 } sched_engine_t;
 
 /* Returns the number of slots that may be in use now, 0 while the engine is down. */
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -24,7 +24,8 @@
 	unsigned int action_count;
 	unsigned int action_capacity;
 	unsigned int running;
-	instant_t now; /* of the current scheduler_run() */
+	instant_t now;	   /* of the current scheduler_run() */
+	double rate_share; /* see scheduler_set_rate_share() */
 	refusal_cache_t refusals;
 	scheduler_stats_t stats;
 };
@@ -191,6 +192,7 @@
 
 	sched_pool_dequeue(pool, record);
 	grant_rate_count(&pool->grants, now);
+	rate_limit_count(&choice->engine->rate_limit, this->rate_share, now);
 	sched_lane_charge_local(record->lane, slot_request_cost(&record->request), now);
 	record->source = sched_pool_copy_source(pool, &record->request, choice->engine);
 	engine_begin_request(&choice->engine->model, &record->engine_request, work,
@@ -213,6 +215,19 @@
 		grant_slot(this, pool, &choice, now);
 }
 
+/* Returns when the next engine that keeps to a rate may start a request. */
+static instant_t next_rate_start(const sched_pool_t *pool, instant_t now)
+{
+	const sched_engine_t *engine;
+	instant_t next = INSTANT_NEVER;
+
+	cds_list_for_each_entry (engine, &pool->engines, link) {
+		if (engine->usable && !rate_limit_allows(&engine->rate_limit, now))
+			next = instant_min(next, rate_limit_next(&engine->rate_limit));
+	}
+	return next;
+}
+
 instant_t scheduler_run(scheduler_t *this, instant_t now)
 {
 	instant_t next = INSTANT_NEVER;
@@ -225,6 +240,8 @@
 		grant_all(this, pool, now);
 		sched_pool_expire(pool, now, &next, refuse_record, this);
 		grant_all(this, pool, now);
+		if (pool->timely || pool->late)
+			next = instant_min(next, next_rate_start(pool, now));
 	}
 	return next;
 }
@@ -420,6 +437,7 @@
 	engine->pool = get_pool(this, pool_id);
 	engine->usable = true;
 	engine_init(&engine->model, id, limits);
+	rate_limit_init(&engine->rate_limit);
 	cds_list_add_tail(&engine->link, &engine->pool->engines);
 }
 
@@ -443,6 +461,19 @@
 	allocator_delete(this->allocator, engine);
 }
 
+void scheduler_set_rate_limit(scheduler_t *this, id_t32 id, uint32_t rate, instant_t now)
+{
+	sched_engine_t *engine = find_engine(this, id);
+
+	if (engine)
+		rate_limit_set(&engine->rate_limit, rate, now);
+}
+
+void scheduler_set_rate_share(scheduler_t *this, double share)
+{
+	this->rate_share = share;
+}
+
 void scheduler_set_usable(scheduler_t *this, id_t32 id, bool usable)
 {
 	sched_engine_t *engine = find_engine(this, id);
@@ -460,6 +491,7 @@
 
 	this->options = *options;
 	this->allocator = allocator;
+	this->rate_share = 1;
 	CDS_INIT_LIST_HEAD(&this->pools);
 	for (unsigned int i = 0; i < BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&this->buckets[i]);
@@ -512,6 +544,8 @@
 	cds_list_for_each_entry (engine, &pool->engines, link) {
 		unsigned int slots = sched_engine_usable_slots(engine, now);
 
+		if (!rate_limit_allows(&engine->rate_limit, now) && slots > engine->model.running)
+			slots = engine->model.running;
 		usage.slots += slots;
 		usage.taken += engine->model.running < slots ? engine->model.running : slots;
 	}
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -64,6 +64,10 @@
 	scheduler_t *this, id_t32 engine, id_t32 pool, const engine_limits_t *limits);
 /* Removes an engine that this router owns no more, and the records of its requests. */
 void scheduler_remove_engine(scheduler_t *this, id_t32 engine);
+/* Sets the rate at which the engine takes requests from all routers, RATE_NONE: any. */
+void scheduler_set_rate_limit(scheduler_t *this, id_t32 engine, uint32_t rate, instant_t now);
+/* Sets the part of the engines' rates that this owner may use, above 0 and at most 1. */
+void scheduler_set_rate_share(scheduler_t *this, double share);
 /* Sets whether the engine accepts new requests; running ones continue. */
 void scheduler_set_usable(scheduler_t *this, id_t32 engine, bool usable);
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -142,6 +142,8 @@
 void call_leave_placement(call_t *this, slot_result_t result);
 /* Reports to the placement how many requests the endpoint runs and queues. */
 void call_report_load(call_t *this, unsigned int load);
+/* Reports the rate limit that the endpoint named, RATE_NONE: none. */
+void call_report_rate_limit(call_t *this, uint32_t rate);
 /* Reports the arrival of the response's first byte to the placement. */
 void call_report_first_byte(call_t *this);
 
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -94,6 +94,13 @@
 			placement_of(this), &this->placement_request, load, clock_now());
 }
 
+void call_report_rate_limit(call_t *this, uint32_t rate)
+{
+	if (this->in_placement)
+		placement_rate_report(placement_of(this), &this->placement_request, rate,
+			this->sent_at, clock_now());
+}
+
 void call_report_first_byte(call_t *this)
 {
 	this->first_byte = clock_now();
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -35,11 +35,6 @@
 		call_report_load(call, response->load_running + response->load_waiting);
 }
 
-static int64_t rate_for_log(uint32_t rate)
-{
-	return rate == RATE_NONE ? -1 : (int64_t)rate;
-}
-
 static void note_malformed_limit(call_t *call)
 {
 	if (!call->endpoint->named_malformed_rate)
@@ -57,8 +52,8 @@
 	log_notice("endpoint-limit",
 		"id=%s endpoint=%s rate_milli=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
 		" sent_ms=%" G_GUINT64_FORMAT,
-		call->id, endpoint->name, (gint64)rate_for_log(rate),
-		(gint64)rate_for_log(endpoint->named_rate),
+		call->id, endpoint->name, (gint64)rate_limit_signed(rate),
+		(gint64)rate_limit_signed(endpoint->named_rate),
 		(guint64)((clock_now() - call->sent_at) / USEC_PER_MSEC));
 	endpoint->named_rate = rate;
 }
@@ -75,6 +70,7 @@
 		return;
 	call->endpoint->named_malformed_rate = false;
 	log_limit_change(call, response->rate_limit);
+	call_report_rate_limit(call, response->rate_limit);
 }
 
 static void abort_attempt(call_t *call, slot_result_t failure, bool may_have_run)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -437,6 +437,18 @@
 	return typical;
 }
 
+static void on_rate_limit(void *ctx, id_t32 engine, uint32_t rate, uint32_t before)
+{
+	gateway_t *this = ctx;
+	const registered_endpoint_t *endpoint =
+		endpoint_registry_find(this->endpoint_registry, engine);
+
+	log_notice("owner-limit",
+		"endpoint=%s rate_milli=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT,
+		endpoint ? endpoint->name : "-", (gint64)rate_limit_signed(rate),
+		(gint64)rate_limit_signed(before));
+}
+
 static bool start_peers(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
@@ -451,6 +463,8 @@
 		.scheduler = {.pool = {.late_wait = settings->late_wait_ms * USEC_PER_MSEC,
 				      .max_backlog = settings->engine_backlog_ms * USEC_PER_MSEC}},
 		.part_watch = this->part_watch,
+		.on_rate_limit = on_rate_limit,
+		.ctx = this,
 		.gossip = {.row_cache = this->row_cache,
 			.on_rows = gateway_handle_peer_rows,
 			.ctx = this},
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -9,8 +9,9 @@
 #include "gateway/roster.h"
 #include "settings/fleet_config.h"
 
-#define LINK_CHECK_INTERVAL (50 * USEC_PER_MSEC) /* between two checks for lost and silent links   \
-						  */
+#define LINK_CHECK_INTERVAL                                                                        \
+	(50 * USEC_PER_MSEC) /* between two checks for lost and silent links                       \
+			      */
 
 struct peers {
 	peers_options_t options;
@@ -291,6 +292,8 @@
 		.incarnation = options->incarnation,
 		.seed = options->seed,
 		.scheduler = options->scheduler,
+		.on_rate_limit = options->on_rate_limit,
+		.ctx = options->ctx,
 	};
 
 	this->options = *options;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -24,6 +24,9 @@
 	uint64_t seed;
 	scheduler_options_t scheduler;
 	row_gossip_options_t gossip;
+	/* See placement_options_t. */
+	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	void *ctx;
 	part_watch_t *part_watch;
 } peers_options_t;
 
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -19,6 +19,7 @@
 #define POOL 7
 #define STEP_US (1 * USEC_PER_MSEC)
 #define DELAY_STEPS 2
+#define LATE_WAIT (300 * USEC_PER_MSEC)
 /* From the start of a request to its end; its first token arrives after a tenth of this. */
 #define RUN_DURATION (400 * USEC_PER_MSEC)
 
@@ -37,6 +38,7 @@
 	instant_t arrived;
 	instant_t started_at;
 	bool over; /* rejected, ended or cancelled */
+	bool responded;
 } job_t;
 
 /* Several routers in one program, and the network between them. */
@@ -58,7 +60,9 @@
 	unsigned int rejected;
 	unsigned int in_use[ENGINES];
 	unsigned int peak_in_use[ENGINES];
-	uint64_t longest_wait; /* from arrival to start or rejection, microseconds */
+	uint32_t named_rate[ENGINES]; /* that the engine names in its responses */
+	GArray *starts[ENGINES];      /* instant_t, of all requests that the engine got */
+	uint64_t longest_wait;	      /* from arrival to start or rejection, microseconds */
 } fleet_t;
 
 static id_t32 router_id(unsigned int i)
@@ -90,8 +94,7 @@
 		.self = router_id(i),
 		.incarnation = ++this->incarnation,
 		.seed = 77 + i,
-		.scheduler = {.pool = {.late_wait = 300 * USEC_PER_MSEC,
-				      .max_backlog = 60 * USEC_PER_MSEC}},
+		.scheduler = {.pool = {.late_wait = LATE_WAIT, .max_backlog = 60 * USEC_PER_MSEC}},
 	};
 
 	this->placements[i] = placement_new(&options, this->now);
@@ -112,6 +115,10 @@
 	this->jobs = g_ptr_array_new_with_free_func(g_free);
 	this->writer = entry_writer_new();
 	g_queue_init(&this->messages);
+	for (unsigned int k = 0; k < ENGINES; k++) {
+		this->named_rate[k] = RATE_NONE;
+		this->starts[k] = g_array_new(FALSE, FALSE, sizeof(instant_t));
+	}
 	for (unsigned int i = 0; i < ROUTERS; i++)
 		start_router(this, i);
 	return this;
@@ -129,6 +136,8 @@
 {
 	for (unsigned int i = 0; i < ROUTERS; i++)
 		placement_delete(this->placements[i]);
+	for (unsigned int k = 0; k < ENGINES; k++)
+		g_array_unref(this->starts[k]);
 	g_queue_clear_full(&this->messages, queued_message_delete);
 	g_ptr_array_unref(this->jobs);
 	entry_writer_delete(this->writer);
@@ -209,6 +218,7 @@
 		}
 		this->started++;
 		job->started_at = this->now;
+		g_array_append_val(this->starts[action.engine - engine_id(0)], this->now);
 		this->in_use[action.engine - engine_id(0)]++;
 		if (this->in_use[action.engine - engine_id(0)] >
 			this->peak_in_use[action.engine - engine_id(0)])
@@ -216,6 +226,19 @@
 	}
 }
 
+/* The head of the response arrives, with the first token. */
+static void respond(fleet_t *this, job_t *job)
+{
+	placement_t *placement = this->placements[job->router];
+
+	if (!job->responded)
+		placement_rate_report(placement, &job->request,
+			this->named_rate[job->request.engine - engine_id(0)], job->started_at,
+			this->now);
+	job->responded = true;
+	placement_first_token(placement, &job->request, this->now);
+}
+
 static void finish_jobs(fleet_t *this)
 {
 	for (unsigned int i = 0; i < this->jobs->len; i++) {
@@ -224,8 +247,7 @@
 		if (job->over || !job->started_at || this->frozen[job->router])
 			continue;
 		if (this->now >= job->started_at + RUN_DURATION / 10)
-			placement_first_token(
-				this->placements[job->router], &job->request, this->now);
+			respond(this, job);
 		if (this->now < job->started_at + RUN_DURATION)
 			continue;
 		placement_end(this->placements[job->router], &job->request, 50, this->now);
@@ -367,6 +389,22 @@
 	fleet_delete(f);
 }
 
+/* Ends the router and its requests, and starts it without state. */
+static void restart_router(fleet_t *this, unsigned int router)
+{
+	for (unsigned int i = 0; i < this->jobs->len; i++) {
+		job_t *job = this->jobs->pdata[i];
+
+		if (job->router == router && !job->over) {
+			if (job->started_at)
+				this->in_use[job->request.engine - engine_id(0)]--;
+			job->over = true;
+		}
+	}
+	placement_delete(this->placements[router]);
+	start_router(this, router);
+}
+
 /*
  * A router restarts without state.  The owners free the slots of its former requests,
  * and it learns from the other routers which slots of its own engines are in use.
@@ -377,17 +415,7 @@
 
 	fleet_run(f, 500);
 	fleet_load(f, 1000, 60);
-	for (unsigned int i = 0; i < f->jobs->len; i++) {
-		job_t *job = f->jobs->pdata[i];
-
-		if (job->router == 1 && !job->over) {
-			if (job->started_at)
-				f->in_use[job->request.engine - engine_id(0)]--;
-			job->over = true;
-		}
-	}
-	placement_delete(f->placements[1]);
-	start_router(f, 1);
+	restart_router(f, 1);
 	fleet_load(f, 2000, 60);
 	fleet_run(f, 3000);
 	assert_int_equal(slots_held_at_owners(f), 0);
@@ -692,6 +720,160 @@
 	fleet_delete(f);
 }
 
+/* --- rate limits of engines --------------------------------------------- */
+
+#define LIMITED_ENGINES 4
+#define LIMIT 10 /* requests a second */
+#define WINDOW (4 * USEC_PER_SEC)
+#define LEARN_TIME (3 * USEC_PER_SEC)
+
+static void name_rates(fleet_t *this, uint32_t rate)
+{
+	for (unsigned int k = 0; k < LIMITED_ENGINES; k++)
+		this->named_rate[k] = rate;
+}
+
+static unsigned int starts_between(
+	const fleet_t *this, unsigned int engine, instant_t from, instant_t until)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < this->starts[engine]->len; i++) {
+		instant_t at = g_array_index(this->starts[engine], instant_t, i);
+
+		count += at >= from && at < until;
+	}
+	return count;
+}
+
+/* Checks the users' rule in each window between two moments. */
+static void assert_limit_holds(const fleet_t *this, instant_t from, instant_t until)
+{
+	for (unsigned int k = 0; k < LIMITED_ENGINES; k++) {
+		for (instant_t at = from; at + WINDOW <= until; at += 50 * USEC_PER_MSEC)
+			assert_true(starts_between(this, k, at, at + WINDOW) <=
+				    1.5 * LIMIT * WINDOW / USEC_PER_SEC + 5);
+	}
+}
+
+/* More than the engines take in all, through all routers; the limit is used up as well. */
+static void test_rate_limit_holds_over_all_routers(void **state)
+{
+	for (uint32_t seed = 31; seed <= 33; seed++) {
+		fleet_t *f = fleet_new(seed);
+		instant_t named_at;
+
+		fleet_load(f, 2000, 25);
+		name_rates(f, LIMIT * 1000);
+		named_at = f->now;
+		fleet_load(f, 15000, 25);
+		assert_limit_holds(f, named_at + LEARN_TIME, f->now);
+		for (unsigned int k = 0; k < LIMITED_ENGINES; k++)
+			assert_true(starts_between(f, k, named_at + LEARN_TIME, f->now) >=
+				    0.9 * LIMIT * 12);
+		fleet_delete(f);
+	}
+}
+
+/* Each change gives some engines another owner, which must neither start anew nor add to it. */
+static void test_rate_limit_holds_while_owners_change(void **state)
+{
+	for (uint32_t seed = 41; seed <= 43; seed++) {
+		fleet_t *f = fleet_new(seed);
+		instant_t named_at;
+
+		fleet_load(f, 2000, 25);
+		name_rates(f, LIMIT * 1000);
+		named_at = f->now;
+		fleet_load(f, 4000, 25);
+		for (unsigned int i = 0; i < ROUTERS; i++) {
+			restart_router(f, i);
+			fleet_load(f, 1500, 25);
+		}
+		f->frozen[2] = true;
+		fleet_load(f, 4000, 25);
+		f->frozen[2] = false;
+		fleet_load(f, 2000, 25);
+		f->lose_per_mille = 50;
+		fleet_load(f, 4000, 25);
+		assert_limit_holds(f, named_at + LEARN_TIME, f->now);
+		fleet_delete(f);
+	}
+}
+
+/* Both sides have an owner for each engine, and know the limit. */
+static void test_rate_limit_holds_on_both_sides_of_a_partition(void **state)
+{
+	fleet_t *f = fleet_new(51);
+	instant_t named_at;
+
+	fleet_load(f, 2000, 25);
+	name_rates(f, LIMIT * 1000);
+	named_at = f->now;
+	fleet_load(f, 4000, 25);
+	set_cut_off(f, 0, true);
+	set_cut_off(f, 1, true);
+	fleet_load(f, 8000, 25);
+	assert_limit_holds(f, named_at + LEARN_TIME, f->now);
+	set_cut_off(f, 0, false);
+	set_cut_off(f, 1, false);
+	fleet_load(f, 4000, 25);
+	assert_limit_holds(f, named_at + LEARN_TIME, f->now);
+	fleet_delete(f);
+}
+
+static unsigned int limited_engines_known(const fleet_t *this)
+{
+	unsigned int most = 0;
+
+	for (unsigned int i = 0; i < ROUTERS; i++) {
+		unsigned int known = placement_rate_limited(this->placements[i]);
+
+		most = known > most ? known : most;
+	}
+	return most;
+}
+
+/* Lowered, raised, and no longer named, with messages lost. */
+static void test_changes_of_the_rate_limit_are_followed(void **state)
+{
+	fleet_t *f = fleet_new(61);
+	instant_t at;
+
+	f->lose_per_mille = 50;
+	name_rates(f, 2 * LIMIT * 1000);
+	fleet_load(f, 6000, 25);
+	name_rates(f, LIMIT * 1000);
+	at = f->now;
+	fleet_load(f, 8000, 25);
+	assert_limit_holds(f, at + LEARN_TIME, f->now);
+	name_rates(f, 15 * 1000);
+	fleet_load(f, 3000, 25);
+	at = f->now;
+	fleet_load(f, 6000, 25);
+	for (unsigned int k = 0; k < LIMITED_ENGINES; k++)
+		assert_true(starts_between(f, k, at, f->now) >= 0.9 * 15 * 6);
+	name_rates(f, RATE_NONE);
+	fleet_load(f, 3000, 25);
+	assert_int_equal(limited_engines_known(f), 0);
+	fleet_delete(f);
+}
+
+/* Every engine takes hardly anything: what can't be served is told soon, not at its deadline. */
+static void test_requests_beyond_the_rate_limit_of_all_engines_are_rejected_soon(void **state)
+{
+	fleet_t *f = fleet_new(71);
+
+	for (unsigned int k = 0; k < ENGINES; k++)
+		f->named_rate[k] = 1000;
+	fleet_load(f, 4000, 25);
+	f->longest_wait = 0;
+	fleet_load(f, 4000, 25);
+	/* Late requests wait for LATE_WAIT more; an owner may have to be asked first. */
+	assert_in_range(f->longest_wait, 0, f->objective + LATE_WAIT + 100 * USEC_PER_MSEC);
+	fleet_delete(f);
+}
+
 #define MANY_MEMBERS 50
 
 static void receive_heartbeats(
@@ -768,6 +950,12 @@
 		cmocka_unit_test(test_cancelled_requests_leave_no_slots_in_use),
 		cmocka_unit_test(test_bursts_at_one_router_get_their_share_beside_a_spread_flood),
 		cmocka_unit_test(test_death_of_a_member_causes_no_message_to_every_other),
+		cmocka_unit_test(test_rate_limit_holds_over_all_routers),
+		cmocka_unit_test(test_rate_limit_holds_while_owners_change),
+		cmocka_unit_test(test_rate_limit_holds_on_both_sides_of_a_partition),
+		cmocka_unit_test(test_changes_of_the_rate_limit_are_followed),
+		cmocka_unit_test(
+			test_requests_beyond_the_rate_limit_of_all_engines_are_rejected_soon),
 		cmocka_unit_test(test_links_that_work_are_not_renewed),
 		cmocka_unit_test(test_link_silent_in_one_direction_is_renewed_by_its_sender),
 		cmocka_unit_test(test_link_that_is_silent_from_a_restart_on_is_renewed),
