An attempt to connect to a router that gets no answer is repeated after a second

A renewed link to a router behind a cut hangs in its first packet, which the system repeats at growing pauses; found by reading the change.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -80,8 +80,7 @@
 	slot_request_t slot_request;
 	held_slot_t held_slot; /* ENTRY_HELD_SLOT */
 	unsigned int table;    /* ENTRY_ROW_VERSION, ENTRY_ROW_REQUEST, ENTRY_ROW_CHUNK */
-	/* The same kinds: the number of a store_version_t; ENTRY_RECEIPT: the receiver's
-	 * incarnation. */
+	/* The same kinds: the number of a store_version_t; ENTRY_RECEIPT: the incarnation. */
 	uint64_t version;
 	uint64_t era; /* the same kinds: its era */
 	/* ENTRY_ROW_CHUNK only; the pointers are valid until the next entry is read. */
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -125,7 +125,6 @@
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		engine_state_t *state = &this->engines[i];
 		unsigned int owner = members_owner(&this->members, state->engine.id);
-
 		bool moved = owner != state->owner;
 		bool was_owner = state->owner == 0;
 
--- a/src/edge/peer_socket.c
+++ b/src/edge/peer_socket.c
@@ -12,6 +12,7 @@
 #define QUEUE_LIMIT 64 /* messages queued to each peer */
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 1000
+#define CONNECT_TIMEOUT_MS 1000 /* an attempt that gets no answer is repeated */
 #define MAX_MESSAGE 65536
 #define HANDSHAKE_TIMEOUT_MS 5000
 /* Until a connection is closed whose bytes the peer's host does not acknowledge. */
@@ -138,6 +139,7 @@
 	connection->fd = -1;
 	set_common_options(connection->push);
 	set_int(connection->push, ZMQ_IMMEDIATE, 1);
+	set_int(connection->push, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
 	set_int(connection->push, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(connection->push, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	zmq_setsockopt(connection->push, ZMQ_CURVE_SERVERKEY, connection->address.public_key,
