Owners of endpoints with a limit let requests wait between two starts

Cause: an owner reported no free slot until its next start was due, so requests went elsewhere, none waited there, and the next start went to whoever came first. Starts that are due within 0.2 s count as free slots now, so that the owner has some to choose from by fair share.

Evidence: test_engine_with_rate_limit_is_not_full_between_two_starts fails before. The test by fair share in test_placement passed before, too: five routers do not show it.

--- a/src/core/rate_limit.c
+++ b/src/core/rate_limit.c
@@ -47,6 +47,15 @@
 	return this->next_at - BURST_TIME;
 }
 
+uint32_t rate_limit_starts_until(const rate_limit_t *this, instant_t until)
+{
+	instant_t next = rate_limit_next(this);
+
+	if (this->rate == RATE_NONE)
+		return UINT32_MAX;
+	return until < next ? 0 : (uint32_t)((until - next) / start_interval(this->rate)) + 1;
+}
+
 bool rate_limit_allows(const rate_limit_t *this, instant_t now)
 {
 	return now >= rate_limit_next(this);
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -33,6 +33,8 @@
 bool rate_limit_observe(rate_limit_t *this, uint32_t rate, instant_t sent_at, instant_t now);
 /* Returns the time from which one more request may start. */
 instant_t rate_limit_next(const rate_limit_t *this);
+/* Returns how many requests may start until `until`; UINT32_MAX: any number. */
+uint32_t rate_limit_starts_until(const rate_limit_t *this, instant_t until);
 bool rate_limit_allows(const rate_limit_t *this, instant_t now);
 /* Counts a start; the caller uses `share` of the rate, above 0 and at most 1. */
 void rate_limit_count(rate_limit_t *this, double share, instant_t now);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -5,6 +5,11 @@
 #include "core/refusal_cache.h"
 
 #define BUCKETS 1024
+/*
+ * Starts that an engine's rate allows within this time count as free slots, so that enough
+ * requests wait at the owner for it to choose by fair share.
+ */
+#define RATE_QUEUE_TIME (200 * USEC_PER_MSEC)
 #define ACTION_GROWTH 256
 /*
  * A request whose deadline for the first token can't be met even by an idle engine
@@ -543,9 +548,11 @@
 		return usage;
 	cds_list_for_each_entry (engine, &pool->engines, link) {
 		unsigned int slots = sched_engine_usable_slots(engine, now);
+		unsigned int starts =
+			rate_limit_starts_until(&engine->rate_limit, now + RATE_QUEUE_TIME);
 
-		if (!rate_limit_allows(&engine->rate_limit, now) && slots > engine->model.running)
-			slots = engine->model.running;
+		if (starts < slots && engine->model.running + starts < slots)
+			slots = engine->model.running + starts;
 		usage.slots += slots;
 		usage.taken += engine->model.running < slots ? engine->model.running : slots;
 	}
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -859,6 +859,38 @@
 	fleet_delete(f);
 }
 
+/*
+ * Between two starts of an engine, owners must let some requests wait, or whoever comes first gets
+ * the next start: a workspace that floods through all routers but one, which another one uses.
+ */
+static void test_rate_limited_engines_serve_by_fair_share(void **state)
+{
+	fleet_t *f = fleet_new(81);
+	unsigned int served = 0;
+	unsigned int asked = 0;
+
+	for (unsigned int k = 0; k < ENGINES; k++)
+		f->named_rate[k] = LIMIT * 1000;
+	fleet_load(f, 3000, 25);
+	for (unsigned int ms = 0; ms < 12000; ms++) {
+		if (ms % 10 == 0) {
+			for (unsigned int i = 1; i < ROUTERS; i++)
+				request_slot_for(f, i, 1);
+		}
+		if (ms % 50 == 0)
+			request_slot_for(f, 0, 2);
+		fleet_run(f, 1);
+	}
+	for (unsigned int i = 0; i < f->jobs->len; i++) {
+		const job_t *job = f->jobs->pdata[i];
+
+		asked += job->request.workspace == 2;
+		served += job->request.workspace == 2 && job->started_at;
+	}
+	assert_true(served * 100 >= asked * 80);
+	fleet_delete(f);
+}
+
 /* Every engine takes hardly anything: what can't be served is told soon, not at its deadline. */
 static void test_requests_beyond_the_rate_limit_of_all_engines_are_rejected_soon(void **state)
 {
@@ -954,6 +986,7 @@
 		cmocka_unit_test(test_rate_limit_holds_while_owners_change),
 		cmocka_unit_test(test_rate_limit_holds_on_both_sides_of_a_partition),
 		cmocka_unit_test(test_changes_of_the_rate_limit_are_followed),
+		cmocka_unit_test(test_rate_limited_engines_serve_by_fair_share),
 		cmocka_unit_test(
 			test_requests_beyond_the_rate_limit_of_all_engines_are_rejected_soon),
 		cmocka_unit_test(test_links_that_work_are_not_renewed),
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -492,6 +492,34 @@
 	scheduler_delete(this);
 }
 
+/* Returns the free slots of an engine of this rate that has just started a request. */
+static unsigned int free_slots_after_start(uint32_t rate)
+{
+	instant_t now = 10 * USEC_PER_SEC;
+	scheduler_t *this = scheduler_with_one_engine(8);
+	slot_request_t request = slot_request(1, now);
+	slot_usage_t usage;
+
+	scheduler_set_rate_limit(this, 100, rate, now - 9 * USEC_PER_SEC);
+	scheduler_request_slot(this, 3, &request, now);
+	assert_int_equal(count_grants(this, now), 1);
+	usage = scheduler_usage(this, SIM_POOL, now);
+	scheduler_delete(this);
+	return usage.slots - usage.taken;
+}
+
+/*
+ * An owner that reported no free slot between two starts would have no requests waiting when the
+ * next one is due, and could not choose among them by fair share.  A start that is far away does
+ * not count.
+ */
+static void test_engine_with_rate_limit_is_not_full_between_two_starts(void **state)
+{
+	assert_in_range(free_slots_after_start(7000), 1, 3);
+	assert_int_equal(free_slots_after_start(500), 0);
+	assert_int_equal(free_slots_after_start(RATE_NONE), 7);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -514,6 +542,7 @@
 		cmocka_unit_test(test_full_preferred_engine_becomes_copy_source),
 		cmocka_unit_test(test_only_engine_is_used_despite_failures),
 		cmocka_unit_test(test_unusable_engine_gets_no_grants),
+		cmocka_unit_test(test_engine_with_rate_limit_is_not_full_between_two_starts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
