--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -58,8 +58,7 @@
 	endpoint->named_rate = rate;
 }
 
-/* A response without the marker may not be the endpoint's own, so it says of no limit that it
- * ended. */
+/* A response without the marker may not be the endpoint's own: it does not end a limit. */
 static void report_limit(call_t *call, const connection_response_t *response)
 {
 	if (response->rate_limit_malformed) {
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -9,9 +9,8 @@
 #include "gateway/roster.h"
 #include "settings/fleet_config.h"
 
-#define LINK_CHECK_INTERVAL                                                                        \
-	(50 * USEC_PER_MSEC) /* between two checks for lost and silent links                       \
-			      */
+/* Between two checks for lost and silent links. */
+#define LINK_CHECK_INTERVAL (50 * USEC_PER_MSEC)
 
 struct peers {
 	peers_options_t options;
@@ -165,6 +164,7 @@
 		[MEMBER_SUSPECT] = "suspect",
 		[MEMBER_DEAD] = "dead",
 	};
+
 	log_notice("peer-state", "peer=%u state=%s before=%s silent_ms=%" G_GUINT64_FORMAT,
 		member->id, names[member->state], names[this->states[slot]],
 		(guint64)silence_ms(this, slot, now));
