--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -267,3 +267,48 @@
 	if (!fixture_wait_metrics(this, endpoint_metric, "amaranthwall_ready 1"))
 		abort();
 }
+
+bool fixture_respond_hello(void *ctx, int fd, const raw_request_t *request)
+{
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n"
+				     "Content-Length: 5\r\n\r\nhello",
+		request->id);
+
+	raw_write(fd, text);
+	g_free(text);
+	return true;
+}
+
+bool fixture_is_served(fixture_t *this, const char *name)
+{
+	char *text = g_strdup_printf("GET /%s/ HTTP/1.1\r\nHost: " FIXTURE_HOST
+				     "\r\nRequest-Id: i\r\nConnection: close\r\n\r\n",
+		name);
+	char *response = fixture_send_and_read(this, text, WAIT_TIMEOUT_MS);
+	bool served = strstr(response, "hello") != NULL;
+
+	g_free(response);
+	g_free(text);
+	return served;
+}
+
+bool fixture_wait_served(fixture_t *this, const char *name, bool served)
+{
+	instant_t deadline = clock_now() + WAIT_TIMEOUT_MS * USEC_PER_MSEC;
+
+	while (fixture_is_served(this, name) != served) {
+		if (clock_now() >= deadline)
+			return false;
+		sleep_ms(10);
+	}
+	return true;
+}
+
+bool fixture_wait_metric(fixture_t *this, const char *name, unsigned int value)
+{
+	char *metric = g_strdup_printf("amaranthwall_%s %u\n", name, value);
+	bool found = fixture_wait_metrics(this, metric, "");
+
+	g_free(metric);
+	return found;
+}
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -63,6 +63,19 @@
  * the last fixed route, or "".
  */
 void fixture_put_config(fixture_t *this, const char *extra_routes);
+/* JSON for `extra_routes`: an idempotent route /NAME/ that needs no key. */
+#define FIXTURE_PUBLIC_ROUTE(name)                                                                 \
+	",{\"name\":\"" name "\",\"host\":\"" FIXTURE_HOST "\",\"prefix\":\"/" name "/\","         \
+	"\"kind\":\"idempotent\",\"timeoutMs\":1000,\"maxAttempts\":1,\"public\":true,"            \
+	"\"service\":\"shop\"}"
+/* Whether a GET for the public route `name` gets a response whose body is "hello". */
+bool fixture_is_served(fixture_t *this, const char *name);
+/* Repeats it until it is served, or is not, as `served` says; false after 10 seconds. */
+bool fixture_wait_served(fixture_t *this, const char *name, bool served);
+/* A handler for fixture_add_endpoint() that responds with "hello". */
+bool fixture_respond_hello(void *ctx, int fd, const raw_request_t *request);
+/* Waits until the metric has this value; false after 10 seconds. */
+bool fixture_wait_metric(fixture_t *this, const char *name, unsigned int value);
 /* Waits until one /metrics response contains both strings; false after 10 seconds. */
 bool fixture_wait_metrics(fixture_t *this, const char *first, const char *second);
 /* Waits until the gateway is ready and knows this number of endpoints. */
--- a/tests/test_endpoint_limit.c
+++ b/tests/test_endpoint_limit.c
@@ -11,13 +11,8 @@
 #include "edge/log.h"
 #include "tests/gateway_fixture.h"
 
-#define WAIT_MS 10000
 #define REQUESTS 60
 #define LIMIT 10 /* requests a second */
-#define ROUTE                                                                                      \
-	",{\"name\":\"any\",\"host\":\"" FIXTURE_HOST "\",\"prefix\":\"/any/\","                   \
-	"\"kind\":\"idempotent\",\"timeoutMs\":1000,\"maxAttempts\":1,\"public\":true,"            \
-	"\"service\":\"shop\"}"
 
 /* Header lines that the endpoint adds to its responses. */
 typedef struct endpoint_headers {
@@ -47,25 +42,12 @@
 	return true;
 }
 
-/* Sends a request; returns whether the endpoint answered it. */
-static bool is_served(fixture_t *f)
-{
-	char *response = fixture_send_and_read(f,
-		"GET /any/ HTTP/1.1\r\nHost: " FIXTURE_HOST
-		"\r\nRequest-Id: i\r\nConnection: close\r\n\r\n",
-		WAIT_MS);
-	bool served = strstr(response, "hello") != NULL;
-
-	g_free(response);
-	return served;
-}
-
 static unsigned int count_served(fixture_t *f, unsigned int requests)
 {
 	unsigned int served = 0;
 
 	for (unsigned int i = 0; i < requests; i++)
-		served += is_served(f);
+		served += fixture_is_served(f, "any");
 	return served;
 }
 
@@ -74,10 +56,10 @@
 	fixture_options_t options = {.settings = "", .idle_timeout_ms = 1000};
 	fixture_t *f = fixture_new_with(&options);
 
-	fixture_put_config(f, ROUTE);
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
 	*endpoint = fixture_add_endpoint(f, respond, headers);
 	fixture_wait_ready(f, 1);
-	while (!is_served(f))
+	while (!fixture_is_served(f, "any"))
 		;
 	return f;
 }
@@ -110,7 +92,7 @@
 
 	count_served(f, REQUESTS / 4);
 	set_headers(&headers, "");
-	while (!is_served(f))
+	while (!fixture_is_served(f, "any"))
 		;
 	assert_int_equal(count_served(f, REQUESTS), REQUESTS);
 	fixture_delete(f);
@@ -127,7 +109,7 @@
 
 	assert_int_equal(count_served(f, REQUESTS), REQUESTS);
 	set_headers(&headers, "Server-Limit: 10\r\n");
-	assert_true(is_served(f));
+	assert_true(fixture_is_served(f, "any"));
 	set_headers(&headers, "Server-Limit: many\r\n");
 	before = raw_endpoint_request_count(endpoint);
 	began = clock_now();
--- a/tests/test_silent_connection.c
+++ b/tests/test_silent_connection.c
@@ -25,10 +25,6 @@
 #define HANDSHAKE_BYTES 2000 /* more than the handshake of a link between routers */
 /* A read that waits at the store does not end within WAIT_MS by itself. */
 #define LONG_WAITS ",\"store_wait_ms\":30000,\"roster_wait_ms\":30000"
-#define ROUTE(name)                                                                                \
-	",{\"name\":\"" name "\",\"host\":\"" FIXTURE_HOST "\",\"prefix\":\"/" name "/\","         \
-	"\"kind\":\"idempotent\",\"timeoutMs\":1000,\"maxAttempts\":1,\"public\":true,"            \
-	"\"service\":\"shop\"}"
 
 /* Two routers; the links between them and the second one's connections to the store can go silent.
  */
@@ -40,59 +36,6 @@
 	silent_proxy_t *to_second;
 } pair_t;
 
-static bool respond_hello(void *ctx, int fd, const raw_request_t *request)
-{
-	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n"
-				     "Content-Length: 5\r\n\r\nhello",
-		request->id);
-
-	raw_write(fd, text);
-	g_free(text);
-	return true;
-}
-
-static void wait_metric(fixture_t *f, const char *name, unsigned int value)
-{
-	char *metric = g_strdup_printf("amaranthwall_%s %u\n", name, value);
-
-	assert_true(fixture_wait_metrics(f, metric, ""));
-	g_free(metric);
-}
-
-/* Whether a GET for the public route `name` gets an endpoint's response. */
-static bool is_served(fixture_t *f, const char *name)
-{
-	char *text = g_strdup_printf("GET /%s/ HTTP/1.1\r\nHost: " FIXTURE_HOST
-				     "\r\nRequest-Id: i\r\nConnection: close\r\n\r\n",
-		name);
-	char *response = fixture_send_and_read(f, text, WAIT_MS);
-	bool served = strstr(response, "hello") != NULL;
-
-	g_free(response);
-	g_free(text);
-	return served;
-}
-
-static bool is_served_within(fixture_t *f, const char *name, unsigned int ms)
-{
-	instant_t deadline = clock_now() + ms * USEC_PER_MSEC;
-	bool served = false;
-
-	while (!(served = is_served(f, name)) && clock_now() < deadline)
-		sleep_ms(10);
-	return served;
-}
-
-static bool is_rejected_within(fixture_t *f, const char *name, unsigned int ms)
-{
-	instant_t deadline = clock_now() + ms * USEC_PER_MSEC;
-	bool served = true;
-
-	while ((served = is_served(f, name)) && clock_now() < deadline)
-		sleep_ms(10);
-	return !served;
-}
-
 /* Replaces the address in the router's row by that of a proxy before it. */
 static silent_proxy_t *interpose_proxy(fixture_t *f)
 {
@@ -160,8 +103,8 @@
 static void pair_init(pair_t *this)
 {
 	this->first = start_router("first", NULL, NULL);
-	fixture_add_endpoint(this->first, respond_hello, NULL);
-	fixture_put_config(this->first, ROUTE("any"));
+	fixture_add_endpoint(this->first, fixture_respond_hello, NULL);
+	fixture_put_config(this->first, FIXTURE_PUBLIC_ROUTE("any"));
 	fixture_wait_ready(this->first, 1);
 	this->to_first = interpose_proxy(this->first);
 	this->store = silent_proxy_new(row_store_standin_address(this->first->store));
@@ -171,8 +114,8 @@
 	this->to_second = interpose_proxy(this->second);
 	wait_for_messages(this->to_first);
 	wait_for_messages(this->to_second);
-	wait_metric(this->first, "routers_alive", 2);
-	wait_metric(this->second, "routers_alive", 2);
+	assert_true(fixture_wait_metric(this->first, "routers_alive", 2));
+	assert_true(fixture_wait_metric(this->second, "routers_alive", 2));
 	wait_for_long_reads(this->first->store);
 }
 
@@ -192,9 +135,9 @@
 static void expect_change_arrives(pair_t *this)
 {
 	silent_proxy_silence(this->store, SILENT_BOTH);
-	fixture_put_config(this->first, ROUTE("added"));
-	assert_true(is_served_within(this->first, "added", WAIT_MS));
-	assert_true(is_served_within(this->second, "added", WAIT_MS));
+	fixture_put_config(this->first, FIXTURE_PUBLIC_ROUTE("added"));
+	assert_true(fixture_wait_served(this->first, "added", true));
+	assert_true(fixture_wait_served(this->second, "added", true));
 }
 
 static void test_links_silent_in_both_directions_are_renewed(void **state)
@@ -205,8 +148,8 @@
 	silent_proxy_silence(pair.to_first, SILENT_BOTH);
 	silent_proxy_silence(pair.to_second, SILENT_BOTH);
 	expect_change_arrives(&pair);
-	wait_metric(pair.first, "routers_alive", 2);
-	wait_metric(pair.second, "routers_alive", 2);
+	assert_true(fixture_wait_metric(pair.first, "routers_alive", 2));
+	assert_true(fixture_wait_metric(pair.second, "routers_alive", 2));
 	pair_clear(&pair);
 }
 
@@ -218,7 +161,7 @@
 	pair_init(&pair);
 	silent_proxy_silence(pair.to_second, SILENT_TO_TARGET);
 	expect_change_arrives(&pair);
-	wait_metric(pair.second, "routers_alive", 2);
+	assert_true(fixture_wait_metric(pair.second, "routers_alive", 2));
 	pair_clear(&pair);
 }
 
@@ -230,9 +173,9 @@
 	pair_init(&pair);
 	silent_proxy_silence(pair.store, SILENT_BOTH);
 	silent_proxy_silence(pair.to_second, SILENT_TO_TARGET);
-	assert_true(is_served(pair.second, "any"));
+	assert_true(fixture_is_served(pair.second, "any"));
 	fixture_register_endpoint(pair.first, 0, "draining");
-	assert_true(is_rejected_within(pair.second, "any", WAIT_MS));
+	assert_true(fixture_wait_served(pair.second, "any", false));
 	pair_clear(&pair);
 }
 
--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -15,26 +15,11 @@
 #define CONFIG_VERSION 2 /* of the store, when the fixture has written the configuration */
 /* A router that misses what the store tells it does not notice by itself within WAIT_MS. */
 #define LONG_WAITS ",\"store_wait_ms\":30000,\"roster_wait_ms\":30000"
-#define ROUTE(name)                                                                                \
-	",{\"name\":\"" name "\",\"host\":\"" FIXTURE_HOST "\",\"prefix\":\"/" name "/\","         \
-	"\"kind\":\"idempotent\",\"timeoutMs\":1000,\"maxAttempts\":1,\"public\":true,"            \
-	"\"service\":\"shop\"}"
 /* Its watches end soon while the store that it shares is still there. */
 #define SHORT_WAITS ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000"
 #define NO_GRACE LONG_WAITS ",\"lapse_grace_ms\":0"
 #define LONG_GRACE LONG_WAITS ",\"lapse_grace_ms\":60000"
 
-static bool respond_hello(void *ctx, int fd, const raw_request_t *request)
-{
-	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n"
-				     "Content-Length: 5\r\n\r\nhello",
-		request->id);
-
-	raw_write(fd, text);
-	g_free(text);
-	return true;
-}
-
 static fixture_t *start_router(const char *settings)
 {
 	fixture_options_t options = {.settings = settings, .idle_timeout_ms = 1000};
@@ -56,45 +41,13 @@
 	return fixture_new_with(&options);
 }
 
-/* Whether a GET for the public route `name` gets an endpoint's response. */
-static bool is_served(fixture_t *f, const char *name)
-{
-	char *text = g_strdup_printf("GET /%s/ HTTP/1.1\r\nHost: " FIXTURE_HOST
-				     "\r\nRequest-Id: i\r\nConnection: close\r\n\r\n",
-		name);
-	char *response = fixture_send_and_read(f, text, WAIT_MS);
-	bool served = strstr(response, "hello") != NULL;
-
-	g_free(response);
-	g_free(text);
-	return served;
-}
-
-static bool is_served_within(fixture_t *f, const char *name, unsigned int ms)
-{
-	instant_t deadline = clock_now() + ms * USEC_PER_MSEC;
-	bool served = false;
-
-	while (!(served = is_served(f, name)) && clock_now() < deadline)
-		sleep_ms(10);
-	return served;
-}
-
-static void wait_metric(fixture_t *f, const char *name, unsigned int value)
-{
-	char *metric = g_strdup_printf("amaranthwall_%s %u\n", name, value);
-
-	assert_true(fixture_wait_metrics(f, metric, ""));
-	g_free(metric);
-}
-
 /* Waits until the router has read all rows of endpoints that are written so far. */
 static void wait_for_endpoint_rows(fixture_t *f, unsigned int endpoints)
 {
 	row_store_standin_put(f->store, "servers", "i-marker",
 		"{\"service\":\"shop\",\"address\":\"127.0.0.1:9\",\"slots\":1,"
 		"\"state\":\"draining\"}");
-	wait_metric(f, "endpoints", endpoints + 1);
+	assert_true(fixture_wait_metric(f, "endpoints", endpoints + 1));
 }
 
 static void wait_for_roster_row(fixture_t *f)
@@ -117,16 +70,16 @@
 	fixture_t *f = start_router(LONG_WAITS);
 	uint64_t copy;
 
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 1);
 	copy = row_store_standin_version(f->store);
 	for (unsigned int i = 0; i < 5; i++)
-		fixture_put_config(f, ROUTE("lost"));
-	assert_true(is_served_within(f, "lost", WAIT_MS));
-	wait_metric(f, "catalog_version", f->config_version);
+		fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("lost"));
+	assert_true(fixture_wait_served(f, "lost", true));
+	assert_true(fixture_wait_metric(f, "catalog_version", f->config_version));
 	row_store_standin_restore(f->store, copy);
-	fixture_put_config(f, ROUTE("added"));
-	assert_true(is_served_within(f, "added", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("added"));
+	assert_true(fixture_wait_served(f, "added", true));
 	fixture_delete(f);
 }
 
@@ -139,16 +92,16 @@
 	fixture_t *f = start_router(LONG_WAITS ",\"store_pause_ms\":800");
 	uint64_t copy;
 
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 1);
 	copy = row_store_standin_version(f->store);
-	fixture_put_config(f, ROUTE("lost"));
-	wait_metric(f, "catalog_version", f->config_version);
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("lost"));
+	assert_true(fixture_wait_metric(f, "catalog_version", f->config_version));
 	row_store_standin_restore(f->store, copy);
-	fixture_put_config(f, ROUTE("added"));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("added"));
 	for (unsigned int i = 0; i < 10; i++)
 		row_store_standin_put(f->store, "other", "key", "value");
-	assert_true(is_served_within(f, "added", WAIT_MS));
+	assert_true(fixture_wait_served(f, "added", true));
 	fixture_delete(f);
 }
 
@@ -158,14 +111,14 @@
 	fixture_t *f = start_router(LONG_WAITS);
 	uint64_t copy;
 
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 1);
 	copy = row_store_standin_version(f->store);
-	fixture_put_config(f, ROUTE("lost"));
-	assert_true(is_served_within(f, "lost", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("lost"));
+	assert_true(fixture_wait_served(f, "lost", true));
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "store_era", 2);
-	assert_true(is_served(f, "lost"));
+	assert_true(fixture_wait_metric(f, "store_era", 2));
+	assert_true(fixture_is_served(f, "lost"));
 	fixture_delete(f);
 }
 
@@ -176,17 +129,17 @@
 	fixture_t *second;
 	uint64_t copy;
 
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 1);
 	wait_for_roster_row(f);
 	copy = row_store_standin_version(f->store);
-	fixture_put_config(f, ROUTE("lost"));
-	assert_true(is_served_within(f, "lost", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("lost"));
+	assert_true(fixture_wait_served(f, "lost", true));
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "store_era", 2);
+	assert_true(fixture_wait_metric(f, "store_era", 2));
 	second = start_second_router(f, SHORT_WAITS);
-	wait_metric(second, "routers_alive", 2);
-	assert_true(is_served_within(second, "lost", WAIT_MS));
+	assert_true(fixture_wait_metric(second, "routers_alive", 2));
+	assert_true(fixture_wait_served(second, "lost", true));
 	fixture_delete(second);
 	fixture_delete(f);
 }
@@ -198,13 +151,13 @@
 	fixture_t *f = start_router(NO_GRACE);
 	uint64_t copy;
 
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 1);
 	copy = row_store_standin_version(f->store);
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 2);
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "endpoints", 1);
+	assert_true(fixture_wait_metric(f, "endpoints", 1));
 	fixture_delete(f);
 }
 
@@ -216,43 +169,33 @@
 
 	fixture_wait_ready(f, 0);
 	copy = row_store_standin_version(f->store);
-	fixture_add_endpoint(f, respond_hello, NULL);
-	fixture_put_config(f, ROUTE("any"));
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
+	assert_true(fixture_wait_served(f, "any", true));
 	row_store_standin_restore(f->store, copy);
-	fixture_put_config(f, ROUTE("any") ROUTE("added"));
-	assert_true(is_served_within(f, "added", WAIT_MS));
-	wait_metric(f, "endpoints", 1);
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any") FIXTURE_PUBLIC_ROUTE("added"));
+	assert_true(fixture_wait_served(f, "added", true));
+	assert_true(fixture_wait_metric(f, "endpoints", 1));
 	fixture_register_endpoint(f, 0, "ready");
-	assert_true(is_served(f, "any"));
+	assert_true(fixture_is_served(f, "any"));
 	fixture_delete(f);
 }
 
-static bool is_rejected_within(fixture_t *f, const char *name, unsigned int ms)
-{
-	instant_t deadline = clock_now() + ms * USEC_PER_MSEC;
-	bool served = true;
-
-	while ((served = is_served(f, name)) && clock_now() < deadline)
-		sleep_ms(10);
-	return !served;
-}
-
 /* The endpoint has left since the copy was made; it could only be asked in vain, or too late. */
 static void test_endpoint_that_has_left_is_not_used_if_the_copy_lists_it(void **state)
 {
 	fixture_t *f = start_router(LONG_GRACE ",\"returned_hold_ms\":60000");
 	uint64_t copy;
 
-	fixture_put_config(f, ROUTE("any"));
-	fixture_add_endpoint(f, respond_hello, NULL);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
+	assert_true(fixture_wait_served(f, "any", true));
 	copy = row_store_standin_version(f->store);
 	row_store_standin_delete_row(f->store, "servers", "i-0");
-	wait_metric(f, "endpoints", 0);
+	assert_true(fixture_wait_metric(f, "endpoints", 0));
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "endpoints", 1);
-	assert_false(is_served(f, "any"));
+	assert_true(fixture_wait_metric(f, "endpoints", 1));
+	assert_false(fixture_is_served(f, "any"));
 	fixture_delete(f);
 }
 
@@ -263,14 +206,14 @@
 	fixture_t *f = start_router(LONG_GRACE ",\"returned_hold_ms\":300");
 	uint64_t copy;
 
-	fixture_put_config(f, ROUTE("any"));
-	fixture_add_endpoint(f, respond_hello, NULL);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
+	assert_true(fixture_wait_served(f, "any", true));
 	copy = row_store_standin_version(f->store);
 	row_store_standin_delete_row(f->store, "servers", "i-0");
-	wait_metric(f, "endpoints", 0);
+	assert_true(fixture_wait_metric(f, "endpoints", 0));
 	row_store_standin_restore(f->store, copy);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	assert_true(fixture_wait_served(f, "any", true));
 	fixture_delete(f);
 }
 
@@ -280,19 +223,19 @@
 	fixture_t *f = start_router(LONG_GRACE ",\"returned_hold_ms\":1000");
 	uint64_t copy;
 
-	fixture_put_config(f, ROUTE("any"));
-	fixture_add_endpoint(f, respond_hello, NULL);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
+	assert_true(fixture_wait_served(f, "any", true));
 	copy = row_store_standin_version(f->store);
 	row_store_standin_delete_row(f->store, "servers", "i-0");
-	wait_metric(f, "endpoints", 0);
+	assert_true(fixture_wait_metric(f, "endpoints", 0));
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "endpoints_read_in_era", 2);
+	assert_true(fixture_wait_metric(f, "endpoints_read_in_era", 2));
 	/* The second restore must not fall between two reads of the same version. */
 	wait_for_endpoint_rows(f, 1);
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "endpoints_read_in_era", 3);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	assert_true(fixture_wait_metric(f, "endpoints_read_in_era", 3));
+	assert_true(fixture_wait_served(f, "any", true));
 	fixture_delete(f);
 }
 
@@ -301,17 +244,17 @@
 	fixture_t *f = start_router(LONG_GRACE);
 	uint64_t copy;
 
-	fixture_put_config(f, ROUTE("any"));
-	fixture_add_endpoint(f, respond_hello, NULL);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
+	assert_true(fixture_wait_served(f, "any", true));
 	copy = row_store_standin_version(f->store);
 	fixture_register_endpoint(f, 0, "draining");
-	assert_true(is_rejected_within(f, "any", WAIT_MS));
+	assert_true(fixture_wait_served(f, "any", false));
 	row_store_standin_restore(f->store, copy);
-	fixture_put_config(f, ROUTE("any") ROUTE("added"));
-	wait_metric(f, "catalog_version", f->config_version);
-	wait_metric(f, "endpoints_read_in_era", 2);
-	assert_false(is_served(f, "any"));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any") FIXTURE_PUBLIC_ROUTE("added"));
+	assert_true(fixture_wait_metric(f, "catalog_version", f->config_version));
+	assert_true(fixture_wait_metric(f, "endpoints_read_in_era", 2));
+	assert_false(fixture_is_served(f, "any"));
 	fixture_delete(f);
 }
 
@@ -325,18 +268,18 @@
 	char *later;
 	uint64_t copy;
 
-	fixture_put_config(f, ROUTE("any"));
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
 	row_store_standin_put(f->store, "servers", "i-0", earlier);
-	wait_metric(f, "endpoints", 1);
+	assert_true(fixture_wait_metric(f, "endpoints", 1));
 	copy = row_store_standin_version(f->store);
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	later = g_strdup_printf(row, raw_endpoint_address(f->endpoints[0]), 2000U);
 	row_store_standin_put(f->store, "servers", "i-0", later);
 	wait_for_endpoint_rows(f, 1);
-	assert_true(is_served_within(f, "any", WAIT_MS));
+	assert_true(fixture_wait_served(f, "any", true));
 	row_store_standin_restore(f->store, copy);
-	wait_metric(f, "endpoints_read_in_era", 2);
-	assert_true(is_served(f, "any"));
+	assert_true(fixture_wait_metric(f, "endpoints_read_in_era", 2));
+	assert_true(fixture_is_served(f, "any"));
 	g_free(earlier);
 	g_free(later);
 	fixture_delete(f);
@@ -364,28 +307,28 @@
 	fixture_t *second = start_second_router(f, SHORT_WAITS ",\"lapse_grace_ms\":0");
 	uint64_t copy;
 
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	fixture_wait_ready(f, 1);
 	wait_for_roster_row(f);
 	wait_for_roster_row(second);
-	wait_metric(f, "routers_alive", 2);
-	wait_metric(second, "routers_alive", 2);
+	assert_true(fixture_wait_metric(f, "routers_alive", 2));
+	assert_true(fixture_wait_metric(second, "routers_alive", 2));
 	copy = row_store_standin_version(f->store);
-	fixture_add_endpoint(f, respond_hello, NULL);
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
 	for (unsigned int i = 0; i < 5; i++)
-		fixture_put_config(f, ROUTE("lost"));
+		fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("lost"));
 	fixture_wait_ready(f, 2);
 	fixture_wait_ready(second, 2);
-	wait_metric(f, "catalog_version", f->config_version);
-	wait_metric(second, "catalog_version", f->config_version);
+	assert_true(fixture_wait_metric(f, "catalog_version", f->config_version));
+	assert_true(fixture_wait_metric(second, "catalog_version", f->config_version));
 	row_store_standin_set_refusing(f->store, true);
 	row_store_standin_restore(f->store, copy);
-	fixture_put_config(f, ROUTE("added"));
-	assert_true(is_served_within(f, "added", WAIT_MS));
-	assert_true(is_served_within(second, "added", WAIT_MS));
-	wait_metric(f, "endpoints", 1);
-	wait_metric(second, "endpoints", 1);
-	wait_metric(f, "endpoints", 1);
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("added"));
+	assert_true(fixture_wait_served(f, "added", true));
+	assert_true(fixture_wait_served(second, "added", true));
+	assert_true(fixture_wait_metric(f, "endpoints", 1));
+	assert_true(fixture_wait_metric(second, "endpoints", 1));
+	assert_true(fixture_wait_metric(f, "endpoints", 1));
 	fixture_delete(second);
 	fixture_delete(f);
 }
