The fixture's ports are not among those that the system gives to connections

The fixture took a free port of the system's, closed it and bound it again; any connection of another process could take it in between. Two processes may still meet on one port in the instant between test and bind.

--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -13,22 +13,32 @@
 
 #define WAIT_TIMEOUT_MS 10000
 #define POLL_INTERVAL_MS 5
+#define FIRST_PORT 10000
+#define PORT_COUNT 9000 /* those of other tests begin at 19800 */
+#define PORTS_PER_PROCESS 211
 
 /*
- * Writes a loopback address with a free port to `out`.  Another process could still take the port
- * before the gateway binds it.
+ * Finds an address that nothing is bound to.  The port is below those that the system gives to
+ * connections, so that none takes it before the gateway does; processes begin at different ports.
  */
 static void find_free_address(char *out, size_t size)
 {
+	static int next_port;
 	struct sockaddr_in addr = {.sin_family = AF_INET};
-	socklen_t len = sizeof(addr);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	unsigned int tries = 0;
+	bool found = false;
 
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)))
-		abort();
-	getsockname(fd, (struct sockaddr *)&addr, &len);
-	close(fd);
+	while (!found) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		int port = g_atomic_int_add(&next_port, 1) + getpid() * PORTS_PER_PROCESS;
+
+		if (tries++ == PORT_COUNT)
+			abort();
+		addr.sin_port = htons((uint16_t)(FIRST_PORT + port % PORT_COUNT));
+		found = !bind(fd, (struct sockaddr *)&addr, sizeof(addr));
+		close(fd);
+	}
 	g_snprintf(out, size, "127.0.0.1:%u", ntohs(addr.sin_port));
 }
 
