A caller's disconnect is not a failure of its endpoint

Cause: when a caller disconnects, the caller watch cancels its request at the engine. The router then reads a response that breaks off, and ended the ticket as END_BROKEN; two such endings in a row take the endpoint out of service for 500 ms, eight for 8 s, for all workspaces. For whole responses this happens each time, for streams only if the cancellation is read before a write to the caller fails, so the test failed rarely.

Each failed run has two "stream-resumed good=0" before and a request that waits some 500 ms for a slot.

Looked for elsewhere: the gateway ends such an attempt as SLOT_DONE.

--- a/src/filter/account.c
+++ b/src/filter/account.c
@@ -46,7 +46,8 @@
 	if (request->is_stream && request->stream_ended)
 		request_end_ticket(request, END_DONE);
 	else
-		request_end_ticket(request, request->stream_failed ? END_BROKEN : END_STOPPED);
+		request_end_ticket(request,
+			request->stream_failed ? request_incomplete_end(request) : END_STOPPED);
 }
 
 static reason_t run(request_t *request)
--- a/src/filter/dispatch.c
+++ b/src/filter/dispatch.c
@@ -113,6 +113,17 @@
 	return result;
 }
 
+static void end_failed_attempt(request_t *request, http_result_t result)
+{
+	bool is_sent = result != HTTP_NOT_SENT;
+	request_end_t end = is_sent ? request_incomplete_end(request) : END_REFUSED;
+
+	if (end != END_STOPPED)
+		log_warn("endpoint-failed", "id=%s endpoint=%s sent=%d attempt=%u", request->id,
+			request->endpoint->name, is_sent, request->attempts);
+	request_end_ticket(request, end);
+}
+
 http_result_t request_send(request_t *this)
 {
 	http_result_t result = HTTP_NOT_SENT;
@@ -131,10 +142,8 @@
 		result = try_endpoint(this);
 		if (result == HTTP_OK)
 			return result;
-		log_warn("endpoint-failed", "id=%s endpoint=%s sent=%d attempt=%u", this->id,
-			this->endpoint->name, result != HTTP_NOT_SENT, this->attempts);
 		request_close_exchange(this);
-		request_end_ticket(this, result == HTTP_NOT_SENT ? END_REFUSED : END_BROKEN);
+		end_failed_attempt(this, result);
 		if (result != HTTP_NOT_SENT && !this->route->is_idempotent)
 			return result;
 		router_count(this->router, COUNTER_RETRIES);
--- a/src/filter/relay.c
+++ b/src/filter/relay.c
@@ -73,7 +73,7 @@
 		report_pace(this, this->ticket ? this->arrived : started_at);
 	this->may_have_run |= result != HTTP_OK;
 	request_close_exchange(this);
-	request_end_ticket(this, result == HTTP_OK ? END_DONE : END_BROKEN);
+	request_end_ticket(this, result == HTTP_OK ? END_DONE : request_incomplete_end(this));
 	return result;
 }
 
--- a/src/filter/request.c
+++ b/src/filter/request.c
@@ -85,6 +85,13 @@
 	this->ticket = NULL;
 }
 
+request_end_t request_incomplete_end(const request_t *this)
+{
+	if (this->caller_watch_id && caller_has_disconnected(this->caller_fd))
+		return END_STOPPED;
+	return END_BROKEN;
+}
+
 void request_close_exchange(request_t *this)
 {
 	if (this->exchange_open)
--- a/src/filter/request.h
+++ b/src/filter/request.h
@@ -91,6 +91,11 @@
 void request_run(request_t *this);
 /* Ends the ticket, if the request holds one, which frees its slot. */
 void request_end_ticket(request_t *this, request_end_t kind);
+/*
+ * How an incomplete response ends the ticket: END_STOPPED if the caller's disconnect made the
+ * caller watch cancel the request, which is no failure of the endpoint; otherwise END_BROKEN.
+ */
+request_end_t request_incomplete_end(const request_t *this);
 /*
  * Sends the request to an endpoint, waiting for a slot if it holds none.  Makes further attempts,
  * up to a limit, when an endpoint refuses the request or, if the route is idempotent, fails.
--- a/tests/process/callers.sh
+++ b/tests/process/callers.sh
@@ -3,7 +3,7 @@
 # another workspace's idempotency key; a service whose dependency has no endpoint; random bytes or
 # an unknown key on the peer port. Guards against slots that are never freed, callers that block
 # others, crashes, tokens in the logs, and responses that go to the wrong caller.
-# cases: dependency slow gone hostile isolation peer-port
+# cases: dependency slow gone health hostile isolation peer-port
 set -u
 cd "$(dirname "$0")/../.."
 BIN=${BIN:-build-asan}
@@ -49,6 +49,17 @@
 	disconnects_counted() { [ "$(metric_of 0 callers_gone_total)" -ge 2 ]; }
 	wait_for 5 disconnects_counted || fail "callers_gone_total is $(metric_of 0 callers_gone_total), expected at least 2"
 	;;
+health)
+	# Callers that disconnect say nothing of the endpoint: it stays in service. Eight failures in
+	# a row would take it out of service for 8 s.
+	for round in 1 2; do
+		for i in 1 2 3 4; do curl -s -m 1 -H "$auth" "http://$router/v1/chat/completions" -d "$(chat false 150 "left $round $i tokens=150")" >/dev/null & done
+		wait_for 5 is_running 4 || fail "$(running) of 4 requests started in round $round"
+		wait_for 5 is_running 0 || fail "$(running) requests still run after their callers disconnected"
+	done
+	expect 200 -H "$auth" -H "X-Deadline-Ms: 5000" "http://$router/v1/chat/completions" -d "$(chat false 8 'next tokens=2')"
+	grep 'event=endpoint-failed' "$RUN/router-0.log" && fail "a disconnect counts as a failure of the endpoint"
+	;;
 dependency)
 	# The model depends on the service "desk": without a desk endpoint the router rejects the
 	# request at once and reports that it was not run.
