A router renews its link to a peer that hears nothing of it

The product's own router renewed a link only when it took the peer for dead.

Cause: of two routers whose links are silent in both directions, the first to notice renews its own link, by which the other one hears it again before it took it for dead, and so never renews the other direction. The same holds for a link that is silent in one direction from the start.

A router now tells a peer that it takes it for dead (MESSAGE_UNHEARD). A peer that has been told so for 1.5 s renews its link, with growing pauses. The flag is a bit of an existing field, so that routers of earlier builds read such messages and ignore it; a confirmation of each message, as the gateways have it, would have changed the format for them.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -24,6 +24,8 @@
 	MESSAGE_FULL = 1 << 2,
 	/* The sender restarted and requests the counters of its earlier incarnations. */
 	MESSAGE_RESTARTED = 1 << 1,
+	/* The sender counts the receiver as dead: it gets none of the receiver's messages. */
+	MESSAGE_UNHEARD = 1 << 3,
 } message_flag_t;
 
 typedef enum work_class {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -93,9 +93,10 @@
 } request_end_t;
 
 typedef enum node_action_kind {
-	ACTION_START,  /* send `request` to `replica` */
-	ACTION_REJECT, /* reject `request` with `reason` and `retry_after_s` */
-	ACTION_SEND,   /* send node_build_message() to the peer whose member index is `slot` */
+	ACTION_START,	   /* send `request` to `replica` */
+	ACTION_REJECT,	   /* reject `request` with `reason` and `retry_after_s` */
+	ACTION_SEND,	   /* send node_build_message() to the peer whose member index is `slot` */
+	ACTION_RENEW_LINK, /* renew the connection to the peer whose member index is `slot` */
 	ACTION_FETCH_CONFIG, /* fetch the fleet configuration; a peer has version `version` */
 } node_action_kind_t;
 
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -1,6 +1,7 @@
 #ifndef CORE_NODE_INTERNAL_H
 #define CORE_NODE_INTERNAL_H
 /* node_internal - private state and functions shared by node.c, node_*.c and policy.c */
+#include "core/link_watch.h"
 #include "core/node.h"
 #include "core/share.h"
 
@@ -34,6 +35,7 @@
 	bool send_queued;	 /* an ACTION_SEND for this peer is in the action queue */
 	bool wants_prior_served; /* it restarted and requests its earlier counters */
 	bool report_all_served;	 /* send all served counters again */
+	link_watch_t link;	 /* whether our messages arrive */
 } peer_t;
 
 struct policy_ops {
--- a/src/core/node_message.c
+++ b/src/core/node_message.c
@@ -7,6 +7,8 @@
 	(900 * USEC_PER_MSEC)		/* below the heartbeat interval: each heartbeat is full */
 #define LEAVING_TTL (30 * USEC_PER_SEC) /* how long a peer's report of a leaving replica counts */
 #define ACK_DELAY (500 * USEC_PER_MSEC)
+/* A peer that reports us as unheard gets our next heartbeat within this time if it arrives. */
+#define LINK_CONFIRM_TIME (1500 * USEC_PER_MSEC)
 
 /* --- building a message ----------------------------------------------- */
 
@@ -132,6 +134,8 @@
 	message->config_version = this->plan_version;
 	if (this->is_stopping)
 		message->flags |= MESSAGE_STOPPING;
+	if (this->members.list[member_index].state == MEMBER_DEAD)
+		message->flags |= MESSAGE_UNHEARD;
 	if (now < this->recovery_until)
 		message->flags |= MESSAGE_RESTARTED;
 	if (now >= peer->full_at) {
@@ -193,6 +197,7 @@
 	peer_t *peer = this->peers[member_index];
 
 	owner_forget_peer(this, member_index);
+	peer->link = (link_watch_t){0};
 	peer->grant_received = 0;
 	peer->report_all_served = true;
 	for (unsigned int i = 0; i < this->pool_count; i++) {
@@ -416,6 +421,24 @@
 	}
 }
 
+/* A peer that refers to an earlier incarnation of this router has not been sent much yet. */
+static void check_link(
+	node_t *this, unsigned int member_index, const message_t *message, instant_t now)
+{
+	node_action_t action = {.kind = ACTION_RENEW_LINK, .slot = member_index};
+	link_watch_t *link = &this->peers[member_index]->link;
+
+	if (message->ack_incarnation != this->options.incarnation)
+		return;
+	if (!(message->flags & MESSAGE_UNHEARD)) {
+		link_watch_confirmed(link, message->seq);
+		return;
+	}
+	link_watch_sent(link, message->seq, LINK_CONFIRM_TIME, now);
+	if (link_watch_expire(link, now))
+		node_push_action(this, &action);
+}
+
 bool node_handle_message(node_t *this, const message_t *message, instant_t now)
 {
 	int member_index = members_find(&this->members, message->from);
@@ -434,6 +457,7 @@
 		peer_restarted(this, from);
 	if (!was_alive)
 		peer_rejoined(this, from);
+	check_link(this, from, message, now);
 	members_set_stopping(&this->members, from, message->flags & MESSAGE_STOPPING);
 	if (message->flags & MESSAGE_RESTARTED)
 		this->peers[from]->wants_prior_served = true;
--- a/src/daemon/node_thread.c
+++ b/src/daemon/node_thread.c
@@ -190,6 +190,12 @@
 	peer_socket_send(this->socket, slot - 1, this->wire, size);
 }
 
+static void renew_link(node_thread_t *this, unsigned int slot)
+{
+	log_warn("peer-link-renewed", "peer=%u", node_members(this->node)->list[slot].id);
+	peer_socket_renew(this->socket, slot - 1);
+}
+
 static void perform_action(node_thread_t *this, const node_action_t *action)
 {
 	switch (action->kind) {
@@ -206,6 +212,9 @@
 	case ACTION_SEND:
 		send_message(this, action->slot);
 		break;
+	case ACTION_RENEW_LINK:
+		renew_link(this, action->slot);
+		break;
 	case ACTION_FETCH_CONFIG:
 		this->options.on_peer_version(this->options.ctx, action->version);
 		break;
@@ -264,7 +273,7 @@
 {
 	for (unsigned int i = 1; i < this->view_count; i++) {
 		if (this->view[i].alive && !member_is_alive(&members->list[i]))
-			peer_socket_renew(this->socket, i - 1);
+			renew_link(this, i);
 	}
 }
 
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -187,6 +187,9 @@
 		case ACTION_SEND:
 			send_message(this, router, action.slot);
 			break;
+		case ACTION_RENEW_LINK:
+			this->renewed[router][router_of_slot(router, action.slot)]++;
+			break;
 		case ACTION_FETCH_CONFIG:
 			break;
 		}
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -67,6 +67,8 @@
 	unsigned int started;
 	unsigned int rejected;
 	uint64_t messages; /* sent, the lost ones included */
+	/* How often a router asked for a new connection to another, by both. */
+	unsigned int renewed[HARNESS_ROUTERS][HARNESS_ROUTERS];
 	unsigned int last_retry_after_s;
 } harness_t;
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -293,6 +293,53 @@
 		check_partition(seed);
 }
 
+static unsigned int count_renewals(const harness_t *harness)
+{
+	unsigned int sum = 0;
+
+	for (unsigned int from = 0; from < harness->options.routers; from++) {
+		for (unsigned int to = 0; to < harness->options.routers; to++)
+			sum += harness->renewed[from][to];
+	}
+	return sum;
+}
+
+/* Router 0 hears router 1, which does not hear it: router 0 must renew its link, no other one. */
+static void test_link_silent_in_one_direction_is_renewed(void **state)
+{
+	harness_t *harness = harness_new(&default_options);
+
+	set_uneven_backlogs(harness);
+	harness_run(harness, WARM_UP_MS);
+	harness->partitioned[0][1] = true;
+	harness_run(harness, (MEMBER_DEAD_AFTER / USEC_PER_MSEC) + 3000);
+	assert_int_equal(harness->renewed[0][1], 1);
+	harness_run(harness, 30000);
+	print_message("  renewed %u times in 33 s of silence\n", harness->renewed[0][1]);
+	assert_in_range(harness->renewed[0][1], 2, 10); /* with growing pauses */
+	assert_int_equal(count_renewals(harness), harness->renewed[0][1]);
+	harness_delete(harness);
+}
+
+/* Links that lose no messages stay: after a partition, and when a router restarts. */
+static void test_links_that_work_are_not_renewed(void **state)
+{
+	harness_t *harness = harness_new(&default_options);
+
+	set_uneven_backlogs(harness);
+	harness_run(harness, WARM_UP_MS);
+	harness_set_partitioned(harness, 7, true);
+	harness_run(harness, 8000);
+	harness_set_partitioned(harness, 7, false);
+	harness_run(harness, 5000);
+	harness_kill_router(harness, 3);
+	harness_run(harness, 4000);
+	harness_start_router(harness, 3);
+	harness_run(harness, 5000);
+	assert_int_equal(count_renewals(harness), 0);
+	harness_delete(harness);
+}
+
 /*
  * Only one router is informed that a replica is leaving.  It informs the others, and
  * once the running requests have ended, no router starts one there.
@@ -407,6 +454,8 @@
 		cmocka_unit_test(test_slots_are_used_again_3_s_after_two_routers_are_killed),
 		cmocka_unit_test(test_restarted_router_gets_its_served_counters_back),
 		cmocka_unit_test(test_partition_uses_at_most_twice_the_slots),
+		cmocka_unit_test(test_link_silent_in_one_direction_is_renewed),
+		cmocka_unit_test(test_links_that_work_are_not_renewed),
 		cmocka_unit_test(test_leaving_replica_gets_no_new_requests),
 		cmocka_unit_test(test_planned_stop_serves_waiting_requests),
 		cmocka_unit_test(test_request_past_its_deadline_is_rejected_with_retry_delay),
--- a/tests/test_silent_router_link.c
+++ b/tests/test_silent_router_link.c
@@ -121,10 +121,33 @@
 	node_pair_clear(&pair);
 }
 
+/*
+ * Router 1 hears router 0, and so does not take it for dead; its own messages are lost.  Router 0
+ * must become able to hear it again.
+ */
+static void test_link_silent_in_one_direction_is_connected_again(void **state)
+{
+	instant_t deadline;
+	node_pair_t pair;
+	id_t32 silent;
+
+	node_pair_init(&pair);
+	wait_until_both_are_alive(&pair);
+	silent = name_id(pair.peers[0].name);
+	silent_proxy_silence(pair.proxies[0], SILENT_BOTH);
+	deadline = clock_now() + WAIT_MS * USEC_PER_MSEC;
+	while (node_thread_router_is_alive(pair.threads[0], silent, 1) && clock_now() < deadline)
+		sleep_ms(5);
+	assert_false(node_thread_router_is_alive(pair.threads[0], silent, 1));
+	wait_until_both_are_alive(&pair);
+	node_pair_clear(&pair);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_router_that_died_by_silence_is_connected_again),
+		cmocka_unit_test(test_link_silent_in_one_direction_is_connected_again),
 	};
 
 	log_init("test", FALSE);
