Idle connections to an endpoint that has left are closed

Cause: connections are closed by a walk over the endpoints that are registered. An endpoint that leaves without notice is removed at once, and the connections that were idle then are in no walk any more: they stay open until the endpoint closes them, and leak if the router stops before.

The registry now reports each removal, and the router closes the endpoint's idle connections then. A connection in use is closed when its call ends, as before.

--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -18,7 +18,7 @@
 } departure_t;
 
 struct endpoint_registry {
-	uint64_t returned_hold;
+	endpoint_registry_options_t options;
 	GHashTable *departures; /* id -> departure_t */
 	GHashTable *by_name;	/* registered_endpoint_t; the newest start under each name */
 	GHashTable *by_id;	/* the same endpoints by id; holds no references */
@@ -52,11 +52,11 @@
 	registered_endpoint_put(item);
 }
 
-endpoint_registry_t *endpoint_registry_new(uint64_t returned_hold)
+endpoint_registry_t *endpoint_registry_new(const endpoint_registry_options_t *options)
 {
 	endpoint_registry_t *this = g_new0(endpoint_registry_t, 1);
 
-	this->returned_hold = returned_hold;
+	this->options = *options;
 	this->departures = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	this->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_endpoint);
 	this->by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -116,24 +116,32 @@
 	return ((const departure_t *)value)->forget_at <= *(const instant_t *)now;
 }
 
-/* Unlists the endpoint by id; the caller removes it by name. */
 static void record_departure(
-	endpoint_registry_t *this, registered_endpoint_t *endpoint, instant_t now)
+	endpoint_registry_t *this, const registered_endpoint_t *endpoint, instant_t now)
 {
 	departure_t *departure = g_new0(departure_t, 1);
 
-	endpoint->state = ENDPOINT_GONE;
-	g_hash_table_remove(this->by_id, GUINT_TO_POINTER(endpoint->id));
 	departure->era = endpoint->era;
 	departure->forget_at = now + DEPARTURE_MEMORY;
 	g_hash_table_foreach_remove(this->departures, is_forgotten, &now);
 	g_hash_table_replace(this->departures, GUINT_TO_POINTER(endpoint->id), departure);
 }
 
-static void remove_endpoint(
+/* The caller removes the endpoint by name. */
+static void end_registration(
 	endpoint_registry_t *this, registered_endpoint_t *endpoint, instant_t now)
 {
+	endpoint->state = ENDPOINT_GONE;
+	g_hash_table_remove(this->by_id, GUINT_TO_POINTER(endpoint->id));
 	record_departure(this, endpoint, now);
+	if (this->options.on_removed)
+		this->options.on_removed(this->options.ctx, endpoint);
+}
+
+static void remove_endpoint(
+	endpoint_registry_t *this, registered_endpoint_t *endpoint, instant_t now)
+{
+	end_registration(this, endpoint, now);
 	g_hash_table_remove(this->by_name, endpoint->name);
 }
 
@@ -164,7 +172,7 @@
 		endpoint->state != ENDPOINT_READY)
 		return;
 	endpoint->state = ENDPOINT_DRAINING;
-	endpoint->hold_until = now + this->returned_hold;
+	endpoint->hold_until = now + this->options.returned_hold;
 }
 
 bool endpoint_registry_put(
@@ -224,7 +232,7 @@
 		changed |= end_hold(endpoint, now);
 		if (!endpoint->remove_at || now < endpoint->remove_at)
 			continue;
-		record_departure(this, endpoint, now);
+		end_registration(this, endpoint, now);
 		g_hash_table_iter_remove(&iter);
 		changed = true;
 	}
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -55,8 +55,14 @@
 
 typedef struct endpoint_registry endpoint_registry_t;
 
-/* `returned_hold`: microseconds for which an endpoint that had left is not used. */
-endpoint_registry_t *endpoint_registry_new(uint64_t returned_hold);
+typedef struct endpoint_registry_options {
+	uint64_t returned_hold; /* microseconds for which an endpoint that had left is not used */
+	/* Called when an endpoint is removed, while the registry still holds it; may be NULL. */
+	void (*on_removed)(void *ctx, registered_endpoint_t *endpoint);
+	void *ctx;
+} endpoint_registry_options_t;
+
+endpoint_registry_t *endpoint_registry_new(const endpoint_registry_options_t *options);
 void endpoint_registry_delete(endpoint_registry_t *this);
 
 /* Adds or updates an endpoint; true if that changed anything. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -294,6 +294,11 @@
 
 /* --- timers and planned stop ------------------------------------------ */
 
+static void close_idle_connections(void *ctx, registered_endpoint_t *endpoint)
+{
+	endpoint_connection_trim(endpoint, 0, true);
+}
+
 static void close_expired_connections(void *ctx, registered_endpoint_t *endpoint)
 {
 	endpoint_connection_trim(endpoint, *(const instant_t *)ctx, false);
@@ -494,6 +499,10 @@
 {
 	gateway_t *this = g_new0(gateway_t, 1);
 	part_watch_options_t part_options = {.on_event = on_part_event};
+	endpoint_registry_options_t registry_options = {
+		.returned_hold = settings->returned_hold_ms * USEC_PER_MSEC,
+		.on_removed = close_idle_connections,
+	};
 
 	signal(SIGPIPE, SIG_IGN);
 	this->settings = settings;
@@ -501,7 +510,7 @@
 	this->header_names = this->adapter->header_names;
 	CDS_INIT_LIST_HEAD(&this->calls);
 	uv_loop_init(&this->loop);
-	this->endpoint_registry = endpoint_registry_new(settings->returned_hold_ms * USEC_PER_MSEC);
+	this->endpoint_registry = endpoint_registry_new(&registry_options);
 	this->row_cache = row_cache_new();
 	this->part_watch = part_watch_new(&part_options);
 	this->retry_budgets = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
@@ -546,11 +555,6 @@
 		uv_close(handle, NULL);
 }
 
-static void close_idle_connections(void *ctx, registered_endpoint_t *endpoint)
-{
-	endpoint_connection_trim(endpoint, 0, true);
-}
-
 void gateway_delete(gateway_t *this)
 {
 	if (!this)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -988,6 +988,21 @@
 	assert_true(rejected);
 }
 
+/* An endpoint that leaves without notice may keep its side of a connection open. */
+static void test_idle_connections_to_removed_endpoint_are_closed(void **state)
+{
+	fixture_t *f = fixture_new();
+
+	fixture_add_endpoint(f, fixture_respond_hello, NULL);
+	fixture_put_config(f, FIXTURE_PUBLIC_ROUTE("any"));
+	assert_true(fixture_wait_served(f, "any", true));
+	assert_true(fixture_wait_metric(f, "endpoint_connections", 1));
+	row_store_standin_delete_row(f->store, "servers", "i-0");
+	assert_true(fixture_wait_metric(f, "endpoints", 0));
+	assert_true(fixture_wait_metric(f, "endpoint_connections", 0));
+	fixture_delete(f);
+}
+
 static void test_draining_or_unregistered_endpoint_gets_no_requests(void **state)
 {
 	fixture_t *f = fixture_new();
@@ -1215,6 +1230,7 @@
 		cmocka_unit_test(test_caller_disconnect_ends_stream),
 		cmocka_unit_test(test_route_of_new_configuration_is_served),
 		cmocka_unit_test(test_draining_or_unregistered_endpoint_gets_no_requests),
+		cmocka_unit_test(test_idle_connections_to_removed_endpoint_are_closed),
 		cmocka_unit_test(test_malformed_registrations_do_not_affect_valid_one),
 		cmocka_unit_test(test_requests_are_served_during_store_outage),
 		cmocka_unit_test(test_removed_roster_row_is_rewritten),
