Logs tell of endpoints that are missing but still used

Cause: a router that has lost the store keeps endpoints whose rows are gone for lapse_grace_ms after the store's return, as they may register again; neither the row's end nor the later removal was logged.

Now: endpoint-unlisted (with the grace) and endpoint-removed. endpoint-changed is for rows that are listed, and no longer says gone=. test_gateway and test_store_restore pass, with sanitizers; decisions are unchanged.

--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -194,20 +194,20 @@
 	return true;
 }
 
-bool endpoint_registry_remove(endpoint_registry_t *this, const char *name, uint64_t era,
-	instant_t remove_at, instant_t now)
+endpoint_removal_t endpoint_registry_remove(endpoint_registry_t *this, const char *name,
+	uint64_t era, instant_t remove_at, instant_t now)
 {
 	registered_endpoint_t *endpoint = g_hash_table_lookup(this->by_name, name);
 
 	if (!endpoint)
-		return false;
+		return ENDPOINT_UNKNOWN;
 	endpoint->era = era;
 	if (now < remove_at) {
 		endpoint->remove_at = endpoint->remove_at ? endpoint->remove_at : remove_at;
-		return false;
+		return ENDPOINT_MISSING;
 	}
 	remove_endpoint(this, endpoint, now);
-	return true;
+	return ENDPOINT_REMOVED;
 }
 
 static bool end_hold(registered_endpoint_t *endpoint, instant_t now)
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -68,12 +68,18 @@
 /* Adds or updates an endpoint; true if that changed anything. */
 bool endpoint_registry_put(
 	endpoint_registry_t *this, const endpoint_registration_t *registration, instant_t now);
+typedef enum endpoint_removal {
+	ENDPOINT_UNKNOWN, /* not in the registry */
+	ENDPOINT_REMOVED,
+	ENDPOINT_MISSING, /* is removed later, unless it registers again */
+} endpoint_removal_t;
+
 /*
  * Handles a registration that the store no longer lists in `era`: marks the endpoint as missing
- * until `remove_at`, or removes it at once if that has passed.  True if it was removed.
+ * until `remove_at`, or removes it at once if that has passed.
  */
-bool endpoint_registry_remove(endpoint_registry_t *this, const char *name, uint64_t era,
-	instant_t remove_at, instant_t now);
+endpoint_removal_t endpoint_registry_remove(endpoint_registry_t *this, const char *name,
+	uint64_t era, instant_t remove_at, instant_t now);
 /*
  * Removes the missing endpoints whose `remove_at` has passed, and ends the holds that have
  * passed; true if there was any.
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -299,6 +299,13 @@
 	endpoint_connection_trim(endpoint, 0, true);
 }
 
+static void on_endpoint_removed(void *ctx, registered_endpoint_t *endpoint)
+{
+	log_notice("endpoint-removed", "endpoint=%s service=%s address=%s", endpoint->name,
+		endpoint->service, endpoint->address);
+	endpoint_connection_trim(endpoint, 0, true);
+}
+
 static void close_expired_connections(void *ctx, registered_endpoint_t *endpoint)
 {
 	endpoint_connection_trim(endpoint, *(const instant_t *)ctx, false);
@@ -501,7 +508,7 @@
 	part_watch_options_t part_options = {.on_event = on_part_event};
 	endpoint_registry_options_t registry_options = {
 		.returned_hold = settings->returned_hold_ms * USEC_PER_MSEC,
-		.on_removed = close_idle_connections,
+		.on_removed = on_endpoint_removed,
 	};
 
 	signal(SIGPIPE, SIG_IGN);
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -90,31 +90,49 @@
 static const table_watch_ops_t catalog_ops = {
 	on_catalog_table, on_catalog_rows, on_store_unreachable};
 
-static void apply_endpoint_row(gateway_t *this, const store_row_t *row, instant_t now)
+/* Returns whether the endpoint was removed at once. */
+static bool apply_deleted_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
+{
+	instant_t remove_at = this->lapse_grace_until;
+	endpoint_removal_t result = endpoint_registry_remove(
+		this->endpoint_registry, row->key, row->version.era, remove_at, now);
+	uint64_t grace = result == ENDPOINT_MISSING ? remove_at - now : 0;
+
+	if (result != ENDPOINT_UNKNOWN)
+		log_notice("endpoint-unlisted",
+			"endpoint=%s grace_ms=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
+			" row_version=%" G_GUINT64_FORMAT,
+			row->key, (guint64)(grace / USEC_PER_MSEC), (guint64)row->version.era,
+			(guint64)row->version.number);
+	return result == ENDPOINT_REMOVED;
+}
+
+static bool apply_listed_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
 {
 	endpoint_registration_t registration = {0};
 	bool changed;
 
-	if (row->is_deleted) {
-		changed = endpoint_registry_remove(this->endpoint_registry, row->key,
-			row->version.era, this->lapse_grace_until, now);
-	} else if (this->adapter->decode_endpoint(row->key, row->value, row->len, &registration)) {
-		registration.era = row->version.era;
-		changed = endpoint_registry_put(this->endpoint_registry, &registration, now);
-	} else {
+	if (!this->adapter->decode_endpoint(row->key, row->value, row->len, &registration)) {
 		log_warn("endpoint-row-malformed", "endpoint=%s row_version=%" G_GUINT64_FORMAT,
 			row->key, (guint64)row->version.number);
-		return;
+		return false;
 	}
+	registration.era = row->version.era;
+	changed = endpoint_registry_put(this->endpoint_registry, &registration, now);
 	if (changed)
 		log_notice("endpoint-changed",
-			"endpoint=%s service=%s address=%s state=%d gone=%d "
-			"era=%" G_GUINT64_FORMAT " row_version=%" G_GUINT64_FORMAT,
-			row->key, registration.service ? registration.service : "-",
-			registration.address ? registration.address : "-", registration.state,
-			row->is_deleted, (guint64)row->version.era, (guint64)row->version.number);
-	this->engines_outdated |= changed;
+			"endpoint=%s service=%s address=%s state=%d era=%" G_GUINT64_FORMAT
+			" row_version=%" G_GUINT64_FORMAT,
+			row->key, registration.service, registration.address, registration.state,
+			(guint64)row->version.era, (guint64)row->version.number);
 	endpoint_registration_clear(&registration);
+	return changed;
+}
+
+static void apply_endpoint_row(gateway_t *this, const store_row_t *row, instant_t now)
+{
+	this->engines_outdated |= row->is_deleted ? apply_deleted_endpoint(this, row, now)
+						  : apply_listed_endpoint(this, row, now);
 }
 
 static void on_endpoint_rows(void *ctx, const GArray *rows)
