Process test and soak: connections that go silent

The case also requires that links are renewed and that all routers see each other again; the soak draws it among its failures.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,7 +4,8 @@
 #   BASE     first port (default 21000)      RUN      directory for settings and logs
 #   ROUTERS  number of routers (8)           POLICY   fleet, fixed, least or forward
 #   BIN      directory of the binaries       VERBOSE  if set, routers log each request
-#            (build)
+#            (build)                         PROXIED  if set, routers reach each other and the
+#                                                     platform through proxies, see silence()
 
 BASE=${BASE:-21000}
 ROUTERS=${ROUTERS:-8}
@@ -13,10 +14,12 @@
 HOST=127.0.0.1
 TOKEN=operators-secret
 PLATFORM=$HOST:$BASE
+PLATFORM_PROXY=$HOST:$((BASE + 50))
 
 caller_of() { echo "$HOST:$((BASE + 100 + $1))"; }
 operator_of() { echo "$HOST:$((BASE + 200 + $1))"; }
 peer_of() { echo "$HOST:$((BASE + 300 + $1))"; }
+peer_proxy_of() { echo "$HOST:$((BASE + 350 + $1))"; }
 engine_of() { echo "$HOST:$((BASE + 400 + $1))"; }
 service_of() { echo "$HOST:$((BASE + 500 + $1))"; }
 settings_of() { echo "$RUN/router-$1.json"; }
@@ -78,6 +81,19 @@
 platform_control() { post "$PLATFORM/control" "$1"; }
 list_instance() { post "$PLATFORM/control/instance" "{\"name\":\"$1\",\"address\":\"$2\",\"state\":\"$3\"}"; }
 
+# start_proxies: before the platform and each router's peer port
+start_proxies() {
+	"$BIN/amaranthwall-standin" proxies --listen "$PLATFORM_PROXY" --target "$PLATFORM" 2>"$RUN/platform-proxy.log" &
+	PROXY_PIDS=($!)
+	"$BIN/amaranthwall-standin" proxies --listen "$(peer_proxy_of 0)" --target "$(peer_of 0)" --count "$ROUTERS" 2>"$RUN/peer-proxies.log" &
+	PROXY_PIDS+=($!)
+	PIDS+=("${PROXY_PIDS[@]}")
+	wait_for 10 get_ok "$PLATFORM_PROXY/stats"
+}
+
+# silence: all connections that are open through the proxies bring nothing any more
+silence() { kill -USR1 "${PROXY_PIDS[@]}"; }
+
 write_keys() {
 	local i
 	for i in $(seq 0 $((ROUTERS - 1))); do
@@ -89,7 +105,8 @@
 secret_key() { sed -n 's/^"secret_key": "\(.*\)",$/\1/p' "$RUN/key-$1"; }
 
 write_settings() {
-	local i j comma domains="a b c"
+	local i j comma domains="a b c" platform=$PLATFORM peer=peer_of
+	[ -z "${PROXIED:-}" ] || { platform=$PLATFORM_PROXY; peer=peer_proxy_of; }
 	[ -f "$RUN/key-0" ] || write_keys
 	for i in $(seq 0 $((ROUTERS - 1))); do
 		{
@@ -97,7 +114,7 @@
 			echo "	// written by scripts/fleet.sh"
 			echo "	\"name\": \"router-$i\", \"failure_domain\": \"domain-$((i % 3))\","
 			echo "	\"caller_address\": \"$(caller_of "$i")\", \"operator_address\": \"$(operator_of "$i")\","
-			echo "	\"peer_address\": \"$(peer_of "$i")\", \"platform_address\": \"$PLATFORM\","
+			echo "	\"peer_address\": \"$(peer_of "$i")\", \"platform_address\": \"$platform\","
 			echo "	\"operator_token\": \"$TOKEN\", \"policy\": \"$POLICY\","
 			echo "	\"store_timeout_ms\": 1000, \"drain_timeout_ms\": 60000,"
 			cat "$RUN/key-$i"
@@ -105,7 +122,7 @@
 			comma=
 			for j in $(seq 0 $((ROUTERS - 1))); do
 				[ "$i" = "$j" ] && continue
-				echo "		$comma{\"name\": \"router-$j\", \"address\": \"$(peer_of "$j")\","
+				echo "		$comma{\"name\": \"router-$j\", \"address\": \"$($peer "$j")\","
 				echo "		\"operator_address\": \"$(operator_of "$j")\", \"public_key\": \"$(public_key "$j")\"}"
 				comma=,
 			done
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,7 +4,7 @@
 # the stand-ins' logs ("join").  SEED (1) and ROUNDS (6) may be set.
 set -u
 cd "$(dirname "$0")/.."
-faults=(kill freeze cut store-down store-slow store-loses engine-cuts engine-crosses endpoint-loses endpoint-slow refuse overload stop)
+faults=(kill freeze cut store-down store-slow store-loses engine-cuts engine-crosses endpoint-loses endpoint-slow refuse overload stop silent)
 RANDOM=${SEED:-1}
 rounds=${ROUNDS:-6}
 bad=0
--- a/standin/main.c
+++ b/standin/main.c
@@ -1,7 +1,8 @@
 /*
- * amaranthwall-standin - simulates the platform, model engines or plain services
+ * amaranthwall-standin - simulates the platform, model engines, plain services or a network
  *
- * Runs until SIGTERM or SIGINT. For tests and benchmarks only.
+ * Runs until SIGTERM or SIGINT. For tests and benchmarks only. SIGUSR1 makes all connections go
+ * silent that are open through proxies (silent_proxy.h).
  */
 #include <argp.h>
 #include <signal.h>
@@ -14,10 +15,12 @@
 #include "standin/engine_standin.h"
 #include "standin/platform_standin.h"
 #include "standin/service_standin.h"
+#include "standin/silent_proxy.h"
 
 typedef struct arguments {
 	const char *role;
 	const char *listen;
+	const char *target;
 	unsigned int count;
 	unsigned int slots;
 	unsigned int token_us;
@@ -32,7 +35,11 @@
 static const struct argp_option options[] = {
 	{"listen", 'l', "IP:PORT", 0, "address of the first replica; the others use the next ports",
 		0},
-	{"count", 'n', "N", 0, "number of replicas (default 1)", 0},
+	{"target", 'T', "IP:PORT", 0,
+		"proxies: the address that the first one forwards to; the others use the next "
+		"ports",
+		0},
+	{"count", 'n', "N", 0, "number of replicas or proxies (default 1)", 0},
 	{"slots", 's', "N", 0, "concurrent requests per replica (default 8)", 0},
 	{"token-us", 't', "US", 0, "generation time per token in microseconds (default 5000)", 0},
 	{"prefill-us", 'p', "US", 0,
@@ -56,6 +63,9 @@
 	case 'l':
 		a->listen = text;
 		break;
+	case 'T':
+		a->target = text;
+		break;
 	case 'n':
 		a->count = number;
 		break;
@@ -87,7 +97,7 @@
 		a->role = text;
 		break;
 	case ARGP_KEY_END:
-		if (!a->role || !a->listen)
+		if (!a->role || !a->listen || (!strcmp(a->role, "proxies") && !a->target))
 			argp_usage(state);
 		break;
 	default:
@@ -96,9 +106,10 @@
 	return 0;
 }
 
-static const struct argp parser = {options, parse_option, "platform|engines|services",
-	"Simulates the platform, model engines or plain services for tests and benchmarks.", 0, 0,
-	0};
+static const struct argp parser = {options, parse_option, "platform|engines|services|proxies",
+	"Simulates the platform, model engines, plain services, or connections that go silent, for "
+	"tests and benchmarks.",
+	0, 0, 0};
 
 /* Returns the address `offset` ports after `first`. */
 static char *address_with_port_offset(const char *first, unsigned int offset)
@@ -174,6 +185,29 @@
 	return EXIT_SUCCESS;
 }
 
+static int run_proxies(const arguments_t *a, sigset_t *stop_signals)
+{
+	silent_proxy_t **proxies = g_new0(silent_proxy_t *, a->count);
+	int signal_number;
+
+	for (unsigned int i = 0; i < a->count; i++) {
+		char *address = address_with_port_offset(a->listen, i);
+		char *target = address_with_port_offset(a->target, i);
+
+		proxies[i] = silent_proxy_new_at(address, target);
+		g_free(address);
+		g_free(target);
+	}
+	while (!sigwait(stop_signals, &signal_number) && signal_number == SIGUSR1) {
+		for (unsigned int i = 0; i < a->count; i++)
+			silent_proxy_silence(proxies[i], SILENT_BOTH);
+	}
+	for (unsigned int i = 0; i < a->count; i++)
+		silent_proxy_delete(proxies[i]);
+	g_free(proxies);
+	return EXIT_SUCCESS;
+}
+
 int main(int argc, char **argv)
 {
 	arguments_t a = {.count = 1,
@@ -192,7 +226,11 @@
 	sigemptyset(&stop_signals);
 	sigaddset(&stop_signals, SIGTERM);
 	sigaddset(&stop_signals, SIGINT);
+	if (!strcmp(a.role, "proxies"))
+		sigaddset(&stop_signals, SIGUSR1);
 	pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
+	if (!strcmp(a.role, "proxies"))
+		return run_proxies(&a, &stop_signals);
 	if (strcmp(a.role, "platform"))
 		return run_replicas(&a, &stop_signals);
 	if (!platform_standin_new(a.listen)) {
--- a/standin/silent_proxy.c
+++ b/standin/silent_proxy.c
@@ -161,14 +161,21 @@
 }
 
 silent_proxy_t *silent_proxy_new(const char *target)
+{
+	return silent_proxy_new_at("127.0.0.1:0", target);
+}
+
+silent_proxy_t *silent_proxy_new_at(const char *listen_address, const char *target)
 {
 	silent_proxy_t *this = g_new0(silent_proxy_t, 1);
-	struct sockaddr_in address = parse_address("127.0.0.1:0");
+	struct sockaddr_in address = parse_address(listen_address);
 	socklen_t size = sizeof(address);
+	int reuse = 1;
 
 	this->target = g_strdup(target);
 	this->connections = g_array_new(FALSE, FALSE, sizeof(proxied_connection_t));
 	this->fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(this->fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
 	if (bind(this->fd, (struct sockaddr *)&address, sizeof(address)) ||
 		listen(this->fd, LISTEN_BACKLOG) ||
 		getsockname(this->fd, (struct sockaddr *)&address, &size))
--- a/standin/silent_proxy.h
+++ b/standin/silent_proxy.h
@@ -19,6 +19,8 @@
 
 /* Listens on a free port and connects to `target` (ip:port); aborts if it can't listen. */
 silent_proxy_t *silent_proxy_new(const char *target);
+/* The same, but listens on `address` (ip:port). */
+silent_proxy_t *silent_proxy_new_at(const char *address, const char *target);
 void silent_proxy_delete(silent_proxy_t *this);
 const char *silent_proxy_address(const silent_proxy_t *this);
 /* Silences the connections that are open on return; connections that are opened later work. */
--- a/tests/process/promises.sh
+++ b/tests/process/promises.sh
@@ -6,7 +6,7 @@
 # of the stand-ins.
 #
 # promises.sh [CASE [SEED [SECONDS]]]; PROFILE is the load profile, mixed.json by default.
-# cases: overload+engine-cuts calm kill freeze cut store-down store-slow store-loses engine-cuts engine-crosses endpoint-loses endpoint-slow restart flood kill+store-loses cut+freeze store-down+stop cut+store-down refuse
+# cases: overload+engine-cuts calm kill freeze cut store-down store-slow store-loses engine-cuts engine-crosses endpoint-loses endpoint-slow restart flood kill+store-loses cut+freeze store-down+stop cut+store-down refuse silent
 set -u
 cd "$(dirname "$0")/../.."
 BIN=${BIN:-build-asan}
@@ -20,6 +20,7 @@
 fail() { echo "$case: $*"; for l in "$RUN"/*.log; do tail -n 2 "$l"; done; exit 1; }
 
 start_platform
+[[ $case == *silent* ]] && PROXIED=1 && start_proxies
 start_engines 4 --slots 8 --token-us 4000 --seed "$seed"
 start_services 3 --slots 8 --work-ms 15 --seed "$seed"
 fleet_up pattern desk 8 8 4 1 1 || fail "the fleet did not become ready"
@@ -30,6 +31,7 @@
 inject_fault() {
 	case $1 in
 	calm) ;;
+	silent) silence ;;
 	freeze) kill -STOP "${ROUTER_PID[3]}"; sleep 3.5; kill -CONT "${ROUTER_PID[3]}" ;;
 	cut) cut_off 1 ""; cut_off 4 ""; sleep 3.5; cut_off 1 "&join=1"; cut_off 4 "&join=1" ;;
 	store-down) platform_control '{"down":true}'; sleep 2.5; platform_control '{"down":false}' ;;
@@ -73,5 +75,12 @@
 	for i in 2 5; do wait "${ROUTER_PID[$i]}" || fail "router $i exited with status $?"; done
 fi
 [ $code = 0 ] || fail "amaranthwall-load reported violated guarantees"
+links_were_renewed() { grep -q event=peer-link-renewed "$RUN"/router-*.log; }
+if [[ $case == *silent* ]]; then
+	wait_for 10 links_were_renewed || fail "no router renewed a link"
+fi
+if [ "$case" = silent ]; then
+	wait_for 15 all_see "$ROUTERS" || fail "not all routers see each other again"
+fi
 grep -l "ERROR: AddressSanitizer\|runtime error" "$RUN"/*.log && fail "a sanitizer reported an error"
 echo "$case: passed"
