--- a/tests/process/callers.sh
+++ b/tests/process/callers.sh
@@ -53,7 +53,7 @@
 	# Callers that disconnect say nothing of the endpoint: it stays in service. Eight failures in
 	# a row would take it out of service for 8 s.
 	for round in 1 2; do
-		for i in 1 2 3 4; do curl -s -m 1 -H "$auth" "http://$router/v1/chat/completions" -d "$(chat false 150 "left $round $i tokens=150")" >/dev/null & done
+		for i in 1 2 3 4; do curl -s -m 2 -H "$auth" "http://$router/v1/chat/completions" -d "$(chat false 150 "left $round $i tokens=150")" >/dev/null & done
 		wait_for 5 is_running 4 || fail "$(running) of 4 requests started in round $round"
 		wait_for 5 is_running 0 || fail "$(running) requests still run after their callers disconnected"
 	done
