--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -51,6 +51,8 @@
 	char *id;
 	unsigned int part_count;
 	uint64_t parts[CALL_MAX_PARTS]; /* shared prompt parts, without the parts before them */
+	uint64_t content; /* hash over caller, target and body: the same if the request is repeated
+			   */
 	int64_t resume_after; /* id of the last event that the caller received, -1: none */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* estimate from the request's headers */
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -104,6 +104,18 @@
 	return (double)left < *typical * FIRST_ATTEMPT_RATIO;
 }
 
+/* Hash that is equal for requests with the same host, workspace, method, target and body. */
+static uint64_t content_of(const call_t *call)
+{
+	const caller_request_t *request = call->request;
+	uint64_t hash = XXH64(call->route->host, strlen(call->route->host),
+		call->workspace ? call->workspace->id : 0);
+
+	hash = XXH64(request->method, strlen(request->method), hash);
+	hash = XXH64(request->target->str, request->target->len, hash);
+	return XXH64(request->body->str, request->body->len, hash);
+}
+
 /* Hash that is equal for all attempts of a caller at the same request. */
 static uint32_t fingerprint_of(const call_t *call)
 {
@@ -165,6 +177,7 @@
 	call->events.last_id = call->resume_after;
 	read_tokens(call);
 	read_part_names(call);
+	call->content = content_of(call);
 	fill_placement_request(call);
 	return STEP_NEXT;
 }
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -167,9 +167,9 @@
 		answer_ms = (gint64)((clock_now() - call->answer_began) / USEC_PER_MSEC);
 	log_info("attempt-failed",
 		"id=%s endpoint=%s failure=%s may_have_run=%d send=%u again=%d "
-		"answer_ms=%" G_GINT64_FORMAT " parts=%s",
+		"answer_ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x parts=%s",
 		call->id, call->endpoint->name, failure, may_have_run, call->sends, retry,
-		answer_ms, parts->str);
+		answer_ms, (guint64)call->content, parts->str);
 	g_string_free(parts, TRUE);
 }
 
