A request that ends each endpoint which runs it is refused, like a prompt part

Callers saw an order desk whose four endpoints ended together each time they were back, for as long as one request was repeated: nothing related the end of an endpoint to a request without shared prompt parts.

Cause: part_watch was fed from the shared parts of prompts alone. Class: what a failure carries with it is kept by endpoint only. Now the content of a request as a whole (host, workspace, method, target, body) counts as one more part; the gateway has the whole body before it sends, so a long or chunked one costs a hash that was computed before. Copies of a request run at several endpoints at once, so that their ends count as one occasion, as those of a failure domain do: with three ends the request is in doubt, and the routers send it in turns, one at a time, until it is blocked or its answer is sound. After its block it is in doubt as well.

Ruled out: a refusal after three ends however close together: it would lock out a popular request after the loss of a failure domain; a fixed router for requests in doubt: callers of the others would be refused for good.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -121,6 +121,13 @@
 	return this->count - this->listed_gone;
 }
 
+static uint64_t weight_for(const member_t *member, id_t32 key)
+{
+	id_t32 pair[2] = {member->id, key};
+
+	return XXH64(pair, sizeof(pair), 0);
+}
+
 unsigned int members_owner(const members_t *this, id_t32 replica)
 {
 	unsigned int best = 0;
@@ -128,12 +135,11 @@
 
 	for (unsigned int i = 0; i < this->count; i++) {
 		const member_t *member = &this->list[i];
-		id_t32 pair[2] = {member->id, replica};
 		uint64_t weight;
 
 		if (!member_is_alive(member) || member->stopping)
 			continue;
-		weight = XXH64(pair, sizeof(pair), 0);
+		weight = weight_for(member, replica);
 		if (weight >= best_weight) {
 			best_weight = weight;
 			best = i;
@@ -141,3 +147,20 @@
 	}
 	return best;
 }
+
+unsigned int members_place(const members_t *this, id_t32 key, unsigned int *routers)
+{
+	uint64_t own = weight_for(&this->list[0], key);
+	unsigned int place = 0;
+
+	*routers = 1;
+	for (unsigned int i = 1; i < this->count; i++) {
+		const member_t *member = &this->list[i];
+
+		if (!member_is_alive(member) || member->stopping)
+			continue;
+		(*routers)++;
+		place += weight_for(member, key) > own;
+	}
+	return place;
+}
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -79,5 +79,10 @@
 /* Returns the member slot of the router that owns `replica`, by rendezvous hashing over the view.
  */
 unsigned int members_owner(const members_t *this, id_t32 replica);
+/*
+ * Returns this router's place, from 0, in an order of the living routers that `key` decides, and
+ * sets `routers` to their number.
+ */
+unsigned int members_place(const members_t *this, id_t32 key, unsigned int *routers);
 
 #endif
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -68,6 +68,7 @@
 	id_t32 pool;	  /* ENTRY_SLOT_USAGE, ENTRY_SERVED_TOKENS */
 	id_t32 workspace; /* ENTRY_SERVED_TOKENS */
 	int32_t tokens;	  /* ENTRY_SERVED_TOKENS */
+	bool is_whole; /* ENTRY_PART_END: the part stands for a request as a whole */
 	/*
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
 	 * ENTRY_FAILURE: slot_result_t; ENTRY_END: generated tokens; ENTRY_ROW_CHUNK:
--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -38,8 +38,9 @@
 	REASON_CALLER_GONE, /* the caller disconnected before the request was sent */
 	REASON_CALLER_LEFT, /* the caller disconnected after the request was sent */
 	REASON_GAVE_UP,	    /* a response was interrupted, and no capacity for a retry was found */
-	REASON_PROMPT_BLOCKED, /* endpoints end when they answer prompts with one of its parts */
-	REASON_TIMEOUT,	       /* the deadline passed after the request was sent */
+	REASON_PROMPT_BLOCKED,	/* endpoints end when they answer prompts with one of its parts */
+	REASON_REQUEST_BLOCKED, /* endpoints end when they begin to run the same request */
+	REASON_TIMEOUT,		/* the deadline passed after the request was sent */
 	REASON_COUNT,
 } reason_t;
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -15,8 +15,6 @@
 #include "gateway/endpoint_connection.h"
 #include "gateway/event_stream.h"
 
-#define CALL_MAX_PARTS 16 /* shared prompt parts that are told apart */
-
 typedef struct gateway gateway_t;
 typedef struct call call_t;
 
@@ -49,10 +47,8 @@
 	const catalog_route_t *route;
 	const catalog_service_t *service;
 	char *id;
-	unsigned int part_count;
-	uint64_t parts[CALL_MAX_PARTS]; /* shared prompt parts, without the parts before them */
-	uint64_t content; /* hash over caller, target and body: the same if the request is repeated
-			   */
+	/* Shared prompt parts, without the parts before them, and the content of the request. */
+	part_set_t parts;
 	int64_t resume_after; /* id of the last event that the caller received, -1: none */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* estimate from the request's headers */
@@ -130,7 +126,7 @@
 void call_delete(call_t *this);
 
 /* call_admit.c */
-/* Whether the call's prompt may be sent; sets its retry delay if not. */
+/* Whether the call may be sent; sets its reason and its retry delay if it is blocked. */
 part_verdict_t call_check_parts(call_t *this, instant_t now);
 
 /* call_queue.c */
--- a/src/gateway/call_account.c
+++ b/src/gateway/call_account.c
@@ -27,7 +27,7 @@
 		(guint64)((now - call->arrived) / USEC_PER_MSEC),
 		(guint64)(call->max_event_gap / USEC_PER_MSEC), call->retry_after_s,
 		(guint64)call->time_left_ms, call->placement_request.is_late,
-		call->catalog ? (guint64)call->catalog->version : 0, (guint64)call->content);
+		call->catalog ? (guint64)call->catalog->version : 0, (guint64)call->parts.whole);
 	return STEP_NEXT;
 }
 
--- a/src/gateway/call_admit.c
+++ b/src/gateway/call_admit.c
@@ -6,12 +6,14 @@
 
 part_verdict_t call_check_parts(call_t *this, instant_t now)
 {
-	instant_t until;
-	part_verdict_t verdict = part_watch_check(
-		this->gateway->part_watch, this->parts, this->part_count, now, &until);
+	part_block_t block;
+	part_verdict_t verdict =
+		part_watch_check(this->gateway->part_watch, &this->parts, now, &block);
 
-	if (verdict == PART_BLOCKED)
-		this->retry_after_s = (double)instant_left(until, now) / (double)USEC_PER_SEC;
+	if (verdict != PART_BLOCKED)
+		return verdict;
+	this->reason = block.is_whole ? REASON_REQUEST_BLOCKED : REASON_PROMPT_BLOCKED;
+	this->retry_after_s = (double)instant_left(block.until, now) / (double)USEC_PER_SEC;
 	return verdict;
 }
 
@@ -31,10 +33,8 @@
 		call->reason = REASON_DEADLINE;
 		return STEP_FAIL;
 	}
-	if (call_check_parts(call, now) == PART_BLOCKED) {
-		call->reason = REASON_PROMPT_BLOCKED;
+	if (call_check_parts(call, now) == PART_BLOCKED)
 		return STEP_FAIL;
-	}
 	return STEP_NEXT;
 }
 
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -73,13 +73,13 @@
 	const char *last = parts ? strrchr(parts, ',') : NULL;
 	const char *part = parts;
 
-	while (last && part < last && call->part_count < CALL_MAX_PARTS) {
+	while (last && part < last && call->parts.count < PART_SET_MAX - 1) {
 		const char *end = memchr(part, ',', (size_t)(last - part));
 		size_t len = strspn(part, " \t");
 
 		part += len;
 		len = strcspn(part, ":, \t");
-		call->parts[call->part_count++] = XXH64(part, len, 0);
+		call->parts.part[call->parts.count++] = XXH64(part, len, 0);
 		part = end ? end + 1 : last;
 	}
 }
@@ -177,7 +177,8 @@
 	call->events.last_id = call->resume_after;
 	read_tokens(call);
 	read_part_names(call);
-	call->content = content_of(call);
+	call->parts.whole = content_of(call);
+	call->parts.part[call->parts.count++] = call->parts.whole;
 	fill_placement_request(call);
 	return STEP_NEXT;
 }
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -111,11 +111,11 @@
 		call->reason = call_may_have_run(call) ? REASON_TIMEOUT : REASON_DEADLINE;
 		return STEP_FAIL;
 	}
-	/* The part may have been blocked while the call waited for its slot. */
+	/* It may have been blocked while the call waited for its slot. */
 	if (call_check_parts(call, now) == PART_BLOCKED) {
 		call_leave_placement(call, SLOT_UNUSED);
-		call->reason =
-			call_may_have_run(call) ? REASON_ENDPOINT_BROKEN : REASON_PROMPT_BLOCKED;
+		if (call_may_have_run(call))
+			call->reason = REASON_ENDPOINT_BROKEN;
 		return STEP_FAIL;
 	}
 	/* A request can wait in the kernel, with its caller's close behind it. */
@@ -128,6 +128,7 @@
 	call->state = CALL_SENT;
 	call->sends++;
 	call_reset_response(call);
+	part_watch_record_sent(gateway->part_watch, &call->parts, now);
 	call->connection = endpoint_connection_send(
 		&gateway->connection_options, call->endpoint, &request, &call_connection_ops, call);
 	if (!call->connection) {
@@ -160,16 +161,16 @@
 	GString *parts = g_string_new(NULL);
 	gint64 answer_ms = -1;
 
-	for (unsigned int i = 0; i < call->part_count; i++)
+	for (unsigned int i = 0; i + 1 < call->parts.count; i++)
 		g_string_append_printf(parts, "%s%016" G_GINT64_MODIFIER "x", i ? "," : "",
-			(guint64)call->parts[i]);
+			(guint64)call->parts.part[i]);
 	if (call->answer_began)
 		answer_ms = (gint64)((clock_now() - call->answer_began) / USEC_PER_MSEC);
 	log_info("attempt-failed",
 		"id=%s endpoint=%s failure=%s may_have_run=%d send=%u again=%d "
 		"answer_ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x parts=%s",
 		call->id, call->endpoint->name, failure, may_have_run, call->sends, retry,
-		answer_ms, (guint64)call->content, parts->str);
+		answer_ms, (guint64)call->parts.whole, parts->str);
 	g_string_free(parts, TRUE);
 }
 
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -103,13 +103,12 @@
 	g_string_assign(call->headers, response->headers->str);
 }
 
-/* --- prompt parts ------------------------------------------------------ */
+/* --- requests that end endpoints ------------------------------------------------------ */
 
 static void record_sound_answer(call_t *call)
 {
 	call->answer_is_sound = true;
-	for (unsigned int i = 0; i < call->part_count; i++)
-		part_watch_record_sound(call->gateway->part_watch, call->parts[i], clock_now());
+	part_watch_record_sound(call->gateway->part_watch, &call->parts, clock_now());
 }
 
 /* True if the attempt's answer has gone on for so long that it can't have ended the endpoint. */
@@ -122,9 +121,8 @@
 {
 	if (has_long_answer(call))
 		return;
-	for (unsigned int i = 0; i < call->part_count; i++)
-		part_watch_record_end(call->gateway->part_watch, call->parts[i], call->endpoint->id,
-			call->sent_at, clock_now());
+	part_watch_record_end(call->gateway->part_watch, &call->parts, call->endpoint->id,
+		call->sent_at, clock_now());
 }
 
 /* --- response body ---------------------------------------------------- */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -490,7 +490,8 @@
 	return this->peers != NULL;
 }
 
-static void on_part_event(void *ctx, part_event_t event, uint64_t part, unsigned int ends)
+static void on_part_event(
+	void *ctx, part_event_t event, uint64_t part, bool is_whole, unsigned int ends)
 {
 	static const char *const names[] = {
 		[PART_EVENT_END] = "endpoint-ended",
@@ -498,14 +499,27 @@
 		[PART_EVENT_SOUND] = "sound",
 	};
 
-	log_notice("prompt-part", "part=%016" G_GINT64_MODIFIER "x change=%s ends=%u",
+	/* Every request that was at an endpoint when it ended has one end. */
+	if (is_whole && ends < 2)
+		return;
+	log_notice(is_whole ? "request-content" : "prompt-part",
+		"%s=%016" G_GINT64_MODIFIER "x change=%s ends=%u", is_whole ? "content" : "part",
 		(guint64)part, names[event], ends);
 }
 
+static unsigned int place_for_part(void *ctx, uint64_t part, unsigned int *routers)
+{
+	const gateway_t *this = ctx;
+
+	return members_place(
+		placement_members(peers_placement(this->peers)), (id_t32)part, routers);
+}
+
 gateway_t *gateway_new(const gateway_settings_t *settings)
 {
 	gateway_t *this = g_new0(gateway_t, 1);
-	part_watch_options_t part_options = {.on_event = on_part_event};
+	part_watch_options_t part_options = {
+		.on_event = on_part_event, .place = place_for_part, .ctx = this};
 	endpoint_registry_options_t registry_options = {
 		.returned_hold = settings->returned_hold_ms * USEC_PER_MSEC,
 		.on_removed = on_endpoint_removed,
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -36,7 +36,9 @@
 	metrics_append(out, "peer_links_renewed_total", peers_links_renewed(this->peers));
 	metrics_append(out, "routers_listed", gateway_router_count(this));
 	metrics_append(out, "prompt_parts_blocked",
-		part_watch_blocked_count(this->part_watch, clock_now()));
+		part_watch_blocked_count(this->part_watch, false, clock_now()));
+	metrics_append(out, "requests_blocked",
+		part_watch_blocked_count(this->part_watch, true, clock_now()));
 	metrics_append(out, "store_era", this->store_era);
 	metrics_append(out, "endpoints_read_in_era",
 		row_cache_newest_version(this->row_cache, CACHED_ENDPOINTS).era);
