A router counts ends of endpoints at least as the router that told it of them

An end now carries the number of occasions up to it, as counted by the router that tells it; the peer takes the higher of that and its own count.

Ruled out: a clock offset for each peer: it needs the shortest delay, which is not known when the first ends are told.

--- a/src/core/part_watch.c
+++ b/src/core/part_watch.c
@@ -19,7 +19,8 @@
 	id_t32 endpoint;
 	instant_t sent_at; /* the prompt */
 	instant_t at;
-	bool told; /* to the peers, or by one */
+	unsigned int occasion; /* as counted by the router that told it; 0: not told by one */
+	bool told;	       /* to the peers, or by one */
 } part_end_t;
 
 typedef struct part_record {
@@ -44,6 +45,7 @@
 	id_t32 endpoint;
 	instant_t sent_at;
 	instant_t at;
+	unsigned int occasion;
 } log_entry_t;
 
 typedef struct recent_end {
@@ -208,6 +210,8 @@
 			last = end->at;
 			count++;
 		}
+		if (end->occasion > count)
+			count = end->occasion;
 	}
 	return count;
 }
@@ -508,6 +512,7 @@
 		.endpoint = end->endpoint,
 		.sent_at = end->sent_at,
 		.at = end->at,
+		.occasion = count_first_occasions(record, index + 1),
 	};
 }
 
@@ -584,6 +589,7 @@
 		.endpoint = entry->engine,
 		.sent_at = instant_of_age(entry->source, now),
 		.at = instant_of_age(entry->value, now),
+		.occasion = entry->occasions,
 		.told = true,
 	};
 
@@ -638,6 +644,7 @@
 		.engine = next.endpoint,
 		.source = age_of(next.sent_at, now),
 		.value = age_of(next.at, now),
+		.occasions = next.occasion,
 		.is_whole = next.is_whole,
 	};
 	return true;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -68,6 +68,8 @@
 	id_t32 pool;	  /* ENTRY_SLOT_USAGE, ENTRY_SERVED_TOKENS */
 	id_t32 workspace; /* ENTRY_SERVED_TOKENS */
 	int32_t tokens;	  /* ENTRY_SERVED_TOKENS */
+	/* ENTRY_PART_END: as the sender counts the occasions, 0: unknown; see part_watch.c */
+	uint32_t occasions;
 	bool is_whole; /* ENTRY_PART_END: the part stands for a request as a whole */
 	/*
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -134,6 +134,7 @@
 {
 	if (entry->kind != ENTRY_PART_END)
 		return;
+	put_field(fields, entry->occasions);
 	put_field(fields, entry->is_whole);
 }
 
@@ -416,6 +417,7 @@
 		entry->engine = (id_t32)get_field(&fields);
 		entry->value = (uint32_t)get_field(&fields);
 		entry->source = (id_t32)get_field(&fields);
+		entry->occasions = (uint32_t)get_field(&fields);
 		entry->is_whole = get_field(&fields) != 0;
 		return true;
 	}
--- a/tests/test_part_watch.c
+++ b/tests/test_part_watch.c
@@ -242,6 +242,27 @@
 	part_watch_delete(watch);
 }
 
+/* Each prompt was sent after the end before, but the news of the ends took different times. */
+static void test_ends_told_with_different_delays_count_as_the_teller_counts(void **state)
+{
+	part_watch_t *watch = watch_new();
+	part_watch_t *peer = watch_new();
+	instant_t now = USEC_PER_SEC;
+
+	for (unsigned int i = 0; i < 3; i++, now += 5 * MS) {
+		message_entry_t entry;
+
+		record_end(watch, BAD, 100 + i, now, now + 4 * MS);
+		part_watch_tick(watch, now + 300 * MS);
+		assert_true(part_watch_next_entry(watch, PEER, &entry, now + 300 * MS));
+		part_watch_handle_entry(peer, &entry, now + 400 * MS - i * 3 * MS);
+	}
+	assert_int_equal(check(watch, BAD, 0, now), PART_BLOCKED);
+	assert_int_equal(check(peer, BAD, 0, now + 400 * MS), PART_BLOCKED);
+	part_watch_delete(peer);
+	part_watch_delete(watch);
+}
+
 /* --- requests as a whole ------------------------------------------------ */
 
 static const part_set_t bad_request = {.part = {BAD}, .count = 1, .whole = BAD};
@@ -432,6 +453,7 @@
 		cmocka_unit_test(test_parts_that_are_soon_sound_are_not_told),
 		cmocka_unit_test(test_peer_that_was_out_of_reach_gets_everything),
 		cmocka_unit_test(test_table_is_bounded_and_keeps_blocked_parts),
+		cmocka_unit_test(test_ends_told_with_different_delays_count_as_the_teller_counts),
 		cmocka_unit_test(test_request_is_blocked_after_three_ends_in_turn),
 		cmocka_unit_test(test_request_in_doubt_is_sent_one_at_a_time),
 		cmocka_unit_test(test_sound_answer_ends_doubt_at_all_routers),
