--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -42,6 +42,7 @@
 		g_string_free(this->body, TRUE);
 	g_string_free(this->headers, TRUE);
 	g_free(this->id);
+	g_free(this->resumes);
 	registered_endpoint_put(this->endpoint);
 	catalog_put(this->catalog);
 	g_free(this);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -50,6 +50,7 @@
 	/* Shared prompt parts, without the parts before them, and the content of the request. */
 	part_set_t parts;
 	int64_t resume_after; /* id of the last event that the caller received, -1: none */
+	char *resumes;	      /* id of the attempt that brought the first event; NULL: not stated */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* estimate from the request's headers */
 	bool is_idempotent;
--- a/src/gateway/call_account.c
+++ b/src/gateway/call_account.c
@@ -15,7 +15,9 @@
 		"runs=%u asks=%u on_own=%d queued_ms=%" G_GUINT64_FORMAT
 		" cost=%u prompt=%u first_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
 		" pause_ms=%" G_GUINT64_FORMAT " retry_after=%.3f left_ms=%" G_GUINT64_FORMAT
-		" returning=%d catalog=%" G_GUINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x",
+		" returning=%d resume_after=%" G_GINT64_FORMAT
+		" resumes=%s version=%s catalog=%" G_GUINT64_FORMAT
+		" content=%016" G_GINT64_MODIFIER "x",
 		call->id ? call->id : "-", call->workspace ? call->workspace->name : "-",
 		call->route ? call->route->name : "-", call->endpoint ? call->endpoint->name : "-",
 		outcome_name(info->outcome), info->name,
@@ -27,6 +29,8 @@
 		(guint64)((now - call->arrived) / USEC_PER_MSEC),
 		(guint64)(call->max_event_gap / USEC_PER_MSEC), call->retry_after_s,
 		(guint64)call->time_left_ms, call->placement_request.is_late,
+		(gint64)call->resume_after, call->resumes ? call->resumes : "-",
+		call->endpoint ? call->endpoint->version : "-",
 		call->catalog ? (guint64)call->catalog->version : 0, (guint64)call->parts.whole);
 	return STEP_NEXT;
 }
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -172,6 +172,8 @@
 		call->reason = REASON_BAD_REQUEST;
 		return STEP_FAIL;
 	}
+	call->resumes =
+		g_strdup(caller_header(call->request, call->gateway->header_names->resumes));
 	call->service = &call->catalog->services[catalog_pick_target(route, g_random_int())];
 	call->is_idempotent = route->is_idempotent;
 	call->events.last_id = call->resume_after;
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -167,10 +167,12 @@
 	if (call->answer_began)
 		answer_ms = (gint64)((clock_now() - call->answer_began) / USEC_PER_MSEC);
 	log_info("attempt-failed",
-		"id=%s endpoint=%s failure=%s may_have_run=%d send=%u again=%d "
-		"answer_ms=%" G_GINT64_FORMAT " content=%016" G_GINT64_MODIFIER "x parts=%s",
-		call->id, call->endpoint->name, failure, may_have_run, call->sends, retry,
-		answer_ms, (guint64)call->parts.whole, parts->str);
+		"id=%s endpoint=%s version=%s failure=%s may_have_run=%d send=%u again=%d "
+		"answer_ms=%" G_GINT64_FORMAT " last_event=%" G_GINT64_FORMAT
+		" content=%016" G_GINT64_MODIFIER "x parts=%s",
+		call->id, call->endpoint->name, call->endpoint->version, failure, may_have_run,
+		call->sends, retry, answer_ms, (gint64)call->events.last_id,
+		(guint64)call->parts.whole, parts->str);
 	g_string_free(parts, TRUE);
 }
 
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -37,6 +37,7 @@
 	g_free(this->name);
 	g_free(this->service);
 	g_free(this->address);
+	g_free(this->version);
 	g_free(this);
 }
 
@@ -45,6 +46,7 @@
 	g_free(this->name);
 	g_free(this->service);
 	g_free(this->address);
+	g_free(this->version);
 }
 
 static void unref_endpoint(void *item)
@@ -91,6 +93,7 @@
 	this->name = g_strdup(registration->name);
 	this->service = g_strdup(registration->service);
 	this->address = g_strdup(registration->address);
+	this->version = g_strdup(registration->version ? registration->version : "");
 	this->id = incarnation_id(registration);
 	this->service_id = name_id(registration->service);
 	this->slots = registration->slots;
@@ -145,13 +148,24 @@
 	g_hash_table_remove(this->by_name, endpoint->name);
 }
 
+/* Returns whether it is another version than before. */
+static bool set_version(registered_endpoint_t *endpoint, const char *version)
+{
+	if (!strcmp(endpoint->version, version ? version : ""))
+		return false;
+	g_free(endpoint->version);
+	endpoint->version = g_strdup(version ? version : "");
+	return true;
+}
+
 static bool update_endpoint(
 	registered_endpoint_t *endpoint, const endpoint_registration_t *registration)
 {
 	bool restored = registration->era > endpoint->era;
 	bool stays = restored && endpoint->state == ENDPOINT_DRAINING;
 	endpoint_state_t state = stays ? ENDPOINT_DRAINING : registration->state;
-	bool changed = endpoint->state != state || endpoint->slots != registration->slots;
+	bool changed = set_version(endpoint, registration->version) || endpoint->state != state ||
+		       endpoint->slots != registration->slots;
 
 	endpoint->state = state;
 	endpoint->slots = registration->slots;
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -27,6 +27,7 @@
 	char *name;
 	char *service;
 	char *address; /* ip:port */
+	char *version; /* of the endpoint's software; empty: not stated */
 	unsigned int slots;
 	endpoint_state_t state;
 	uint64_t incarnation; /* rises from one start under the same name to the next */
@@ -37,6 +38,7 @@
 	char *name;
 	char *service;
 	char *address;
+	char *version;
 	id_t32 id;
 	id_t32 service_id;
 	unsigned int slots;
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -121,10 +121,11 @@
 	changed = endpoint_registry_put(this->endpoint_registry, &registration, now);
 	if (changed)
 		log_notice("endpoint-changed",
-			"endpoint=%s service=%s address=%s state=%d era=%" G_GUINT64_FORMAT
-			" row_version=%" G_GUINT64_FORMAT,
+			"endpoint=%s service=%s address=%s state=%d version=%s "
+			"era=%" G_GUINT64_FORMAT " row_version=%" G_GUINT64_FORMAT,
 			row->key, registration.service, registration.address, registration.state,
-			(guint64)row->version.era, (guint64)row->version.number);
+			registration.version, (guint64)row->version.era,
+			(guint64)row->version.number);
 	endpoint_registration_clear(&registration);
 	return changed;
 }
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -21,6 +21,7 @@
 	const char *token_usage;  /* PROMPT,MAX: prompt tokens, maximum output tokens */
 	const char *length_hint;  /* estimated output tokens */
 	const char *resume_after; /* id of the last event received */
+	const char *resumes; /* id of the caller's attempt that brought the stream's first event */
 	const char
 		*copy_from; /* sent to endpoints: address to copy cached parts from; NULL: none */
 	const char *const *withheld; /* removed from callers' requests; NULL-terminated */
