--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -68,19 +68,25 @@
 	g_free(text);
 }
 
-void fixture_register_endpoint(fixture_t *this, unsigned int endpoint, const char *state)
+void fixture_register_version(
+	fixture_t *this, unsigned int endpoint, const char *state, const char *version)
 {
 	char *key = g_strdup_printf("i-%u", endpoint);
 	char *text = g_strdup_printf(
-		"{\"service\":\"shop\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\","
+		"{\"service\":\"shop\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"%s\","
 		"\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1}",
-		raw_endpoint_address(this->endpoints[endpoint]), state);
+		raw_endpoint_address(this->endpoints[endpoint]), version, state);
 
 	row_store_standin_put(this->store, "servers", key, text);
 	g_free(text);
 	g_free(key);
 }
 
+void fixture_register_endpoint(fixture_t *this, unsigned int endpoint, const char *state)
+{
+	fixture_register_version(this, endpoint, state, "v1");
+}
+
 raw_endpoint_t *fixture_add_endpoint(fixture_t *this, raw_handler_t handler, void *ctx)
 {
 	unsigned int i = 0;
@@ -155,11 +161,28 @@
 	this->settings = make_settings(this, options);
 	if (this->owns_store)
 		fixture_put_config(this, "");
+	fixture_restart_router(this);
+	return this;
+}
+
+void fixture_restart_router(fixture_t *this)
+{
 	this->gateway = gateway_new(this->settings);
 	if (!this->gateway)
 		abort();
+	this->stopped = false;
 	pthread_create(&this->thread, NULL, run_gateway, this);
-	return this;
+}
+
+void fixture_kill_router(fixture_t *this)
+{
+	if (!this->stopped) {
+		uv_stop(&this->gateway->loop);
+		pthread_join(this->thread, NULL);
+	}
+	this->stopped = true;
+	gateway_delete(this->gateway);
+	this->gateway = NULL;
 }
 
 unsigned int fixture_stop(fixture_t *this)
@@ -182,7 +205,7 @@
 		raw_endpoint_delete(this->endpoints[i]);
 	if (this->owns_store)
 		row_store_standin_delete(this->store);
-	gateway_delete(this->gateway);
+	gateway_delete(this->gateway); /* NULL after fixture_kill_router() */
 	gateway_settings_delete(this->settings);
 	g_free(this);
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -56,8 +56,11 @@
  * FIXTURE_ENDPOINTS.
  */
 raw_endpoint_t *fixture_add_endpoint(fixture_t *this, raw_handler_t handler, void *ctx);
-/* Writes the store's row of the endpoint with this index, in the given state. */
+/* Writes the store's row of the endpoint with this index, in the given state; its version is v1. */
 void fixture_register_endpoint(fixture_t *this, unsigned int endpoint, const char *state);
+/* The same for an endpoint whose software has another version. */
+void fixture_register_version(
+	fixture_t *this, unsigned int endpoint, const char *state, const char *version);
 /*
  * Writes a new version of the configuration to the store; `extra_routes` is JSON that follows
  * the last fixed route, or "".
@@ -80,6 +83,9 @@
 bool fixture_wait_metrics(fixture_t *this, const char *first, const char *second);
 /* Waits until the gateway is ready and knows this number of endpoints. */
 void fixture_wait_ready(fixture_t *this, unsigned int endpoints);
+/* Ends the gateway without a planned stop, and starts it again; endpoints and store go on. */
+void fixture_kill_router(fixture_t *this);
+void fixture_restart_router(fixture_t *this);
 /*
  * Sends SIGTERM to the process, which begins the planned stop, and waits for its end.  Returns
  * the number of calls that the stop had to end early.
