--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -115,6 +115,7 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
+	id_t32 version;	  /* of the engine's software that it is bound to, 0: any */
 	bool is_late;	  /* counts as unable to meet first_token_deadline */
 	bool was_started; /* an attempt has failed: never refused for the workspace's backlog */
 
@@ -138,7 +139,8 @@
 	id_t32 id;
 	id_t32 pool;
 	engine_limits_t limits;
-	bool usable; /* accepts new requests */
+	id_t32 version; /* of its software */
+	bool usable;	/* accepts new requests */
 } placement_engine_t;
 
 typedef enum placement_action_kind {
@@ -151,7 +153,8 @@
 	placement_request_t *request;
 	id_t32 engine;		 /* PLACEMENT_START */
 	uint32_t retry_after_ms; /* PLACEMENT_REJECT; 0: no estimate */
-	bool no_engine;		 /* PLACEMENT_REJECT: the pool has no usable engine */
+	bool no_engine; /* PLACEMENT_REJECT: the pool has no usable engine of the request's version
+			 */
 } placement_action_t;
 
 /* The header of each message between routers. */
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -11,12 +11,15 @@
 }
 
 /* Returns whether our engines of the pool are full while another owner probably has a free slot. */
-static bool should_redirect(placement_t *this, id_t32 pool, instant_t now)
+static bool should_redirect(placement_t *this, const slot_request_t *request, instant_t now)
 {
+	id_t32 pool = request->pool;
+
 	if (placement_utilization(this, 0, pool, now) < 1)
 		return false;
 	for (unsigned int slot = 1; slot < this->members.count; slot++) {
-		if (placement_accepts_requests(this, slot) && placement_owns(this, slot, pool) &&
+		if (placement_accepts_requests(this, slot) &&
+			placement_owns(this, slot, pool, request->version) &&
 			placement_utilization(this, slot, pool, now) < UTILIZATION_FREE)
 			return true;
 	}
@@ -28,12 +31,12 @@
 {
 	message_entry_t reply = {.kind = ENTRY_NOT_OWNER, .ticket = entry->slot_request.ticket};
 
-	if (this->stopping || !placement_owns(this, 0, entry->slot_request.pool)) {
+	if (this->stopping ||
+		!placement_owns(this, 0, entry->slot_request.pool, entry->slot_request.version)) {
 		placement_queue_entry(this, slot, &reply, now);
 		return;
 	}
-	if (!entry->slot_request.must_queue &&
-		should_redirect(this, entry->slot_request.pool, now)) {
+	if (!entry->slot_request.must_queue && should_redirect(this, &entry->slot_request, now)) {
 		reply.kind = ENTRY_FULL;
 		placement_queue_entry(this, slot, &reply, now);
 		return;
@@ -74,11 +77,12 @@
 	placement_send_request(this, request, now);
 }
 
-static bool is_usable(const placement_t *this, id_t32 engine)
+/* An owner of an earlier build does not know that a request is bound to a version. */
+static bool is_usable(const placement_t *this, const placement_request_t *request, id_t32 engine)
 {
 	const engine_state_t *state = placement_find_engine(this, engine);
 
-	return state && state->engine.usable;
+	return state && placement_engine_fits(&state->engine, state->engine.pool, request->version);
 }
 
 /* The owner may not know yet that the engine leaves. */
@@ -96,7 +100,7 @@
 {
 	placement_request_t *request = find_pending(this, slot, entry->ticket);
 
-	if (request && is_usable(this, entry->engine)) {
+	if (request && is_usable(this, request, entry->engine)) {
 		request->source = entry->source;
 		if (!request->source)
 			request->source = placement_likely_source(this, request, entry->engine);
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -57,6 +57,11 @@
 	return usage.slots ? (double)usage.taken / usage.slots : UTILIZATION_NONE;
 }
 
+bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version)
+{
+	return engine->pool == pool && engine->usable && (!version || engine->version == version);
+}
+
 /* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
 static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
 	uint64_t prefix, unsigned int *best)
@@ -69,7 +74,7 @@
 		uint64_t score = mix(prefix, engine->id);
 		unsigned int rank;
 
-		if (engine->pool != request->pool || !engine->usable)
+		if (!placement_engine_fits(engine, request->pool, request->version))
 			continue;
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
 			if (rank < MAX_CANDIDATES) {
@@ -86,18 +91,19 @@
 	return count;
 }
 
-bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool)
+bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool, id_t32 version)
 {
 	for (unsigned int i = 0; i < this->engine_count; i++) {
-		if (this->engines[i].owner == slot && this->engines[i].engine.pool == pool &&
-			this->engines[i].engine.usable)
+		if (this->engines[i].owner == slot &&
+			placement_engine_fits(&this->engines[i].engine, pool, version))
 			return true;
 	}
 	return false;
 }
 
 /* Returns the owner with the lowest utilization, a random one among equals; -1: none. */
-static int least_utilized_owner(placement_t *this, id_t32 pool, instant_t now)
+static int least_utilized_owner(
+	placement_t *this, const placement_request_t *request, instant_t now)
 {
 	unsigned int start = (unsigned int)(next_random(this) % this->members.count);
 	int best = -1;
@@ -107,9 +113,10 @@
 		unsigned int slot = (start + k) % this->members.count;
 		double utilization;
 
-		if (!placement_accepts_requests(this, slot) || !placement_owns(this, slot, pool))
+		if (!placement_accepts_requests(this, slot) ||
+			!placement_owns(this, slot, request->pool, request->version))
 			continue;
-		utilization = placement_utilization(this, slot, pool, now);
+		utilization = placement_utilization(this, slot, request->pool, now);
 		if (best >= 0 && utilization >= best_utilization)
 			continue;
 		best = (int)slot;
@@ -143,7 +150,7 @@
 	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
 	unsigned int ranked[MAX_CANDIDATES];
 	unsigned int count = prefix ? rank_engines(this, request, prefix, ranked) : 0;
-	int best = least_utilized_owner(this, request->pool, now);
+	int best = least_utilized_owner(this, request, now);
 	double lowest =
 		best < 0 ? 0 : placement_utilization(this, (unsigned int)best, request->pool, now);
 	double bound = (lowest < UTILIZATION_LOW ? UTILIZATION_LOW : lowest) + UTILIZATION_MARGIN;
@@ -233,10 +240,10 @@
 	placement_push_action(this, &action);
 }
 
-bool placement_has_usable_engine(const placement_t *this, id_t32 pool)
+bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version)
 {
 	for (unsigned int i = 0; i < this->engine_count; i++) {
-		if (this->engines[i].engine.pool == pool && this->engines[i].engine.usable)
+		if (placement_engine_fits(&this->engines[i].engine, pool, version))
 			return true;
 	}
 	return false;
@@ -250,7 +257,7 @@
 	if (request->state != PLACEMENT_NONE)
 		leave_list(request);
 	backlog_remove(&request->backlog_entry);
-	action.no_engine = !placement_has_usable_engine(this, request->pool);
+	action.no_engine = !placement_has_usable_engine(this, request->pool, request->version);
 	placement_push_action(this, &action);
 }
 
@@ -267,7 +274,7 @@
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		engine_state_t *state = &this->engines[i];
 
-		if (state->engine.pool != request->pool || !state->engine.usable ||
+		if (!placement_engine_fits(&state->engine, request->pool, request->version) ||
 			state->engine.id == request->avoid ||
 			!rate_limit_allows(&state->rate_limit, now))
 			continue;
@@ -303,6 +310,7 @@
 				.work = request->work,
 				.first_token_deadline = request->first_token_deadline,
 				.deadline = request->deadline,
+				.version = request->version,
 				.is_late = request->is_late,
 				.must_queue = request->owners_tried >= MAX_OWNERS_TRIED,
 			},
--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -40,7 +40,9 @@
 	REASON_GAVE_UP,	    /* a response was interrupted, and no capacity for a retry was found */
 	REASON_PROMPT_BLOCKED,	/* endpoints end when they answer prompts with one of its parts */
 	REASON_REQUEST_BLOCKED, /* endpoints end when they begin to run the same request */
-	REASON_TIMEOUT,		/* the deadline passed after the request was sent */
+	REASON_STREAM_UNKNOWN,	/* it is not known which software version began the stream */
+	REASON_STREAM_VERSION_GONE, /* no endpoint of that version takes requests */
+	REASON_TIMEOUT,		    /* the deadline passed after the request was sent */
 	REASON_COUNT,
 } reason_t;
 
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -26,6 +26,7 @@
 	struct cds_list_head link; /* in its pool */
 	sched_pool_t *pool;
 	engine_t model;
+	id_t32 version;		    /* of its software */
 	bool usable;		    /* accepts new requests, according to its registration */
 	unsigned int failures;	    /* in a row */
 	double failure_ratio;	    /* moving average over requests, 0 to 1 */
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -19,6 +19,7 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
+	id_t32 version;	 /* of the engine's software that it is bound to, 0: any */
 	bool is_late;	 /* counts as unable to meet first_token_deadline */
 	bool must_queue; /* no other owner has room: queue the request, don't redirect it */
 } slot_request_t;
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -46,6 +46,12 @@
 
 /* --- choice of the engine ----------------------------------------------- */
 
+/* Whether the engine's software has the version that the request is bound to. */
+static bool has_version(const sched_engine_t *engine, const slot_request_t *request)
+{
+	return !request->version || engine->version == request->version;
+}
+
 /* Returns the usable engine that has most of the prompt cached, even if it has no room, or NULL. */
 static const sched_engine_t *preferred_engine(
 	const sched_pool_t *this, const slot_request_t *request)
@@ -123,7 +129,7 @@
 		instant_t expected_at;
 		instant_t rank;
 
-		if (!engine_has_room(model, &request->work) ||
+		if (!has_version(engine, request) || !engine_has_room(model, &request->work) ||
 			!can_take_prompt(this, engine, reserved, now))
 			continue;
 		if (filter->max_prefill != UINT32_MAX &&
@@ -151,7 +157,7 @@
 	cds_list_for_each_entry (engine, &this->engines, link) {
 		uint64_t delay = engine_idle_first_token_delay(&engine->model, &request->work);
 
-		if (engine->usable && delay < least)
+		if (engine->usable && has_version(engine, request) && delay < least)
 			least = delay;
 	}
 	return least;
@@ -249,6 +255,27 @@
 	return found;
 }
 
+/*
+ * The late request of the lane that has waited longest; one that is bound to a version only if it
+ * can start now, as the others would wait behind it; NULL: none.
+ */
+static sched_record_t *first_late(const sched_pool_t *this, const sched_lane_t *lane, instant_t now)
+{
+	sched_record_t *record;
+
+	cds_list_for_each_entry (record, &lane->late, link) {
+		engine_filter_t filter;
+		instant_t first_token_at;
+
+		if (!record->request.version)
+			return record;
+		filter = filter_for(this, &record->request, 0);
+		if (best_engine(this, &record->request, &filter, now, &first_token_at))
+			return record;
+	}
+	return NULL;
+}
+
 /*
  * Chooses the request that has waited longest of the lane with the lowest level
  * that has late requests.
@@ -262,11 +289,13 @@
 
 	cds_list_for_each_entry (lane, &this->lanes, link) {
 		double level = sched_lane_level(lane, now);
+		sched_record_t *record;
 
-		if (cds_list_empty(&lane->late) || (best.record && level >= best.level))
+		if (best.record && level >= best.level)
 			continue;
-		best.record = cds_list_first_entry(&lane->late, sched_record_t, link);
-		best.level = level;
+		record = first_late(this, lane, now);
+		if (record)
+			best = (sched_choice_t){.record = record, .level = level};
 	}
 	if (!best.record)
 		return best;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -479,6 +479,14 @@
 	this->rate_share = share;
 }
 
+void scheduler_set_version(scheduler_t *this, id_t32 id, id_t32 version)
+{
+	sched_engine_t *engine = find_engine(this, id);
+
+	if (engine)
+		engine->version = version;
+}
+
 void scheduler_set_usable(scheduler_t *this, id_t32 id, bool usable)
 {
 	sched_engine_t *engine = find_engine(this, id);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -68,6 +68,9 @@
 void scheduler_set_rate_limit(scheduler_t *this, id_t32 engine, uint32_t rate, instant_t now);
 /* Sets the part of the engines' rates that this owner may use, above 0 and at most 1. */
 void scheduler_set_rate_share(scheduler_t *this, double share);
+/* Sets the version of the engine's software: requests that are bound to another do not run on it.
+ */
+void scheduler_set_version(scheduler_t *this, id_t32 engine, id_t32 version);
 /* Sets whether the engine accepts new requests; running ones continue. */
 void scheduler_set_usable(scheduler_t *this, id_t32 engine, bool usable);
 
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -105,6 +105,9 @@
 		put_field(fields, (int64_t)request->work.chain.hash[i]);
 		put_field(fields, request->work.chain.tokens[i]);
 	}
+	/* One field more than pairs: routers of earlier builds do not read it. */
+	if (request->version)
+		put_field(fields, request->version);
 }
 
 static void put_held_slot(fields_t *fields, const held_slot_t *slot)
@@ -326,6 +329,7 @@
 		request->work.chain.hash[i] = (uint64_t)get_field(fields);
 		request->work.chain.tokens[i] = (uint32_t)get_field(fields);
 	}
+	request->version = (id_t32)get_field(fields);
 	return true;
 }
 
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -9,12 +9,13 @@
 	&call_identify,
 	&call_classify,
 	&call_admit,
+	&call_resume,
 	&call_queue,
 	&call_dispatch,
 	&call_relay,
 };
 
-#define QUEUE_FILTER_INDEX 3 /* of call_queue in the pipeline */
+#define QUEUE_FILTER_INDEX 4 /* of call_queue in the pipeline */
 
 call_t *call_new(gateway_t *gateway, caller_t *caller, const caller_request_t *request)
 {
@@ -36,6 +37,7 @@
 void call_delete(call_t *this)
 {
 	gateway_remove_call(this->gateway, this);
+	origin_lookup_cancel(&this->origin);
 	call_account.run(this);
 	event_stream_clear(&this->events);
 	if (this->body)
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -3,7 +3,7 @@
 /*
  * call - state machine that takes one request through the gateway's filters
  *
- * identify -> classify -> admit -> queue -> dispatch -> relay -> account.  The
+ * identify -> classify -> admit -> resume -> queue -> dispatch -> relay -> account.  The
  * step that a filter returns selects what follows: the next filter, a wait for
  * an event, or an error response.  call_delete() runs account, however the call
  * ended.  All filters run on the event loop's thread.
@@ -14,6 +14,7 @@
 #include "gateway/caller.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/event_stream.h"
+#include "gateway/origin_lookup.h"
 
 typedef struct gateway gateway_t;
 typedef struct call call_t;
@@ -58,6 +59,11 @@
 	instant_t arrived;
 	instant_t deadline; /* the caller's or the route's, whichever is earlier */
 
+	/* resume */
+	origin_query_t origin;
+	instant_t
+		origin_renew_at; /* when the stream is to be recorded again; 0: not recorded yet */
+
 	/* queue */
 	placement_request_t placement_request;
 	bool in_placement;     /* `placement_request` waits for a slot or holds one */
@@ -101,6 +107,7 @@
 extern const call_filter_t call_identify;
 extern const call_filter_t call_classify;
 extern const call_filter_t call_admit;
+extern const call_filter_t call_resume;
 extern const call_filter_t call_queue;
 extern const call_filter_t call_dispatch;
 extern const call_filter_t call_relay;
@@ -130,6 +137,15 @@
 /* Whether the call may be sent; sets its reason and its retry delay if it is blocked. */
 part_verdict_t call_check_parts(call_t *this, instant_t now);
 
+/* call_resume.c */
+/* Whether the caller takes up a stream that has broken off. */
+bool call_takes_up_stream(const call_t *this);
+/*
+ * Records the version that began the stream, and binds further attempts to it; to be called for
+ * each event that is forwarded.
+ */
+void call_record_origin(call_t *this);
+
 /* call_queue.c */
 /* Handles the placement's decision: a slot at `endpoint`, or a refusal with a retry delay. */
 void call_on_slot_granted(call_t *this, id_t32 endpoint);
--- a/src/gateway/call_classify.c
+++ b/src/gateway/call_classify.c
@@ -138,13 +138,16 @@
 
 	if (call->service->token_memory)
 		read_shared_parts(call);
-	request->request_fingerprint = fingerprint_of(call);
 	request->work.prompt = call->prompt_tokens;
 	request->work.answer = call->output_tokens;
 	request->first_token_deadline = call->arrived + call->route->target_ms * USEC_PER_MSEC;
 	request->first_token_deadline -= call->route->target_ms > 2 * FIRST_BYTE_MARGIN_MS
 						 ? FIRST_BYTE_MARGIN_MS * USEC_PER_MSEC
 						 : 0;
+	/* A stream that is taken up goes on, so it does not stand behind those that begin. */
+	if (call_takes_up_stream(call))
+		return;
+	request->request_fingerprint = fingerprint_of(call);
 	request->is_late = call->time_left_ms && is_caller_retry(call, call->time_left_ms);
 }
 
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -16,7 +16,7 @@
 	request->pool = call->service->id;
 	request->workspace = call->workspace ? call->workspace->id : PUBLIC_WORKSPACE;
 	request->deadline = call->deadline;
-	request->was_started = call->sends > 0;
+	request->was_started = call->sends > 0 || call_takes_up_stream(call);
 	call->in_placement = true;
 	call->decision_pending = true;
 	call->state = CALL_QUEUED;
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -163,8 +163,10 @@
 
 	if (call->events.forwarded > before)
 		record_event_gap(call);
-	if (out->len)
+	if (out->len) {
+		call_record_origin(call);
 		forward_body(call, out->str, out->len);
+	}
 	if (!call->answer_is_sound && has_long_answer(call))
 		record_sound_answer(call);
 	g_string_free(out, TRUE);
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -94,6 +94,7 @@
 	this->service = g_strdup(registration->service);
 	this->address = g_strdup(registration->address);
 	this->version = g_strdup(registration->version ? registration->version : "");
+	this->version_id = name_id(this->version);
 	this->id = incarnation_id(registration);
 	this->service_id = name_id(registration->service);
 	this->slots = registration->slots;
@@ -155,6 +156,7 @@
 		return false;
 	g_free(endpoint->version);
 	endpoint->version = g_strdup(version ? version : "");
+	endpoint->version_id = name_id(endpoint->version);
 	return true;
 }
 
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -41,6 +41,7 @@
 	char *version;
 	id_t32 id;
 	id_t32 service_id;
+	id_t32 version_id;
 	unsigned int slots;
 	endpoint_state_t state;
 	uint64_t incarnation;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -158,6 +158,13 @@
 
 /* --- placement -------------------------------------------------------- */
 
+static reason_t rejection_reason(const placement_action_t *action)
+{
+	if (!action->no_engine)
+		return REASON_OVERLOADED;
+	return action->request->version ? REASON_STREAM_VERSION_GONE : REASON_NO_ENDPOINT;
+}
+
 static void run_placement_actions(gateway_t *this)
 {
 	placement_action_t action;
@@ -168,15 +175,15 @@
 		if (action.kind == PLACEMENT_START)
 			call_on_slot_granted(call, action.engine);
 		else
-			call_on_slot_rejected(call,
-				action.no_engine ? REASON_NO_ENDPOINT : REASON_OVERLOADED,
-				action.retry_after_ms / 1000.0);
+			call_on_slot_rejected(
+				call, rejection_reason(&action), action.retry_after_ms / 1000.0);
 	}
 }
 
 typedef struct engine_list {
 	const catalog_t *catalog;
 	GArray *engines;
+	GArray *versions; /* service_version_t of each endpoint */
 } engine_list_t;
 
 static const catalog_service_t *find_service(
@@ -201,10 +208,13 @@
 				.max_event_gap =
 					service ? service->max_event_gap_ms * USEC_PER_MSEC : 0,
 			},
+		.version = endpoint->version_id,
 		.usable = endpoint->state == ENDPOINT_READY,
 	};
+	service_version_t version = {endpoint->service_id, endpoint->version_id};
 
 	g_array_append_val(list->engines, engine);
+	g_array_append_val(list->versions, version);
 }
 
 /*
@@ -235,15 +245,20 @@
 	engine_list_t list = {
 		.catalog = this->catalog,
 		.engines = g_array_new(FALSE, FALSE, sizeof(placement_engine_t)),
+		.versions = g_array_new(FALSE, FALSE, sizeof(service_version_t)),
 	};
 
 	endpoint_registry_for_each(this->endpoint_registry, add_engine, &list);
 	placement_set_engines(peers_placement(this->peers),
 		(const placement_engine_t *)(void *)list.engines->data, list.engines->len,
 		clock_now());
+	stream_origins_set_versions(origin_lookup_origins(this->origin_lookup),
+		(const service_version_t *)(void *)list.versions->data, list.versions->len,
+		clock_now());
 	endpoint_registry_for_each(this->endpoint_registry, set_max_idle, this);
 	endpoint_registry_for_each(this->endpoint_registry, close_idle_if_unready, NULL);
 	g_array_free(list.engines, TRUE);
+	g_array_free(list.versions, TRUE);
 }
 
 static void begin_turn(gateway_t *this)
@@ -345,6 +360,7 @@
 	instant_t now = clock_now();
 
 	part_watch_tick(this->part_watch, now);
+	origin_lookup_tick(this->origin_lookup, gateway_router_count(this), now);
 	expire_calls(this, now);
 	listener_check_timeouts(this->callers, now);
 	listener_check_timeouts(this->ready, now);
@@ -515,6 +531,20 @@
 		placement_members(peers_placement(this->peers)), (id_t32)part, routers);
 }
 
+static origin_lookup_t *new_origin_lookup(gateway_t *this)
+{
+	const gateway_settings_t *settings = this->settings;
+	origin_lookup_options_t options = {
+		.loop = &this->loop,
+		.adapter = this->adapter,
+		.store = {settings->store_address, settings->store_timeout_ms},
+		.name = settings->name,
+		.incarnation = this->incarnation,
+	};
+
+	return origin_lookup_new(&options);
+}
+
 gateway_t *gateway_new(const gateway_settings_t *settings)
 {
 	gateway_t *this = g_new0(gateway_t, 1);
@@ -530,10 +560,12 @@
 	this->adapter = adapter_find(settings->adapter);
 	this->header_names = this->adapter->header_names;
 	CDS_INIT_LIST_HEAD(&this->calls);
+	this->incarnation = (uint64_t)g_get_real_time();
 	uv_loop_init(&this->loop);
 	this->endpoint_registry = endpoint_registry_new(&registry_options);
 	this->row_cache = row_cache_new();
 	this->part_watch = part_watch_new(&part_options);
+	this->origin_lookup = new_origin_lookup(this);
 	this->retry_budgets = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	this->budget_options = (retry_budget_options_t){
 		.ratio = settings->retry_ratio,
@@ -549,7 +581,6 @@
 		.open_count = &this->open_connections,
 	};
 	this->typical_times_left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	this->incarnation = (uint64_t)g_get_real_time();
 	if (!start_peers(this) || !open_listeners(this)) {
 		gateway_delete(this);
 		return NULL;
@@ -580,10 +611,12 @@
 {
 	if (!this)
 		return;
+	uv_timer_stop(&this->tick);
 	table_watch_delete(this->catalog_watch);
 	table_watch_delete(this->endpoint_watch);
 	table_watch_delete(this->roster_watch);
 	roster_delete(this->roster);
+	origin_lookup_delete(this->origin_lookup);
 	listener_delete(this->callers);
 	listener_delete(this->ready);
 	listener_delete(this->metrics);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 
 #define NOT_READY_RETRY_S 0.5 /* a router that has just started has loaded its catalog by then */
 #define STOPPING_RETRY_S 0.1  /* another router can take the retry at once */
+#define STORE_RETRY_S 0.5     /* while the store can't be read */
 #define REFUSED_RETRY_S 0.2   /* endpoints that refused have free capacity by then */
 #define PEER_KEY_SIZE 41      /* bytes of a Z85 key, terminating zero included */
 #define PUBLIC_WORKSPACE 1U   /* workspace id of requests on public routes */
@@ -58,6 +59,7 @@
 	bool endpoints_loaded;	     /* a full listing was received, from the store or a peer */
 	instant_t lapse_grace_until; /* endpoints whose rows disappear are kept until then */
 	part_watch_t *part_watch;
+	origin_lookup_t *origin_lookup;
 	peers_t *peers;
 	roster_t *roster;
 	table_watch_t *roster_watch;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -3,6 +3,16 @@
 #include "edge/metrics.h"
 #include "gateway/gateway.h"
 
+#define MAX_MIXED_SERVICES 16 /* that the metric counts */
+
+static unsigned int mixed_services(const gateway_t *this)
+{
+	id_t32 services[MAX_MIXED_SERVICES];
+
+	return stream_origins_mixed_services(
+		origin_lookup_origins(this->origin_lookup), services, ARRAY_LEN(services));
+}
+
 void gateway_write_metrics(const gateway_t *this, GString *out)
 {
 	const placement_t *placement = peers_placement(this->peers);
@@ -39,6 +49,9 @@
 		part_watch_blocked_count(this->part_watch, false, clock_now()));
 	metrics_append(out, "requests_blocked",
 		part_watch_blocked_count(this->part_watch, true, clock_now()));
+	metrics_append(out, "streams_remembered",
+		stream_origins_count(origin_lookup_origins(this->origin_lookup)));
+	metrics_append(out, "services_with_several_versions", mixed_services(this));
 	metrics_append(out, "store_era", this->store_era);
 	metrics_append(out, "endpoints_read_in_era",
 		row_cache_newest_version(this->row_cache, CACHED_ENDPOINTS).era);
--- /dev/null
+++ b/src/gateway/origin_store.c
@@ -0,0 +1,304 @@
+#include "gateway/origin_store.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "core/stream_origins.h"
+#include "edge/clock.h"
+#include "edge/log.h"
+
+#define RING_ROWS 80
+#define RETRY_DELAY (500 * USEC_PER_MSEC)
+#define FULL_RESPONSE_ROWS 100 /* a response with fewer is the last one */
+#define MAX_UNSAVED_ROWS 64    /* that wait for the store; beyond that the oldest is dropped */
+
+struct origin_store {
+	origin_store_options_t options;
+	store_t *store;
+	char *prefix; /* of the keys of this run of the router */
+	uv_async_t async;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+
+	/* Guarded by the lock. */
+	bool quit;
+	GQueue unsaved; /* GString, one for each row */
+	bool read_requested;
+	bool remove_all;
+	bool remove_earlier;
+	GPtrArray *results; /* GArray of rows, or NULL for a failed read */
+
+	/* Used by the thread only. */
+	unsigned int next_row;
+	store_version_t version; /* of the newest read; number 0: none yet */
+};
+
+/* What the thread is to do next. */
+typedef struct work {
+	GString *row; /* NULL: none */
+	bool read;
+	bool remove_all;
+	bool remove_earlier;
+} work_t;
+
+/* --- loop's thread ---------------------------------------------------- */
+
+static void on_async(uv_async_t *async)
+{
+	origin_store_t *this = async->data;
+	GPtrArray *results;
+
+	pthread_mutex_lock(&this->lock);
+	results = this->results;
+	this->results = g_ptr_array_new();
+	pthread_mutex_unlock(&this->lock);
+	for (unsigned int i = 0; i < results->len; i++) {
+		this->options.on_read(this->options.ctx, results->pdata[i]);
+		if (results->pdata[i])
+			g_array_unref(results->pdata[i]);
+	}
+	g_ptr_array_unref(results);
+}
+
+void origin_store_save(origin_store_t *this, GString *text)
+{
+	GString *dropped = NULL;
+
+	pthread_mutex_lock(&this->lock);
+	if (g_queue_get_length(&this->unsaved) == MAX_UNSAVED_ROWS)
+		dropped = g_queue_pop_head(&this->unsaved);
+	g_queue_push_tail(&this->unsaved, text);
+	pthread_cond_broadcast(&this->wake);
+	pthread_mutex_unlock(&this->lock);
+	if (!dropped)
+		return;
+	log_warn("stream-origins-dropped", "bytes=%zu", (size_t)dropped->len);
+	g_string_free(dropped, TRUE);
+}
+
+static void request(origin_store_t *this, bool *what)
+{
+	pthread_mutex_lock(&this->lock);
+	*what = true;
+	pthread_cond_broadcast(&this->wake);
+	pthread_mutex_unlock(&this->lock);
+}
+
+void origin_store_read(origin_store_t *this)
+{
+	request(this, &this->read_requested);
+}
+
+void origin_store_remove(origin_store_t *this, origin_rows_t rows)
+{
+	request(this, rows == ORIGIN_ROWS_ALL ? &this->remove_all : &this->remove_earlier);
+}
+
+/* --- thread ------------------------------------------------------------- */
+
+static bool has_work(const origin_store_t *this, instant_t write_after)
+{
+	return this->read_requested || this->remove_all || this->remove_earlier ||
+	       (!g_queue_is_empty((GQueue *)&this->unsaved) && clock_now() >= write_after);
+}
+
+/* Waits for work; writes only at `write_after` or later.  False if the thread must exit. */
+static bool wait_for_work(origin_store_t *this, instant_t write_after, work_t *work)
+{
+	bool quit;
+
+	pthread_mutex_lock(&this->lock);
+	while (!this->quit && !has_work(this, write_after))
+		cond_wait_until(&this->wake, &this->lock,
+			g_queue_is_empty(&this->unsaved) ? INSTANT_NEVER : write_after);
+	*work = (work_t){
+		.read = this->read_requested,
+		.remove_all = this->remove_all,
+		.remove_earlier = this->remove_earlier,
+	};
+	if (clock_now() >= write_after)
+		work->row = g_queue_pop_head(&this->unsaved);
+	this->read_requested = this->remove_all = this->remove_earlier = false;
+	quit = this->quit;
+	pthread_mutex_unlock(&this->lock);
+	return !quit;
+}
+
+/* Returns the earliest time of the next write. */
+static instant_t write_row(origin_store_t *this, GString *text)
+{
+	char *key = g_strdup_printf("%s%u", this->prefix, this->next_row);
+	store_row_t row = {.key = key, .value = text->str, .len = text->len};
+	uint64_t version;
+	row_result_t result =
+		this->store->ops->put(this->store, ORIGIN_TABLE, &row, STORE_ANY_VERSION, &version);
+
+	g_free(key);
+	if (result == ROWS_OK) {
+		this->next_row = (this->next_row + 1) % RING_ROWS;
+		g_string_free(text, TRUE);
+		return 0;
+	}
+	log_warn("stream-origins-unsaved", "result=%d bytes=%zu", (int)result, (size_t)text->len);
+	pthread_mutex_lock(&this->lock);
+	g_queue_push_head(&this->unsaved, text);
+	pthread_mutex_unlock(&this->lock);
+	return clock_now() + RETRY_DELAY;
+}
+
+/* A response may hold a part of the changes only. */
+static row_result_t read_changes(origin_store_t *this, GArray *rows)
+{
+	row_result_t result;
+	unsigned int before;
+
+	do {
+		before = rows->len;
+		result = this->store->ops->wait(this->store, ORIGIN_TABLE, 0, rows, &this->version);
+	} while (result == ROWS_OK && rows->len >= before + FULL_RESPONSE_ROWS);
+	return result;
+}
+
+/* Reads the rows that are new since the last read. */
+static row_result_t read_rows(origin_store_t *this, GArray *rows)
+{
+	row_result_t result = ROWS_COMPACTED;
+	uint64_t era = this->version.era;
+
+	if (this->version.number)
+		result = read_changes(this, rows);
+	if (result == ROWS_COMPACTED || this->version.era != era) {
+		g_array_set_size(rows, 0);
+		result = this->store->ops->list(this->store, ORIGIN_TABLE, rows, &this->version);
+	}
+	if (result != ROWS_OK)
+		this->version.number = 0;
+	return result;
+}
+
+static void post_result(origin_store_t *this, GArray *rows)
+{
+	pthread_mutex_lock(&this->lock);
+	g_ptr_array_add(this->results, rows);
+	pthread_mutex_unlock(&this->lock);
+	uv_async_send(&this->async);
+}
+
+static void read_and_post(origin_store_t *this)
+{
+	GArray *rows = store_rows_new();
+	row_result_t result = read_rows(this, rows);
+
+	if (result == ROWS_OK) {
+		post_result(this, rows);
+		return;
+	}
+	log_warn("stream-origins-unread", "result=%d", (int)result);
+	g_array_unref(rows);
+	post_result(this, NULL);
+}
+
+static bool is_own_earlier(const origin_store_t *this, const char *key)
+{
+	size_t len = strlen(this->options.name);
+
+	return !strncmp(key, this->options.name, len) && key[len] == '/' &&
+	       strncmp(key, this->prefix, strlen(this->prefix)) != 0;
+}
+
+/* A row that can't be removed is left: it is removed with the next ones. */
+static void remove_rows(origin_store_t *this, bool all)
+{
+	GArray *rows = store_rows_new();
+	store_version_t version;
+	unsigned int removed = 0;
+
+	if (this->store->ops->list(this->store, ORIGIN_TABLE, rows, &version) == ROWS_OK) {
+		for (unsigned int i = 0; i < rows->len; i++) {
+			const store_row_t *row = &g_array_index(rows, store_row_t, i);
+
+			if (!all && !is_own_earlier(this, row->key))
+				continue;
+			removed += this->store->ops->remove(this->store, ORIGIN_TABLE, row->key,
+					   row->version.number) == ROWS_OK;
+		}
+	}
+	if (rows->len)
+		log_info("stream-origins-removed", "rows=%u of=%u", removed, rows->len);
+	g_array_unref(rows);
+}
+
+static void *run(void *ctx)
+{
+	origin_store_t *this = ctx;
+	instant_t write_after = 0;
+	work_t work;
+
+	while (wait_for_work(this, write_after, &work)) {
+		if (work.read)
+			read_and_post(this);
+		if (work.row)
+			write_after = write_row(this, work.row);
+		if (work.remove_all || work.remove_earlier)
+			remove_rows(this, work.remove_all);
+	}
+	if (work.row)
+		g_string_free(work.row, TRUE);
+	return NULL;
+}
+
+/* --- start and end ------------------------------------------------------ */
+
+origin_store_t *origin_store_new(const origin_store_options_t *options)
+{
+	origin_store_t *this = g_new0(origin_store_t, 1);
+
+	this->options = *options;
+	this->store = options->adapter->open_store(&options->store);
+	this->prefix = g_strdup_printf(
+		"%s/%" G_GINT64_MODIFIER "x/", options->name, (guint64)options->incarnation);
+	g_queue_init(&this->unsaved);
+	this->results = g_ptr_array_new();
+	pthread_mutex_init(&this->lock, NULL);
+	cond_init(&this->wake);
+	uv_async_init(options->loop, &this->async, on_async);
+	uv_unref((uv_handle_t *)&this->async);
+	this->async.data = this;
+	pthread_create(&this->thread, NULL, run, this);
+	return this;
+}
+
+static void free_text(void *text)
+{
+	g_string_free(text, TRUE);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	origin_store_t *this = handle->data;
+
+	for (unsigned int i = 0; i < this->results->len; i++) {
+		if (this->results->pdata[i])
+			g_array_unref(this->results->pdata[i]);
+	}
+	g_ptr_array_unref(this->results);
+	g_queue_clear_full(&this->unsaved, free_text);
+	this->store->ops->delete (this->store);
+	pthread_cond_destroy(&this->wake);
+	pthread_mutex_destroy(&this->lock);
+	g_free(this->prefix);
+	g_free(this);
+}
+
+void origin_store_delete(origin_store_t *this)
+{
+	if (!this)
+		return;
+	pthread_mutex_lock(&this->lock);
+	this->quit = true;
+	pthread_cond_broadcast(&this->wake);
+	pthread_mutex_unlock(&this->lock);
+	pthread_join(this->thread, NULL);
+	uv_close((uv_handle_t *)&this->async, on_closed);
+}
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -49,7 +49,9 @@
 	unsigned int slow_ms;
 	bool cut[ROUTERS][ROUTERS]; /* from one router to another: messages are lost */
 	unsigned int lose_per_mille;
-	uint64_t objective; /* of the requests, until their first token */
+	uint64_t objective;	       /* of the requests, until their first token */
+	id_t32 version;		       /* that the requests are bound to; 0: any */
+	bool ignore_versions[ROUTERS]; /* the router gives all engines the same one */
 	instant_t now;
 	GQueue messages; /* queued_message_t in transit */
 	GPtrArray *jobs;
@@ -75,6 +77,12 @@
 	return 200 + i;
 }
 
+/* Half of the engines have version 1, the others 2. */
+static id_t32 engine_version(unsigned int i)
+{
+	return 1 + i % 2;
+}
+
 /* Tells router `i` of all engines; `unusable` is the index of one that accepts no requests. */
 static void set_engines(fleet_t *this, unsigned int i, unsigned int unusable)
 {
@@ -84,6 +92,7 @@
 		engines[k] = (placement_engine_t){.id = engine_id(k),
 			.pool = POOL,
 			.limits = {.slots = SLOTS},
+			.version = this->ignore_versions[i] ? 0 : engine_version(k),
 			.usable = k != unusable};
 	placement_set_engines(this->placements[i], engines, ENGINES, this->now);
 }
@@ -289,6 +298,7 @@
 		.pool = POOL,
 		.workspace = workspace,
 		.work = {.prompt = 500, .answer = 50},
+		.version = this->version,
 		.first_token_deadline = this->now + this->objective,
 		.deadline = this->now + 5 * USEC_PER_SEC,
 	};
@@ -552,6 +562,71 @@
 	}
 }
 
+static void check_versions(const fleet_t *this)
+{
+	for (unsigned int i = 0; i < this->jobs->len; i++) {
+		const job_t *job = this->jobs->pdata[i];
+
+		if (job->started_at && job->request.version)
+			assert_int_equal(engine_version(job->request.engine - engine_id(0)),
+				job->request.version);
+	}
+}
+
+/* Streams that are taken up, beside requests that may start anywhere. */
+static void test_request_bound_to_a_version_starts_on_an_engine_of_it(void **state)
+{
+	fleet_t *f = fleet_new(10);
+
+	fleet_run(f, 500);
+	for (unsigned int i = 0; i < 60; i++) {
+		f->version = i % 3; /* 0: any */
+		fleet_load(f, 60, 60);
+	}
+	fleet_run(f, 2000);
+	assert_int_equal(f->rejected, 0);
+	assert_int_equal(f->started, f->jobs->len);
+	assert_int_equal(slots_held_at_owners(f), 0);
+	check_versions(f);
+	fleet_delete(f);
+}
+
+/* Owners whose build knows no versions grant any engine. */
+static void test_grant_of_another_version_is_declined(void **state)
+{
+	fleet_t *f = fleet_new(11);
+
+	for (unsigned int i = 1; i < ROUTERS; i++) {
+		f->ignore_versions[i] = true;
+		set_engines(f, i, ENGINES);
+	}
+	fleet_run(f, 500);
+	f->version = 2;
+	for (unsigned int i = 0; i < 40; i++) {
+		request_slot(f, 0);
+		fleet_run(f, 60);
+	}
+	fleet_run(f, 2000);
+	assert_true(f->started > f->jobs->len / 2);
+	assert_int_equal(f->started + f->rejected, f->jobs->len);
+	assert_int_equal(slots_held_at_owners(f), 0);
+	check_versions(f);
+	fleet_delete(f);
+}
+
+/* It is refused at once, not at its deadline. */
+static void test_request_bound_to_a_version_without_engines_is_rejected_at_once(void **state)
+{
+	fleet_t *f = fleet_new(12);
+
+	fleet_run(f, 500);
+	f->version = 3;
+	fleet_load(f, 60, 60);
+	assert_int_equal(f->rejected, f->jobs->len);
+	assert_true(f->longest_wait <= STEP_US);
+	fleet_delete(f);
+}
+
 /*
  * One workspace sends eight times what the engines can serve to one router.  The router refuses
  * most of it by itself, and all slots stay in use.
@@ -993,6 +1068,10 @@
 		cmocka_unit_test(test_link_silent_in_one_direction_is_renewed_by_its_sender),
 		cmocka_unit_test(test_link_that_is_silent_from_a_restart_on_is_renewed),
 		cmocka_unit_test(test_grant_for_leaving_engine_is_not_used),
+		cmocka_unit_test(test_request_bound_to_a_version_starts_on_an_engine_of_it),
+		cmocka_unit_test(test_grant_of_another_version_is_declined),
+		cmocka_unit_test(
+			test_request_bound_to_a_version_without_engines_is_rejected_at_once),
 		cmocka_unit_test(test_flood_at_one_router_is_refused_without_asking_owners),
 		cmocka_unit_test(test_slow_router_does_not_take_its_owners_for_silent),
 		cmocka_unit_test(test_flood_leaves_slots_to_other_workspace_at_the_same_router),
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -238,6 +238,25 @@
 	return grants;
 }
 
+/* A request whose version has no room at this owner does not hold up those behind it. */
+static void test_late_request_bound_to_a_version_blocks_no_others(void **state)
+{
+	scheduler_t *this = scheduler_with_one_engine(2);
+	instant_t now = USEC_PER_SEC;
+
+	scheduler_set_version(this, 100, 1);
+	for (uint64_t ticket = 1; ticket <= 2; ticket++) {
+		slot_request_t request = slot_request(ticket, now);
+
+		request.is_late = true;
+		request.version = ticket == 1 ? 2 : 0;
+		scheduler_request_slot(this, 3, &request, now);
+	}
+	assert_int_equal(count_grants(this, now), 1);
+	assert_int_equal(scheduler_waiting(this), 1);
+	scheduler_delete(this);
+}
+
 static void test_ended_requests_free_their_slots(void **state)
 {
 	scheduler_t *this = scheduler_with_one_engine(2);
@@ -531,6 +550,7 @@
 		cmocka_unit_test(test_idle_workspace_gains_no_credit),
 		cmocka_unit_test(test_shared_parts_are_prefilled_on_few_engines),
 		cmocka_unit_test(test_unreachable_engine_gets_at_most_20_requests),
+		cmocka_unit_test(test_late_request_bound_to_a_version_blocks_no_others),
 		cmocka_unit_test(test_ended_requests_free_their_slots),
 		cmocka_unit_test(test_slot_of_lost_end_is_freed_by_reports_without_it),
 		cmocka_unit_test(test_slots_granted_by_former_owner_count_as_used),
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -17,14 +17,21 @@
 #define SAVE_MS 1500 /* within which a router has saved which version began a stream */
 #define LAST_EVENT 4
 #define BREAK_AFTER 1 /* last event that a breaking endpoint sends */
-#define STREAMS 8
+#define STREAMS 12
+
+/* What an endpoint does after BREAK_AFTER. */
+typedef enum stream_mode {
+	STREAM_COMPLETE,
+	STREAM_BREAKS,	      /* a stream that begins breaks off */
+	STREAM_ALWAYS_BREAKS, /* and no stream goes on */
+	STREAM_PAUSES,	      /* a stream that begins pauses until its connection is closed */
+} stream_mode_t;
 
 /* An endpoint of one software version: its events have that version in their text. */
 typedef struct version_endpoint {
 	raw_endpoint_t *endpoint;
 	const char *version;
-	int breaks; /* accessed atomically: whether streams break off after BREAK_AFTER */
-	int runs;   /* accessed atomically */
+	int mode; /* stream_mode_t, accessed atomically */
 } version_endpoint_t;
 
 static void write_chunk(int fd, const char *data)
@@ -35,30 +42,40 @@
 	g_free(text);
 }
 
+static void wait_until_closed(int fd)
+{
+	char byte;
+
+	while (read(fd, &byte, sizeof(byte)) > 0)
+		;
+}
+
 static bool respond_stream(void *ctx, int fd, const raw_request_t *request)
 {
 	version_endpoint_t *this = ctx;
 	char *last_id = raw_request_header(request, "Last-Event-Id");
 	int first = last_id ? atoi(last_id) + 1 : 0;
-	bool breaks = !first && __atomic_load_n(&this->breaks, __ATOMIC_SEQ_CST);
+	int mode = __atomic_load_n(&this->mode, __ATOMIC_SEQ_CST);
+	bool whole = first ? mode != STREAM_ALWAYS_BREAKS : mode == STREAM_COMPLETE;
 	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n"
 				     "Content-Type: text/event-stream\r\n"
 				     "Transfer-Encoding: chunked\r\n\r\n",
 		request->id);
 
 	g_free(last_id);
-	__atomic_add_fetch(&this->runs, 1, __ATOMIC_SEQ_CST);
 	raw_write(fd, head);
 	g_free(head);
-	for (int i = first; i <= (breaks ? BREAK_AFTER : LAST_EVENT); i++) {
+	for (int i = first; i <= (whole ? LAST_EVENT : BREAK_AFTER); i++) {
 		char *event = g_strdup_printf("id: %d\ndata: %s\n\n", i, this->version);
 
 		write_chunk(fd, event);
 		g_free(event);
 	}
-	if (!breaks)
+	if (whole)
 		raw_write(fd, "0\r\n\r\n");
-	return !breaks;
+	else if (mode == STREAM_PAUSES)
+		wait_until_closed(fd);
+	return whole;
 }
 
 typedef struct version_fixture {
@@ -103,12 +120,10 @@
 	g_free(this);
 }
 
-static void set_breaks(version_fixture_t *this, const char *version, bool breaks)
+static void set_mode(version_fixture_t *this, stream_mode_t mode)
 {
-	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++) {
-		if (this->endpoints[i].version && !strcmp(this->endpoints[i].version, version))
-			__atomic_store_n(&this->endpoints[i].breaks, breaks, __ATOMIC_SEQ_CST);
-	}
+	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++)
+		__atomic_store_n(&this->endpoints[i].mode, mode, __ATOMIC_SEQ_CST);
 }
 
 static char *send_stream(fixture_t *router, const char *id, const char *extra)
@@ -146,31 +161,59 @@
 	return has_version(response, "v1") && has_version(response, "v2");
 }
 
-/* Begins streams until one has begun at v1, broken off; returns its id, which the user frees. */
-static char *begin_broken_stream(fixture_t *router)
+/* Begins a stream whose connection breaks; returns whether it began at v1. */
+static bool begin_broken_stream(fixture_t *router, const char *id)
 {
-	static int number;
-	char *id = NULL;
+	char *text = fixture_format_request("POST", "/draft/", id, "", "x");
+	int fd = fixture_connect(router->caller_address);
+	char *received;
+	bool is_v1;
 
-	while (!id) {
-		char *candidate = g_strdup_printf("s%d", number++);
-		char *response = send_stream(router, candidate, "");
+	raw_write(fd, text);
+	received = fixture_read_until(fd, "id: 1\n", WAIT_MS);
+	close(fd);
+	is_v1 = has_version(received, "v1");
+	g_free(received);
+	g_free(text);
+	return is_v1;
+}
 
-		if (has_version(response, "v1"))
-			id = candidate;
-		else
-			g_free(candidate);
+/* Begins `count` streams s0, s1, ... whose connections break; sets which of them began at v1. */
+static void begin_broken_streams(version_fixture_t *this, unsigned int count, bool *is_v1)
+{
+	set_mode(this, STREAM_PAUSES);
+	for (unsigned int i = 0; i < count; i++) {
+		char *id = g_strdup_printf("s%u", i);
+
+		is_v1[i] = begin_broken_stream(this->router, id);
+		g_free(id);
+	}
+	set_mode(this, STREAM_COMPLETE);
+	sleep_ms(SAVE_MS);
+}
+
+/* Takes up the streams at the router; each has to go on at its own version. */
+static void take_up_all(fixture_t *router, unsigned int count, const bool *is_v1)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		char *id = g_strdup_printf("s%u", i);
+		char *response = take_up(router, id);
+
+		assert_false(has_version(response, is_v1[i] ? "v2" : "v1"));
+		assert_true(has_version(response, is_v1[i] ? "v1" : "v2"));
+		assert_non_null(strstr(response, "id: 4\n"));
 		g_free(response);
+		g_free(id);
 	}
-	return id;
 }
 
+static const char *const two_of_each[] = {"v1", "v2", "v2", "v1", NULL};
+
 static void test_broken_stream_goes_on_at_its_own_version(void **state)
 {
-	static const char *const versions[] = {"v1", "v2", "v2", "v1", NULL};
-	version_fixture_t *f = version_fixture_new(versions);
+	version_fixture_t *f = version_fixture_new(two_of_each);
 
-	__atomic_store_n(&f->endpoints[0].breaks, true, __ATOMIC_SEQ_CST);
+	__atomic_store_n(&f->endpoints[0].mode, STREAM_BREAKS, __ATOMIC_SEQ_CST);
 	for (unsigned int i = 0; i < 3 * STREAMS; i++) {
 		char *response = send_stream(f->router, "id", "");
 
@@ -188,14 +231,14 @@
 	version_fixture_t *f = version_fixture_new(versions);
 	unsigned int broken = 0;
 
-	set_breaks(f, "v1", true);
+	__atomic_store_n(&f->endpoints[0].mode, STREAM_ALWAYS_BREAKS, __ATOMIC_SEQ_CST);
 	for (unsigned int i = 0; i < 3 * STREAMS; i++) {
 		char *response = send_stream(f->router, "id", "");
 
 		assert_false(is_joined(response));
 		if (has_version(response, "v1")) {
 			broken++;
-			assert_null(strstr(response, "\r\n0\r\n"));
+			assert_null(strstr(response, "id: 4\n"));
 		}
 		g_free(response);
 	}
@@ -205,51 +248,181 @@
 
 static void test_stream_taken_up_at_another_router_goes_on_at_its_version(void **state)
 {
-	static const char *const versions[] = {"v1", "v2", "v2", "v2", NULL};
-	version_fixture_t *f = version_fixture_new(versions);
+	version_fixture_t *f = version_fixture_new(two_of_each);
 	fixture_t *second = start_router("s", f->router->store);
+	bool is_v1[STREAMS];
 
-	fixture_wait_ready(second, 4);
-	set_breaks(f, "v1", true);
-	for (unsigned int i = 0; i < STREAMS; i++) {
-		char *id = begin_broken_stream(f->router);
-		char *response;
+	fixture_wait_ready(second, FIXTURE_ENDPOINTS);
+	begin_broken_streams(f, STREAMS, is_v1);
+	take_up_all(second, STREAMS, is_v1);
+	fixture_delete(second);
+	version_fixture_delete(f);
+}
+
+static void test_stream_taken_up_after_all_routers_were_killed_goes_on_at_its_version(void **state)
+{
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	bool is_v1[STREAMS];
+
+	begin_broken_streams(f, STREAMS, is_v1);
+	fixture_kill_router(f->router);
+	fixture_restart_router(f->router);
+	fixture_wait_ready(f->router, FIXTURE_ENDPOINTS);
+	take_up_all(f->router, STREAMS, is_v1);
+	version_fixture_delete(f);
+}
+
+static bool is_refused(const char *response)
+{
+	return strstr(response, "HTTP/1.1 503 ") != NULL;
+}
 
-		sleep_ms(SAVE_MS);
-		response = take_up(second, id);
-		assert_false(has_version(response, "v2"));
-		assert_true(has_version(response, "v1"));
+static bool is_refused_for(const char *response, const char *reason)
+{
+	return is_refused(response) && strstr(response, reason);
+}
+
+/* Sends a request that takes up a stream after BREAK_AFTER; `extra` names the stream. */
+static char *take_up_with(fixture_t *router, const char *path, const char *key, const char *extra)
+{
+	char *text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: " FIXTURE_HOST
+				     "\r\nRequest-Id: again\r\nAuthorization: Bearer %s\r\n"
+				     "Last-Event-Id: %d\r\n%sConnection: close\r\n"
+				     "Content-Length: 1\r\n\r\nx",
+		path, key, BREAK_AFTER, extra);
+	char *response = fixture_send_and_read(router, text, WAIT_MS);
+
+	g_free(text);
+	return response;
+}
+
+/* Without a known beginning, the caller has to begin anew: it is told at once that nothing has run.
+ */
+static void test_stream_of_unknown_version_is_refused(void **state)
+{
+	static const struct {
+		const char *path;
+		const char *key;
+		const char *extra;
+	} cases[] = {
+		{"/draft/", "k1", ""},			   /* it names no stream */
+		{"/draft/", "k1", "Resumes: nobodys\r\n"}, /* an unknown one */
+		{"/draft/", "k2", "Resumes: s0\r\n"},	   /* another workspace's */
+		{"/draft/other", "k1", "Resumes: s0\r\n"}, /* of another request */
+		{"/draft/", "k1", "Resumes: \r\n"},
+	};
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	bool is_v1;
+
+	begin_broken_streams(f, 1, &is_v1);
+	for (unsigned int i = 0; i < ARRAY_LEN(cases); i++) {
+		char *response =
+			take_up_with(f->router, cases[i].path, cases[i].key, cases[i].extra);
+
+		assert_true(is_refused_for(response, "stream-unknown"));
 		g_free(response);
-		g_free(id);
 	}
-	fixture_delete(second);
+	take_up_all(f->router, 1, &is_v1);
 	version_fixture_delete(f);
 }
 
-static void test_stream_taken_up_after_all_routers_were_killed_goes_on_at_its_version(void **state)
+/* As long as a service has one version, there is nothing to tell apart, also after a restart. */
+static void test_any_stream_goes_on_while_there_is_one_version(void **state)
 {
-	static const char *const versions[] = {"v1", "v2", "v2", "v2", NULL};
+	static const char *const versions[] = {"v1", "v1", NULL};
 	version_fixture_t *f = version_fixture_new(versions);
-	char *ids[STREAMS];
 
-	set_breaks(f, "v1", true);
-	for (unsigned int i = 0; i < STREAMS; i++)
-		ids[i] = begin_broken_stream(f->router);
+	for (unsigned int run = 0; run < 2; run++) {
+		char *unnamed = take_up_with(f->router, "/draft/", "k1", "");
+		char *unknown = take_up_with(f->router, "/draft/", "k1", "Resumes: nobodys\r\n");
+
+		assert_true(has_version(unnamed, "v1"));
+		assert_true(has_version(unknown, "v1"));
+		g_free(unnamed);
+		g_free(unknown);
+		fixture_kill_router(f->router);
+		fixture_restart_router(f->router);
+		fixture_wait_ready(f->router, 2);
+	}
+	version_fixture_delete(f);
+}
+
+/* The streams began before there was a second version, so they were not saved at once. */
+static void test_stream_that_began_before_the_second_version_goes_on(void **state)
+{
+	static const char *const versions[] = {"v1", "v1", NULL};
+	version_fixture_t *f = version_fixture_new(versions);
+	fixture_t *second = start_router("s", f->router->store);
+	bool is_v1[STREAMS];
+
+	fixture_wait_ready(second, 2);
+	begin_broken_streams(f, STREAMS, is_v1);
+	f->endpoints[2].version = "v2";
+	fixture_add_endpoint(f->router, respond_stream, &f->endpoints[2]);
+	fixture_register_version(f->router, 2, "ready", "v2");
+	sleep_ms(SAVE_MS);
+	take_up_all(second, STREAMS, is_v1);
+	fixture_delete(second);
+	version_fixture_delete(f);
+}
+
+/* All endpoints of the version have left; that is no reason to join the stream to another. */
+static void test_stream_whose_version_has_left_is_refused(void **state)
+{
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	bool is_v1[STREAMS];
+
+	begin_broken_streams(f, STREAMS, is_v1);
+	fixture_register_version(f->router, 0, "draining", "v1");
+	fixture_register_version(f->router, 3, "draining", "v1");
 	sleep_ms(SAVE_MS);
-	fixture_kill_router(f->router);
-	fixture_restart_router(f->router);
-	fixture_wait_ready(f->router, 4);
 	for (unsigned int i = 0; i < STREAMS; i++) {
-		char *response = take_up(f->router, ids[i]);
+		char *id = g_strdup_printf("s%u", i);
+		char *response = take_up(f->router, id);
 
-		assert_false(has_version(response, "v2"));
-		assert_true(has_version(response, "v1"));
+		if (is_v1[i])
+			assert_true(is_refused_for(response, "stream-version-gone"));
+		else
+			assert_true(has_version(response, "v2"));
 		g_free(response);
-		g_free(ids[i]);
+		g_free(id);
 	}
 	version_fixture_delete(f);
 }
 
+/* The old version has just left when all routers are killed: only the new one is registered. */
+static void test_stream_is_not_joined_to_the_only_version_left_after_a_restart(void **state)
+{
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	char *response;
+	bool is_v1[STREAMS];
+
+	begin_broken_streams(f, STREAMS, is_v1);
+	row_store_standin_delete_row(f->router->store, "servers", "i-0");
+	row_store_standin_delete_row(f->router->store, "servers", "i-3");
+	fixture_kill_router(f->router);
+	fixture_restart_router(f->router);
+	fixture_wait_ready(f->router, 2);
+	response = take_up_with(f->router, "/draft/", "k1", "Resumes: lost\r\n");
+	assert_true(is_refused_for(response, "stream-unknown"));
+	g_free(response);
+	version_fixture_delete(f);
+}
+
+/* The store can't be asked: the caller is told when to come back. */
+static void test_stream_is_refused_for_now_while_the_store_is_down(void **state)
+{
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	char *response;
+
+	row_store_standin_set_fault(f->router->store, STORE_FAULT_UNAVAILABLE);
+	response = take_up_with(f->router, "/draft/", "k1", "Resumes: somewhere\r\n");
+	assert_true(is_refused_for(response, "stream-unknown"));
+	assert_non_null(strstr(response, "Retry-After: "));
+	g_free(response);
+	version_fixture_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -259,6 +432,13 @@
 		cmocka_unit_test(test_stream_taken_up_at_another_router_goes_on_at_its_version),
 		cmocka_unit_test(
 			test_stream_taken_up_after_all_routers_were_killed_goes_on_at_its_version),
+		cmocka_unit_test(test_stream_of_unknown_version_is_refused),
+		cmocka_unit_test(test_any_stream_goes_on_while_there_is_one_version),
+		cmocka_unit_test(test_stream_that_began_before_the_second_version_goes_on),
+		cmocka_unit_test(test_stream_whose_version_has_left_is_refused),
+		cmocka_unit_test(
+			test_stream_is_not_joined_to_the_only_version_left_after_a_restart),
+		cmocka_unit_test(test_stream_is_refused_for_now_while_the_store_is_down),
 	};
 
 	log_init("test", FALSE);
