fleet_config counts its references with atomics that the race detector sees

No fault in the count itself: the load only prepares the compare-and-swap.

GLib's atomics in place of it; the annotations that stood in for what the detector could not see go. Ruled out: a suppression, which would hide races of the caller in the same frames. catalog keeps urcu_ref: one thread uses it.

--- a/src/settings/fleet_config.c
+++ b/src/settings/fleet_config.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "settings/tsan_annotations.h"
 #include "settings/address.h"
 
 #define TOKEN_PREFIX "sha256:"
@@ -300,11 +299,8 @@
 	check_ids(this, errors);
 }
 
-static void fleet_config_delete(struct urcu_ref *ref)
+static void fleet_config_delete(fleet_config_t *this)
 {
-	fleet_config_t *this = caa_container_of(ref, fleet_config_t, ref);
-
-	TSAN_ACQUIRE(ref);
 	for (unsigned int i = 0; i < this->service_count; i++) {
 		g_free(this->services[i].name);
 		g_free(this->services[i].depends_on);
@@ -336,7 +332,7 @@
 	fleet_config_t *this = g_new0(fleet_config_t, 1);
 	jsondoc_t *doc = json_parse_object(errors, source, strlen(source));
 
-	urcu_ref_init(&this->ref);
+	this->ref_count = 1;
 	this->version = version;
 	this->source = g_strdup(source);
 	this->workspaces_by_token = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
@@ -346,7 +342,7 @@
 	g_hash_table_remove_all(this->workspaces_by_token);
 	jsondoc_delete(doc);
 	if (errors->count) {
-		fleet_config_delete(&this->ref);
+		fleet_config_delete(this);
 		return NULL;
 	}
 	for (unsigned int i = 0; i < this->workspace_count; i++) {
@@ -358,16 +354,14 @@
 
 fleet_config_t *fleet_config_get(fleet_config_t *this)
 {
-	urcu_ref_get(&this->ref);
+	g_atomic_int_inc(&this->ref_count);
 	return this;
 }
 
 void fleet_config_put(fleet_config_t *this)
 {
-	if (!this)
-		return;
-	TSAN_RELEASE(&this->ref);
-	urcu_ref_put(&this->ref, fleet_config_delete);
+	if (this && g_atomic_int_dec_and_test(&this->ref_count))
+		fleet_config_delete(this);
 }
 
 const workspace_t *fleet_config_find_workspace(const fleet_config_t *this, const char *token)
--- a/src/settings/fleet_config.h
+++ b/src/settings/fleet_config.h
@@ -6,7 +6,6 @@
  * Immutable and reference counted, so that a request keeps the version of the
  * configuration with which it started.  Every name has a 32-bit id (core/types.h).
  */
-#include <urcu/ref.h>
 
 #include "core/types.h"
 #include "settings/error_list.h"
@@ -63,7 +62,7 @@
 } route_t;
 
 typedef struct fleet_config {
-	struct urcu_ref ref;
+	gint ref_count; /* accessed atomically */
 	uint64_t version;
 	char *source; /* the JSON document */
 	service_t *services;
