An endpoint that says in a response that it leaves gets no further requests

Only an endpoint's row was read: one that says that it leaves in its responses alone got requests to the end.

The registry keeps the statement for that start of the endpoint, so that a row that says it is ready, or the end of a hold, does not undo it; the router's own placement stops using it in the same turn, and grants for it are declined. A 421 speaks for whoever has the address now, so it does not count.

--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -72,6 +72,18 @@
 	call_report_rate_limit(call, response->rate_limit);
 }
 
+/* Another endpoint that has the address by now (421) speaks for itself only. */
+static void report_leaving(call_t *call, const connection_response_t *response)
+{
+	if (!response->is_leaving || response->status == 421 ||
+		!(response->has_marker || response->not_run))
+		return;
+	if (!endpoint_registry_set_leaving(call->endpoint))
+		return;
+	call->gateway->engines_outdated = true;
+	log_notice("endpoint-leaving", "id=%s endpoint=%s", call->id, call->endpoint->name);
+}
+
 static void abort_attempt(call_t *call, slot_result_t failure, bool may_have_run)
 {
 	endpoint_connection_abort(call->connection);
@@ -84,6 +96,7 @@
 
 	report_load(call, response);
 	report_limit(call, response);
+	report_leaving(call, response);
 	part_watch_record_response(call->gateway->part_watch, call->endpoint->id, clock_now());
 	call->status = response->status;
 	call->body_length = response->content_length;
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -155,6 +155,8 @@
 		response->has_marker = true;
 	} else if (!strcasecmp(name, names->not_run)) {
 		response->not_run = true;
+	} else if (!strcasecmp(name, names->leaving)) {
+		response->is_leaving = !strcmp(value, "1");
 	} else if (!strcasecmp(name, names->load)) {
 		parse_load(response, value);
 	} else if (!strcasecmp(name, names->rate_limit)) {
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -31,6 +31,7 @@
 	bool id_matches;  /* the request's id was present */
 	bool has_marker;  /* the marker of the endpoint's own responses was present */
 	bool not_run;	  /* the endpoint did not execute the request */
+	bool is_leaving;  /* the endpoint takes no further requests */
 	bool has_load;
 	unsigned int load_running;
 	unsigned int load_waiting;
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -164,7 +164,7 @@
 	registered_endpoint_t *endpoint, const endpoint_registration_t *registration)
 {
 	bool restored = registration->era > endpoint->era;
-	bool stays = restored && endpoint->state == ENDPOINT_DRAINING;
+	bool stays = (restored && endpoint->state == ENDPOINT_DRAINING) || endpoint->said_it_leaves;
 	endpoint_state_t state = stays ? ENDPOINT_DRAINING : registration->state;
 	bool changed = set_version(endpoint, registration->version) || endpoint->state != state ||
 		       endpoint->slots != registration->slots;
@@ -210,6 +210,16 @@
 	return true;
 }
 
+bool endpoint_registry_set_leaving(registered_endpoint_t *endpoint)
+{
+	if (endpoint->said_it_leaves)
+		return false;
+	endpoint->said_it_leaves = true;
+	if (endpoint->state == ENDPOINT_READY)
+		endpoint->state = ENDPOINT_DRAINING;
+	return true;
+}
+
 endpoint_removal_t endpoint_registry_remove(endpoint_registry_t *this, const char *name,
 	uint64_t era, instant_t remove_at, instant_t now)
 {
@@ -231,6 +241,8 @@
 	if (!endpoint->hold_until || now < endpoint->hold_until)
 		return false;
 	endpoint->hold_until = 0;
+	if (endpoint->said_it_leaves)
+		return false;
 	endpoint->state = ENDPOINT_READY;
 	return true;
 }
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -46,6 +46,7 @@
 	endpoint_state_t state;
 	uint64_t incarnation;
 	uint64_t era;	      /* of its registration */
+	bool said_it_leaves;  /* in a response: it stays draining, whatever its row says */
 	instant_t remove_at;  /* if its row is missing: when it is removed; else 0 */
 	instant_t hold_until; /* if it had left: when it may be used, draining until then; else 0 */
 	unsigned int ref_count;
@@ -71,6 +72,11 @@
 /* Adds or updates an endpoint; true if that changed anything. */
 bool endpoint_registry_put(
 	endpoint_registry_t *this, const endpoint_registration_t *registration, instant_t now);
+/*
+ * Handles an endpoint's own statement that it leaves, which holds for this start of it; returns whether
+ * that changed anything.
+ */
+bool endpoint_registry_set_leaving(registered_endpoint_t *endpoint);
 typedef enum endpoint_removal {
 	ENDPOINT_UNKNOWN, /* not in the registry */
 	ENDPOINT_REMOVED,
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -15,6 +15,7 @@
 	const char *expected_endpoint; /* sent to endpoints: name of the intended one */
 	const char *response_marker;   /* in each response that the endpoint itself produced */
 	const char *not_run;	       /* present if the endpoint did not execute the request */
+	const char *leaving;	       /* "1" if the endpoint takes no further requests */
 	const char *load;	       /* RUNNING,WAITING,SLOTS: the endpoint's load */
 	const char *rate_limit;	  /* requests a second that the endpoint takes from all routers */
 	const char *prompt_parts; /* ID:TOKENS,... in the prompt's order */
