--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -1,6 +1,6 @@
 #include "gateway/origin_lookup.h"
 
-#include <stdio.h>
+#include <string.h>
 #include <urcu/list.h>
 
 #include "edge/clock.h"
@@ -10,7 +10,8 @@
 #define SAVE_INTERVAL (500 * USEC_PER_MSEC)
 #define SAVE_INTERVAL_PER_ROUTER (16 * USEC_PER_MSEC) /* 60 saves a second from all routers */
 #define MAX_MIXED_SERVICES 16
-#define LINE_MAX_BYTES 40
+#define SAVES_PER_ROW 8	    /* then the next row of the ring is begun, ... */
+#define ROW_MAX_BYTES 32768 /* ... or when the row is as large */
 
 struct origin_lookup {
 	stream_origins_t *origins;
@@ -18,7 +19,10 @@
 	struct cds_list_head asked;   /* origin_query_t that wait for the next read */
 	struct cds_list_head reading; /* and for the one that is in progress */
 	bool is_reading;
-	bool mark_due; /* the mixed services are not saved yet */
+	GString *row; /* of the ring: its bytes */
+	unsigned int row_index;
+	unsigned int row_saves; /* so often saved so far */
+	bool mark_due;		/* the mixed services are not saved yet */
 	bool was_mixed;
 	instant_t save_at;
 	instant_t clean_at; /* when rows of earlier runs, or all, are removed; 0: done */
@@ -26,41 +30,70 @@
 
 /* --- rows --------------------------------------------------------------- */
 
-/* A row has a line for each service with several versions, and one for each stream. */
-static void append_mark(GString *text, id_t32 service)
+/*
+ * A row is a list of records in little-endian order.  One without a stream says that its service
+ * has several versions.
+ */
+typedef struct saved_record {
+	guint64 stream;
+	guint32 service;
+	guint32 version;
+} saved_record_t;
+
+static void append_record(GString *row, const stream_origin_t *origin)
 {
-	g_string_append_printf(text, "M %08x\n", service);
+	saved_record_t record = {
+		.stream = GUINT64_TO_LE(origin->stream),
+		.service = GUINT32_TO_LE(origin->service),
+		.version = GUINT32_TO_LE(origin->version),
+	};
+
+	g_string_append_len(row, (const char *)&record, sizeof(record));
 }
 
-static void append_stream(GString *text, const stream_origin_t *origin)
+static void apply_record(origin_lookup_t *this, const saved_record_t *record, instant_t now)
 {
-	g_string_append_printf(text, "S %08x %016" G_GINT64_MODIFIER "x %08x\n", origin->service,
-		(guint64)origin->stream, origin->version);
+	stream_origin_t origin = {
+		.stream = GUINT64_FROM_LE(record->stream),
+		.service = GUINT32_FROM_LE(record->service),
+		.version = GUINT32_FROM_LE(record->version),
+	};
+
+	if (origin.stream)
+		stream_origins_add_saved(this->origins, &origin, now);
+	else
+		stream_origins_note_mixed(this->origins, origin.service, now);
 }
 
-static void read_line(origin_lookup_t *this, const char *line, instant_t now)
+static void read_row(origin_lookup_t *this, const store_row_t *row, instant_t now)
 {
-	stream_origin_t origin;
-	unsigned long long stream;
-	id_t32 service;
+	saved_record_t record;
 
-	if (sscanf(line, "S %8x %16llx %8x", &origin.service, &stream, &origin.version) == 3) {
-		origin.stream = stream;
-		stream_origins_add_saved(this->origins, &origin, now);
-	} else if (sscanf(line, "M %8x", &service) == 1) {
-		stream_origins_note_mixed(this->origins, service, now);
+	for (size_t at = 0; at + sizeof(record) <= row->len; at += sizeof(record)) {
+		memcpy(&record, row->value + at, sizeof(record));
+		apply_record(this, &record, now);
 	}
 }
 
-static void read_row(origin_lookup_t *this, const store_row_t *row, instant_t now)
+/* Begins the next row of the ring with the services that have several versions. */
+static void begin_row(origin_lookup_t *this)
 {
-	char *text = g_strndup(row->value ? row->value : "", row->len);
-	char **lines = g_strsplit(text, "\n", 0);
+	id_t32 services[MAX_MIXED_SERVICES];
+	unsigned int count =
+		stream_origins_mixed_services(this->origins, services, MAX_MIXED_SERVICES);
 
-	for (char **line = lines; *line; line++)
-		read_line(this, *line, now);
-	g_strfreev(lines);
-	g_free(text);
+	g_string_truncate(this->row, 0);
+	this->row_index = (this->row_index + 1) % ORIGIN_RING_ROWS;
+	this->row_saves = 0;
+	for (unsigned int i = 0; i < count; i++)
+		append_record(this->row, &(stream_origin_t){.service = services[i]});
+}
+
+static void save_row(origin_lookup_t *this)
+{
+	origin_store_save(this->store, this->row_index,
+		g_string_new_len(this->row->str, (gssize)this->row->len));
+	this->row_saves++;
 }
 
 /* --- queries ------------------------------------------------------------ */
@@ -141,38 +174,25 @@
 
 /* --- time --------------------------------------------------------------- */
 
-static GString *new_row(const origin_lookup_t *this)
-{
-	GString *text = g_string_new(NULL);
-	id_t32 services[MAX_MIXED_SERVICES];
-	unsigned int count =
-		stream_origins_mixed_services(this->origins, services, MAX_MIXED_SERVICES);
-
-	for (unsigned int i = 0; i < count; i++)
-		append_mark(text, services[i]);
-	return text;
-}
-
 static void save(origin_lookup_t *this)
 {
-	GString *text = new_row(this);
 	stream_origin_t origin;
 	bool has_news = this->mark_due;
 
+	if (this->mark_due || this->row_saves >= SAVES_PER_ROW)
+		begin_row(this);
 	this->mark_due = false;
 	while (stream_origins_next_unsaved(this->origins, &origin)) {
-		append_stream(text, &origin);
+		append_record(this->row, &origin);
 		has_news = true;
-		if (text->len + LINE_MAX_BYTES <= ORIGIN_ROW_MAX_BYTES)
+		if (this->row->len < ROW_MAX_BYTES)
 			continue;
-		origin_store_save(this->store, text);
-		text = new_row(this);
+		save_row(this);
+		begin_row(this);
 		has_news = false;
 	}
 	if (has_news)
-		origin_store_save(this->store, text);
-	else
-		g_string_free(text, TRUE);
+		save_row(this);
 }
 
 /* Removes the rows that nobody needs: all of them once each service has had one version for long.
@@ -223,6 +243,7 @@
 
 	CDS_INIT_LIST_HEAD(&this->asked);
 	CDS_INIT_LIST_HEAD(&this->reading);
+	this->row = g_string_new(NULL);
 	this->origins = stream_origins_new();
 	this->clean_at = clock_now() + STREAM_ORIGINS_MEMORY;
 	this->store = origin_store_new(&store_options);
@@ -235,5 +256,6 @@
 		return;
 	origin_store_delete(this->store);
 	stream_origins_delete(this->origins);
+	g_string_free(this->row, TRUE);
 	g_free(this);
 }
--- a/src/gateway/origin_store.c
+++ b/src/gateway/origin_store.c
@@ -7,10 +7,8 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 
-#define RING_ROWS 80
 #define RETRY_DELAY (500 * USEC_PER_MSEC)
 #define FULL_RESPONSE_ROWS 100 /* a response with fewer is the last one */
-#define MAX_UNSAVED_ROWS 64    /* that wait for the store; beyond that the oldest is dropped */
 
 struct origin_store {
 	origin_store_options_t options;
@@ -23,20 +21,20 @@
 
 	/* Guarded by the lock. */
 	bool quit;
-	GQueue unsaved; /* GString, one for each row */
+	GString *unsaved[ORIGIN_RING_ROWS]; /* rows that are to be written; NULL: none */
 	bool read_requested;
 	bool remove_all;
 	bool remove_earlier;
 	GPtrArray *results; /* GArray of rows, or NULL for a failed read */
 
 	/* Used by the thread only. */
-	unsigned int next_row;
 	store_version_t version; /* of the newest read; number 0: none yet */
 };
 
 /* What the thread is to do next. */
 typedef struct work {
-	GString *row; /* NULL: none */
+	GString *bytes;	  /* row to be written; NULL: none */
+	unsigned int row; /* its index */
 	bool read;
 	bool remove_all;
 	bool remove_earlier;
@@ -61,20 +59,20 @@
 	g_ptr_array_unref(results);
 }
 
-void origin_store_save(origin_store_t *this, GString *text)
+/* Frees the row that was to be written before. */
+static void replace_unsaved(GString **unsaved, GString *bytes)
 {
-	GString *dropped = NULL;
+	if (*unsaved)
+		g_string_free(*unsaved, TRUE);
+	*unsaved = bytes;
+}
 
+void origin_store_save(origin_store_t *this, unsigned int row, GString *bytes)
+{
 	pthread_mutex_lock(&this->lock);
-	if (g_queue_get_length(&this->unsaved) == MAX_UNSAVED_ROWS)
-		dropped = g_queue_pop_head(&this->unsaved);
-	g_queue_push_tail(&this->unsaved, text);
+	replace_unsaved(&this->unsaved[row], bytes);
 	pthread_cond_broadcast(&this->wake);
 	pthread_mutex_unlock(&this->lock);
-	if (!dropped)
-		return;
-	log_warn("stream-origins-dropped", "bytes=%zu", (size_t)dropped->len);
-	g_string_free(dropped, TRUE);
 }
 
 static void request(origin_store_t *this, bool *what)
@@ -97,10 +95,20 @@
 
 /* --- thread ------------------------------------------------------------- */
 
+/* Index of a row that is to be written, ORIGIN_RING_ROWS: none. */
+static unsigned int first_unsaved(const origin_store_t *this)
+{
+	unsigned int row = 0;
+
+	while (row < ORIGIN_RING_ROWS && !this->unsaved[row])
+		row++;
+	return row;
+}
+
 static bool has_work(const origin_store_t *this, instant_t write_after)
 {
 	return this->read_requested || this->remove_all || this->remove_earlier ||
-	       (!g_queue_is_empty((GQueue *)&this->unsaved) && clock_now() >= write_after);
+	       (first_unsaved(this) < ORIGIN_RING_ROWS && clock_now() >= write_after);
 }
 
 /* Waits for work; writes only at `write_after` or later.  False if the thread must exit. */
@@ -111,39 +119,51 @@
 	pthread_mutex_lock(&this->lock);
 	while (!this->quit && !has_work(this, write_after))
 		cond_wait_until(&this->wake, &this->lock,
-			g_queue_is_empty(&this->unsaved) ? INSTANT_NEVER : write_after);
+			first_unsaved(this) == ORIGIN_RING_ROWS ? INSTANT_NEVER : write_after);
 	*work = (work_t){
+		.row = first_unsaved(this),
 		.read = this->read_requested,
 		.remove_all = this->remove_all,
 		.remove_earlier = this->remove_earlier,
 	};
-	if (clock_now() >= write_after)
-		work->row = g_queue_pop_head(&this->unsaved);
+	if (work->row < ORIGIN_RING_ROWS && clock_now() >= write_after) {
+		work->bytes = this->unsaved[work->row];
+		this->unsaved[work->row] = NULL;
+	}
 	this->read_requested = this->remove_all = this->remove_earlier = false;
 	quit = this->quit;
 	pthread_mutex_unlock(&this->lock);
 	return !quit;
 }
 
+/* The row is written again, unless it has been replaced meanwhile. */
+static void put_back(origin_store_t *this, const work_t *work)
+{
+	pthread_mutex_lock(&this->lock);
+	if (this->unsaved[work->row])
+		g_string_free(work->bytes, TRUE);
+	else
+		this->unsaved[work->row] = work->bytes;
+	pthread_mutex_unlock(&this->lock);
+}
+
 /* Returns the earliest time of the next write. */
-static instant_t write_row(origin_store_t *this, GString *text)
+static instant_t write_row(origin_store_t *this, const work_t *work)
 {
-	char *key = g_strdup_printf("%s%u", this->prefix, this->next_row);
-	store_row_t row = {.key = key, .value = text->str, .len = text->len};
+	char *key = g_strdup_printf("%s%u", this->prefix, work->row);
+	store_row_t row = {.key = key, .value = work->bytes->str, .len = work->bytes->len};
 	uint64_t version;
 	row_result_t result =
 		this->store->ops->put(this->store, ORIGIN_TABLE, &row, STORE_ANY_VERSION, &version);
 
 	g_free(key);
 	if (result == ROWS_OK) {
-		this->next_row = (this->next_row + 1) % RING_ROWS;
-		g_string_free(text, TRUE);
+		g_string_free(work->bytes, TRUE);
 		return 0;
 	}
-	log_warn("stream-origins-unsaved", "result=%d bytes=%zu", (int)result, (size_t)text->len);
-	pthread_mutex_lock(&this->lock);
-	g_queue_push_head(&this->unsaved, text);
-	pthread_mutex_unlock(&this->lock);
+	log_warn("stream-origins-unsaved", "result=%d bytes=%zu", (int)result,
+		(size_t)work->bytes->len);
+	put_back(this, work);
 	return clock_now() + RETRY_DELAY;
 }
 
@@ -238,13 +258,13 @@
 	while (wait_for_work(this, write_after, &work)) {
 		if (work.read)
 			read_and_post(this);
-		if (work.row)
-			write_after = write_row(this, work.row);
+		if (work.bytes)
+			write_after = write_row(this, &work);
 		if (work.remove_all || work.remove_earlier)
 			remove_rows(this, work.remove_all);
 	}
-	if (work.row)
-		g_string_free(work.row, TRUE);
+	if (work.bytes)
+		g_string_free(work.bytes, TRUE);
 	return NULL;
 }
 
@@ -258,7 +278,6 @@
 	this->store = options->adapter->open_store(&options->store);
 	this->prefix = g_strdup_printf(
 		"%s/%" G_GINT64_MODIFIER "x/", options->name, (guint64)options->incarnation);
-	g_queue_init(&this->unsaved);
 	this->results = g_ptr_array_new();
 	pthread_mutex_init(&this->lock, NULL);
 	cond_init(&this->wake);
@@ -269,11 +288,6 @@
 	return this;
 }
 
-static void free_text(void *text)
-{
-	g_string_free(text, TRUE);
-}
-
 static void on_closed(uv_handle_t *handle)
 {
 	origin_store_t *this = handle->data;
@@ -283,7 +297,8 @@
 			g_array_unref(this->results->pdata[i]);
 	}
 	g_ptr_array_unref(this->results);
-	g_queue_clear_full(&this->unsaved, free_text);
+	for (unsigned int row = 0; row < ORIGIN_RING_ROWS; row++)
+		replace_unsaved(&this->unsaved[row], NULL);
 	this->store->ops->delete (this->store);
 	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
--- a/src/gateway/origin_store.h
+++ b/src/gateway/origin_store.h
@@ -4,8 +4,8 @@
  * origin_store - saves in the store which streams a router has forwarded, and reads what all have
  * saved
  *
- * A router's rows are a ring: each save replaces its oldest row.  A separate thread makes the
- * calls. The rows of a router that was restarted have other keys than those before.
+ * A router's rows are a ring; a row may be saved again with more in it.  A separate thread makes
+ * the calls.  The rows of a router that was restarted have other keys than those before.
  */
 #include <uv.h>
 
@@ -13,7 +13,7 @@
 #include "gateway/adapter.h"
 
 #define ORIGIN_TABLE "streams"
-#define ORIGIN_ROW_MAX_BYTES 40000 /* of a row's text */
+#define ORIGIN_RING_ROWS 10
 
 typedef struct origin_store origin_store_t;
 
@@ -40,8 +40,8 @@
 /* Stops and joins the thread; rows that are not written yet are lost. */
 void origin_store_delete(origin_store_t *this);
 
-/* Writes the text as one row; takes ownership.  A write that fails is repeated. */
-void origin_store_save(origin_store_t *this, GString *text);
+/* Writes the row with this index; takes ownership of `bytes`.  A write that fails is repeated. */
+void origin_store_save(origin_store_t *this, unsigned int row, GString *bytes);
 /* Begins a read, after the one that is in progress. */
 void origin_store_read(origin_store_t *this);
 /* Removes rows that are no longer needed. */
