An endpoint that refuses with a time gets nothing from this router until then

A refusal was a failure of the endpoint, which rests for a fraction of a second and is then probed: with more callers than the other endpoints have slots, hundreds of requests reached it while it wanted none.

The time holds for the router that was told, as the endpoint says it to each. So it is kept at the router's placement, not at the owner: an owner whose engines are all paused is not asked, a grant for a paused engine is declined, and without another engine callers are refused at once with the earliest end. Ruled out: to tell the owner, which would keep other routers from the endpoint.

The raw endpoint of the tests takes 4,096 connections in place of 256.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -101,6 +101,14 @@
 		send_entry(this, request->owner, &entry, now);
 }
 
+void placement_pause_engine(placement_t *this, id_t32 engine, instant_t until)
+{
+	engine_state_t *state = placement_find_engine(this, engine);
+
+	if (state)
+		state->paused_until = instant_max(state->paused_until, until);
+}
+
 void placement_fail(
 	placement_t *this, placement_request_t *request, slot_result_t failure, instant_t now)
 {
@@ -144,7 +152,7 @@
 
 static void resend_request(placement_t *this, placement_request_t *request, instant_t now)
 {
-	message_entry_t entry = placement_request_entry(request);
+	message_entry_t entry = placement_request_entry(this, request, now);
 
 	request->resend_at = now + RESEND_INTERVAL;
 	placement_queue_entry(this, request->owner, &entry, now);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -223,6 +223,11 @@
  */
 void placement_rate_report(placement_t *this, const placement_request_t *request, uint32_t rate,
 	instant_t sent_at, instant_t now);
+/*
+ * The engine has asked this router to send it nothing until then; other routers may.  Grants for it
+ * are declined.
+ */
+void placement_pause_engine(placement_t *this, id_t32 engine, instant_t until);
 /* Ends a granted request that failed. */
 void placement_fail(
 	placement_t *this, placement_request_t *request, slot_result_t failure, instant_t now);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -20,6 +20,7 @@
 	/* As known here; its starts are those without a grant. */
 	rate_limit_t rate_limit;
 	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
+	instant_t paused_until; /* this router sends it nothing before */
 } engine_state_t;
 
 /* Slot usage of a member's engines of a pool. */
@@ -120,10 +121,14 @@
 bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version);
 /* Returns whether the engine may run requests of the pool that are bound to the version or 0. */
 bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version);
+/* Returns whether this router may send the request to the engine now. */
+bool placement_may_use(
+	const engine_state_t *state, const placement_request_t *request, instant_t now);
 /* Sends a slot request to an owner, or to the next one if it was sent before. */
 void placement_send_request(placement_t *this, placement_request_t *request, instant_t now);
 /* Returns the message entry of the slot request. */
-message_entry_t placement_request_entry(const placement_request_t *request);
+message_entry_t placement_request_entry(
+	const placement_t *this, const placement_request_t *request, instant_t now);
 /* Starts the request on `engine`, as granted by the member in slot `owner`. */
 void placement_start(placement_t *this, placement_request_t *request, id_t32 engine,
 	unsigned int owner, instant_t now);
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -78,14 +78,15 @@
 }
 
 /* An owner of an earlier build does not know that a request is bound to a version. */
-static bool is_usable(const placement_t *this, const placement_request_t *request, id_t32 engine)
+static bool is_usable(
+	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
 {
 	const engine_state_t *state = placement_find_engine(this, engine);
 
-	return state && placement_engine_fits(&state->engine, state->engine.pool, request->version);
+	return state && placement_may_use(state, request, now);
 }
 
-/* The owner may not know yet that the engine leaves. */
+/* The owner may not know yet that the engine leaves, or that it wants nothing from us now. */
 static void decline_grant(
 	placement_t *this, placement_request_t *request, id_t32 engine, instant_t now)
 {
@@ -100,7 +101,7 @@
 {
 	placement_request_t *request = find_pending(this, slot, entry->ticket);
 
-	if (request && is_usable(this, request, entry->engine)) {
+	if (request && is_usable(this, request, entry->engine, now)) {
 		request->source = entry->source;
 		if (!request->source)
 			request->source = placement_likely_source(this, request, entry->engine);
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -62,6 +62,13 @@
 	return engine->pool == pool && engine->usable && (!version || engine->version == version);
 }
 
+bool placement_may_use(
+	const engine_state_t *state, const placement_request_t *request, instant_t now)
+{
+	return placement_engine_fits(&state->engine, request->pool, request->version) &&
+	       state->paused_until <= now;
+}
+
 /* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
 static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
 	uint64_t prefix, unsigned int *best)
@@ -101,6 +108,18 @@
 	return false;
 }
 
+/* Whether the member in `slot` owns an engine that this router may send the request to. */
+static bool owns_engine_for(const placement_t *this, unsigned int slot,
+	const placement_request_t *request, instant_t now)
+{
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		if (this->engines[i].owner == slot &&
+			placement_may_use(&this->engines[i], request, now))
+			return true;
+	}
+	return false;
+}
+
 /* Returns the owner with the lowest utilization, a random one among equals; -1: none. */
 static int least_utilized_owner(
 	placement_t *this, const placement_request_t *request, instant_t now)
@@ -114,7 +133,7 @@
 		double utilization;
 
 		if (!placement_accepts_requests(this, slot) ||
-			!placement_owns(this, slot, request->pool, request->version))
+			!owns_engine_for(this, slot, request, now))
 			continue;
 		utilization = placement_utilization(this, slot, request->pool, now);
 		if (best >= 0 && utilization >= best_utilization)
@@ -161,6 +180,7 @@
 		unsigned int owner = this->engines[ranked[i]].owner;
 
 		if (placement_accepts_requests(this, owner) &&
+			placement_may_use(&this->engines[ranked[i]], request, now) &&
 			placement_utilization(this, owner, request->pool, now) <=
 				bound - i * UTILIZATION_RANK_STEP)
 			return (int)owner;
@@ -261,6 +281,35 @@
 	placement_push_action(this, &action);
 }
 
+/* Time until the first engine may be used again, if all that the request fits are paused; else 0.
+ */
+static uint32_t pause_left_ms(
+	const placement_t *this, const placement_request_t *request, instant_t now)
+{
+	instant_t until = INSTANT_NEVER;
+
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		const engine_state_t *state = &this->engines[i];
+
+		if (placement_engine_fits(&state->engine, request->pool, request->version))
+			until = instant_min(until, state->paused_until);
+	}
+	return until == INSTANT_NEVER ? 0 : (uint32_t)(instant_left(until, now) / USEC_PER_MSEC);
+}
+
+/* An engine that is paused, for the owner to avoid: it does not know of the pause; 0: none. */
+static id_t32 paused_engine(
+	const placement_t *this, const placement_request_t *request, instant_t now)
+{
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		const engine_state_t *state = &this->engines[i];
+
+		if (state->engine.pool == request->pool && state->paused_until > now)
+			return state->engine.id;
+	}
+	return 0;
+}
+
 /*
  * Starts the request without a grant, as no owner replied, on the engine that runs
  * the fewest of our requests; rejects it when our share of that engine is in use.
@@ -274,8 +323,7 @@
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		engine_state_t *state = &this->engines[i];
 
-		if (!placement_engine_fits(&state->engine, request->pool, request->version) ||
-			state->engine.id == request->avoid ||
+		if (!placement_may_use(state, request, now) || state->engine.id == request->avoid ||
 			!rate_limit_allows(&state->rate_limit, now))
 			continue;
 		if (!best || state->running_here < best->running_here)
@@ -285,7 +333,7 @@
 				(WITHOUT_GRANT_SHARE_DIVISOR * (routers ? routers : 1))
 		     : 0;
 	if (!best || best->running_here > share) {
-		placement_reject(this, request, 0);
+		placement_reject(this, request, pause_left_ms(this, request, now));
 		return;
 	}
 	placement_count_rate(this, best, now);
@@ -296,7 +344,8 @@
 	placement_report_slot(this, request, now);
 }
 
-message_entry_t placement_request_entry(const placement_request_t *request)
+message_entry_t placement_request_entry(
+	const placement_t *this, const placement_request_t *request, instant_t now)
 {
 	return (message_entry_t){
 		.kind = ENTRY_SLOT_REQUEST,
@@ -305,7 +354,8 @@
 				.ticket = request->ticket,
 				.pool = request->pool,
 				.workspace = request->workspace,
-				.avoid = request->avoid,
+				.avoid = request->avoid ? request->avoid
+							: paused_engine(this, request, now),
 				.request_fingerprint = request->request_fingerprint,
 				.work = request->work,
 				.first_token_deadline = request->first_token_deadline,
@@ -333,7 +383,7 @@
 	enter_list(this, request, &this->pending);
 	request->owner = owner;
 	request->resend_at = now + RESEND_INTERVAL;
-	entry = placement_request_entry(request);
+	entry = placement_request_entry(this, request, now);
 	this->stats.slot_requests++;
 	if (owner == 0) {
 		request->state = PLACEMENT_QUEUED;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -159,6 +159,8 @@
 void call_report_load(call_t *this, unsigned int load);
 /* Reports the rate limit that the endpoint named, RATE_NONE: none. */
 void call_report_rate_limit(call_t *this, uint32_t rate);
+/* Reports that the endpoint wants no requests from this router for so long. */
+void call_report_pause(call_t *this, double seconds);
 /* Reports the arrival of the response's first byte to the placement. */
 void call_report_first_byte(call_t *this);
 
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -101,6 +101,12 @@
 			this->sent_at, clock_now());
 }
 
+void call_report_pause(call_t *this, double seconds)
+{
+	placement_pause_engine(placement_of(this), this->endpoint->id,
+		clock_now() + (uint64_t)(seconds * (double)USEC_PER_SEC));
+}
+
 void call_report_first_byte(call_t *this)
 {
 	this->first_byte = clock_now();
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -84,6 +84,16 @@
 	log_notice("endpoint-leaving", "id=%s endpoint=%s", call->id, call->endpoint->name);
 }
 
+static void report_pause(call_t *call, const connection_response_t *response)
+{
+	if (response->status != 503 || !response->retry_after_s ||
+		!(response->has_marker || response->not_run))
+		return;
+	call_report_pause(call, response->retry_after_s);
+	log_notice("endpoint-paused", "id=%s endpoint=%s seconds=%.3f", call->id,
+		call->endpoint->name, response->retry_after_s);
+}
+
 static void abort_attempt(call_t *call, slot_result_t failure, bool may_have_run)
 {
 	endpoint_connection_abort(call->connection);
@@ -97,6 +107,7 @@
 	report_load(call, response);
 	report_limit(call, response);
 	report_leaving(call, response);
+	report_pause(call, response);
 	part_watch_record_response(call->gateway->part_watch, call->endpoint->id, clock_now());
 	call->status = response->status;
 	call->body_length = response->content_length;
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -14,6 +14,7 @@
 #define MAX_OVERHEAD (1 << 20)
 #define DEFAULT_IDLE_TIMEOUT (4 * USEC_PER_SEC) /* if the endpoint announces none */
 #define IDLE_MARGIN (1 * USEC_PER_SEC)		/* closes this long before the endpoint would */
+#define MAX_RETRY_AFTER_S 3600			/* a longer one is taken for an error */
 #define KEEPALIVE_PROBES 2
 
 typedef enum connection_state {
@@ -139,6 +140,15 @@
 		response->rate_limit = rate;
 }
 
+/* Seconds, with a fraction or without; 0 for a date or anything else. */
+static double parse_retry_after(const char *value)
+{
+	char *end;
+	double seconds = g_ascii_strtod(value, &end);
+
+	return end != value && !*end && seconds > 0 && seconds <= MAX_RETRY_AFTER_S ? seconds : 0;
+}
+
 static void process_header(endpoint_connection_t *this)
 {
 	const header_names_t *names = this->options->header_names;
@@ -163,6 +173,8 @@
 		parse_rate_limit(response, value);
 	} else if (!strcasecmp(name, "Content-Encoding")) {
 		response->is_encoded = strcasecmp(value, "identity") != 0;
+	} else if (!strcasecmp(name, "Retry-After")) {
+		response->retry_after_s = parse_retry_after(value);
 	} else if (!strcasecmp(name, "Keep-Alive")) {
 		parse_keep_alive(this, value);
 	}
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -73,8 +73,8 @@
 bool endpoint_registry_put(
 	endpoint_registry_t *this, const endpoint_registration_t *registration, instant_t now);
 /*
- * Handles an endpoint's own statement that it leaves, which holds for this start of it; returns whether
- * that changed anything.
+ * Handles an endpoint's own statement that it leaves, which holds for this start of it; returns
+ * whether that changed anything.
  */
 bool endpoint_registry_set_leaving(registered_endpoint_t *endpoint);
 typedef enum endpoint_removal {
--- a/standin/raw_endpoint.c
+++ b/standin/raw_endpoint.c
@@ -13,7 +13,7 @@
 
 #define READ_SIZE 4096
 #define LISTEN_BACKLOG 128
-#define MAX_CONNECTIONS 256
+#define MAX_CONNECTIONS 4096
 
 struct raw_endpoint {
 	int fd;
--- a/standin/raw_endpoint.h
+++ b/standin/raw_endpoint.h
@@ -33,7 +33,7 @@
 const char *raw_endpoint_address(const raw_endpoint_t *this);
 /* Number of complete requests received so far, over all connections. */
 unsigned int raw_endpoint_request_count(raw_endpoint_t *this);
-/* Number of connections accepted so far; more than 256 fail an assertion. */
+/* Number of connections accepted so far; more than 4096 fail an assertion. */
 unsigned int raw_endpoint_connection_count(raw_endpoint_t *this);
 /* The highest number of connections open at the same time so far. */
 unsigned int raw_endpoint_peak_connections(raw_endpoint_t *this);
