A refusal without the request's id on a used connection is not believed

With the id of its request it was skipped already, and orders go on connections of their own. Without an id it was taken for the answer: a request that may be repeated was then sent up to four times, where its route allows two attempts, and its caller could be told 'not run' while it ran.

Such a request counts as one that may have run. A refusal on a new connection needs no id: nothing came before it.

test_refusal_without_id_on_a_used_connection_is_not_believed: before, the caller gets 503 after four attempts; after, it passes. Two further tests pass before as well: a refusal with another id, orders.

--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -100,6 +100,17 @@
 	call_attempt_failed(call, failure, may_have_run);
 }
 
+static bool is_refusal(const connection_response_t *response)
+{
+	return response->not_run || response->status == 421;
+}
+
+/* Without the request's id, it may be the refusal of an earlier request, written once more. */
+static bool is_doubtful_refusal(const connection_response_t *response)
+{
+	return response->on_used_connection && !response->id_matches;
+}
+
 static void on_response(void *user, const connection_response_t *response)
 {
 	call_t *call = user;
@@ -112,8 +123,12 @@
 	call->status = response->status;
 	call->body_length = response->content_length;
 	call->ends_by_close = response->ends_by_close;
-	if (response->not_run || response->status == 421) {
-		abort_attempt(call, response->not_run ? SLOT_REFUSED : SLOT_UNREACHABLE, false);
+	if (is_refusal(response)) {
+		if (is_doubtful_refusal(response))
+			abort_attempt(call, SLOT_INCOMPLETE, true);
+		else
+			abort_attempt(
+				call, response->not_run ? SLOT_REFUSED : SLOT_UNREACHABLE, false);
 		return;
 	}
 	/* After the caller received a 200 head, a resumed response must be a 200 as well. */
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -50,6 +50,7 @@
 	bool id_mismatch; /* the response carries another request's id */
 	bool response_complete;
 	bool keep_alive;
+	bool is_used; /* an exchange came before the current one */
 	bool paused;
 	int open_handles;
 };
@@ -193,7 +194,11 @@
 		return -1; /* unsolicited bytes */
 	g_string_truncate(headers, 0);
 	this->response = (connection_response_t){
-		.headers = headers, .content_length = -1, .rate_limit = RATE_NONE};
+		.headers = headers,
+		.content_length = -1,
+		.rate_limit = RATE_NONE,
+		.on_used_connection = this->is_used,
+	};
 	g_string_truncate(this->header_name, 0);
 	g_string_truncate(this->header_value, 0);
 	this->in_header_value = false;
@@ -516,6 +521,7 @@
 	endpoint_connection_trim(endpoint, request->now, false);
 	this = request->new_connection ? NULL : take_idle_connection(endpoint);
 	if (this) {
+		this->is_used = true;
 		connection_begin_exchange(this, request, ops, user);
 		connection_write(this);
 		return this;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -27,13 +27,14 @@
 
 typedef struct connection_response {
 	unsigned int status;
-	GString *headers;     /* "Name: value\r\n" each, without hop-by-hop headers */
-	bool id_matches;      /* the request's id was present */
-	bool has_marker;      /* the marker of the endpoint's own responses was present */
-	bool not_run;	      /* the endpoint did not execute the request */
-	double retry_after_s; /* the endpoint wants nothing from this router for so long; 0: none
-				 named */
-	bool is_leaving;      /* the endpoint takes no further requests */
+	GString *headers;	 /* "Name: value\r\n" each, without hop-by-hop headers */
+	bool id_matches;	 /* the request's id was present */
+	bool has_marker;	 /* the marker of the endpoint's own responses was present */
+	bool on_used_connection; /* other exchanges came before on the connection */
+	bool not_run;		 /* the endpoint did not execute the request */
+	double retry_after_s;	 /* the endpoint wants nothing from this router for so long; 0: none
+				    named */
+	bool is_leaving;	 /* the endpoint takes no further requests */
 	bool has_load;
 	unsigned int load_running;
 	unsigned int load_waiting;
