Tests of errors after a stream has begun

Seven kinds of error (with a length, in chunks, that look like events, without a body, a refusal, a success without the endpoint's marker, no HTTP at all): the caller gets none of their bytes, and a stream that is not complete.

--- a/tests/test_endpoint_errors.c
+++ b/tests/test_endpoint_errors.c
@@ -1,4 +1,5 @@
-/* threaded: endpoint_errors - refusals that belong to earlier requests */
+/* threaded: endpoint_errors - refusals that belong to earlier requests, errors after a stream has
+ * begun */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -15,6 +16,7 @@
 
 #define WAIT_MS 5000
 #define ROUNDS 12
+#define LAST_EVENT 3
 #define CALLERS 8  /* at a time: as many connections are kept */
 #define RUN_MS 100 /* of the first request on a connection */
 
@@ -133,12 +135,123 @@
 	fixture_delete(f);
 }
 
+/* --- errors after a stream has begun -------------------------------------- */
+
+typedef struct stream_endpoint {
+	const char *error; /* response to a stream that is to go on; NULL: it goes on */
+	int errors;	   /* accessed atomically */
+} stream_endpoint_t;
+
+static void write_events(int fd, const raw_request_t *request, int first, int last)
+{
+	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n"
+				     "Content-Type: text/event-stream\r\n"
+				     "Transfer-Encoding: chunked\r\n\r\n",
+		request->id);
+
+	raw_write(fd, head);
+	g_free(head);
+	for (int i = first; i <= last; i++) {
+		char *event = g_strdup_printf("id: %d\ndata: e%d\n\n", i, i);
+		char *chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+
+		raw_write(fd, chunk);
+		g_free(chunk);
+		g_free(event);
+	}
+	if (last == LAST_EVENT)
+		raw_write(fd, "0\r\n\r\n");
+}
+
+/* A stream that begins breaks off in the middle of an event. */
+static bool break_or_fail(void *ctx, int fd, const raw_request_t *request)
+{
+	stream_endpoint_t *this = ctx;
+	char *last_id = raw_request_header(request, "Last-Event-Id");
+	char *text;
+
+	if (!last_id) {
+		write_events(fd, request, 0, 1);
+		raw_write(fd, "6\r\nid: 2\n\r\n");
+		return false;
+	}
+	g_free(last_id);
+	if (!this->error) {
+		write_events(fd, request, 2, LAST_EVENT);
+		return true;
+	}
+	__atomic_add_fetch(&this->errors, 1, __ATOMIC_SEQ_CST);
+	text = g_strdup_printf(this->error, request->id);
+	raw_write(fd, text);
+	g_free(text);
+	return true;
+}
+
+static const char *const errors[] = {
+	"HTTP/1.1 500 Internal Server Error\r\n" ENDPOINT_MARKER
+	"Request-Id: %s\r\nContent-Length: 4\r\n\r\noops",
+	"HTTP/1.1 500 Internal Server Error\r\n" ENDPOINT_MARKER
+	"Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\noops\r\n0\r\n\r\n",
+	"HTTP/1.1 404 Not Found\r\n" ENDPOINT_MARKER
+	"Request-Id: %s\r\nContent-Length: 13\r\n\r\ndata: oops\n\n\n",
+	"HTTP/1.1 204 No Content\r\n" ENDPOINT_MARKER "Request-Id: %s\r\n\r\n",
+	"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
+	"Content-Length: 4\r\n\r\noops",
+	"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\noops",
+	"oops %s\r\n\r\n",
+};
+
+/* All endpoints fail to go on: the caller sees its events and a stream that is not complete. */
+static void test_error_after_a_stream_has_begun_is_not_part_of_it(void **state)
+{
+	for (unsigned int i = 0; i < ARRAY_LEN(errors); i++) {
+		stream_endpoint_t endpoint = {.error = errors[i]};
+		fixture_t *f = fixture_new();
+		char *response;
+
+		fixture_add_endpoint(f, break_or_fail, &endpoint);
+		fixture_add_endpoint(f, break_or_fail, &endpoint);
+		fixture_wait_ready(f, 2);
+		response = send_request(f, "POST", "/draft/", "mine");
+		assert_true(endpoint.errors > 0);
+		assert_non_null(strstr(response, "data: e1\n"));
+		assert_null(strstr(response, "oops"));
+		assert_null(strstr(strstr(response, "\r\n\r\n"), "HTTP/1.1"));
+		assert_null(strstr(response, "\r\n0\r\n"));
+		g_free(response);
+		fixture_delete(f);
+	}
+}
+
+/* One refuses to go on, another one does. */
+static void test_stream_goes_on_elsewhere_after_a_refusal(void **state)
+{
+	stream_endpoint_t refusing = {.error = errors[4]};
+	stream_endpoint_t sound = {0};
+	fixture_t *f = fixture_new();
+
+	fixture_add_endpoint(f, break_or_fail, &refusing);
+	fixture_add_endpoint(f, break_or_fail, &sound);
+	fixture_wait_ready(f, 2);
+	for (unsigned int i = 0; i < ROUNDS; i++) {
+		char *response = send_request(f, "POST", "/draft/", "mine");
+
+		assert_null(strstr(response, "oops"));
+		if (strstr(response, "\r\n0\r\n"))
+			assert_non_null(strstr(response, "data: e3\n"));
+		g_free(response);
+	}
+	fixture_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refusal_of_an_earlier_request_is_skipped),
 		cmocka_unit_test(test_refusal_without_id_on_a_used_connection_is_not_believed),
 		cmocka_unit_test(test_order_is_not_affected_by_an_earlier_refusal),
+		cmocka_unit_test(test_error_after_a_stream_has_begun_is_not_part_of_it),
+		cmocka_unit_test(test_stream_goes_on_elsewhere_after_a_refusal),
 	};
 
 	log_init("test", FALSE);
