--- a/src/daemon/operator_server.c
+++ b/src/daemon/operator_server.c
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <string.h>
-#include <urcu/uatomic.h>
 
 #include "edge/clock.h"
 #include "edge/metrics.h"
@@ -64,7 +63,7 @@
 		"\"text_version\":%" G_GUINT64_FORMAT ",\"unsettled_orders\":%u,",
 		router->settings->name, router->settings->failure_domain,
 		router_is_ready(router) ? "true" : "false",
-		router_is_stopping(router) ? "true" : "false", uatomic_read(&router->active),
+		router_is_stopping(router) ? "true" : "false", atomic_load(&router->active),
 		snapshot_version(&router->snapshot),
 		router_is_stopping(router) ? 0 : deferred_writer_pending(router->deferred_writer));
 	node_thread_append_status(router->node_thread, response->body);
@@ -77,9 +76,9 @@
 	response->type = METRICS_TYPE;
 	for (unsigned int i = 0; i < COUNTER_KINDS; i++)
 		metrics_append(response->body, router_counter_name((router_counter_t)i),
-			uatomic_read(&this->router->counters[i]));
+			atomic_load(&this->router->counters[i]));
 	metrics_append(
-		response->body, "requests_active", (uint64_t)uatomic_read(&this->router->active));
+		response->body, "requests_active", (uint64_t)atomic_load(&this->router->active));
 	metrics_append(response->body, "text_version", snapshot_version(&this->router->snapshot));
 	node_thread_append_metrics(this->router->node_thread, response->body);
 }
--- a/src/daemon/router.c
+++ b/src/daemon/router.c
@@ -1,7 +1,5 @@
 #include "daemon/router.h"
 
-#include <urcu/uatomic.h>
-
 #include "daemon/operator_server.h"
 #include "edge/clock.h"
 #include "edge/http_exchange.h"
@@ -31,12 +29,12 @@
 
 void router_count(router_t *this, router_counter_t counter)
 {
-	uatomic_inc(&this->counters[counter]);
+	atomic_fetch_add(&this->counters[counter], 1);
 }
 
 bool router_is_stopping(router_t *this)
 {
-	return uatomic_read(&this->stopping) != 0;
+	return atomic_load(&this->stopping) != 0;
 }
 
 bool router_is_ready(router_t *this)
@@ -120,13 +118,13 @@
 	instant_t deadline = clock_now() + this->settings->drain_timeout_ms * USEC_PER_MSEC;
 	unsigned int unfinished;
 
-	uatomic_set(&this->stopping, 1);
-	log_notice("stopping", "active=%d", uatomic_read(&this->active));
+	atomic_store(&this->stopping, 1);
+	log_notice("stopping", "active=%d", atomic_load(&this->active));
 	g_usleep(STOP_NOTICE_MS * USEC_PER_MSEC);
 	node_thread_drain(this->node_thread);
-	while (uatomic_read(&this->active) && clock_now() < deadline)
+	while (atomic_load(&this->active) && clock_now() < deadline)
 		g_usleep(STOP_POLL_MS * USEC_PER_MSEC);
-	unfinished = (unsigned int)uatomic_read(&this->active);
+	unfinished = (unsigned int)atomic_load(&this->active);
 	caller_server_quiesce(this->caller_server);
 	g_usleep(STOP_POLL_MS * USEC_PER_MSEC);
 	unfinished += deferred_writer_delete(this->deferred_writer, DEFERRED_WRITE_TIMEOUT_MS);
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -3,6 +3,8 @@
 /*
  * router - one router process: starts its components and stops them in order
  */
+#include <stdatomic.h>
+
 #include "daemon/burn_rate.h"
 #include "daemon/caller_watch.h"
 #include "daemon/node_thread.h"
@@ -35,9 +37,9 @@
 	burn_rate_t *burn_rate;
 	order_writer_t order_writer;
 	/* The next three are accessed by uatomic operations only. */
-	unsigned long counters[COUNTER_KINDS];
-	int stopping;
-	int active; /* callers' requests in progress */
+	atomic_ulong counters[COUNTER_KINDS];
+	atomic_int stopping;
+	atomic_int active; /* callers' requests in progress */
 	struct caller_server *caller_server;
 	struct operator_server *operator_server;
 } router_t;
--- a/src/filter/request.c
+++ b/src/filter/request.c
@@ -1,7 +1,6 @@
 #include "filter/request.h"
 
 #include <string.h>
-#include <urcu/uatomic.h>
 
 #include "edge/clock.h"
 
@@ -29,7 +28,7 @@
 	this->caller_fd = info ? info->connect_fd : -1;
 	g_snprintf(this->id, sizeof(this->id), "%08x%08x%08x", g_random_int(), g_random_int(),
 		g_random_int());
-	uatomic_inc(&router->active);
+	atomic_fetch_add(&router->active, 1);
 	return this;
 }
 
@@ -45,7 +44,7 @@
 	fleet_config_put(this->config);
 	g_string_free(this->body, TRUE);
 	g_free(this->path);
-	uatomic_dec(&this->router->active);
+	atomic_fetch_sub(&this->router->active, 1);
 	g_free(this);
 }
 
