--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -165,6 +165,18 @@
 	return this;
 }
 
+fixture_t *fixture_new_router(const char *name, row_store_standin_t *store)
+{
+	fixture_options_t options = {
+		.settings = ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000",
+		.idle_timeout_ms = 1000,
+		.name = name,
+		.store = store,
+	};
+
+	return fixture_new_with(&options);
+}
+
 void fixture_restart_router(fixture_t *this)
 {
 	this->gateway = gateway_new(this->settings);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -49,6 +49,9 @@
 } fixture_options_t;
 
 fixture_t *fixture_new_with(const fixture_options_t *options);
+/* Starts a router of this name that reads the store often, to run beside others; see
+ * fixture_options_t. */
+fixture_t *fixture_new_router(const char *name, row_store_standin_t *store);
 /* Also stops the gateway, without a planned stop, if fixture_stop() was not called. */
 void fixture_delete(fixture_t *this);
 /*
--- a/tests/test_crashing_part.c
+++ b/tests/test_crashing_part.c
@@ -59,23 +59,11 @@
 	crashing_endpoint_t endpoints[FIXTURE_ENDPOINTS];
 } crash_fixture_t;
 
-static fixture_t *start_router(const char *name, row_store_standin_t *store)
-{
-	fixture_options_t options = {
-		.settings = ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000",
-		.idle_timeout_ms = 1000,
-		.name = name,
-		.store = store,
-	};
-
-	return fixture_new_with(&options);
-}
-
 static crash_fixture_t *crash_fixture_new(void)
 {
 	crash_fixture_t *this = g_new0(crash_fixture_t, 1);
 
-	this->router = start_router("r", NULL);
+	this->router = fixture_new_router("r", NULL);
 	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++) {
 		this->endpoints[i].endpoint =
 			fixture_add_endpoint(this->router, respond_or_crash, &this->endpoints[i]);
@@ -197,7 +185,7 @@
 static void test_other_routers_refuse_it_too(void **state)
 {
 	crash_fixture_t *f = crash_fixture_new();
-	fixture_t *second = start_router("s", f->router->store);
+	fixture_t *second = fixture_new_router("s", f->router->store);
 	fixture_t *late;
 	unsigned int before;
 
@@ -208,7 +196,7 @@
 	assert_true(fixture_wait_metrics(second, "amaranthwall_prompt_parts_blocked 1\n", ""));
 	before = count_bad_requests(f);
 	assert_false(is_served(second, "f1:100,bad:50"));
-	late = start_router("t", f->router->store);
+	late = fixture_new_router("t", f->router->store);
 	fixture_wait_ready(late, FIXTURE_ENDPOINTS);
 	assert_true(fixture_wait_metrics(late, "amaranthwall_prompt_parts_blocked 1\n", ""));
 	assert_false(is_served(late, "f1:100,bad:50"));
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -45,23 +45,11 @@
 	crashing_endpoint_t endpoints[FIXTURE_ENDPOINTS];
 } crash_fixture_t;
 
-static fixture_t *start_router(const char *name, row_store_standin_t *store)
-{
-	fixture_options_t options = {
-		.settings = ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000",
-		.idle_timeout_ms = 1000,
-		.name = name,
-		.store = store,
-	};
-
-	return fixture_new_with(&options);
-}
-
 static crash_fixture_t *crash_fixture_new(void)
 {
 	crash_fixture_t *this = g_new0(crash_fixture_t, 1);
 
-	this->router = start_router("r", NULL);
+	this->router = fixture_new_router("r", NULL);
 	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++) {
 		this->endpoints[i].endpoint =
 			fixture_add_endpoint(this->router, respond_or_crash, &this->endpoints[i]);
@@ -237,8 +225,8 @@
 static void test_ends_at_several_routers_are_added_up(void **state)
 {
 	crash_fixture_t *f = crash_fixture_new();
-	fixture_t *routers[] = {f->router, start_router("s", f->router->store),
-		start_router("t", f->router->store)};
+	fixture_t *routers[] = {f->router, fixture_new_router("s", f->router->store),
+		fixture_new_router("t", f->router->store)};
 	fixture_t *late;
 	unsigned int before;
 
@@ -251,7 +239,7 @@
 		sleep_ms(100);
 	}
 	assert_in_range(count_bad_requests(f), 1, ENDS_TO_BLOCK + MAX_LATER_SENDS);
-	late = start_router("u", f->router->store);
+	late = fixture_new_router("u", f->router->store);
 	fixture_wait_ready(late, FIXTURE_ENDPOINTS);
 	assert_true(fixture_wait_metric(late, "requests_blocked", 1));
 	before = count_bad_requests(f);
--- a/tests/test_endpoint_leaving.c
+++ b/tests/test_endpoint_leaving.c
@@ -50,23 +50,11 @@
 	leaving_endpoint_t endpoints[FIXTURE_ENDPOINTS];
 } leaving_fixture_t;
 
-static fixture_t *start_router(const char *name, row_store_standin_t *store)
-{
-	fixture_options_t options = {
-		.settings = ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000",
-		.idle_timeout_ms = 1000,
-		.name = name,
-		.store = store,
-	};
-
-	return fixture_new_with(&options);
-}
-
 static leaving_fixture_t *leaving_fixture_new(unsigned int endpoints)
 {
 	leaving_fixture_t *this = g_new0(leaving_fixture_t, 1);
 
-	this->router = start_router("r", NULL);
+	this->router = fixture_new_router("r", NULL);
 	for (unsigned int i = 0; i < endpoints; i++)
 		this->endpoints[i].endpoint =
 			fixture_add_endpoint(this->router, respond, &this->endpoints[i]);
@@ -177,7 +165,7 @@
 static void test_each_router_acts_on_what_it_was_told_itself(void **state)
 {
 	leaving_fixture_t *f = leaving_fixture_new(3);
-	fixture_t *second = start_router("s", f->router->store);
+	fixture_t *second = fixture_new_router("s", f->router->store);
 
 	fixture_wait_ready(second, 3);
 	assert_true(fixture_wait_metrics(second, "amaranthwall_routers_alive 2\n", ""));
--- a/tests/test_endpoint_pause.c
+++ b/tests/test_endpoint_pause.c
@@ -67,25 +67,13 @@
 	busy_endpoint_t endpoints[FIXTURE_ENDPOINTS];
 } busy_fixture_t;
 
-static fixture_t *start_router(const char *name, row_store_standin_t *store)
-{
-	fixture_options_t options = {
-		.settings = ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000",
-		.idle_timeout_ms = 1000,
-		.name = name,
-		.store = store,
-	};
-
-	return fixture_new_with(&options);
-}
-
 /* Starts `count` endpoints, of which the first `busy` ones name `retry_after`. */
 static busy_fixture_t *busy_fixture_new(
 	unsigned int count, unsigned int busy, const char *retry_after)
 {
 	busy_fixture_t *this = g_new0(busy_fixture_t, 1);
 
-	this->router = start_router("r", NULL);
+	this->router = fixture_new_router("r", NULL);
 	for (unsigned int i = 0; i < count; i++) {
 		this->endpoints[i].retry_after = i < busy ? retry_after : NULL;
 		this->endpoints[i].endpoint =
@@ -203,7 +191,7 @@
 static void test_router_keeps_the_pause_beside_another_one(void **state)
 {
 	busy_fixture_t *f = busy_fixture_new(2, 1, "3");
-	fixture_t *second = start_router("s", f->router->store);
+	fixture_t *second = fixture_new_router("s", f->router->store);
 
 	fixture_wait_ready(second, 2);
 	assert_true(fixture_wait_metrics(second, "amaranthwall_routers_alive 2\n", ""));
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -83,25 +83,13 @@
 	version_endpoint_t endpoints[FIXTURE_ENDPOINTS];
 } version_fixture_t;
 
-static fixture_t *start_router(const char *name, row_store_standin_t *store)
-{
-	fixture_options_t options = {
-		.settings = ",\"store_wait_ms\":1000,\"roster_wait_ms\":1000",
-		.idle_timeout_ms = 1000,
-		.name = name,
-		.store = store,
-	};
-
-	return fixture_new_with(&options);
-}
-
 /* Starts an endpoint for each of `versions`, a NULL-terminated list. */
 static version_fixture_t *version_fixture_new(const char *const *versions)
 {
 	version_fixture_t *this = g_new0(version_fixture_t, 1);
 	unsigned int count;
 
-	this->router = start_router("r", NULL);
+	this->router = fixture_new_router("r", NULL);
 	for (count = 0; versions[count]; count++) {
 		version_endpoint_t *endpoint = &this->endpoints[count];
 
@@ -249,7 +237,7 @@
 static void test_stream_taken_up_at_another_router_goes_on_at_its_version(void **state)
 {
 	version_fixture_t *f = version_fixture_new(two_of_each);
-	fixture_t *second = start_router("s", f->router->store);
+	fixture_t *second = fixture_new_router("s", f->router->store);
 	bool is_v1[STREAMS];
 
 	fixture_wait_ready(second, FIXTURE_ENDPOINTS);
@@ -352,7 +340,7 @@
 {
 	static const char *const versions[] = {"v1", "v1", NULL};
 	version_fixture_t *f = version_fixture_new(versions);
-	fixture_t *second = start_router("s", f->router->store);
+	fixture_t *second = fixture_new_router("s", f->router->store);
 	bool is_v1[STREAMS];
 
 	fixture_wait_ready(second, 2);
