The tests' raw endpoint listens again after a second crash while it is down

A second shutdown of the listening socket, by another request that ends the endpoint a moment later, stays with the socket: all that it accepts from then on reads end-of-file. So an endpoint that several requests ended was never reached again, and a test of such ends counted too few.

--- a/standin/raw_endpoint.c
+++ b/standin/raw_endpoint.c
@@ -29,7 +29,8 @@
 	unsigned int peak_open;
 	unsigned int requests;
 	unsigned int early_closes;
-	instant_t down_until; /* 0: up */
+	bool listens;
+	instant_t down_until; /* if it does not listen */
 	bool quit;
 };
 
@@ -165,20 +166,27 @@
 	}
 }
 
-/* Waits until a crashed endpoint is to be there again; false if it is to be deleted. */
-static bool wait_until_up(raw_endpoint_t *this)
+/* Listens again if a crashed endpoint is to be there again, or has to end. */
+static bool listen_if_due(raw_endpoint_t *this)
 {
-	bool down = true;
-	bool quit = false;
+	bool due;
 
-	while (down && !quit) {
-		sleep_ms(2);
-		pthread_mutex_lock(&this->lock);
-		quit = this->quit;
-		down = clock_now() < this->down_until;
-		pthread_mutex_unlock(&this->lock);
-	}
-	return !quit;
+	pthread_mutex_lock(&this->lock);
+	due = this->quit || clock_now() >= this->down_until;
+	if (due && !this->quit)
+		this->listens = !listen(this->fd, LISTEN_BACKLOG);
+	pthread_mutex_unlock(&this->lock);
+	return due;
+}
+
+static bool has_to_end(raw_endpoint_t *this)
+{
+	bool quit;
+
+	pthread_mutex_lock(&this->lock);
+	quit = this->quit;
+	pthread_mutex_unlock(&this->lock);
+	return quit;
 }
 
 static void *run(void *ctx)
@@ -187,7 +195,9 @@
 
 	do {
 		accept_connections(this);
-	} while (wait_until_up(this) && !listen(this->fd, LISTEN_BACKLOG));
+		while (!listen_if_due(this))
+			sleep_ms(2);
+	} while (!has_to_end(this));
 	return NULL;
 }
 
@@ -195,7 +205,10 @@
 {
 	pthread_mutex_lock(&this->lock);
 	this->down_until = clock_now() + down_ms * USEC_PER_MSEC;
-	shutdown(this->fd, SHUT_RDWR);
+	/* A second shutdown would stay with the socket, and with what it accepts later. */
+	if (this->listens)
+		shutdown(this->fd, SHUT_RDWR);
+	this->listens = false;
 	for (unsigned int i = 0; i < this->connections; i++)
 		shutdown(this->fds[i], SHUT_RDWR);
 	pthread_mutex_unlock(&this->lock);
@@ -230,6 +243,7 @@
 	close(fd);
 	if (listen(this->fd, LISTEN_BACKLOG))
 		abort();
+	this->listens = true;
 	g_snprintf(this->address, sizeof(this->address), "127.0.0.1:%u", ntohs(sin.sin_port));
 	pthread_create(&this->thread, NULL, run, this);
 	return this;
