Test of copies of a request that run at all endpoints at once

Nine callers at three routers send the same order; the endpoints are down for longer than the time after which a further one counts as late.

--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <pthread.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -19,13 +20,46 @@
 #define MAX_LATER_SENDS 3 /* ... and be reached by it so often after that */
 #define BAD_ROUNDS 60	  /* requests that are sent while some endpoints are up */
 #define LONG_BODY_SIZE 60000
+#define CALLERS 9	   /* that send the request at a time, three at each of three routers */
+#define CALLERS_MS 18000   /* for which they do */
+#define RUN_MS 60	   /* of a request until its endpoint ends */
+#define LONG_DOWN_MS 3200  /* after an end, so that the next round of ends counts as late */
+#define ROUND_MS 3600	   /* from one registration of the endpoints to the next */
+#define LATE_AFTER_MS 3000 /* after the third end */
+#define MAX_TIMES 512
 
 /* An endpoint process that ends when it begins to run a request of workspace w1 with "bad". */
 typedef struct crashing_endpoint {
 	raw_endpoint_t *endpoint;
 	int bad_requests; /* accessed atomically */
+	bool runs;	  /* a bad request runs for RUN_MS before it ends the endpoint */
 } crashing_endpoint_t;
 
+/* When bad requests reached endpoints and ended them, over all endpoints. */
+static struct {
+	pthread_mutex_t lock;
+	instant_t reached[MAX_TIMES];
+	unsigned int reached_count;
+	instant_t third_end; /* 0: not yet */
+	unsigned int end_count;
+} history = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static void note_reached(void)
+{
+	pthread_mutex_lock(&history.lock);
+	if (history.reached_count < MAX_TIMES)
+		history.reached[history.reached_count++] = clock_now();
+	pthread_mutex_unlock(&history.lock);
+}
+
+static void note_end(void)
+{
+	pthread_mutex_lock(&history.lock);
+	if (++history.end_count == ENDS_TO_BLOCK)
+		history.third_end = clock_now();
+	pthread_mutex_unlock(&history.lock);
+}
+
 static bool respond_or_crash(void *ctx, int fd, const raw_request_t *request)
 {
 	crashing_endpoint_t *this = ctx;
@@ -36,7 +70,12 @@
 	if (!bad)
 		return fixture_respond_hello(NULL, fd, request);
 	__atomic_add_fetch(&this->bad_requests, 1, __ATOMIC_SEQ_CST);
-	raw_endpoint_crash(this->endpoint, DOWN_MS);
+	if (this->runs) {
+		note_reached();
+		sleep_ms(RUN_MS);
+		note_end();
+	}
+	raw_endpoint_crash(this->endpoint, this->runs ? LONG_DOWN_MS : DOWN_MS);
 	return false;
 }
 
@@ -254,6 +293,79 @@
 	crash_fixture_delete(f);
 }
 
+typedef struct bad_caller {
+	fixture_t *router;
+	instant_t until;
+} bad_caller_t;
+
+/* Registers the endpoints as new starts, which owe nothing to what was before. */
+static void register_new_starts(crash_fixture_t *this)
+{
+	static unsigned long born = 1700000000000;
+
+	born++;
+	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++) {
+		char *key = g_strdup_printf("i-%u", i);
+		char *row = g_strdup_printf("{\"service\":\"shop\",\"address\":\"%s\","
+					    "\"version\":\"v1\",\"slots\":8,"
+					    "\"state\":\"ready\",\"born\":%lu}",
+			raw_endpoint_address(this->endpoints[i].endpoint), born);
+
+		row_store_standin_put(this->router->store, "servers", key, row);
+		g_free(row);
+		g_free(key);
+	}
+}
+
+static void *send_bad_orders(void *ctx)
+{
+	const bad_caller_t *this = ctx;
+
+	while (clock_now() < this->until) {
+		is_served(this->router, "/order/", "bad");
+		sleep_ms(30);
+	}
+	return NULL;
+}
+
+/* Copies of the request run at all endpoints at once, from all routers, so that the ends come
+ * together. */
+static void test_copies_sent_at_once_end_few_endpoints_later(void **state)
+{
+	crash_fixture_t *f = crash_fixture_new();
+	fixture_t *routers[] = {f->router, fixture_new_router("s", f->router->store),
+		fixture_new_router("t", f->router->store)};
+	bad_caller_t callers[CALLERS];
+	pthread_t threads[CALLERS];
+	unsigned int late = 0;
+
+	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++)
+		f->endpoints[i].runs = true;
+	for (unsigned int i = 0; i < 3; i++) {
+		fixture_wait_ready(routers[i], FIXTURE_ENDPOINTS);
+		assert_true(fixture_wait_metrics(routers[i], "amaranthwall_routers_alive 3\n", ""));
+	}
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		callers[i] =
+			(bad_caller_t){routers[i % 3], clock_now() + CALLERS_MS * USEC_PER_MSEC};
+		pthread_create(&threads[i], NULL, send_bad_orders, &callers[i]);
+	}
+	while (clock_now() < callers[0].until) {
+		sleep_ms(ROUND_MS);
+		register_new_starts(f);
+	}
+	for (unsigned int i = 0; i < CALLERS; i++)
+		pthread_join(threads[i], NULL);
+	assert_true(history.third_end != 0);
+	for (unsigned int i = 0; i < history.reached_count; i++)
+		late += history.reached[i] > history.third_end + LATE_AFTER_MS * USEC_PER_MSEC;
+	print_message("  %u reached endpoints, %u of them late\n", history.reached_count, late);
+	assert_in_range(late, 0, MAX_LATER_SENDS);
+	fixture_delete(routers[2]);
+	fixture_delete(routers[1]);
+	crash_fixture_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -265,6 +377,7 @@
 		cmocka_unit_test(test_blocked_request_is_refused_as_not_run),
 		cmocka_unit_test(test_other_requests_are_served_beside_it),
 		cmocka_unit_test(test_ends_at_several_routers_are_added_up),
+		cmocka_unit_test(test_copies_sent_at_once_end_few_endpoints_later),
 	};
 
 	log_init("test", FALSE);
