--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -298,7 +298,7 @@
 	instant_t until;
 } bad_caller_t;
 
-/* Registers the endpoints as new starts, which owe nothing to what was before. */
+/* Registers the endpoints as new starts: earlier failures do not count against them. */
 static void register_new_starts(crash_fixture_t *this)
 {
 	static unsigned long born = 1700000000000;
