--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -60,6 +60,20 @@
 	pthread_mutex_unlock(&history.lock);
 }
 
+/* Counts bad requests that reached endpoints later than LATE_AFTER_MS after the third end. */
+static unsigned int count_late(void)
+{
+	unsigned int late = 0;
+
+	pthread_mutex_lock(&history.lock);
+	assert_true(history.third_end != 0);
+	for (unsigned int i = 0; i < history.reached_count; i++)
+		late += history.reached[i] > history.third_end + LATE_AFTER_MS * USEC_PER_MSEC;
+	print_message("  %u reached endpoints, %u of them late\n", history.reached_count, late);
+	pthread_mutex_unlock(&history.lock);
+	return late;
+}
+
 static bool respond_or_crash(void *ctx, int fd, const raw_request_t *request)
 {
 	crashing_endpoint_t *this = ctx;
@@ -337,7 +351,6 @@
 		fixture_new_router("t", f->router->store)};
 	bad_caller_t callers[CALLERS];
 	pthread_t threads[CALLERS];
-	unsigned int late = 0;
 
 	for (unsigned int i = 0; i < FIXTURE_ENDPOINTS; i++)
 		f->endpoints[i].runs = true;
@@ -356,11 +369,7 @@
 	}
 	for (unsigned int i = 0; i < CALLERS; i++)
 		pthread_join(threads[i], NULL);
-	assert_true(history.third_end != 0);
-	for (unsigned int i = 0; i < history.reached_count; i++)
-		late += history.reached[i] > history.third_end + LATE_AFTER_MS * USEC_PER_MSEC;
-	print_message("  %u reached endpoints, %u of them late\n", history.reached_count, late);
-	assert_in_range(late, 0, MAX_LATER_SENDS);
+	assert_in_range(count_late(), 0, MAX_LATER_SENDS);
 	fixture_delete(routers[2]);
 	fixture_delete(routers[1]);
 	crash_fixture_delete(f);
