--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -34,6 +34,6 @@
 esac
 clang -std=gnu11 -g -O1 -D_GNU_SOURCE -Isrc -I. -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined \
 	$(pkg-config --cflags glib-2.0) -o build-fuzz/$name tests/fuzz_$name.c $sources \
-	$(pkg-config --libs glib-2.0 yajl libxxhash) -lmsgpackc -lurcu-bp -lurcu-common
+	$(pkg-config --libs glib-2.0 yajl libxxhash) -lmsgpackc -lurcu-bp -lurcu-common -lm
 build-fuzz/$name -runs="${RUNS:-60000}" -seed=1 -max_len=4096 -verbosity=0 "$corpus"
 echo "fuzz $name: ${RUNS:-60000} inputs"
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -375,6 +375,15 @@
 	log_flush();
 }
 
+/* How long calls in progress may go on after the signal to stop, in microseconds. */
+static uint64_t serving_time(const gateway_settings_t *settings)
+{
+	uint64_t grace = (uint64_t)(settings->stop_grace_s * USEC_PER_SEC);
+	uint64_t margin = STOP_MARGIN_MS * USEC_PER_MSEC;
+
+	return grace > margin ? grace - margin : 0;
+}
+
 static void on_signal(uv_signal_t *signal, int number)
 {
 	gateway_t *this = signal->data;
@@ -386,8 +395,7 @@
 	if (this->stopping)
 		return;
 	this->stopping = true;
-	this->stop_at = clock_now() + this->settings->stop_grace_s * USEC_PER_SEC -
-			STOP_MARGIN_MS * USEC_PER_MSEC;
+	this->stop_at = clock_now() + serving_time(this->settings);
 	log_notice("stop-begins", "calls=%u callers=%u", this->call_count,
 		listener_caller_count(this->callers));
 	this->stop_began = clock_now();
@@ -415,7 +423,7 @@
 
 static unsigned int max_callers(const gateway_settings_t *settings)
 {
-	unsigned int by_memory = settings->memory_mb * 1024 / 2 / CALLER_MEMORY_KB;
+	unsigned int by_memory = (unsigned int)(settings->memory_mb * 1024 / 2 / CALLER_MEMORY_KB);
 	unsigned int by_descriptors = settings->descriptors > 2 * RESERVED_DESCRIPTORS
 					      ? settings->descriptors - RESERVED_DESCRIPTORS
 					      : settings->descriptors / 2;
@@ -571,7 +579,7 @@
 		.ratio = settings->retry_ratio,
 		.allowance = settings->retry_allowance,
 		.routers = settings->expected_routers,
-		.window = settings->retry_window_s * USEC_PER_SEC,
+		.window = (uint64_t)(settings->retry_window_s * USEC_PER_SEC),
 	};
 	this->connection_options = (endpoint_connection_options_t){
 		.loop = &this->loop,
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -10,7 +10,7 @@
 	SETTING_TEXT,
 	SETTING_ADDRESS,
 	SETTING_COUNT,
-	SETTING_RATIO,
+	SETTING_NUMBER, /* may have a fraction */
 } setting_kind_t;
 
 typedef struct setting {
@@ -18,7 +18,7 @@
 	setting_kind_t kind;
 	size_t offset;
 	const char *default_text; /* of texts and addresses; NULL: required */
-	double default_number;	  /* of counts and ratios */
+	double default_number;	  /* of counts and other numbers */
 	double min;
 	double max;
 } setting_t;
@@ -36,9 +36,10 @@
 #name, SETTING_COUNT, offsetof(gateway_settings_t, name), NULL, fallback, min, max \
 	}
 
-#define RATIO(name, fallback, min, max)                                                            \
+#define NUMBER(name, fallback, min, max)                                                           \
 	{                                                                                          \
-#name, SETTING_RATIO, offsetof(gateway_settings_t, name), NULL, fallback, min, max \
+#name, SETTING_NUMBER, offsetof(gateway_settings_t, name), NULL, fallback, min,    \
+			max                                                                        \
 	}
 
 static const setting_t settings_table[] = {
@@ -50,15 +51,15 @@
 	ADDRESS(metrics_address, ""),
 	ADDRESS(peer_address, NULL),
 	ADDRESS(store_address, NULL),
-	COUNT(memory_mb, 256, 16, 1 << 20),
+	NUMBER(memory_mb, 256, 16, 1 << 20),
 	COUNT(descriptors, 4096, 128, 1 << 20),
 	COUNT(max_response_bytes, 16 << 20, 1024, 1 << 30),
-	COUNT(stop_grace_s, 8, 2, 600),
+	NUMBER(stop_grace_s, 8, 0.1, 600),
 	COUNT(lapse_grace_ms, 2200, 0, 60000),
-	RATIO(retry_ratio, 0.1, 0, 10),
+	NUMBER(retry_ratio, 0.1, 0, 10),
 	COUNT(returned_hold_ms, 4000, 0, 60000),
-	COUNT(retry_allowance, 10, 0, 100000),
-	COUNT(retry_window_s, 10, 1, 600),
+	NUMBER(retry_allowance, 10, 0, 1000000),
+	NUMBER(retry_window_s, 10, 0.1, 600),
 	COUNT(expected_routers, 8, 1, 10000),
 	COUNT(late_wait_ms, 80, 0, 60000),
 	COUNT(engine_backlog_ms, 15, 1, 10000),
@@ -88,7 +89,7 @@
 {
 	void *field = (char *)this + setting->offset;
 
-	if (setting->kind == SETTING_RATIO)
+	if (setting->kind == SETTING_NUMBER)
 		*(double *)field = json_read_number(errors, root, setting->key,
 			setting->default_number, setting->min, setting->max);
 	else
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -18,16 +18,16 @@
 	char *metrics_address; /* empty: metrics are not served */
 	char *peer_address;
 	char *store_address;
-	unsigned int memory_mb;
+	double memory_mb;
 	unsigned int descriptors;
 	unsigned int max_response_bytes; /* body of one response; a longer one is cut off */
-	unsigned int stop_grace_s;	 /* from a planned stop until the process is killed */
+	double stop_grace_s;		 /* from a planned stop until the process is killed */
 	unsigned int lapse_grace_ms; /* for lapsed registrations to return after a store outage */
 	/* for registrations of endpoints that had left to lapse after a restore of the store */
 	unsigned int returned_hold_ms;
-	double retry_ratio;	      /* retries allowed per request */
-	unsigned int retry_allowance; /* further retries per window, for the whole fleet */
-	unsigned int retry_window_s;
+	double retry_ratio;	/* retries allowed per request */
+	double retry_allowance; /* further retries per window, for the whole fleet */
+	double retry_window_s;
 	unsigned int expected_routers; /* smallest fleet size to divide the allowance by */
 	/* Longest wait for a slot by a request that can't meet its first-byte target any more. */
 	unsigned int late_wait_ms;
--- a/src/settings/address.c
+++ b/src/settings/address.c
@@ -15,8 +15,10 @@
 		return false;
 	memcpy(ip, address, (size_t)(colon - address));
 	ip[colon - address] = '\0';
+	if (colon[1] < '0' || colon[1] > '9')
+		return false;
 	number = strtol(colon + 1, &end, 10);
-	if (end == colon + 1 || *end || number < 0 || number > UINT16_MAX)
+	if (*end || number > UINT16_MAX)
 		return false;
 	*port = (uint16_t)number;
 	return inet_pton(AF_INET, ip, &parsed) == 1;
--- a/src/settings/jsondoc.c
+++ b/src/settings/jsondoc.c
@@ -1,8 +1,12 @@
 #include "settings/jsondoc.h"
 
+#include <errno.h>
+#include <math.h>
 #include <string.h>
 #include <yajl/yajl_parse.h>
 
+#define MAX_EXACT_INTEGER 9007199254740992.0 /* 2^53; doubles above it skip whole numbers */
+
 typedef struct builder {
 	jsondoc_t *doc;
 	yajl_handle parser;
@@ -75,18 +79,32 @@
 	return 1;
 }
 
-static int on_integer(void *ctx, long long number)
+/* Reads a whole number that int64_t holds exactly, however it is written: 8, 8.0 and 80e-1. */
+static bool parse_integer(const char *text, double number, int64_t *integer)
 {
-	json_value_t *value = builder_add(ctx, JSON_INTEGER);
-
-	value->integer = number;
-	value->number = (double)number;
-	return 1;
+	if (!strpbrk(text, ".eE")) {
+		errno = 0;
+		*integer = g_ascii_strtoll(text, NULL, 10);
+		return !errno;
+	}
+	if (fabs(number) > MAX_EXACT_INTEGER || number != trunc(number))
+		return false;
+	*integer = (int64_t)number;
+	return true;
 }
 
-static int on_double(void *ctx, double number)
+/* A number that is too large for a double becomes infinite, so that every range excludes it. */
+static int on_number(void *ctx, const char *text, size_t len)
 {
-	builder_add(ctx, JSON_NUMBER)->number = number;
+	char *copy = g_strndup(text, len);
+	double number = g_ascii_strtod(copy, NULL);
+	int64_t integer = 0;
+	json_type_t type = parse_integer(copy, number, &integer) ? JSON_INTEGER : JSON_NUMBER;
+	json_value_t *value = builder_add(ctx, type);
+
+	value->integer = integer;
+	value->number = number;
+	g_free(copy);
 	return 1;
 }
 
@@ -141,8 +159,7 @@
 static const yajl_callbacks callbacks = {
 	.yajl_null = on_null,
 	.yajl_boolean = on_boolean,
-	.yajl_integer = on_integer,
-	.yajl_double = on_double,
+	.yajl_number = on_number,
 	.yajl_string = on_string,
 	.yajl_start_map = on_start_map,
 	.yajl_map_key = on_map_key,
--- a/src/settings/jsondoc.h
+++ b/src/settings/jsondoc.h
@@ -17,8 +17,8 @@
 typedef enum json_type {
 	JSON_NULL,
 	JSON_BOOL,
-	JSON_INTEGER,
-	JSON_NUMBER,
+	JSON_INTEGER, /* a whole number in the range of int64_t, also when written 8.0 or 1e3 */
+	JSON_NUMBER,  /* any other number */
 	JSON_STRING,
 	JSON_ARRAY,
 	JSON_OBJECT,
