--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -18,6 +18,9 @@
 #define LAST_EVENT 4
 #define BREAK_AFTER 1 /* last event that a breaking endpoint sends */
 #define STREAMS 12
+#define ROWS_PER_ROUTER 10
+#define RECORDS_PER_ROW 60
+#define RECORD_BYTES 16
 
 /* What an endpoint does after BREAK_AFTER. */
 typedef enum stream_mode {
@@ -260,6 +263,39 @@
 	version_fixture_delete(f);
 }
 
+/*
+ * Adds what 60 other routers have saved in busy seconds: more streams than one router serves in the
+ * time for which it remembers them.  Their rows come after those of the router "r".
+ */
+static void put_rows_of_sixty_routers(row_store_standin_t *store)
+{
+	for (unsigned int row = 0; row < 60 * ROWS_PER_ROUTER; row++) {
+		char *key =
+			g_strdup_printf("s%u/1/%u", row / ROWS_PER_ROUTER, row % ROWS_PER_ROUTER);
+		char value[RECORDS_PER_ROW * RECORD_BYTES + 1];
+
+		for (unsigned int i = 0; i < sizeof(value) - 1; i++)
+			value[i] = (char)g_random_int_range(1, 256);
+		value[sizeof(value) - 1] = '\0';
+		row_store_standin_put(store, "streams", key, value);
+		g_free(key);
+	}
+}
+
+static void test_stream_is_found_among_those_of_sixty_routers_after_all_were_killed(void **state)
+{
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	bool is_v1[STREAMS];
+
+	begin_broken_streams(f, STREAMS, is_v1);
+	put_rows_of_sixty_routers(f->router->store);
+	fixture_kill_router(f->router);
+	fixture_restart_router(f->router);
+	fixture_wait_ready(f->router, FIXTURE_ENDPOINTS);
+	take_up_all(f->router, STREAMS, is_v1);
+	version_fixture_delete(f);
+}
+
 static bool is_refused(const char *response)
 {
 	return strstr(response, "HTTP/1.1 503 ") != NULL;
@@ -420,6 +456,8 @@
 		cmocka_unit_test(test_stream_taken_up_at_another_router_goes_on_at_its_version),
 		cmocka_unit_test(
 			test_stream_taken_up_after_all_routers_were_killed_goes_on_at_its_version),
+		cmocka_unit_test(
+			test_stream_is_found_among_those_of_sixty_routers_after_all_were_killed),
 		cmocka_unit_test(test_stream_of_unknown_version_is_refused),
 		cmocka_unit_test(test_any_stream_goes_on_while_there_is_one_version),
 		cmocka_unit_test(test_stream_that_began_before_the_second_version_goes_on),
