One router of each failure domain saves the streams of all, those in progress only

Cause (hypothesis 1): the rows held all streams of the last minute, also those received to their end, and a restarted router put the rows, listed by key, into a table of 16,384: those of the last keys pushed out the others.

Now a router lists the streams that may be taken up, and reports them to one router of its failure domain, which saves the lists of all and confirms them. Rows are searched as they are, without a table. Without a confirmation a router saves its own list (keeper cut off from the store, or of an earlier build, which ignores the new entries; rows keep their format).

Three routers killed at once: all their streams go on.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -128,7 +128,18 @@
 	return XXH64(pair, sizeof(pair), 0);
 }
 
-unsigned int members_owner(const members_t *this, id_t32 replica)
+static bool is_eligible(const member_t *member)
+{
+	return member_is_alive(member) && !member->stopping;
+}
+
+static bool is_in_own_domain(const members_t *this, const member_t *member)
+{
+	return is_eligible(member) && member->domain == this->list[0].domain;
+}
+
+/* Rendezvous hashing over the routers that are eligible; slot 0 if none is. */
+static unsigned int responsible_for(const members_t *this, id_t32 key, bool in_own_domain)
 {
 	unsigned int best = 0;
 	uint64_t best_weight = 0;
@@ -137,9 +148,9 @@
 		const member_t *member = &this->list[i];
 		uint64_t weight;
 
-		if (!member_is_alive(member) || member->stopping)
+		if (in_own_domain ? !is_in_own_domain(this, member) : !is_eligible(member))
 			continue;
-		weight = weight_for(member, replica);
+		weight = weight_for(member, key);
 		if (weight >= best_weight) {
 			best_weight = weight;
 			best = i;
@@ -148,6 +159,30 @@
 	return best;
 }
 
+unsigned int members_owner(const members_t *this, id_t32 replica)
+{
+	return responsible_for(this, replica, false);
+}
+
+unsigned int members_keeper(const members_t *this, id_t32 key)
+{
+	return responsible_for(this, key, true);
+}
+
+void members_set_domain(members_t *this, unsigned int slot, id_t32 domain)
+{
+	this->list[slot].domain = domain;
+}
+
+unsigned int members_in_own_domain(const members_t *this)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < this->count; i++)
+		count += i == 0 || is_in_own_domain(this, &this->list[i]);
+	return count;
+}
+
 unsigned int members_place(const members_t *this, id_t32 key, unsigned int *routers)
 {
 	uint64_t own = weight_for(&this->list[0], key);
@@ -157,7 +192,7 @@
 	for (unsigned int i = 1; i < this->count; i++) {
 		const member_t *member = &this->list[i];
 
-		if (!member_is_alive(member) || member->stopping)
+		if (!is_eligible(member))
 			continue;
 		(*routers)++;
 		place += weight_for(member, key) > own;
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -38,6 +38,7 @@
 	instant_t dead_at;
 	bool stopping;	  /* finishes its running work and owns nothing */
 	bool listed_gone; /* by the platform */
+	id_t32 domain;	  /* its failure domain, 0: unknown */
 } member_t;
 
 typedef enum message_status {
@@ -76,6 +77,14 @@
 unsigned int members_alive(const members_t *this);
 /* Returns the number of members that the platform does not list as gone, including this router. */
 unsigned int members_expected(const members_t *this);
+void members_set_domain(members_t *this, unsigned int slot, id_t32 domain);
+/* Number of living routers of this router's failure domain, this one included. */
+unsigned int members_in_own_domain(const members_t *this);
+/*
+ * Returns the member slot of the router that is responsible for `key` among the living ones of
+ * this router's failure domain, by rendezvous hashing; 0, this router, when there is no other.
+ */
+unsigned int members_keeper(const members_t *this, id_t32 key);
 /* Returns the member slot of the router that owns `replica`, by rendezvous hashing over the view.
  */
 unsigned int members_owner(const members_t *this, id_t32 replica);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -423,6 +423,7 @@
 	for (unsigned int i = 0; i < BACKLOG_BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&this->backlogs[i]);
 	members_init(&this->members, allocator, options->self);
+	members_set_domain(&this->members, 0, options->domain);
 	this->peers = allocator_new(allocator, MEMBER_MAX, sizeof(*this->peers));
 	this->scheduler = scheduler_new(&options->scheduler);
 	return this;
@@ -467,6 +468,12 @@
 		members_set_listed_gone(&this->members, slot, !listed);
 }
 
+void placement_set_domain(placement_t *this, unsigned int slot, id_t32 domain)
+{
+	if (slot)
+		members_set_domain(&this->members, slot, domain);
+}
+
 void placement_connection_lost(placement_t *this, unsigned int slot, instant_t now)
 {
 	members_connection_lost(&this->members, slot, now);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -47,6 +47,9 @@
 	ENTRY_PART_SOUND, /* an answer to a prompt with the part was sound */
 	ENTRY_RECEIPT,	  /* the newest message that the sender has received from the receiver */
 	ENTRY_RATE_LIMIT, /* the rate limit of an engine, from its owner or for it */
+	/* The placement ignores these as well; routers of earlier builds read no further. */
+	ENTRY_STREAMS,	     /* the streams of the sender that may be taken up */
+	ENTRY_STREAMS_SAVED, /* the report of streams that the sender has saved */
 	ENTRY_KINDS,
 } entry_kind_t;
 
@@ -55,7 +58,7 @@
 	entry_kind_t kind;
 	/*
 	 * Of the slot request; ENTRY_PART_END, ENTRY_PART_SOUND: the part; ENTRY_RECEIPT: the
-	 * message's sequence number.
+	 * message's sequence number; ENTRY_STREAMS, ENTRY_STREAMS_SAVED: the report's.
 	 */
 	uint64_t ticket;
 	id_t32 engine; /* ENTRY_GRANT, ENTRY_PART_END, ENTRY_RATE_LIMIT */
@@ -86,10 +89,13 @@
 	/* The same kinds: the number of a store_version_t; ENTRY_RECEIPT: the incarnation. */
 	uint64_t version;
 	uint64_t era; /* the same kinds: its era */
-	/* ENTRY_ROW_CHUNK only; the pointers are valid until the next entry is read. */
+	/*
+	 * ENTRY_ROW_CHUNK, `bytes` and `size` ENTRY_STREAMS too; the pointers are valid until the
+	 * next entry is read.
+	 */
 	const char *key;
 	const char *bytes;
-	uint32_t size;	     /* of the chunk */
+	uint32_t size;	     /* of `bytes` */
 	uint32_t offset;     /* of the chunk in the value of the row */
 	uint32_t total_size; /* of the value of the row */
 	uint32_t row_count;  /* rows that the sender sends for the request */
@@ -167,6 +173,7 @@
 
 typedef struct placement_options {
 	id_t32 self;
+	id_t32 domain; /* failure domain of this router, 0: unknown */
 	uint64_t incarnation;
 	uint64_t seed; /* of the random choice between owners */
 	scheduler_options_t scheduler;
@@ -194,6 +201,7 @@
 unsigned int placement_add_member(placement_t *this, id_t32 id);
 /* Records whether the roster lists the router. */
 void placement_set_listed(placement_t *this, unsigned int slot, bool listed);
+void placement_set_domain(placement_t *this, unsigned int slot, id_t32 domain);
 /* Records a lost connection: the router is soon dead unless it sends a message. */
 void placement_connection_lost(placement_t *this, unsigned int slot, instant_t now);
 /*
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -1,5 +1,7 @@
 #include "core/stream_origins.h"
 
+#include <endian.h>
+#include <string.h>
 #include <urcu/list.h>
 
 #include "core/allocator.h"
@@ -9,11 +11,12 @@
 #define MAX_NOTES 16	/* services; beyond that the oldest note is replaced */
 
 typedef struct entry {
-	struct cds_list_head link;    /* in its bucket */
-	struct cds_list_head by_age;  /* the oldest first */
-	struct cds_list_head unsaved; /* empty: saved, or not to be saved */
+	struct cds_list_head link;   /* in its bucket */
+	struct cds_list_head by_age; /* the oldest first */
+	struct cds_list_head open;   /* that may be taken up, the oldest first */
 	stream_origin_t origin;
 	instant_t recorded_at;
+	instant_t completed_at; /* INSTANT_NEVER: it goes on, or broke off */
 } entry_t;
 
 typedef struct known_version {
@@ -31,7 +34,7 @@
 struct stream_origins {
 	struct cds_list_head buckets[BUCKETS];
 	struct cds_list_head by_age;
-	struct cds_list_head unsaved;
+	struct cds_list_head open;
 	unsigned int count;
 	known_version_t versions[MAX_VERSIONS];
 	unsigned int version_count;
@@ -46,7 +49,7 @@
 	for (unsigned int i = 0; i < BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&this->buckets[i]);
 	CDS_INIT_LIST_HEAD(&this->by_age);
-	CDS_INIT_LIST_HEAD(&this->unsaved);
+	CDS_INIT_LIST_HEAD(&this->open);
 	return this;
 }
 
@@ -54,7 +57,7 @@
 {
 	cds_list_del(&entry->link);
 	cds_list_del(&entry->by_age);
-	cds_list_del(&entry->unsaved);
+	cds_list_del(&entry->open);
 	allocator_delete(&allocator_default, entry);
 	this->count--;
 }
@@ -68,6 +71,37 @@
 	allocator_delete(&allocator_default, this);
 }
 
+/* --- records ------------------------------------------------------------ */
+
+typedef struct record {
+	uint64_t stream;
+	uint32_t service;
+	uint32_t version;
+} record_t;
+
+void stream_origin_encode(const stream_origin_t *this, char *record)
+{
+	record_t value = {
+		.stream = htole64(this->stream),
+		.service = htole32(this->service),
+		.version = htole32(this->version),
+	};
+
+	memcpy(record, &value, sizeof(value));
+}
+
+stream_origin_t stream_origin_decode(const char *record)
+{
+	record_t value;
+
+	memcpy(&value, record, sizeof(value));
+	return (stream_origin_t){
+		.stream = le64toh(value.stream),
+		.service = le32toh(value.service),
+		.version = le32toh(value.version),
+	};
+}
+
 /* --- versions ----------------------------------------------------------- */
 
 static bool is_same(const service_version_t *a, const service_version_t *b)
@@ -97,33 +131,12 @@
 	return count;
 }
 
-static void mark_unsaved(stream_origins_t *this, entry_t *entry)
-{
-	cds_list_del(&entry->unsaved);
-	cds_list_add_tail(&entry->unsaved, &this->unsaved);
-}
-
-/* The streams so far began while the service had one version. */
-static void save_all_of(stream_origins_t *this, id_t32 service)
-{
-	entry_t *entry;
-
-	cds_list_for_each_entry (entry, &this->by_age, by_age) {
-		if (entry->origin.service == service)
-			mark_unsaved(this, entry);
-	}
-}
-
 static void add_version(stream_origins_t *this, const service_version_t *at)
 {
-	id_t32 other;
-
 	if (this->version_count == MAX_VERSIONS) {
 		this->has_too_many_versions = true;
 		return;
 	}
-	if (count_versions(this, at->service, &other) == 1)
-		save_all_of(this, at->service);
 	this->versions[this->version_count++] = (known_version_t){.at = *at, .is_present = true};
 }
 
@@ -243,12 +256,18 @@
 	entry = allocator_new(&allocator_default, 1, sizeof(*entry));
 	cds_list_add(&entry->link, bucket_of(this, origin->stream));
 	CDS_INIT_LIST_HEAD(&entry->by_age);
-	CDS_INIT_LIST_HEAD(&entry->unsaved);
+	CDS_INIT_LIST_HEAD(&entry->open);
 	this->count++;
 	return entry;
 }
 
-static entry_t *put_entry(stream_origins_t *this, const stream_origin_t *origin, instant_t now)
+static void move_to_end(struct cds_list_head *link, struct cds_list_head *list)
+{
+	cds_list_del(link);
+	cds_list_add_tail(link, list);
+}
+
+void stream_origins_record(stream_origins_t *this, const stream_origin_t *origin, instant_t now)
 {
 	entry_t *entry = find_entry(this, origin->service, origin->stream);
 
@@ -256,24 +275,39 @@
 		entry = add_entry(this, origin);
 	entry->origin = *origin;
 	entry->recorded_at = now;
-	cds_list_del(&entry->by_age);
-	cds_list_add_tail(&entry->by_age, &this->by_age);
-	return entry;
+	entry->completed_at = INSTANT_NEVER;
+	move_to_end(&entry->by_age, &this->by_age);
+	move_to_end(&entry->open, &this->open);
 }
 
-void stream_origins_record(stream_origins_t *this, const stream_origin_t *origin, instant_t now)
+void stream_origins_complete(stream_origins_t *this, id_t32 service, uint64_t stream, instant_t now)
 {
-	entry_t *entry = put_entry(this, origin, now);
+	entry_t *entry = find_entry(this, service, stream);
+
+	if (entry)
+		entry->completed_at = now;
+}
 
-	if (stream_origins_service_is_mixed(this, origin->service))
-		mark_unsaved(this, entry);
+static bool is_open(const entry_t *entry, instant_t now)
+{
+	return entry->completed_at == INSTANT_NEVER ||
+	       now < entry->completed_at + STREAM_ORIGINS_COMPLETE_MEMORY;
 }
 
-void stream_origins_add_saved(stream_origins_t *this, const stream_origin_t *origin, instant_t now)
+unsigned int stream_origins_list(
+	const stream_origins_t *this, stream_origin_t *list, unsigned int max, instant_t now)
 {
-	/* What this router has forwarded itself is at least as new. */
-	if (!find_entry(this, origin->service, origin->stream))
-		put_entry(this, origin, now);
+	unsigned int count = 0;
+	const entry_t *entry;
+
+	cds_list_for_each_entry_reverse (entry, &this->open, open) {
+		if (count == max)
+			break;
+		if (is_open(entry, now) &&
+			stream_origins_service_is_mixed(this, entry->origin.service))
+			list[count++] = entry->origin;
+	}
+	return count;
 }
 
 bool stream_origins_find(
@@ -286,17 +320,18 @@
 	return entry != NULL;
 }
 
-bool stream_origins_next_unsaved(stream_origins_t *this, stream_origin_t *origin)
+/* Streams that were forwarded to their end stay remembered, but are not listed any more. */
+static void close_complete(stream_origins_t *this, instant_t now)
 {
 	entry_t *entry;
+	entry_t *next;
 
-	if (cds_list_empty(&this->unsaved))
-		return false;
-	entry = cds_list_first_entry(&this->unsaved, entry_t, unsaved);
-	*origin = entry->origin;
-	cds_list_del(&entry->unsaved);
-	CDS_INIT_LIST_HEAD(&entry->unsaved);
-	return true;
+	cds_list_for_each_entry_safe (entry, next, &this->open, open) {
+		if (is_open(entry, now))
+			continue;
+		cds_list_del(&entry->open);
+		CDS_INIT_LIST_HEAD(&entry->open);
+	}
 }
 
 static void forget_notes(stream_origins_t *this, instant_t now)
@@ -310,6 +345,7 @@
 void stream_origins_tick(stream_origins_t *this, instant_t now)
 {
 	forget_notes(this, now);
+	close_complete(this, now);
 	while (!cds_list_empty(&this->by_age)) {
 		entry_t *oldest = cds_list_first_entry(&this->by_age, entry_t, by_age);
 
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -7,8 +7,7 @@
 #define WIRE_VERSION 2
 #define HEADER_FIELDS 5
 #define MAX_FIELDS 24
-#define ENTRY_MAX_BYTES 400 /* upper bound of an encoded entry, except for row chunks */
-#define NEVER_US INT64_MAX  /* encodes INSTANT_NEVER */
+#define NEVER_US INT64_MAX /* encodes INSTANT_NEVER */
 /* First bytes of msgpack values. */
 #define TAG_FIXINT_END 0x80 /* smaller bytes are integers from 0 to 127 */
 #define TAG_FIXARRAY 0x90   /* to 0x9f: arrays of 0 to 15 elements */
@@ -169,9 +168,15 @@
 		put_field(&fields, entry->usage.taken);
 		break;
 	case ENTRY_RECEIPT:
+	case ENTRY_STREAMS_SAVED:
 		put_field(&fields, (int64_t)entry->ticket);
 		put_field(&fields, (int64_t)entry->version);
 		break;
+	case ENTRY_STREAMS:
+		put_field(&fields, (int64_t)entry->ticket);
+		write_fields(this, &fields);
+		write_bytes(this, entry->bytes, entry->size);
+		return;
 	case ENTRY_ROW_VERSION:
 	case ENTRY_ROW_REQUEST:
 		put_field(&fields, entry->table);
@@ -405,9 +410,13 @@
 		entry->usage.taken = (unsigned int)get_field(&fields);
 		return true;
 	case ENTRY_RECEIPT:
+	case ENTRY_STREAMS_SAVED:
 		entry->ticket = (uint64_t)get_field(&fields);
 		entry->version = (uint64_t)get_field(&fields);
 		return true;
+	case ENTRY_STREAMS:
+		entry->ticket = (uint64_t)get_field(&fields);
+		return read_bytes(this, &this->chunk, &entry->bytes, &entry->size);
 	case ENTRY_ROW_VERSION:
 	case ENTRY_ROW_REQUEST:
 		entry->table = (unsigned int)get_field(&fields);
--- a/src/edge/entry_codec.h
+++ b/src/edge/entry_codec.h
@@ -10,6 +10,7 @@
 #include "core/placement.h"
 
 #define ENTRY_CODEC_MAX_BYTES 60000 /* of an encoded message */
+#define ENTRY_MAX_BYTES 400	    /* of an encoded entry without its `key` and `bytes` */
 
 typedef struct entry_writer entry_writer_t;
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -145,6 +145,8 @@
  * each event that is forwarded.
  */
 void call_record_origin(call_t *this);
+/* Notes that the stream was forwarded to its end. */
+void call_complete_origin(call_t *this);
 
 /* call_queue.c */
 /* Handles the placement's decision: a slot at `endpoint`, or a refusal with a retry delay. */
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -334,6 +334,7 @@
 	call_leave_placement(call, call->status < 500 ? SLOT_DONE : SLOT_INCOMPLETE);
 	if (call->request->is_head)
 		start_response(call);
+	call_complete_origin(call);
 	if (call->response_started) {
 		caller_finish_response(call->caller);
 	} else {
--- a/src/gateway/call_resume.c
+++ b/src/gateway/call_resume.c
@@ -59,10 +59,16 @@
 	return this->route->is_stream && this->resume_after >= 0;
 }
 
+/* Id of the attempt that began the call's stream; NULL if the caller does not name it. */
+static const char *stream_id(const call_t *call)
+{
+	return call_takes_up_stream(call) ? call->resumes : call->id;
+}
+
 void call_record_origin(call_t *this)
 {
 	instant_t now = clock_now();
-	const char *id = call_takes_up_stream(this) ? this->resumes : this->id;
+	const char *id = stream_id(this);
 	stream_origin_t origin;
 
 	if (!this->placement_request.version)
@@ -78,4 +84,13 @@
 	stream_origins_record(origin_lookup_origins(this->gateway->origin_lookup), &origin, now);
 }
 
+void call_complete_origin(call_t *this)
+{
+	const char *id = stream_id(this);
+
+	if (this->streaming && id)
+		stream_origins_complete(origin_lookup_origins(this->gateway->origin_lookup),
+			this->service->id, stream_hash(this, id), clock_now());
+}
+
 const call_filter_t call_resume = {"resume", run};
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,7 +7,9 @@
 #include "edge/log.h"
 #include "settings/fleet_config.h"
 
-#define TICK_MS 20 /* sweep interval: the precision of timeouts */
+#define ROUTERS_PER_KEEPER 64 /* routers of a failure domain whose streams one router saves */
+#define KEEPER_KEY 1U	      /* chooses the keepers; further ones have the keys after it */
+#define TICK_MS 20	      /* sweep interval: the precision of timeouts */
 /* The load balancer sees within this time that the router is not ready. */
 #define STOP_MIN_DURATION (3 * USEC_PER_SEC)
 /* Idle callers are closed after this delay; by then the load balancer sends no new ones. */
@@ -354,13 +356,28 @@
 		finish_stop(this);
 }
 
+static void tick_origins(gateway_t *this, instant_t now)
+{
+	const members_t *members = placement_members(peers_placement(this->peers));
+	unsigned int keepers =
+		(members_in_own_domain(members) + ROUTERS_PER_KEEPER - 1) / ROUTERS_PER_KEEPER;
+	unsigned int routers;
+	origin_fleet_t fleet = {
+		.routers = gateway_router_count(this),
+		.keeper = members_keeper(members, KEEPER_KEY + members->list[0].id % keepers),
+		.is_cleaner = members_place(members, KEEPER_KEY, &routers) == 0,
+	};
+
+	origin_lookup_tick(this->origin_lookup, &fleet, now);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	gateway_t *this = timer->data;
 	instant_t now = clock_now();
 
 	part_watch_tick(this->part_watch, now);
-	origin_lookup_tick(this->origin_lookup, gateway_router_count(this), now);
+	tick_origins(this, now);
 	expire_calls(this, now);
 	listener_check_timeouts(this->callers, now);
 	listener_check_timeouts(this->ready, now);
@@ -491,6 +508,7 @@
 	peers_options_t options = {
 		.loop = &this->loop,
 		.name = settings->name,
+		.failure_domain = settings->failure_domain,
 		.address = settings->peer_address,
 		.public_key = this->public_key,
 		.secret_key = this->secret_key,
@@ -499,6 +517,7 @@
 		.scheduler = {.pool = {.late_wait = settings->late_wait_ms * USEC_PER_MSEC,
 				      .max_backlog = settings->engine_backlog_ms * USEC_PER_MSEC}},
 		.part_watch = this->part_watch,
+		.origin_keeper = origin_lookup_keeper(this->origin_lookup),
 		.on_rate_limit = on_rate_limit,
 		.ctx = this,
 		.gossip = {.row_cache = this->row_cache,
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -314,8 +314,8 @@
 	roster_options_t options = {
 		.adapter = adapter,
 		.store = {settings->store_address, settings->store_timeout_ms},
-		.self = {settings->name, settings->peer_address, this->public_key,
-			this->incarnation},
+		.self = {settings->name, settings->failure_domain, settings->peer_address,
+			this->public_key, this->incarnation},
 	};
 
 	this->roster = roster_new(&options);
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -5,103 +5,46 @@
 
 #include "edge/clock.h"
 #include "edge/log.h"
+#include "gateway/origin_rows.h"
 
-/* Between two saves; streams that began since the last one are lost with the router. */
-#define SAVE_INTERVAL (500 * USEC_PER_MSEC)
-#define SAVE_INTERVAL_PER_ROUTER (16 * USEC_PER_MSEC) /* 60 saves a second from all routers */
 #define MAX_MIXED_SERVICES 16
-#define SAVES_PER_ROW 8	    /* then the next row of the ring is begun, ... */
-#define ROW_MAX_BYTES 32768 /* ... or when the row is as large */
+/* Between the beginnings of two reads. */
+#define READ_INTERVAL (200 * USEC_PER_MSEC)
+/*
+ * A stream that is not found is looked for once more: the keeper of the router that forwarded it
+ * may not have saved it yet.
+ */
+#define ASK_AGAIN_DELAY (ORIGIN_SAVE_INTERVAL + 200 * USEC_PER_MSEC)
+/* After a start at which all other routers may have started as well, nobody saves anything. */
+#define SETTLE_TIME (5 * USEC_PER_SEC)
+#define CLEAN_INTERVAL (60 * USEC_PER_SEC)
 
 struct origin_lookup {
 	stream_origins_t *origins;
+	origin_keeper_t *keeper;
+	origin_rows_t *rows;
 	origin_store_t *store;
 	struct cds_list_head asked;   /* origin_query_t that wait for the next read */
 	struct cds_list_head reading; /* and for the one that is in progress */
 	bool is_reading;
-	GString *row; /* of the ring: its bytes */
-	unsigned int row_index;
-	unsigned int row_saves; /* so often saved so far */
-	bool mark_due;		/* the mixed services are not saved yet */
-	bool was_mixed;
-	instant_t save_at;
-	instant_t clean_at; /* when rows of earlier runs, or all, are removed; 0: done */
+	instant_t read_at; /* the earliest time of the next read */
+	instant_t started_at;
+	instant_t listed_at; /* when the streams were last listed for the keeper */
+	bool kept_own;
+	unsigned int keeper_slot; /* as last logged */
+	instant_t clean_at;
+	bool needs_cleaning; /* there may be rows in the store */
 };
 
-/* --- rows --------------------------------------------------------------- */
-
-/*
- * A row is a list of records in little-endian order.  One without a stream says that its service
- * has several versions.
- */
-typedef struct saved_record {
-	guint64 stream;
-	guint32 service;
-	guint32 version;
-} saved_record_t;
-
-static void append_record(GString *row, const stream_origin_t *origin)
-{
-	saved_record_t record = {
-		.stream = GUINT64_TO_LE(origin->stream),
-		.service = GUINT32_TO_LE(origin->service),
-		.version = GUINT32_TO_LE(origin->version),
-	};
-
-	g_string_append_len(row, (const char *)&record, sizeof(record));
-}
-
-static void apply_record(origin_lookup_t *this, const saved_record_t *record, instant_t now)
-{
-	stream_origin_t origin = {
-		.stream = GUINT64_FROM_LE(record->stream),
-		.service = GUINT32_FROM_LE(record->service),
-		.version = GUINT32_FROM_LE(record->version),
-	};
-
-	if (origin.stream)
-		stream_origins_add_saved(this->origins, &origin, now);
-	else
-		stream_origins_note_mixed(this->origins, origin.service, now);
-}
-
-static void read_row(origin_lookup_t *this, const store_row_t *row, instant_t now)
-{
-	saved_record_t record;
-
-	for (size_t at = 0; at + sizeof(record) <= row->len; at += sizeof(record)) {
-		memcpy(&record, row->value + at, sizeof(record));
-		apply_record(this, &record, now);
-	}
-}
-
-/* Begins the next row of the ring with the services that have several versions. */
-static void begin_row(origin_lookup_t *this)
-{
-	id_t32 services[MAX_MIXED_SERVICES];
-	unsigned int count =
-		stream_origins_mixed_services(this->origins, services, MAX_MIXED_SERVICES);
-
-	g_string_truncate(this->row, 0);
-	this->row_index = (this->row_index + 1) % ORIGIN_RING_ROWS;
-	this->row_saves = 0;
-	for (unsigned int i = 0; i < count; i++)
-		append_record(this->row, &(stream_origin_t){.service = services[i]});
-}
-
-static void save_row(origin_lookup_t *this)
-{
-	origin_store_save(this->store, this->row_index,
-		g_string_new_len(this->row->str, (gssize)this->row->len));
-	this->row_saves++;
-}
-
 /* --- queries ------------------------------------------------------------ */
 
 static bool find(const origin_lookup_t *this, const origin_query_t *query, id_t32 *version)
 {
-	return query->stream &&
-	       stream_origins_find(this->origins, query->service, query->stream, version);
+	if (!query->stream)
+		return false;
+	/* What this router has forwarded itself is at least as new. */
+	return stream_origins_find(this->origins, query->service, query->stream, version) ||
+	       origin_rows_find(this->rows, query->service, query->stream, version);
 }
 
 /* The answer after a read. */
@@ -116,37 +59,70 @@
 										   : ORIGIN_UNKNOWN;
 }
 
-static void begin_read(origin_lookup_t *this)
+static void begin_read(origin_lookup_t *this, instant_t now)
 {
-	if (this->is_reading || cds_list_empty(&this->asked))
+	origin_query_t *query;
+	origin_query_t *next;
+	bool is_due = false;
+
+	if (this->is_reading || now < this->read_at)
+		return;
+	cds_list_for_each_entry_safe (query, next, &this->asked, link) {
+		if (now < query->ask_again_at)
+			continue;
+		cds_list_del(&query->link);
+		cds_list_add_tail(&query->link, &this->reading);
+		is_due = true;
+	}
+	if (!is_due)
 		return;
-	cds_list_splice(&this->asked, &this->reading);
-	CDS_INIT_LIST_HEAD(&this->asked);
 	this->is_reading = true;
+	this->read_at = now + READ_INTERVAL;
 	origin_store_read(this->store);
 }
 
-static void on_read(void *ctx, const GArray *rows)
+static void on_mixed(void *ctx, id_t32 service)
 {
 	origin_lookup_t *this = ctx;
-	instant_t now = clock_now();
 
-	for (unsigned int i = 0; rows && i < rows->len; i++) {
-		const store_row_t *row = &g_array_index(rows, store_row_t, i);
+	stream_origins_note_mixed(this->origins, service, clock_now());
+}
 
-		if (!row->is_deleted)
-			read_row(this, row, now);
-	}
-	this->is_reading = false;
-	while (!cds_list_empty(&this->reading)) {
-		origin_query_t *query = cds_list_first_entry(&this->reading, origin_query_t, link);
-		id_t32 version = 0;
-		origin_result_t result = answer(this, query, rows != NULL, &version);
+static bool is_worth_asking_again(
+	const origin_lookup_t *this, const origin_query_t *query, instant_t now)
+{
+	return query->stream && !query->ask_again_at && now >= this->started_at + SETTLE_TIME;
+}
 
-		origin_lookup_cancel(query);
-		query->on_origin(query->ctx, result, version);
+static void handle_answer(
+	origin_lookup_t *this, origin_query_t *query, bool was_read, instant_t now)
+{
+	id_t32 version = 0;
+	origin_result_t result = answer(this, query, was_read, &version);
+
+	cds_list_del(&query->link);
+	if (result == ORIGIN_UNKNOWN && is_worth_asking_again(this, query, now)) {
+		query->ask_again_at = now + ASK_AGAIN_DELAY;
+		cds_list_add_tail(&query->link, &this->asked);
+		return;
 	}
-	begin_read(this);
+	query->is_pending = false;
+	query->on_origin(query->ctx, result, version);
+}
+
+static void on_read(void *ctx, const GArray *rows)
+{
+	origin_lookup_t *this = ctx;
+	instant_t now = clock_now();
+
+	for (unsigned int i = 0; rows && i < rows->len; i++)
+		origin_rows_put(
+			this->rows, &g_array_index(rows, store_row_t, i), now, on_mixed, this);
+	this->is_reading = false;
+	while (!cds_list_empty(&this->reading))
+		handle_answer(this, cds_list_first_entry(&this->reading, origin_query_t, link),
+			rows != NULL, now);
+	begin_read(this, now);
 }
 
 origin_result_t origin_lookup_ask(origin_lookup_t *this, origin_query_t *query, id_t32 *version)
@@ -154,8 +130,9 @@
 	if (find(this, query, version))
 		return ORIGIN_FOUND;
 	query->is_pending = true;
+	query->ask_again_at = 0;
 	cds_list_add_tail(&query->link, &this->asked);
-	begin_read(this);
+	begin_read(this, clock_now());
 	return ORIGIN_PENDING;
 }
 
@@ -172,58 +149,87 @@
 	return this->origins;
 }
 
-/* --- time --------------------------------------------------------------- */
+origin_keeper_t *origin_lookup_keeper(origin_lookup_t *this)
+{
+	return this->keeper;
+}
+
+/* --- saving ------------------------------------------------------------- */
 
-static void save(origin_lookup_t *this)
+static void on_saved(void *ctx)
 {
-	stream_origin_t origin;
-	bool has_news = this->mark_due;
-
-	if (this->mark_due || this->row_saves >= SAVES_PER_ROW)
-		begin_row(this);
-	this->mark_due = false;
-	while (stream_origins_next_unsaved(this->origins, &origin)) {
-		append_record(this->row, &origin);
-		has_news = true;
-		if (this->row->len < ROW_MAX_BYTES)
-			continue;
-		save_row(this);
-		begin_row(this);
-		has_news = false;
-	}
-	if (has_news)
-		save_row(this);
+	origin_lookup_t *this = ctx;
+
+	origin_keeper_row_saved(this->keeper);
+}
+
+/* Lists the streams that may be taken up, after the services that have several versions. */
+static void list_streams(origin_lookup_t *this, instant_t now)
+{
+	stream_origin_t list[ORIGIN_REPORT_MAX];
+	id_t32 services[MAX_MIXED_SERVICES];
+	unsigned int count =
+		stream_origins_mixed_services(this->origins, services, MAX_MIXED_SERVICES);
+
+	if (now < this->listed_at + ORIGIN_REPORT_INTERVAL)
+		return;
+	this->listed_at = now;
+	for (unsigned int i = 0; i < count; i++)
+		list[i] = (stream_origin_t){.service = services[i]};
+	if (count)
+		count += stream_origins_list(
+			this->origins, list + count, ORIGIN_REPORT_MAX - count, now);
+	origin_keeper_set_own(this->keeper, list, count, now);
+}
+
+static void log_keeper(origin_lookup_t *this, unsigned int slot, instant_t now)
+{
+	bool keeps_own = origin_keeper_keeps_own(this->keeper, now);
+
+	if (slot == this->keeper_slot && keeps_own == this->kept_own)
+		return;
+	this->keeper_slot = slot;
+	this->kept_own = keeps_own;
+	log_notice("streams-keeper", "member=%u saves_own=%d", slot, keeps_own);
+}
+
+static void save(origin_lookup_t *this, unsigned int routers, instant_t now)
+{
+	origin_row_t row;
+
+	if (!origin_keeper_begin_save(this->keeper, routers, now))
+		return;
+	while (origin_keeper_next_row(this->keeper, &row))
+		origin_store_save(
+			this->store, row.index, g_string_new_len(row.bytes, (gssize)row.size));
 }
 
 /* Removes the rows that nobody needs: all of them once each service has had one version for long.
  */
-static void remove_old_rows(origin_lookup_t *this, bool is_mixed, instant_t now)
+static void remove_old_rows(origin_lookup_t *this, bool is_cleaner, instant_t now)
 {
-	if (!this->clean_at || now < this->clean_at)
+	bool is_mixed = stream_origins_is_mixed(this->origins);
+
+	this->needs_cleaning |= is_mixed;
+	if (!is_cleaner || !this->needs_cleaning || now < this->clean_at)
 		return;
-	this->clean_at = 0;
-	origin_store_remove(this->store, is_mixed ? ORIGIN_ROWS_OF_EARLIER_RUNS : ORIGIN_ROWS_ALL);
+	this->clean_at = now + CLEAN_INTERVAL;
+	this->needs_cleaning = is_mixed;
+	origin_store_remove(this->store, is_mixed ? ORIGIN_ROWS_UNCHANGED : ORIGIN_ROWS_ALL);
 }
 
-void origin_lookup_tick(origin_lookup_t *this, unsigned int routers, instant_t now)
+void origin_lookup_tick(origin_lookup_t *this, const origin_fleet_t *fleet, instant_t now)
 {
-	bool is_mixed;
-
 	stream_origins_tick(this->origins, now);
-	is_mixed = stream_origins_is_mixed(this->origins);
-	if (!this->clean_at && this->was_mixed && !is_mixed)
-		this->clean_at = now;
-	if (is_mixed && !this->was_mixed) {
-		this->mark_due = true;
-		this->save_at = now;
-	}
-	this->was_mixed = is_mixed;
-	remove_old_rows(this, is_mixed, now);
-	if (now < this->save_at)
-		return;
-	this->save_at = now + instant_max(SAVE_INTERVAL, routers * SAVE_INTERVAL_PER_ROUTER);
-	if (is_mixed)
-		save(this);
+	origin_rows_expire(this->rows, now);
+	origin_keeper_set_keeper(this->keeper, fleet->keeper, now);
+	list_streams(this, now);
+	origin_keeper_tick(this->keeper, now);
+	if (stream_origins_is_mixed(this->origins))
+		log_keeper(this, fleet->keeper, now);
+	save(this, fleet->routers, now);
+	begin_read(this, now);
+	remove_old_rows(this, fleet->is_cleaner, now);
 }
 
 /* --- start and end ------------------------------------------------------ */
@@ -238,14 +244,18 @@
 		.name = options->name,
 		.incarnation = options->incarnation,
 		.on_read = on_read,
+		.on_saved = on_saved,
 		.ctx = this,
 	};
 
 	CDS_INIT_LIST_HEAD(&this->asked);
 	CDS_INIT_LIST_HEAD(&this->reading);
-	this->row = g_string_new(NULL);
 	this->origins = stream_origins_new();
-	this->clean_at = clock_now() + STREAM_ORIGINS_MEMORY;
+	this->keeper = origin_keeper_new(options->incarnation);
+	this->rows = origin_rows_new();
+	this->started_at = clock_now();
+	this->clean_at = this->started_at + STREAM_ORIGINS_MEMORY;
+	this->needs_cleaning = true;
 	this->store = origin_store_new(&store_options);
 	return this;
 }
@@ -256,6 +266,7 @@
 		return;
 	origin_store_delete(this->store);
 	stream_origins_delete(this->origins);
-	g_string_free(this->row, TRUE);
+	origin_keeper_delete(this->keeper);
+	origin_rows_delete(this->rows);
 	g_free(this);
 }
--- a/src/gateway/origin_lookup.h
+++ b/src/gateway/origin_lookup.h
@@ -7,7 +7,7 @@
  * in the store.  A stream that neither has began at the only version of the service, if there has
  * been just one lately.  Used by the loop's thread only.
  */
-#include "core/stream_origins.h"
+#include "core/origin_keeper.h"
 #include "gateway/origin_store.h"
 
 typedef enum origin_result {
@@ -28,6 +28,7 @@
 	/* Set by the lookup. */
 	struct cds_list_head link;
 	bool is_pending;
+	instant_t ask_again_at; /* 0: it was not asked again */
 } origin_query_t;
 
 typedef struct origin_lookup origin_lookup_t;
@@ -45,11 +46,20 @@
 
 /* The streams that this router remembers, and the versions of the services. */
 stream_origins_t *origin_lookup_origins(origin_lookup_t *this);
+/* Which router saves them. */
+origin_keeper_t *origin_lookup_keeper(origin_lookup_t *this);
 /* ORIGIN_FOUND sets `version`.  A pending query must stay valid until it is answered or cancelled.
  */
 origin_result_t origin_lookup_ask(origin_lookup_t *this, origin_query_t *query, id_t32 *version);
 void origin_lookup_cancel(origin_query_t *query);
-/* Saves what is due; `routers` is their number, which all share the store's capacity. */
-void origin_lookup_tick(origin_lookup_t *this, unsigned int routers, instant_t now);
+/* What the other routers do, as far as it concerns the saved streams. */
+typedef struct origin_fleet {
+	unsigned int routers; /* that share the store's capacity */
+	unsigned int keeper;  /* member slot of the router that saves this one's streams */
+	bool is_cleaner;      /* this router removes the rows that nobody needs */
+} origin_fleet_t;
+
+/* Saves what is due. */
+void origin_lookup_tick(origin_lookup_t *this, const origin_fleet_t *fleet, instant_t now);
 
 #endif
--- a/src/gateway/origin_store.c
+++ b/src/gateway/origin_store.c
@@ -3,7 +3,6 @@
 #include <pthread.h>
 #include <string.h>
 
-#include "core/stream_origins.h"
 #include "edge/clock.h"
 #include "edge/log.h"
 
@@ -21,14 +20,16 @@
 
 	/* Guarded by the lock. */
 	bool quit;
-	GString *unsaved[ORIGIN_RING_ROWS]; /* rows that are to be written; NULL: none */
+	GString *unsaved[ORIGIN_ROWS_MAX]; /* rows that are to be written; NULL: none */
 	bool read_requested;
 	bool remove_all;
-	bool remove_earlier;
+	bool remove_unchanged;
 	GPtrArray *results; /* GArray of rows, or NULL for a failed read */
+	unsigned int saved; /* rows written, of which the loop does not know yet */
 
 	/* Used by the thread only. */
 	store_version_t version; /* of the newest read; number 0: none yet */
+	GHashTable *listed;	 /* key -> version of the row at the last removal */
 };
 
 /* What the thread is to do next. */
@@ -37,7 +38,7 @@
 	unsigned int row; /* its index */
 	bool read;
 	bool remove_all;
-	bool remove_earlier;
+	bool remove_unchanged;
 } work_t;
 
 /* --- loop's thread ---------------------------------------------------- */
@@ -46,11 +47,16 @@
 {
 	origin_store_t *this = async->data;
 	GPtrArray *results;
+	unsigned int saved;
 
 	pthread_mutex_lock(&this->lock);
 	results = this->results;
 	this->results = g_ptr_array_new();
+	saved = this->saved;
+	this->saved = 0;
 	pthread_mutex_unlock(&this->lock);
+	while (saved--)
+		this->options.on_saved(this->options.ctx);
 	for (unsigned int i = 0; i < results->len; i++) {
 		this->options.on_read(this->options.ctx, results->pdata[i]);
 		if (results->pdata[i])
@@ -88,27 +94,27 @@
 	request(this, &this->read_requested);
 }
 
-void origin_store_remove(origin_store_t *this, origin_rows_t rows)
+void origin_store_remove(origin_store_t *this, origin_removal_t what)
 {
-	request(this, rows == ORIGIN_ROWS_ALL ? &this->remove_all : &this->remove_earlier);
+	request(this, what == ORIGIN_ROWS_ALL ? &this->remove_all : &this->remove_unchanged);
 }
 
 /* --- thread ------------------------------------------------------------- */
 
-/* Index of a row that is to be written, ORIGIN_RING_ROWS: none. */
+/* Index of a row that is to be written, ORIGIN_ROWS_MAX: none. */
 static unsigned int first_unsaved(const origin_store_t *this)
 {
 	unsigned int row = 0;
 
-	while (row < ORIGIN_RING_ROWS && !this->unsaved[row])
+	while (row < ORIGIN_ROWS_MAX && !this->unsaved[row])
 		row++;
 	return row;
 }
 
 static bool has_work(const origin_store_t *this, instant_t write_after)
 {
-	return this->read_requested || this->remove_all || this->remove_earlier ||
-	       (first_unsaved(this) < ORIGIN_RING_ROWS && clock_now() >= write_after);
+	return this->read_requested || this->remove_all || this->remove_unchanged ||
+	       (first_unsaved(this) < ORIGIN_ROWS_MAX && clock_now() >= write_after);
 }
 
 /* Waits for work; writes only at `write_after` or later.  False if the thread must exit. */
@@ -119,18 +125,18 @@
 	pthread_mutex_lock(&this->lock);
 	while (!this->quit && !has_work(this, write_after))
 		cond_wait_until(&this->wake, &this->lock,
-			first_unsaved(this) == ORIGIN_RING_ROWS ? INSTANT_NEVER : write_after);
+			first_unsaved(this) == ORIGIN_ROWS_MAX ? INSTANT_NEVER : write_after);
 	*work = (work_t){
 		.row = first_unsaved(this),
 		.read = this->read_requested,
 		.remove_all = this->remove_all,
-		.remove_earlier = this->remove_earlier,
+		.remove_unchanged = this->remove_unchanged,
 	};
-	if (work->row < ORIGIN_RING_ROWS && clock_now() >= write_after) {
+	if (work->row < ORIGIN_ROWS_MAX && clock_now() >= write_after) {
 		work->bytes = this->unsaved[work->row];
 		this->unsaved[work->row] = NULL;
 	}
-	this->read_requested = this->remove_all = this->remove_earlier = false;
+	this->read_requested = this->remove_all = this->remove_unchanged = false;
 	quit = this->quit;
 	pthread_mutex_unlock(&this->lock);
 	return !quit;
@@ -147,6 +153,14 @@
 	pthread_mutex_unlock(&this->lock);
 }
 
+static void post_saved(origin_store_t *this)
+{
+	pthread_mutex_lock(&this->lock);
+	this->saved++;
+	pthread_mutex_unlock(&this->lock);
+	uv_async_send(&this->async);
+}
+
 /* Returns the earliest time of the next write. */
 static instant_t write_row(origin_store_t *this, const work_t *work)
 {
@@ -159,6 +173,7 @@
 	g_free(key);
 	if (result == ROWS_OK) {
 		g_string_free(work->bytes, TRUE);
+		post_saved(this);
 		return 0;
 	}
 	log_warn("stream-origins-unsaved", "result=%d bytes=%zu", (int)result,
@@ -219,12 +234,15 @@
 	post_result(this, NULL);
 }
 
-static bool is_own_earlier(const origin_store_t *this, const char *key)
+/* Notes the row's version; returns whether it is that of the last removal. */
+static bool is_unchanged(origin_store_t *this, const store_row_t *row)
 {
-	size_t len = strlen(this->options.name);
+	const guint64 *before = g_hash_table_lookup(this->listed, row->key);
+	guint64 number = row->version.number;
+	bool unchanged = before && *before == number;
 
-	return !strncmp(key, this->options.name, len) && key[len] == '/' &&
-	       strncmp(key, this->prefix, strlen(this->prefix)) != 0;
+	g_hash_table_replace(this->listed, g_strdup(row->key), g_memdup2(&number, sizeof(number)));
+	return unchanged;
 }
 
 /* A row that can't be removed is left: it is removed with the next ones. */
@@ -238,10 +256,11 @@
 		for (unsigned int i = 0; i < rows->len; i++) {
 			const store_row_t *row = &g_array_index(rows, store_row_t, i);
 
-			if (!all && !is_own_earlier(this, row->key))
+			if (!is_unchanged(this, row) && !all)
 				continue;
 			removed += this->store->ops->remove(this->store, ORIGIN_TABLE, row->key,
 					   row->version.number) == ROWS_OK;
+			g_hash_table_remove(this->listed, row->key);
 		}
 	}
 	if (rows->len)
@@ -260,7 +279,7 @@
 			read_and_post(this);
 		if (work.bytes)
 			write_after = write_row(this, &work);
-		if (work.remove_all || work.remove_earlier)
+		if (work.remove_all || work.remove_unchanged)
 			remove_rows(this, work.remove_all);
 	}
 	if (work.bytes)
@@ -279,6 +298,7 @@
 	this->prefix = g_strdup_printf(
 		"%s/%" G_GINT64_MODIFIER "x/", options->name, (guint64)options->incarnation);
 	this->results = g_ptr_array_new();
+	this->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pthread_mutex_init(&this->lock, NULL);
 	cond_init(&this->wake);
 	uv_async_init(options->loop, &this->async, on_async);
@@ -297,11 +317,12 @@
 			g_array_unref(this->results->pdata[i]);
 	}
 	g_ptr_array_unref(this->results);
-	for (unsigned int row = 0; row < ORIGIN_RING_ROWS; row++)
+	for (unsigned int row = 0; row < ORIGIN_ROWS_MAX; row++)
 		replace_unsaved(&this->unsaved[row], NULL);
 	this->store->ops->delete (this->store);
 	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
+	g_hash_table_destroy(this->listed);
 	g_free(this->prefix);
 	g_free(this);
 }
--- a/src/gateway/origin_store.h
+++ b/src/gateway/origin_store.h
@@ -1,19 +1,18 @@
 #ifndef GATEWAY_ORIGIN_STORE_H
 #define GATEWAY_ORIGIN_STORE_H
 /*
- * origin_store - saves in the store which streams a router has forwarded, and reads what all have
- * saved
+ * origin_store - writes rows with the streams that routers have forwarded to the store, and reads
+ * those of all routers
  *
- * A router's rows are a ring; a row may be saved again with more in it.  A separate thread makes
+ * A row may be written again with other contents.  A separate thread makes
  * the calls.  The rows of a router that was restarted have other keys than those before.
  */
 #include <uv.h>
 
-#include "core/types.h"
+#include "core/origin_keeper.h"
 #include "gateway/adapter.h"
 
 #define ORIGIN_TABLE "streams"
-#define ORIGIN_RING_ROWS 10
 
 typedef struct origin_store origin_store_t;
 
@@ -28,23 +27,28 @@
 	 * read before (store_row_t); `rows` is NULL if the store could not be read.
 	 */
 	void (*on_read)(void *ctx, const GArray *rows);
+	/* Called on the loop's thread for each row that was written. */
+	void (*on_saved)(void *ctx);
 	void *ctx;
 } origin_store_options_t;
 
-typedef enum origin_rows {
+typedef enum origin_removal {
 	ORIGIN_ROWS_ALL,
-	ORIGIN_ROWS_OF_EARLIER_RUNS, /* of this router */
-} origin_rows_t;
+	ORIGIN_ROWS_UNCHANGED, /* since the last removal */
+} origin_removal_t;
 
 origin_store_t *origin_store_new(const origin_store_options_t *options);
 /* Stops and joins the thread; rows that are not written yet are lost. */
 void origin_store_delete(origin_store_t *this);
 
-/* Writes the row with this index; takes ownership of `bytes`.  A write that fails is repeated. */
+/*
+ * Writes the row with this index, below ORIGIN_ROWS_MAX; takes ownership of `bytes`.  A write that
+ * fails is repeated.
+ */
 void origin_store_save(origin_store_t *this, unsigned int row, GString *bytes);
 /* Begins a read, after the one that is in progress. */
 void origin_store_read(origin_store_t *this);
 /* Removes rows that are no longer needed. */
-void origin_store_remove(origin_store_t *this, origin_rows_t rows);
+void origin_store_remove(origin_store_t *this, origin_removal_t what);
 
 #endif
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -57,6 +57,9 @@
 				row_gossip_handle_entry(this->gossip, slot, &entry, now);
 			else if (entry.kind == ENTRY_PART_END || entry.kind == ENTRY_PART_SOUND)
 				part_watch_handle_entry(this->options.part_watch, &entry, now);
+			else if (entry.kind == ENTRY_STREAMS || entry.kind == ENTRY_STREAMS_SAVED)
+				origin_keeper_handle_entry(this->options.origin_keeper, slot,
+					header.incarnation, &entry, now);
 			else
 				placement_handle_entry(this->placement, slot, &entry, now);
 		}
@@ -129,6 +132,17 @@
 	this->lost[slot] = false;
 }
 
+/* They come last, as routers of earlier builds do not read on after them. */
+static void write_origins(peers_t *this, unsigned int slot, instant_t now)
+{
+	origin_keeper_t *keeper = this->options.origin_keeper;
+	message_entry_t entry;
+
+	while (entry_writer_bytes_left(this->writer) >= ORIGIN_REPORT_MAX_BYTES + ENTRY_MAX_BYTES &&
+		origin_keeper_next_entry(keeper, slot, &entry, now))
+		entry_writer_add(this->writer, &entry, now);
+}
+
 static void send_message(
 	peers_t *this, unsigned int slot, const message_header_t *header, instant_t now)
 {
@@ -150,6 +164,7 @@
 	if (!entry_writer_is_full(this->writer) &&
 		placement_next_receipt(this->placement, slot, &entry, now))
 		entry_writer_add(this->writer, &entry, now);
+	write_origins(this, slot, now);
 	bytes = entry_writer_data(this->writer, &size);
 	if (this->socket_index[slot] >= 0)
 		this->lost[slot] = !peer_socket_send(
@@ -193,7 +208,8 @@
 	for (unsigned int slot = 1; slot < members->count; slot++) {
 		if (check_state(this, slot, now) &&
 			(row_gossip_is_due(this->gossip, slot, now) ||
-				part_watch_is_due(this->options.part_watch, slot)))
+				part_watch_is_due(this->options.part_watch, slot) ||
+				origin_keeper_is_due(this->options.origin_keeper, slot, now)))
 			placement_make_message_due(this->placement, slot, now);
 	}
 }
@@ -243,6 +259,8 @@
 		return;
 	this->socket_index[slot] = peer_socket_add(this->socket, &address);
 	placement_set_listed(this->placement, slot, true);
+	placement_set_domain(
+		this->placement, slot, entry->failure_domain ? name_id(entry->failure_domain) : 0);
 	log_notice("peer-listed", "peer=%s address=%s incarnation=%" G_GUINT64_FORMAT " link=%d",
 		entry->name, entry->address, (guint64)entry->incarnation, this->socket_index[slot]);
 }
@@ -289,6 +307,7 @@
 	};
 	placement_options_t placement_options = {
 		.self = name_id(options->name),
+		.domain = name_id(options->failure_domain),
 		.incarnation = options->incarnation,
 		.seed = options->seed,
 		.scheduler = options->scheduler,
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -7,6 +7,7 @@
  */
 #include <uv.h>
 
+#include "core/origin_keeper.h"
 #include "core/part_watch.h"
 #include "core/placement.h"
 #include "edge/peer_socket.h"
@@ -17,6 +18,7 @@
 typedef struct peers_options {
 	uv_loop_t *loop;
 	const char *name;
+	const char *failure_domain;
 	const char *address;
 	const char *public_key;
 	const char *secret_key;
@@ -28,6 +30,7 @@
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
 	void *ctx;
 	part_watch_t *part_watch;
+	origin_keeper_t *origin_keeper;
 } peers_options_t;
 
 /* Returns NULL if the address can't be bound. */
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -29,6 +29,8 @@
 	json_append_quoted(text, self->address);
 	g_string_append(text, ",\"public_key\":");
 	json_append_quoted(text, self->public_key);
+	g_string_append(text, ",\"failure_domain\":");
+	json_append_quoted(text, self->failure_domain);
 	g_string_append_printf(
 		text, ",\"incarnation\":%" G_GUINT64_FORMAT "}", (guint64)self->incarnation);
 	row.value = text->str;
@@ -125,6 +127,7 @@
 	root = (*doc)->error ? NULL : (*doc)->root;
 	*entry = (roster_entry_t){
 		.name = name,
+		.failure_domain = json_get_string(root, "failure_domain", NULL),
 		.address = json_get_string(root, "address", NULL),
 		.public_key = json_get_string(root, "public_key", NULL),
 		.incarnation = (uint64_t)json_get_int(root, "incarnation", 0),
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -13,7 +13,8 @@
 
 typedef struct roster_entry {
 	const char *name;
-	const char *address; /* of the peer socket */
+	const char *failure_domain; /* NULL: a router of an earlier build, which does not say */
+	const char *address;	    /* of the peer socket */
 	const char *public_key;
 	uint64_t incarnation;
 } roster_entry_t;
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -296,6 +296,38 @@
 	version_fixture_delete(f);
 }
 
+/* Routers of one failure domain: one of them saves the streams of all. */
+static void test_streams_of_several_routers_go_on_after_all_were_killed(void **state)
+{
+	version_fixture_t *f = version_fixture_new(two_of_each);
+	fixture_t *routers[3] = {f->router};
+	bool is_v1[ARRAY_LEN(routers)];
+
+	for (unsigned int i = 1; i < ARRAY_LEN(routers); i++) {
+		routers[i] = fixture_new_router(i == 1 ? "s" : "t", f->router->store);
+		fixture_wait_ready(routers[i], FIXTURE_ENDPOINTS);
+	}
+	for (unsigned int i = 0; i < ARRAY_LEN(routers); i++)
+		assert_true(fixture_wait_metric(routers[i], "routers_alive", 3));
+	sleep_ms(SAVE_MS);
+	set_mode(f, STREAM_PAUSES);
+	for (unsigned int i = 0; i < ARRAY_LEN(routers); i++) {
+		char id[] = {'s', (char)('0' + i), '\0'};
+
+		is_v1[i] = begin_broken_stream(routers[i], id);
+	}
+	set_mode(f, STREAM_COMPLETE);
+	sleep_ms(SAVE_MS);
+	for (unsigned int i = 0; i < ARRAY_LEN(routers); i++)
+		fixture_kill_router(routers[i]);
+	fixture_restart_router(routers[0]);
+	fixture_wait_ready(routers[0], FIXTURE_ENDPOINTS);
+	take_up_all(routers[0], ARRAY_LEN(routers), is_v1);
+	for (unsigned int i = 1; i < ARRAY_LEN(routers); i++)
+		fixture_delete(routers[i]);
+	version_fixture_delete(f);
+}
+
 static bool is_refused(const char *response)
 {
 	return strstr(response, "HTTP/1.1 503 ") != NULL;
@@ -458,6 +490,7 @@
 			test_stream_taken_up_after_all_routers_were_killed_goes_on_at_its_version),
 		cmocka_unit_test(
 			test_stream_is_found_among_those_of_sixty_routers_after_all_were_killed),
+		cmocka_unit_test(test_streams_of_several_routers_go_on_after_all_were_killed),
 		cmocka_unit_test(test_stream_of_unknown_version_is_refused),
 		cmocka_unit_test(test_any_stream_goes_on_while_there_is_one_version),
 		cmocka_unit_test(test_stream_that_began_before_the_second_version_goes_on),
