A router that has missed a software version does not join a stream to another

Here: a router that knows one version answers for a stream that nobody knows. It read the saved streams first, which tell that there are several versions, but these are up to a second old, and its own list of endpoints may be older. Shown by a test (a router that pauses after a change, so that it has missed the endpoint of v2): the stream is joined to v1 on.

Now it reads the registrations of the endpoints before it concludes that there is one version; without them the stream is refused for now. A new endpoint's registration is in the store before a stream can begin at it. Cost: one more read with each read of saved streams, only while a service has one version. A router cut off from the store refuses, as before (two more tests).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -241,15 +241,15 @@
 		endpoint_connection_trim(endpoint, 0, true);
 }
 
-/* Gives the placement the engines that follow from the catalog and the endpoint registry. */
-static void update_engines(gateway_t *this)
+void gateway_update_engines(gateway_t *this)
 {
-	engine_list_t list = {
-		.catalog = this->catalog,
-		.engines = g_array_new(FALSE, FALSE, sizeof(placement_engine_t)),
-		.versions = g_array_new(FALSE, FALSE, sizeof(service_version_t)),
-	};
+	engine_list_t list = {.catalog = this->catalog};
 
+	if (!this->engines_outdated || !this->catalog)
+		return;
+	this->engines_outdated = false;
+	list.engines = g_array_new(FALSE, FALSE, sizeof(placement_engine_t));
+	list.versions = g_array_new(FALSE, FALSE, sizeof(service_version_t));
 	endpoint_registry_for_each(this->endpoint_registry, add_engine, &list);
 	placement_set_engines(peers_placement(this->peers),
 		(const placement_engine_t *)(void *)list.engines->data, list.engines->len,
@@ -277,10 +277,7 @@
 	instant_t now = clock_now();
 
 	begin_turn(this);
-	if (this->engines_outdated && this->catalog) {
-		this->engines_outdated = false;
-		update_engines(this);
-	}
+	gateway_update_engines(this);
 	peers_receive(this->peers, now);
 	peers_step(this->peers, now);
 	run_placement_actions(this);
@@ -567,6 +564,8 @@
 		.store = {settings->store_address, settings->store_timeout_ms},
 		.name = settings->name,
 		.incarnation = this->incarnation,
+		.on_endpoints = gateway_handle_endpoint_table,
+		.ctx = this,
 	};
 
 	return origin_lookup_new(&options);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -121,6 +121,13 @@
  * share of the retry allowance and of the endpoints' connections.
  */
 void gateway_apply_fleet_size(gateway_t *this);
+/* Handles a listing of the endpoints' table at once. */
+void gateway_handle_endpoint_table(void *ctx, const GArray *rows, store_version_t version);
+/*
+ * Gives the placement the engines that follow from the catalog and the endpoint registry, if
+ * either has changed.
+ */
+void gateway_update_engines(gateway_t *this);
 /* Handles rows that were requested from a peer as if they came from the store. */
 void gateway_handle_peer_rows(void *ctx, cached_table_t table, const GArray *rows);
 /* Appends metrics in the text exposition format. */
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -191,6 +191,14 @@
 	apply_endpoint_table(this, rows, version);
 }
 
+void gateway_handle_endpoint_table(void *ctx, const GArray *rows, store_version_t version)
+{
+	gateway_t *this = ctx;
+
+	apply_endpoint_table(this, rows, version);
+	gateway_update_engines(this);
+}
+
 static store_version_t highest_version(const GArray *rows)
 {
 	store_version_t highest = {0};
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -20,6 +20,7 @@
 #define CLEAN_INTERVAL (60 * USEC_PER_SEC)
 
 struct origin_lookup {
+	origin_lookup_options_t options;
 	stream_origins_t *origins;
 	origin_keeper_t *keeper;
 	origin_rows_t *rows;
@@ -48,15 +49,17 @@
 }
 
 /* The answer after a read. */
-static origin_result_t answer(
-	const origin_lookup_t *this, const origin_query_t *query, bool was_read, id_t32 *version)
+static origin_result_t answer(const origin_lookup_t *this, const origin_query_t *query,
+	const origin_read_t *read, id_t32 *version)
 {
 	if (find(this, query, version))
 		return ORIGIN_FOUND;
-	if (!was_read)
+	if (!read->rows)
 		return ORIGIN_UNREADABLE;
-	return stream_origins_only_version(this->origins, query->service, version) ? ORIGIN_FOUND
-										   : ORIGIN_UNKNOWN;
+	if (!stream_origins_only_version(this->origins, query->service, version))
+		return ORIGIN_UNKNOWN;
+	/* Without the registrations, there may be another version that this router has missed. */
+	return read->endpoints ? ORIGIN_FOUND : ORIGIN_UNREADABLE;
 }
 
 static void begin_read(origin_lookup_t *this, instant_t now)
@@ -64,6 +67,8 @@
 	origin_query_t *query;
 	origin_query_t *next;
 	bool is_due = false;
+	bool with_endpoints = false;
+	id_t32 version;
 
 	if (this->is_reading || now < this->read_at)
 		return;
@@ -73,12 +78,14 @@
 		cds_list_del(&query->link);
 		cds_list_add_tail(&query->link, &this->reading);
 		is_due = true;
+		with_endpoints |=
+			stream_origins_only_version(this->origins, query->service, &version);
 	}
 	if (!is_due)
 		return;
 	this->is_reading = true;
 	this->read_at = now + READ_INTERVAL;
-	origin_store_read(this->store);
+	origin_store_read(this->store, with_endpoints);
 }
 
 static void on_mixed(void *ctx, id_t32 service)
@@ -95,10 +102,10 @@
 }
 
 static void handle_answer(
-	origin_lookup_t *this, origin_query_t *query, bool was_read, instant_t now)
+	origin_lookup_t *this, origin_query_t *query, const origin_read_t *read, instant_t now)
 {
 	id_t32 version = 0;
-	origin_result_t result = answer(this, query, was_read, &version);
+	origin_result_t result = answer(this, query, read, &version);
 
 	cds_list_del(&query->link);
 	if (result == ORIGIN_UNKNOWN && is_worth_asking_again(this, query, now)) {
@@ -110,18 +117,21 @@
 	query->on_origin(query->ctx, result, version);
 }
 
-static void on_read(void *ctx, const GArray *rows)
+static void on_read(void *ctx, const origin_read_t *read)
 {
 	origin_lookup_t *this = ctx;
 	instant_t now = clock_now();
 
-	for (unsigned int i = 0; rows && i < rows->len; i++)
-		origin_rows_put(
-			this->rows, &g_array_index(rows, store_row_t, i), now, on_mixed, this);
+	for (unsigned int i = 0; read->rows && i < read->rows->len; i++)
+		origin_rows_put(this->rows, &g_array_index(read->rows, store_row_t, i), now,
+			on_mixed, this);
+	if (read->endpoints)
+		this->options.on_endpoints(
+			this->options.ctx, read->endpoints, read->endpoints_version);
 	this->is_reading = false;
 	while (!cds_list_empty(&this->reading))
 		handle_answer(this, cds_list_first_entry(&this->reading, origin_query_t, link),
-			rows != NULL, now);
+			read, now);
 	begin_read(this, now);
 }
 
@@ -248,12 +258,13 @@
 		.ctx = this,
 	};
 
+	this->options = *options;
 	CDS_INIT_LIST_HEAD(&this->asked);
 	CDS_INIT_LIST_HEAD(&this->reading);
 	this->origins = stream_origins_new();
+	this->started_at = clock_now();
 	this->keeper = origin_keeper_new(options->incarnation);
 	this->rows = origin_rows_new();
-	this->started_at = clock_now();
 	this->clean_at = this->started_at + STREAM_ORIGINS_MEMORY;
 	this->needs_cleaning = true;
 	this->store = origin_store_new(&store_options);
--- a/src/gateway/origin_lookup.h
+++ b/src/gateway/origin_lookup.h
@@ -5,7 +5,8 @@
  *
  * Looks first at the streams that this router remembers, then at those that all routers have saved
  * in the store.  A stream that neither has began at the only version of the service, if there has
- * been just one lately.  Used by the loop's thread only.
+ * been just one lately; as this router may have missed the endpoints of another, it reads their
+ * registrations first.  Used by the loop's thread only.
  */
 #include "core/origin_keeper.h"
 #include "gateway/origin_store.h"
@@ -39,6 +40,12 @@
 	store_options_t store;
 	const char *name; /* of the router */
 	uint64_t incarnation;
+	/*
+	 * Called with all registrations of endpoints: stream_origins_set_versions() has to be
+	 * called with their versions before it returns.
+	 */
+	void (*on_endpoints)(void *ctx, const GArray *rows, store_version_t version);
+	void *ctx;
 } origin_lookup_options_t;
 
 origin_lookup_t *origin_lookup_new(const origin_lookup_options_t *options);
--- a/src/gateway/origin_store.c
+++ b/src/gateway/origin_store.c
@@ -22,9 +22,10 @@
 	bool quit;
 	GString *unsaved[ORIGIN_ROWS_MAX]; /* rows that are to be written; NULL: none */
 	bool read_requested;
+	bool endpoints_requested;
 	bool remove_all;
 	bool remove_unchanged;
-	GPtrArray *results; /* GArray of rows, or NULL for a failed read */
+	GPtrArray *results; /* origin_read_t */
 	unsigned int saved; /* rows written, of which the loop does not know yet */
 
 	/* Used by the thread only. */
@@ -37,10 +38,22 @@
 	GString *bytes;	  /* row to be written; NULL: none */
 	unsigned int row; /* its index */
 	bool read;
+	bool read_endpoints;
 	bool remove_all;
 	bool remove_unchanged;
 } work_t;
 
+static void read_delete(void *item)
+{
+	origin_read_t *read = item;
+
+	if (read->rows)
+		g_array_unref(read->rows);
+	if (read->endpoints)
+		g_array_unref(read->endpoints);
+	g_free(read);
+}
+
 /* --- loop's thread ---------------------------------------------------- */
 
 static void on_async(uv_async_t *async)
@@ -51,17 +64,14 @@
 
 	pthread_mutex_lock(&this->lock);
 	results = this->results;
-	this->results = g_ptr_array_new();
+	this->results = g_ptr_array_new_with_free_func(read_delete);
 	saved = this->saved;
 	this->saved = 0;
 	pthread_mutex_unlock(&this->lock);
 	while (saved--)
 		this->options.on_saved(this->options.ctx);
-	for (unsigned int i = 0; i < results->len; i++) {
+	for (unsigned int i = 0; i < results->len; i++)
 		this->options.on_read(this->options.ctx, results->pdata[i]);
-		if (results->pdata[i])
-			g_array_unref(results->pdata[i]);
-	}
 	g_ptr_array_unref(results);
 }
 
@@ -89,8 +99,10 @@
 	pthread_mutex_unlock(&this->lock);
 }
 
-void origin_store_read(origin_store_t *this)
+void origin_store_read(origin_store_t *this, bool with_endpoints)
 {
+	if (with_endpoints)
+		request(this, &this->endpoints_requested);
 	request(this, &this->read_requested);
 }
 
@@ -129,6 +141,7 @@
 	*work = (work_t){
 		.row = first_unsaved(this),
 		.read = this->read_requested,
+		.read_endpoints = this->endpoints_requested,
 		.remove_all = this->remove_all,
 		.remove_unchanged = this->remove_unchanged,
 	};
@@ -136,6 +149,8 @@
 		work->bytes = this->unsaved[work->row];
 		this->unsaved[work->row] = NULL;
 	}
+	if (this->read_requested)
+		this->endpoints_requested = false;
 	this->read_requested = this->remove_all = this->remove_unchanged = false;
 	quit = this->quit;
 	pthread_mutex_unlock(&this->lock);
@@ -212,26 +227,37 @@
 	return result;
 }
 
-static void post_result(origin_store_t *this, GArray *rows)
+static void post_result(origin_store_t *this, origin_read_t *read)
 {
 	pthread_mutex_lock(&this->lock);
-	g_ptr_array_add(this->results, rows);
+	g_ptr_array_add(this->results, read);
 	pthread_mutex_unlock(&this->lock);
 	uv_async_send(&this->async);
 }
 
-static void read_and_post(origin_store_t *this)
+static GArray *rows_if_read(GArray *rows, row_result_t result, const char *table)
+{
+	if (result == ROWS_OK)
+		return rows;
+	log_warn("stream-origins-unread", "table=%s result=%d", table, (int)result);
+	g_array_unref(rows);
+	return NULL;
+}
+
+static void read_and_post(origin_store_t *this, bool with_endpoints)
 {
+	const char *table = this->options.adapter->endpoint_table;
+	origin_read_t *read = g_new0(origin_read_t, 1);
 	GArray *rows = store_rows_new();
-	row_result_t result = read_rows(this, rows);
 
-	if (result == ROWS_OK) {
-		post_result(this, rows);
-		return;
+	read->rows = rows_if_read(rows, read_rows(this, rows), ORIGIN_TABLE);
+	if (with_endpoints) {
+		rows = store_rows_new();
+		read->endpoints = rows_if_read(rows,
+			this->store->ops->list(this->store, table, rows, &read->endpoints_version),
+			table);
 	}
-	log_warn("stream-origins-unread", "result=%d", (int)result);
-	g_array_unref(rows);
-	post_result(this, NULL);
+	post_result(this, read);
 }
 
 /* Notes the row's version; returns whether it is that of the last removal. */
@@ -276,7 +302,7 @@
 
 	while (wait_for_work(this, write_after, &work)) {
 		if (work.read)
-			read_and_post(this);
+			read_and_post(this, work.read_endpoints);
 		if (work.bytes)
 			write_after = write_row(this, &work);
 		if (work.remove_all || work.remove_unchanged)
@@ -297,7 +323,7 @@
 	this->store = options->adapter->open_store(&options->store);
 	this->prefix = g_strdup_printf(
 		"%s/%" G_GINT64_MODIFIER "x/", options->name, (guint64)options->incarnation);
-	this->results = g_ptr_array_new();
+	this->results = g_ptr_array_new_with_free_func(read_delete);
 	this->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pthread_mutex_init(&this->lock, NULL);
 	cond_init(&this->wake);
@@ -312,10 +338,6 @@
 {
 	origin_store_t *this = handle->data;
 
-	for (unsigned int i = 0; i < this->results->len; i++) {
-		if (this->results->pdata[i])
-			g_array_unref(this->results->pdata[i]);
-	}
 	g_ptr_array_unref(this->results);
 	for (unsigned int row = 0; row < ORIGIN_ROWS_MAX; row++)
 		replace_unsaved(&this->unsaved[row], NULL);
--- a/src/gateway/origin_store.h
+++ b/src/gateway/origin_store.h
@@ -16,17 +16,21 @@
 
 typedef struct origin_store origin_store_t;
 
+/* What a read brought; its rows are store_row_t. */
+typedef struct origin_read {
+	GArray *rows;	   /* new since the read before; NULL: the store could not be read */
+	GArray *endpoints; /* all registrations; NULL: not asked for, or not read */
+	store_version_t endpoints_version;
+} origin_read_t;
+
 typedef struct origin_store_options {
 	uv_loop_t *loop;
 	const adapter_t *adapter;
 	store_options_t store;
 	const char *name; /* of the router */
 	uint64_t incarnation;
-	/*
-	 * Called on the loop's thread when a read has ended, with the rows that are new since the
-	 * read before (store_row_t); `rows` is NULL if the store could not be read.
-	 */
-	void (*on_read)(void *ctx, const GArray *rows);
+	/* Called on the loop's thread when a read has ended. */
+	void (*on_read)(void *ctx, const origin_read_t *read);
 	/* Called on the loop's thread for each row that was written. */
 	void (*on_saved)(void *ctx);
 	void *ctx;
@@ -46,8 +50,9 @@
  * fails is repeated.
  */
 void origin_store_save(origin_store_t *this, unsigned int row, GString *bytes);
-/* Begins a read, after the one that is in progress. */
-void origin_store_read(origin_store_t *this);
+/* Begins a read, after the one that is in progress; of the endpoints' registrations too if asked.
+ */
+void origin_store_read(origin_store_t *this, bool with_endpoints);
 /* Removes rows that are no longer needed. */
 void origin_store_remove(origin_store_t *this, origin_removal_t what);
 
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -14,7 +14,7 @@
 #include "tests/gateway_fixture.h"
 
 #define WAIT_MS 10000
-#define SAVE_MS 1500 /* within which a router has saved which version began a stream */
+#define SAVE_MS 2500 /* within which a router has saved which version began a stream */
 #define LAST_EVENT 4
 #define BREAK_AFTER 1 /* last event that a breaking endpoint sends */
 #define STREAMS 12
@@ -479,6 +479,51 @@
 	version_fixture_delete(f);
 }
 
+/*
+ * The router has missed that an endpoint of another version has joined, where the stream may have
+ * begun: it is busy with the change before.
+ */
+static void test_stream_is_not_joined_by_a_router_that_has_missed_a_version(void **state)
+{
+	fixture_options_t options = {
+		.settings = ",\"store_wait_ms\":1000,\"store_pause_ms\":5000",
+		.idle_timeout_ms = 1000,
+	};
+	version_endpoint_t endpoints[2] = {{.version = "v1"}, {.version = "v2"}};
+	fixture_t *router = fixture_new_with(&options);
+	char *response;
+
+	fixture_wait_ready(router, 0);
+	endpoints[0].endpoint = fixture_add_endpoint(router, respond_stream, &endpoints[0]);
+	fixture_wait_ready(router, 1);
+	router->endpoints[1] = raw_endpoint_new(respond_stream, &endpoints[1]);
+	fixture_register_version(router, 1, "ready", "v2");
+	response = take_up_with(router, "/draft/", "k1", "Resumes: elsewhere\r\n");
+	assert_true(is_refused_for(response, "stream-unknown"));
+	g_free(response);
+	fixture_delete(router);
+}
+
+/* Cut off from the store, the router can't tell whether there is another version by now. */
+static void test_stream_is_refused_by_a_router_of_one_version_that_is_cut_off(void **state)
+{
+	static const char *const versions[] = {"v1", "v1", NULL};
+	static const store_fault_t faults[] = {STORE_FAULT_UNAVAILABLE, STORE_FAULT_HANG};
+
+	for (unsigned int i = 0; i < ARRAY_LEN(faults); i++) {
+		version_fixture_t *f = version_fixture_new(versions);
+		char *response;
+
+		row_store_standin_set_fault(f->router->store, faults[i]);
+		response = take_up_with(f->router, "/draft/", "k1", "Resumes: elsewhere\r\n");
+		assert_true(is_refused_for(response, "stream-unknown"));
+		assert_non_null(strstr(response, "Retry-After: "));
+		g_free(response);
+		row_store_standin_set_fault(f->router->store, STORE_FAULT_NONE);
+		version_fixture_delete(f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -498,6 +543,8 @@
 		cmocka_unit_test(
 			test_stream_is_not_joined_to_the_only_version_left_after_a_restart),
 		cmocka_unit_test(test_stream_is_refused_for_now_while_the_store_is_down),
+		cmocka_unit_test(test_stream_is_not_joined_by_a_router_that_has_missed_a_version),
+		cmocka_unit_test(test_stream_is_refused_by_a_router_of_one_version_that_is_cut_off),
 	};
 
 	log_init("test", FALSE);
