Saved streams: no first save by routers that do not know their keeper yet

After each of three restarts of all, 58 routers were their own keepers for a second, and streams that nobody knows were read for every 0.2 s a router.

Now a router saves nothing in its first 1.5 s, and reads start 0.4 s apart.

--- a/src/core/origin_keeper.c
+++ b/src/core/origin_keeper.c
@@ -33,17 +33,19 @@
 	bool changed; /* what is kept here has changed since it began */
 	unsigned int unwritten_rows;
 	instant_t began_at;
+	instant_t save_from; /* no save begins before */
 	unsigned int next_index;
 	char *bytes; /* all that is saved */
 	size_t size;
 	size_t next_offset; /* of the next row */
 };
 
-origin_keeper_t *origin_keeper_new(uint64_t incarnation)
+origin_keeper_t *origin_keeper_new(uint64_t incarnation, instant_t now)
 {
 	origin_keeper_t *this = allocator_new(&allocator_default, 1, sizeof(*this));
 
 	this->incarnation = incarnation;
+	this->save_from = now + ORIGIN_START_DELAY;
 	CDS_INIT_LIST_HEAD(&this->reports);
 	return this;
 }
@@ -249,7 +251,7 @@
 {
 	uint64_t interval = ORIGIN_SAVE_INTERVAL;
 
-	if (this->unwritten_rows)
+	if (this->unwritten_rows || now < this->save_from)
 		return false;
 	if (cds_list_empty((struct cds_list_head *)&this->reports)) {
 		if (!origin_keeper_keeps_own(this, now) || !this->own.size)
--- a/src/core/origin_keeper.h
+++ b/src/core/origin_keeper.h
@@ -24,6 +24,9 @@
 #define ORIGIN_SAVE_INTERVAL (500 * USEC_PER_MSEC)
 /* The same for a router that saves its own streams only: 60 saves a second from all routers. */
 #define ORIGIN_SAVE_INTERVAL_PER_ROUTER (16 * USEC_PER_MSEC)
+/* After the start, before the first save: a router that has just started does not know its keeper.
+ */
+#define ORIGIN_START_DELAY (1500 * USEC_PER_MSEC)
 /* What has not changed is reported and saved again after this time. */
 #define ORIGIN_RENEWAL (10 * USEC_PER_SEC)
 /* A report that is not confirmed after this time counts as not saved. */
@@ -38,7 +41,7 @@
 } origin_row_t;
 
 /* `incarnation` is this router's. */
-origin_keeper_t *origin_keeper_new(uint64_t incarnation);
+origin_keeper_t *origin_keeper_new(uint64_t incarnation, instant_t now);
 void origin_keeper_delete(origin_keeper_t *this);
 
 /* Replaces the streams that this router lists. */
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -9,7 +9,7 @@
 
 #define MAX_MIXED_SERVICES 16
 /* Between the beginnings of two reads. */
-#define READ_INTERVAL (200 * USEC_PER_MSEC)
+#define READ_INTERVAL (400 * USEC_PER_MSEC)
 /*
  * A stream that is not found is looked for once more: the keeper of the router that forwarded it
  * may not have saved it yet.
@@ -263,7 +263,7 @@
 	CDS_INIT_LIST_HEAD(&this->reading);
 	this->origins = stream_origins_new();
 	this->started_at = clock_now();
-	this->keeper = origin_keeper_new(options->incarnation);
+	this->keeper = origin_keeper_new(options->incarnation, this->started_at);
 	this->rows = origin_rows_new();
 	this->clean_at = this->started_at + STREAM_ORIGINS_MEMORY;
 	this->needs_cleaning = true;
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -265,16 +265,23 @@
 		entry->name, entry->address, (guint64)entry->incarnation, this->socket_index[slot]);
 }
 
+static void unlist_peer(peers_t *this, const char *name)
+{
+	int slot = members_find(placement_members(this->placement), name_id(name));
+
+	if (slot < 1)
+		return;
+	placement_set_listed(this->placement, (unsigned int)slot, false);
+	log_notice("peer-unlisted", "peer=%s", name);
+}
+
 void peers_handle_row(peers_t *this, const store_row_t *row)
 {
 	roster_entry_t entry;
 	jsondoc_t *doc = NULL;
 
 	if (row->is_deleted) {
-		unsigned int slot = placement_add_member(this->placement, name_id(row->key));
-
-		placement_set_listed(this->placement, slot, false);
-		log_notice("peer-unlisted", "peer=%s", row->key);
+		unlist_peer(this, row->key);
 		return;
 	}
 	if (roster_decode(row->value, row->len, row->key, &entry, &doc))
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -5,7 +5,9 @@
 
 #include "edge/clock.h"
 #include "edge/log.h"
+#include "settings/address.h"
 
+#define PUBLIC_KEY_CHARS 40		  /* in Z85 */
 #define RETRY_DELAY (500 * USEC_PER_MSEC) /* between two attempts to write the row */
 
 struct roster {
@@ -118,6 +120,26 @@
 	g_free(this);
 }
 
+static bool is_peer_address(const char *address)
+{
+	char ip[16];
+	uint16_t port;
+
+	return address && address_parse(address, ip, sizeof(ip), &port) && port;
+}
+
+/* Other programs may write to the table: a row that is not a router's must not count as one. */
+static bool is_valid(const roster_entry_t *entry, json_value_t *root)
+{
+	const json_value_t *incarnation = json_get(root, "incarnation");
+	const json_value_t *domain = json_get(root, "failure_domain");
+
+	return *entry->name && is_peer_address(entry->address) && entry->public_key &&
+	       strlen(entry->public_key) == PUBLIC_KEY_CHARS && incarnation &&
+	       incarnation->type == JSON_INTEGER && incarnation->integer > 0 &&
+	       (!domain || domain->type == JSON_STRING);
+}
+
 bool roster_decode(
 	const char *text, gsize len, const char *name, roster_entry_t *entry, jsondoc_t **doc)
 {
@@ -132,5 +154,5 @@
 		.public_key = json_get_string(root, "public_key", NULL),
 		.incarnation = (uint64_t)json_get_int(root, "incarnation", 0),
 	};
-	return entry->address && entry->public_key;
+	return is_valid(entry, root);
 }
--- a/tests/test_origin_keeper.c
+++ b/tests/test_origin_keeper.c
@@ -34,7 +34,7 @@
 
 	this->now = 100 * USEC_PER_SEC;
 	for (unsigned int i = 0; i < ROUTERS; i++) {
-		this->routers[i] = origin_keeper_new(i + 1);
+		this->routers[i] = origin_keeper_new(i + 1, this->now - ORIGIN_START_DELAY);
 		origin_keeper_set_keeper(this->routers[i], i ? KEEPER_SLOT : 0, this->now);
 	}
 	return this;
@@ -216,8 +216,8 @@
 {
 	static char bytes[ORIGIN_REPORT_MAX_BYTES];
 	unsigned int fitting = ORIGIN_ROWS_MAX * ORIGIN_ROW_MAX_BYTES / ORIGIN_REPORT_MAX_BYTES;
-	origin_keeper_t *keeper = origin_keeper_new(1);
 	instant_t now = 100 * USEC_PER_SEC;
+	origin_keeper_t *keeper = origin_keeper_new(1, 0);
 	message_entry_t entry = {
 		.kind = ENTRY_STREAMS, .ticket = 1, .bytes = bytes, .size = sizeof(bytes)};
 	origin_row_t row;
@@ -242,8 +242,8 @@
 static void test_confirmation_waits_until_every_row_is_written(void **state)
 {
 	static char bytes[ORIGIN_REPORT_MAX_BYTES];
-	origin_keeper_t *keeper = origin_keeper_new(1);
 	instant_t now = 100 * USEC_PER_SEC;
+	origin_keeper_t *keeper = origin_keeper_new(1, 0);
 	message_entry_t entry = {
 		.kind = ENTRY_STREAMS, .ticket = 1, .bytes = bytes, .size = sizeof(bytes)};
 	origin_row_t row;
@@ -282,7 +282,7 @@
 
 static void test_router_without_streams_sends_and_saves_nothing(void **state)
 {
-	origin_keeper_t *router = origin_keeper_new(1);
+	origin_keeper_t *router = origin_keeper_new(1, 0);
 	instant_t now = 100 * USEC_PER_SEC;
 
 	for (unsigned int keeper = 0; keeper < 2; keeper++) {
@@ -300,7 +300,7 @@
 static void test_report_of_odd_size_and_foreign_confirmation_are_ignored(void **state)
 {
 	char bytes[STREAM_RECORD_BYTES + 1] = {0};
-	origin_keeper_t *router = origin_keeper_new(1);
+	origin_keeper_t *router = origin_keeper_new(1, 0);
 	instant_t now = 100 * USEC_PER_SEC;
 	stream_origin_t own = {1, SERVICE, VERSION};
 	message_entry_t report = {
@@ -324,6 +324,20 @@
 	origin_keeper_delete(router);
 }
 
+/* Else each router of a fleet that was started at once would save a row of its own first. */
+static void test_router_that_has_just_started_waits_for_its_keeper(void **state)
+{
+	instant_t now = 100 * USEC_PER_SEC;
+	origin_keeper_t *router = origin_keeper_new(1, now);
+	stream_origin_t own = {1, SERVICE, VERSION};
+
+	origin_keeper_set_own(router, &own, 1, now);
+	origin_keeper_tick(router, now);
+	assert_false(origin_keeper_begin_save(router, ROUTERS, now + ORIGIN_START_DELAY - 1));
+	assert_true(origin_keeper_begin_save(router, ROUTERS, now + ORIGIN_START_DELAY));
+	origin_keeper_delete(router);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -336,6 +350,7 @@
 		cmocka_unit_test(test_confirmation_waits_until_every_row_is_written),
 		cmocka_unit_test(test_new_keeper_gets_the_report_at_once),
 		cmocka_unit_test(test_router_without_streams_sends_and_saves_nothing),
+		cmocka_unit_test(test_router_that_has_just_started_waits_for_its_keeper),
 		cmocka_unit_test(test_report_of_odd_size_and_foreign_confirmation_are_ignored),
 	};
 
