--- a/src/edge/log.c
+++ b/src/edge/log.c
@@ -118,6 +118,15 @@
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+/* Values may come from others, such as names of rows: none may end the line or begin another. */
+static void replace_control_characters(char *text)
+{
+	for (; *text; text++) {
+		if (g_ascii_iscntrl(*text))
+			*text = ' ';
+	}
+}
+
 void log_event(GLogLevelFlags level, const char *event, const char *format, ...)
 {
 	va_list args;
@@ -128,6 +137,7 @@
 	va_start(args, format);
 	pairs = g_strdup_vprintf(format, args);
 	va_end(args);
+	replace_control_characters(pairs);
 	g_log_structured("amaranthwall", level, "MESSAGE", "event=%s %s", event, pairs);
 	g_free(pairs);
 }
