--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -62,6 +62,7 @@
 run fuzz-events scripts/fuzz.sh events
 run fuzz-decode scripts/fuzz.sh decode
 run fuzz-note scripts/fuzz.sh note
+run fuzz-rows scripts/fuzz.sh rows
 # A process test lists its cases in a line "# cases: a b".  Each case runs as a
 # process of its own with its own range of ports; PARALLEL cases run at a time.
 run_process_tests() {
--- a/src/settings/jsondoc.c
+++ b/src/settings/jsondoc.c
@@ -111,8 +111,9 @@
 static int on_string(void *ctx, const unsigned char *text, size_t len)
 {
 	if (memchr(text, 0, len))
-		return builder_fail(ctx, "string contains a NUL byte", "");
-	builder_add(ctx, JSON_STRING)->string = g_strndup((const char *)text, len);
+		builder_add(ctx, JSON_STRING_WITH_NUL);
+	else
+		builder_add(ctx, JSON_STRING)->string = g_strndup((const char *)text, len);
 	return 1;
 }
 
--- a/src/settings/jsondoc.h
+++ b/src/settings/jsondoc.h
@@ -3,9 +3,9 @@
 /*
  * jsondoc - tree of a JSON document, with the line number of each value
  *
- * Parsed by yajl.  Comments are allowed; duplicate keys, NUL bytes in strings
- * and nesting deeper than JSONDOC_MAX_DEPTH are errors.  Values belong to their
- * document.
+ * Parsed by yajl.  Comments are allowed; duplicate keys and nesting deeper than
+ * JSONDOC_MAX_DEPTH are errors.  A string with a NUL byte has a type of its own, so that it
+ * does no harm where nobody reads it.  Values belong to their document.
  */
 #include <glib.h>
 #include <stdbool.h>
@@ -20,6 +20,7 @@
 	JSON_INTEGER, /* a whole number in the range of int64_t, also when written 8.0 or 1e3 */
 	JSON_NUMBER,  /* any other number */
 	JSON_STRING,
+	JSON_STRING_WITH_NUL, /* has no `string` */
 	JSON_ARRAY,
 	JSON_OBJECT,
 } json_type_t;
