--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -174,6 +174,39 @@
 	sim_delete(sim);
 }
 
+/* Number of the workspace's requests that got a first token. */
+static unsigned int begun(const sim_t *sim, unsigned int workspace)
+{
+	return sim_count(sim, workspace)->timely + sim_count(sim, workspace)->late;
+}
+
+/*
+ * One workspace has used what nobody else wanted when another begins to flood: what it was served
+ * before does not count against it.  In the six seconds after, as in any, neither gets less than
+ * half of the other.
+ */
+static void test_workspace_that_begins_to_flood_does_not_lock_out_another(void **state)
+{
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		sim_t *sim = sim_with_seed(seed);
+		unsigned int first;
+		unsigned int second;
+
+		sim_offer(sim, 0, &draft, 60);
+		sim_offer(sim, 1, &draft, 1);
+		sim_run(sim, 20000);
+		sim_offer(sim, 1, &draft, 60);
+		first = begun(sim, 0);
+		second = begun(sim, 1);
+		sim_run(sim, 6000);
+		first = begun(sim, 0) - first;
+		second = begun(sim, 1) - second;
+		assert_true(first * 2 >= second);
+		assert_true(second * 2 >= first);
+		sim_delete(sim);
+	}
+}
+
 /* While the engines have room, requests with a shared part go to few engines. */
 static void test_shared_parts_are_prefilled_on_few_engines(void **state)
 {
@@ -548,6 +581,7 @@
 		cmocka_unit_test(test_largest_tenth_is_served_at_least_half_as_often_as_all),
 		cmocka_unit_test(test_flooding_workspace_takes_little_from_three_others),
 		cmocka_unit_test(test_idle_workspace_gains_no_credit),
+		cmocka_unit_test(test_workspace_that_begins_to_flood_does_not_lock_out_another),
 		cmocka_unit_test(test_shared_parts_are_prefilled_on_few_engines),
 		cmocka_unit_test(test_unreachable_engine_gets_at_most_20_requests),
 		cmocka_unit_test(test_late_request_bound_to_a_version_blocks_no_others),
