--- a/src/edge/log.c
+++ b/src/edge/log.c
@@ -14,8 +14,8 @@
 static const char *log_name = "-";
 static gboolean log_verbose;
 static pthread_mutex_t buffer_lock = PTHREAD_MUTEX_INITIALIZER;
-static GString *buffer; /* NULL: lines go directly to standard error */
-static guint64 dropped_lines;
+static GString *buffer;	      /* NULL: lines go directly to standard error */
+static guint64 dropped_lines; /* guarded by the lock, as the buffer's contents */
 static guint64 dropped_reported;
 
 static void append_to_buffer(const char *line)
@@ -35,7 +35,12 @@
 
 guint64 log_dropped_lines(void)
 {
-	return dropped_lines;
+	guint64 lines;
+
+	pthread_mutex_lock(&buffer_lock);
+	lines = dropped_lines;
+	pthread_mutex_unlock(&buffer_lock);
+	return lines;
 }
 
 static bool is_writable(void)
@@ -61,11 +66,14 @@
 
 void log_flush(void)
 {
+	guint64 dropped;
+
 	if (!buffer)
 		return;
-	if (dropped_lines != dropped_reported) {
-		dropped_reported = dropped_lines;
-		log_warn("log-dropped", "lines=%" G_GUINT64_FORMAT, dropped_lines);
+	dropped = log_dropped_lines();
+	if (dropped != dropped_reported) {
+		dropped_reported = dropped;
+		log_warn("log-dropped", "lines=%" G_GUINT64_FORMAT, dropped);
 	}
 	pthread_mutex_lock(&buffer_lock);
 	while (flush_chunk())
