A workspace is not locked out by another that begins to flood

Cause: owners order by what a workspace was served in the last 4 s or so. The one had used what nobody else wanted; when the other began to flood its level was far lower, so it was served alone for seconds.

Now a lane that begins to get less than it asks for starts at 0.75 of the lowest level of those that do so already.

--- a/src/core/sched_lane.c
+++ b/src/core/sched_lane.c
@@ -3,7 +3,10 @@
 #include <math.h>
 
 #define SERVICE_DECAY (4.0 * USEC_PER_SEC) /* time constant over which fair share is kept */
-#define ANSWER_WEIGHT 2			   /* cost of a generated token, in prompt tokens */
+#define CONTENTION_TIME                                                                            \
+	(1 * USEC_PER_SEC) /* after the last request that could not start in time                  \
+			    */
+#define ANSWER_WEIGHT 2	   /* cost of a generated token, in prompt tokens */
 
 void sched_lane_init(sched_lane_t *this, id_t32 workspace)
 {
@@ -25,6 +28,24 @@
 	this->served_at = now;
 }
 
+bool sched_lane_is_contended(const sched_lane_t *this, instant_t now)
+{
+	return now < this->contended_until;
+}
+
+void sched_lane_set_contended(sched_lane_t *this, instant_t now)
+{
+	this->contended_until = now + CONTENTION_TIME;
+}
+
+void sched_lane_raise(sched_lane_t *this, double level, instant_t now)
+{
+	double current = sched_lane_level(this, now);
+
+	this->served = current < level ? level : current;
+	this->served_at = now;
+}
+
 void sched_lane_charge_local(sched_lane_t *this, double tokens, instant_t now)
 {
 	sched_lane_charge(this, tokens, now);
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -5,7 +5,9 @@
  *
  * The level of a lane is the number of tokens that the whole fleet served to
  * the workspace recently.  It decays exponentially within some seconds, so that
- * a workspace can't save up credit while it is idle.
+ * a workspace can't save up credit while it is idle.  What a workspace was served while nobody
+ * else wanted it does not count against it either: a lane that begins to get less than it asks for
+ * starts a little below the lowest level of those that do so already.
  */
 #include "core/sched_engine.h"
 
@@ -46,6 +48,7 @@
 	double served;	   /* tokens by all owners, decayed up to `served_at` */
 	double unreported; /* tokens served here, not yet reported to the other owners */
 	instant_t served_at;
+	instant_t contended_until;   /* it gets less than it asks for, or did so shortly before */
 	struct cds_list_head timely; /* sched_record_t that can be in time, the oldest first */
 	struct cds_list_head late;   /* sched_record_t, the longest waiting first */
 };
@@ -56,6 +59,11 @@
 void sched_lane_charge(sched_lane_t *this, double tokens, instant_t now);
 /* Like sched_lane_charge(), for tokens served by this owner, which it reports to the others. */
 void sched_lane_charge_local(sched_lane_t *this, double tokens, instant_t now);
+bool sched_lane_is_contended(const sched_lane_t *this, instant_t now);
+/* Notes that a request of the lane could not start in time. */
+void sched_lane_set_contended(sched_lane_t *this, instant_t now);
+/* Raises the level to at least `level`. */
+void sched_lane_raise(sched_lane_t *this, double level, instant_t now);
 /* Returns the estimated cost of a request in tokens. */
 double slot_request_cost(const slot_request_t *request);
 /* Returns the cost of `answer` generated tokens. */
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -10,6 +10,11 @@
 #define PREFERRED_MAX_LEAD 40000
 /* A late request goes first when its lane's level is below this fraction of the timely one's. */
 #define STARVATION_RATIO 0.7
+/*
+ * Part of the level of those that get less than they ask for at which a lane starts that begins to
+ * get less, too: the rest lets a workspace that asks for little go first.
+ */
+#define CONTENTION_START_RATIO 0.75
 #define AVOID_PENALTY (1 * USEC_PER_SEC) /* on the engine where the request failed before */
 
 void sched_pool_init(sched_pool_t *this, id_t32 id, const sched_pool_options_t *options)
@@ -326,6 +331,34 @@
 	return timely;
 }
 
+/* --- contention --------------------------------------------------------- */
+
+/* The lowest level of the other lanes that get less than they ask for; 0: none does. */
+static double contended_level(const sched_pool_t *this, const sched_lane_t *except, instant_t now)
+{
+	const sched_lane_t *lane;
+	double lowest = HUGE_VAL;
+
+	cds_list_for_each_entry (lane, &this->lanes, link) {
+		if (lane != except && sched_lane_is_contended(lane, now) &&
+			sched_lane_level(lane, now) < lowest)
+			lowest = sched_lane_level(lane, now);
+	}
+	return lowest == HUGE_VAL ? 0 : lowest;
+}
+
+/*
+ * A request of the lane could not start in time.  A lane that was served all it asked for until now
+ * would else be served alone until its level reaches that of the others.
+ */
+static void note_contention(sched_pool_t *this, sched_lane_t *lane, instant_t now)
+{
+	if (!sched_lane_is_contended(lane, now))
+		sched_lane_raise(
+			lane, contended_level(this, lane, now) * CONTENTION_START_RATIO, now);
+	sched_lane_set_contended(lane, now);
+}
+
 /* --- time --------------------------------------------------------------- */
 
 /* Returns when the request must start at the latest to be in time on an idle engine. */
@@ -350,6 +383,7 @@
 			*next = instant_min(*next, until);
 			continue;
 		}
+		note_contention(this, lane, now);
 		sched_pool_dequeue(this, record);
 		sched_pool_enqueue(this, record, true, now);
 	}
