Every caller that is refused is told when to come back

Seen in a trial with three endpoints of which two ask for a pause: 429 without Retry-After. Cause: a router that refuses a request itself, as no owner replied or its share without grants is in use, named the end of a pause, and nothing where no endpoint was paused.

Now it names the time from the workspace's rate of grants, as other refusals do. The placement tests check it for each refusal: before, test_rate_limit_holds_on_both_sides_of_a_partition and test_changes_of_the_rate_limit_are_followed failed; after, 26 of 26.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -158,7 +158,7 @@
 	placement_action_kind_t kind;
 	placement_request_t *request;
 	id_t32 engine;		 /* PLACEMENT_START */
-	uint32_t retry_after_ms; /* PLACEMENT_REJECT; 0: no estimate */
+	uint32_t retry_after_ms; /* PLACEMENT_REJECT */
 	bool no_engine; /* PLACEMENT_REJECT: the pool has no usable engine of the request's version
 			 */
 } placement_action_t;
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -297,6 +297,16 @@
 	return until == INSTANT_NEVER ? 0 : (uint32_t)(instant_left(until, now) / USEC_PER_MSEC);
 }
 
+/* When the caller of a request that this router refuses itself may come back, in ms. */
+static uint32_t own_retry_after_ms(
+	placement_t *this, const placement_request_t *request, instant_t now)
+{
+	uint32_t pause = pause_left_ms(this, request, now);
+
+	return pause ? pause
+		     : grant_rate_retry_after(&placement_backlog(this, request)->grants, now);
+}
+
 /* An engine that is paused, for the owner to avoid: it does not know of the pause; 0: none. */
 static id_t32 paused_engine(
 	const placement_t *this, const placement_request_t *request, instant_t now)
@@ -333,7 +343,7 @@
 				(WITHOUT_GRANT_SHARE_DIVISOR * (routers ? routers : 1))
 		     : 0;
 	if (!best || best->running_here > share) {
-		placement_reject(this, request, pause_left_ms(this, request, now));
+		placement_reject(this, request, own_retry_after_ms(this, request, now));
 		return;
 	}
 	placement_count_rate(this, best, now);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -221,6 +221,8 @@
 
 		this->longest_wait = wait > this->longest_wait ? wait : this->longest_wait;
 		if (action.kind == PLACEMENT_REJECT) {
+			/* Every caller is told when to come back. */
+			assert_true(action.retry_after_ms > 0);
 			this->rejected++;
 			job->over = true;
 			continue;
