--- a/src/core/origin_keeper.c
+++ b/src/core/origin_keeper.c
@@ -192,10 +192,10 @@
 	this->changed |= keeps_own && !this->kept_own;
 	this->kept_own = keeps_own;
 	cds_list_for_each_entry_safe (report, next, &this->reports, link) {
-		if (now < report->heard_at + STREAM_ORIGINS_MEMORY)
-			continue;
-		report_delete(report);
-		this->changed = true;
+		if (now >= report->heard_at + STREAM_ORIGINS_MEMORY) {
+			report_delete(report);
+			this->changed = true;
+		}
 	}
 }
 
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -327,10 +327,10 @@
 	entry_t *next;
 
 	cds_list_for_each_entry_safe (entry, next, &this->open, open) {
-		if (is_open(entry, now))
-			continue;
-		cds_list_del(&entry->open);
-		CDS_INIT_LIST_HEAD(&entry->open);
+		if (!is_open(entry, now)) {
+			cds_list_del(&entry->open);
+			CDS_INIT_LIST_HEAD(&entry->open);
+		}
 	}
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -353,19 +353,22 @@
 		finish_stop(this);
 }
 
-static void tick_origins(gateway_t *this, instant_t now)
+/* Looks at all members, which need not be done in each tick. */
+static void update_origin_fleet(gateway_t *this, instant_t now)
 {
 	const members_t *members = placement_members(peers_placement(this->peers));
-	unsigned int keepers =
-		(members_in_own_domain(members) + ROUTERS_PER_KEEPER - 1) / ROUTERS_PER_KEEPER;
+	unsigned int keepers;
 	unsigned int routers;
-	origin_fleet_t fleet = {
+
+	if (now < this->origin_fleet_due)
+		return;
+	keepers = (members_in_own_domain(members) + ROUTERS_PER_KEEPER - 1) / ROUTERS_PER_KEEPER;
+	this->origin_fleet_due = now + ORIGIN_REPORT_INTERVAL;
+	this->origin_fleet = (origin_fleet_t){
 		.routers = gateway_router_count(this),
 		.keeper = members_keeper(members, KEEPER_KEY + members->list[0].id % keepers),
 		.is_cleaner = members_place(members, KEEPER_KEY, &routers) == 0,
 	};
-
-	origin_lookup_tick(this->origin_lookup, &fleet, now);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -374,7 +377,8 @@
 	instant_t now = clock_now();
 
 	part_watch_tick(this->part_watch, now);
-	tick_origins(this, now);
+	update_origin_fleet(this, now);
+	origin_lookup_tick(this->origin_lookup, &this->origin_fleet, now);
 	expire_calls(this, now);
 	listener_check_timeouts(this->callers, now);
 	listener_check_timeouts(this->ready, now);
@@ -642,10 +646,11 @@
 	table_watch_delete(this->endpoint_watch);
 	table_watch_delete(this->roster_watch);
 	roster_delete(this->roster);
-	origin_lookup_delete(this->origin_lookup);
 	listener_delete(this->callers);
 	listener_delete(this->ready);
 	listener_delete(this->metrics);
+	/* After the callers, as their calls may wait for an answer of it. */
+	origin_lookup_delete(this->origin_lookup);
 	endpoint_registry_for_each(this->endpoint_registry, close_idle_connections, NULL);
 	loop_watch_delete(this->loop_watch);
 	uv_prepare_stop(&this->prepare);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,8 @@
 	instant_t lapse_grace_until; /* endpoints whose rows disappear are kept until then */
 	part_watch_t *part_watch;
 	origin_lookup_t *origin_lookup;
+	origin_fleet_t origin_fleet;
+	instant_t origin_fleet_due; /* when it is looked at again */
 	peers_t *peers;
 	roster_t *roster;
 	table_watch_t *roster_watch;
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -178,12 +178,12 @@
 {
 	stream_origin_t list[ORIGIN_REPORT_MAX];
 	id_t32 services[MAX_MIXED_SERVICES];
-	unsigned int count =
-		stream_origins_mixed_services(this->origins, services, MAX_MIXED_SERVICES);
+	unsigned int count;
 
 	if (now < this->listed_at + ORIGIN_REPORT_INTERVAL)
 		return;
 	this->listed_at = now;
+	count = stream_origins_mixed_services(this->origins, services, MAX_MIXED_SERVICES);
 	for (unsigned int i = 0; i < count; i++)
 		list[i] = (stream_origin_t){.service = services[i]};
 	if (count)
--- a/src/gateway/origin_lookup.h
+++ b/src/gateway/origin_lookup.h
@@ -29,7 +29,7 @@
 	/* Set by the lookup. */
 	struct cds_list_head link;
 	bool is_pending;
-	instant_t ask_again_at; /* 0: it was not asked again */
+	instant_t ask_again_at; /* when it is asked once more; 0: it is not yet */
 } origin_query_t;
 
 typedef struct origin_lookup origin_lookup_t;
--- a/src/gateway/origin_store.h
+++ b/src/gateway/origin_store.h
@@ -4,8 +4,8 @@
  * origin_store - writes rows with the streams that routers have forwarded to the store, and reads
  * those of all routers
  *
- * A row may be written again with other contents.  A separate thread makes
- * the calls.  The rows of a router that was restarted have other keys than those before.
+ * A row may be written again with other contents.  A separate thread makes the calls.  The rows of
+ * a router that was restarted have other keys than those before.
  */
 #include <uv.h>
 
