--- a/src/core/origin_keeper.c
+++ b/src/core/origin_keeper.c
@@ -183,19 +183,27 @@
 		handle_confirmation(this, slot, entry, now);
 }
 
+static report_t *find_outdated(const origin_keeper_t *this, instant_t now)
+{
+	report_t *report;
+
+	cds_list_for_each_entry (report, &this->reports, link) {
+		if (now >= report->heard_at + STREAM_ORIGINS_MEMORY)
+			return report;
+	}
+	return NULL;
+}
+
 void origin_keeper_tick(origin_keeper_t *this, instant_t now)
 {
 	bool keeps_own = origin_keeper_keeps_own(this, now);
 	report_t *report;
-	report_t *next;
 
 	this->changed |= keeps_own && !this->kept_own;
 	this->kept_own = keeps_own;
-	cds_list_for_each_entry_safe (report, next, &this->reports, link) {
-		if (now >= report->heard_at + STREAM_ORIGINS_MEMORY) {
-			report_delete(report);
-			this->changed = true;
-		}
+	while ((report = find_outdated(this, now))) {
+		report_delete(report);
+		this->changed = true;
 	}
 }
 
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -320,17 +320,26 @@
 	return entry != NULL;
 }
 
-/* Streams that were forwarded to their end stay remembered, but are not listed any more. */
-static void close_complete(stream_origins_t *this, instant_t now)
+/* A stream that was forwarded to its end, and is not to be listed any more; NULL: none. */
+static entry_t *find_closed(const stream_origins_t *this, instant_t now)
 {
 	entry_t *entry;
-	entry_t *next;
 
-	cds_list_for_each_entry_safe (entry, next, &this->open, open) {
-		if (!is_open(entry, now)) {
-			cds_list_del(&entry->open);
-			CDS_INIT_LIST_HEAD(&entry->open);
-		}
+	cds_list_for_each_entry (entry, &this->open, open) {
+		if (!is_open(entry, now))
+			return entry;
+	}
+	return NULL;
+}
+
+/* The streams stay remembered. */
+static void unlist_closed(stream_origins_t *this, instant_t now)
+{
+	entry_t *entry;
+
+	while ((entry = find_closed(this, now))) {
+		cds_list_del(&entry->open);
+		CDS_INIT_LIST_HEAD(&entry->open);
 	}
 }
 
@@ -345,7 +354,7 @@
 void stream_origins_tick(stream_origins_t *this, instant_t now)
 {
 	forget_notes(this, now);
-	close_complete(this, now);
+	unlist_closed(this, now);
 	while (!cds_list_empty(&this->by_age)) {
 		entry_t *oldest = cds_list_first_entry(&this->by_age, entry_t, by_age);
 
