A stream that goes on gets a slot before new requests

Now a request that is bound to a version, which a stream is from its first event on, gets the next slot that it fits, by share among workspaces, and waits four times as long as another late request.

The new test fails without it (1 of 23).

--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -15,6 +15,9 @@
  * get less, too: the rest lets a workspace that asks for little go first.
  */
 #define CONTENTION_START_RATIO 0.75
+/* A stream that goes on may wait longer for a slot than other late requests: it comes first. */
+#define STARTED_WAIT_FACTOR 4
+#define MAX_STARTED_CANDIDATES 16	 /* streams that go on, tried for a free slot */
 #define AVOID_PENALTY (1 * USEC_PER_SEC) /* on the engine where the request failed before */
 
 void sched_pool_init(sched_pool_t *this, id_t32 id, const sched_pool_options_t *options)
@@ -25,8 +28,16 @@
 	CDS_INIT_LIST_HEAD(&this->engines);
 }
 
+/* A request that is bound to a version goes on with a stream that its caller has a part of. */
+static bool is_started(const sched_record_t *record)
+{
+	return record->request.version != 0;
+}
+
 static void count_waiting(sched_pool_t *this, const sched_record_t *record, int step)
 {
+	if (is_started(record))
+		this->started += (unsigned int)step;
 	if (record->request.is_late)
 		this->late += (unsigned int)step;
 	else
@@ -38,7 +49,8 @@
 	sched_lane_t *lane = record->lane;
 
 	record->request.is_late = late;
-	record->late_expires_at = now + this->options->late_wait;
+	record->late_expires_at =
+		now + this->options->late_wait * (is_started(record) ? STARTED_WAIT_FACTOR : 1);
 	cds_list_add_tail(&record->link, late ? &lane->late : &lane->timely);
 	count_waiting(this, record, 1);
 }
@@ -311,9 +323,53 @@
 	return best;
 }
 
+/* The first stream of the list that can go on now; lowers `left`, the number that may be tried. */
+static sched_record_t *first_started(const sched_pool_t *this, const struct cds_list_head *list,
+	instant_t now, sched_engine_t **engine, unsigned int *left)
+{
+	sched_record_t *record;
+
+	cds_list_for_each_entry (record, list, link) {
+		engine_filter_t filter;
+		instant_t first_token_at;
+
+		if (!is_started(record) || !*left)
+			continue;
+		(*left)--;
+		filter = filter_for(this, &record->request, 0);
+		*engine = best_engine(this, &record->request, &filter, now, &first_token_at);
+		if (*engine)
+			return record;
+	}
+	return NULL;
+}
+
+/* Chooses a stream that can go on now, of the lane with the lowest level that has one. */
+static sched_choice_t next_started(sched_pool_t *this, instant_t now)
+{
+	unsigned int left = MAX_STARTED_CANDIDATES;
+	sched_choice_t best = {0};
+	sched_lane_t *lane;
+
+	cds_list_for_each_entry (lane, &this->lanes, link) {
+		double level = sched_lane_level(lane, now);
+		sched_engine_t *engine = NULL;
+		sched_record_t *record;
+
+		if (best.record && level >= best.level)
+			continue;
+		record = first_started(this, &lane->timely, now, &engine, &left);
+		if (!record)
+			record = first_started(this, &lane->late, now, &engine, &left);
+		if (record)
+			best = (sched_choice_t){record, engine, level};
+	}
+	return best;
+}
+
 /*
- * A late request starts when no timely one waits, or when its workspace was served
- * so much less that it would starve behind the timely requests of others.
+ * A stream that goes on comes first.  A late request starts when no timely one waits, or when its
+ * workspace was served so much less that it would starve behind the timely requests of others.
  */
 sched_choice_t sched_pool_next(sched_pool_t *this, instant_t now)
 {
@@ -322,6 +378,12 @@
 
 	if (!has_free_engine(this, now))
 		return timely;
+	if (this->started) {
+		sched_choice_t started = next_started(this, now);
+
+		if (started.record)
+			return started;
+	}
 	timely = next_timely(this, now);
 	if (this->late)
 		late = next_late(this, now);
--- a/src/core/sched_pool.h
+++ b/src/core/sched_pool.h
@@ -21,6 +21,7 @@
 	struct cds_list_head engines; /* sched_engine_t */
 	unsigned int timely;	      /* requests that wait and can be in time */
 	unsigned int late;	      /* requests that wait and count as late */
+	unsigned int started;	      /* of both: streams that go on */
 	grant_rate_t grants;
 };
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -290,6 +290,42 @@
 	scheduler_delete(this);
 }
 
+/*
+ * All routers were restarted, and their callers take up their streams among a flood of new
+ * requests.  The slots that become free go to the streams, which wait longer than others.
+ */
+static void test_stream_that_goes_on_comes_before_new_requests(void **state)
+{
+	scheduler_t *this = scheduler_with_one_engine(1);
+	instant_t now = USEC_PER_SEC;
+	scheduler_action_t action;
+	slot_request_t request;
+
+	scheduler_set_version(this, 100, 1);
+	for (uint64_t ticket = 1; ticket <= 20; ticket++) {
+		request = slot_request(ticket, now);
+		scheduler_request_slot(this, 3, &request, now);
+	}
+	assert_int_equal(count_grants(this, now), 1);
+	request = slot_request(100, now);
+	request.is_late = true;
+	request.version = 1;
+	scheduler_request_slot(this, 3, &request, now);
+	now += LATE_WAIT + USEC_PER_MSEC;
+	scheduler_run(this, now); /* the others can no longer be in time, or are refused */
+	while (scheduler_next_action(this, &action))
+		assert_true(action.ticket != 100);
+	request = slot_request(101, now);
+	scheduler_request_slot(this, 3, &request, now);
+	for (uint64_t ticket = 1; ticket <= 20; ticket++)
+		scheduler_end(this, 3, ticket, 100, now);
+	scheduler_run(this, now);
+	assert_true(scheduler_next_action(this, &action));
+	assert_int_equal(action.kind, SCHEDULER_GRANT);
+	assert_int_equal(action.ticket, 100);
+	scheduler_delete(this);
+}
+
 static void test_ended_requests_free_their_slots(void **state)
 {
 	scheduler_t *this = scheduler_with_one_engine(2);
@@ -585,6 +621,7 @@
 		cmocka_unit_test(test_shared_parts_are_prefilled_on_few_engines),
 		cmocka_unit_test(test_unreachable_engine_gets_at_most_20_requests),
 		cmocka_unit_test(test_late_request_bound_to_a_version_blocks_no_others),
+		cmocka_unit_test(test_stream_that_goes_on_comes_before_new_requests),
 		cmocka_unit_test(test_ended_requests_free_their_slots),
 		cmocka_unit_test(test_slot_of_lost_end_is_freed_by_reports_without_it),
 		cmocka_unit_test(test_slots_granted_by_former_owner_count_as_used),
