--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -115,16 +115,22 @@
 
 static uint64_t read_field(const catalog_t *catalog, const config_case_t *test_case)
 {
-	const void *const objects[] = {
-		[SERVICE] = &catalog->services[0],
-		[ROUTE] = catalog->routes->pdata[0],
-		[LIMITS] = &catalog->limits,
-	};
-	const char *field = objects[test_case->object];
+	const char *object;
 
-	if (test_case->object == VERSION)
+	switch (test_case->object) {
+	case SERVICE:
+		object = (const char *)&catalog->services[0];
+		break;
+	case ROUTE:
+		object = catalog->routes->pdata[0];
+		break;
+	case LIMITS:
+		object = (const char *)&catalog->limits;
+		break;
+	default:
 		return catalog->version;
-	return *(const unsigned int *)(const void *)(field + test_case->offset);
+	}
+	return *(const unsigned int *)(const void *)(object + test_case->offset);
 }
 
 static void test_numbers_of_the_configuration_at_their_edges(void **state)
