Callers leave descriptors for the endpoints and the other routers

A flooded router of 4,100 descriptors had none left and stood still for 6 s in a storm of failing accept() calls (4,744 lines).

Cause: 3,200 callers were let in whatever the size of the fleet and however many connections to endpoints are open. The bound follows both now, in each tick, and callers above a lower one are closed as others connect.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,7 +18,9 @@
 #define STOP_ACCEPT_DURATION (2500 * USEC_PER_MSEC)
 /* Running calls are ended this long before the process is killed. */
 #define STOP_MARGIN_MS 700
-#define RESERVED_DESCRIPTORS 900 /* for files, endpoints, peers and the store */
+#define RESERVED_DESCRIPTORS 900 /* at least, for files, endpoints, peers and the store */
+#define SPARE_DESCRIPTORS 400	 /* for files, the store and connections that open meanwhile */
+#define DESCRIPTORS_PER_ROUTER 6 /* two connections, and what ZeroMQ needs for them */
 /* Only half of an endpoint's connection limit is used, because its queue takes connections too. */
 #define CONNECTION_DIVISOR 2
 #define SLOW_TURN (200 * USEC_PER_MSEC) /* a turn of the loop that is logged; callers notice it */
@@ -353,6 +355,24 @@
 		finish_stop(this);
 }
 
+/*
+ * Callers that may be connected: each needs memory and a descriptor, and in a flood they would
+ * leave no descriptors for the other routers and for the endpoints.
+ */
+static unsigned int max_callers(const gateway_t *this)
+{
+	const gateway_settings_t *settings = this->settings;
+	unsigned int by_memory = (unsigned int)(settings->memory_mb * 1024 / 2 / CALLER_MEMORY_KB);
+	unsigned int used = SPARE_DESCRIPTORS + this->open_connections +
+			    DESCRIPTORS_PER_ROUTER * gateway_router_count(this);
+	unsigned int reserved = used > RESERVED_DESCRIPTORS ? used : RESERVED_DESCRIPTORS;
+	unsigned int by_descriptors = settings->descriptors > 2 * reserved
+					      ? settings->descriptors - reserved
+					      : settings->descriptors / 2;
+
+	return by_memory < by_descriptors ? by_memory : by_descriptors;
+}
+
 /* Looks at all members, which need not be done in each tick. */
 static void update_origin_fleet(gateway_t *this, instant_t now)
 {
@@ -380,6 +400,7 @@
 	update_origin_fleet(this, now);
 	origin_lookup_tick(this->origin_lookup, &this->origin_fleet, now);
 	expire_calls(this, now);
+	listener_set_max_callers(this->callers, max_callers(this));
 	listener_check_timeouts(this->callers, now);
 	listener_check_timeouts(this->ready, now);
 	if (this->metrics)
@@ -439,21 +460,11 @@
 	return listener_new(&options);
 }
 
-static unsigned int max_callers(const gateway_settings_t *settings)
-{
-	unsigned int by_memory = (unsigned int)(settings->memory_mb * 1024 / 2 / CALLER_MEMORY_KB);
-	unsigned int by_descriptors = settings->descriptors > 2 * RESERVED_DESCRIPTORS
-					      ? settings->descriptors - RESERVED_DESCRIPTORS
-					      : settings->descriptors / 2;
-
-	return by_memory < by_descriptors ? by_memory : by_descriptors;
-}
-
 static bool open_listeners(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
 
-	this->callers = listen_on(this, settings->caller_address, &call_ops, max_callers(settings));
+	this->callers = listen_on(this, settings->caller_address, &call_ops, max_callers(this));
 	this->ready = listen_on(this, settings->ready_address, &status_ops, 64);
 	if (*settings->metrics_address)
 		this->metrics = listen_on(this, settings->metrics_address, &status_ops, 16);
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -10,6 +10,7 @@
 /* The others wait in the kernel, so that a flood of connections does not delay calls in progress.
  */
 #define MAX_ACCEPTED_PER_TURN 64
+#define MAX_CLOSED_PER_ACCEPT 2
 
 struct listener {
 	caller_group_t group;
@@ -31,12 +32,19 @@
 	free_if_unused(caa_container_of(group, listener_t, group));
 }
 
+/* Closes the callers that are needed least; more than one if the bound has become lower. */
 static void make_room(listener_t *this)
 {
-	caller_wait_t *wait = caller_group_least_needed(&this->group);
-
-	if (wait)
+	for (unsigned int i = 0; i < MAX_CLOSED_PER_ACCEPT; i++) {
+		caller_wait_t *wait;
+
+		if (this->group.connected < this->group.max_callers)
+			return;
+		wait = caller_group_least_needed(&this->group);
+		if (!wait)
+			return;
 		caller_disconnect(caller_of_wait(wait));
+	}
 }
 
 static void accept_caller(listener_t *this)
@@ -44,8 +52,7 @@
 	instant_t began = clock_now();
 
 	this->accepted++;
-	if (this->group.connected >= this->group.max_callers)
-		make_room(this);
+	make_room(this);
 	if (!caller_new(&this->group, (uv_stream_t *)&this->tcp))
 		log_info("connection-rejected", "callers=%u most=%u", this->group.connected,
 			this->group.max_callers);
@@ -65,6 +72,11 @@
 		accept_caller(this);
 }
 
+void listener_set_max_callers(listener_t *this, unsigned int max_callers)
+{
+	this->group.max_callers = max_callers;
+}
+
 void listener_begin_turn(listener_t *this)
 {
 	this->accepted = 0;
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -19,6 +19,8 @@
 
 /* Returns NULL, with the error logged, if the address can't be bound. */
 listener_t *listener_new(const listener_options_t *options);
+/* Changes the bound; callers above it are closed as others connect. */
+void listener_set_max_callers(listener_t *this, unsigned int max_callers);
 /* Has to be called once in each turn of the loop; each turn accepts a bounded number of callers. */
 void listener_begin_turn(listener_t *this);
 /* Responses carry "Connection: close" from now on; idle callers are closed from that instant. */
--- a/tests/test_listener.c
+++ b/tests/test_listener.c
@@ -76,10 +76,45 @@
 	uv_loop_close(&loop);
 }
 
+static void run_turns(uv_loop_t *loop, listener_t *listener, unsigned int turns)
+{
+	while (turns--) {
+		listener_begin_turn(listener);
+		uv_run(loop, UV_RUN_NOWAIT);
+	}
+}
+
+/* The bound falls while connections to endpoints are open: descriptors must not run out. */
+static void test_callers_above_a_lower_bound_are_closed_as_others_connect(void **state)
+{
+	uv_loop_t loop;
+	char address[32];
+	listener_t *listener;
+	int callers[2 * CALLERS];
+
+	uv_loop_init(&loop);
+	listener = new_listener(&loop, address, sizeof(address));
+	for (unsigned int i = 0; i < CALLERS; i++)
+		callers[i] = fixture_connect(address);
+	run_turns(&loop, listener, CALLERS);
+	assert_int_equal(listener_caller_count(listener), CALLERS);
+	listener_set_max_callers(listener, CALLERS / 2);
+	for (unsigned int i = CALLERS; i < 2 * CALLERS; i++)
+		callers[i] = fixture_connect(address);
+	run_turns(&loop, listener, 2 * CALLERS);
+	assert_int_equal(listener_caller_count(listener), CALLERS / 2);
+	for (unsigned int i = 0; i < 2 * CALLERS; i++)
+		close(callers[i]);
+	listener_delete(listener);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_one_turn_accepts_a_bounded_number_of_callers),
+		cmocka_unit_test(test_callers_above_a_lower_bound_are_closed_as_others_connect),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
