A repeated confirmation does not count as progress of the keeper

Found on rereading. A keeper confirms its newest save again with each report. Its routers took that for progress, so if it lost the store after a first save they never saved their streams themselves, as the design says. The tests had the store down from the start only.

Now only a newer confirmation counts.

--- a/src/core/origin_keeper.c
+++ b/src/core/origin_keeper.c
@@ -25,6 +25,7 @@
 	report_t own;
 	uint64_t sent_seq; /* newest report sent to the keeper */
 	instant_t sent_at;
+	uint64_t own_confirmed_seq;   /* newest of them that the keeper has saved */
 	instant_t unconfirmed_since;  /* 0: all of it is confirmed */
 	bool kept_own;		      /* at the last tick */
 	struct cds_list_head reports; /* of other routers */
@@ -111,6 +112,7 @@
 	this->keeper = slot;
 	this->sent_seq = 0;
 	this->sent_at = 0;
+	this->own_confirmed_seq = 0;
 	this->changed |= !slot;
 	this->unconfirmed_since = this->own.size ? now : 0;
 }
@@ -171,6 +173,10 @@
 	if (slot != this->keeper || entry->version != this->incarnation ||
 		entry->ticket > this->own.seq)
 		return;
+	/* A repeated confirmation does not show that the keeper still saves. */
+	if (entry->ticket <= this->own_confirmed_seq)
+		return;
+	this->own_confirmed_seq = entry->ticket;
 	this->unconfirmed_since = entry->ticket == this->own.seq ? 0 : now;
 }
 
--- a/tests/test_origin_keeper.c
+++ b/tests/test_origin_keeper.c
@@ -197,6 +197,19 @@
 	fleet_delete(fleet);
 }
 
+/* The keeper goes on confirming what it saved before it lost the store. */
+static void test_router_saves_its_streams_itself_when_its_keeper_loses_the_store(void **state)
+{
+	fleet_t *fleet = fleet_new();
+
+	run(fleet, 3 * USEC_PER_SEC);
+	fleet->store_is_down = true;
+	run(fleet, ORIGIN_CONFIRM_TIMEOUT + 2 * USEC_PER_SEC);
+	for (unsigned int i = 1; i < ROUTERS; i++)
+		assert_true(origin_keeper_keeps_own(fleet->routers[i], fleet->now));
+	fleet_delete(fleet);
+}
+
 static void test_router_saves_its_streams_itself_until_reports_arrive_again(void **state)
 {
 	fleet_t *fleet = fleet_new();
@@ -345,6 +358,8 @@
 		cmocka_unit_test(test_one_keeper_saves_the_streams_of_sixty_routers_twice_a_second),
 		cmocka_unit_test(test_streams_of_killed_router_stay_saved_until_they_are_too_old),
 		cmocka_unit_test(test_router_saves_its_streams_itself_while_its_keeper_does_not),
+		cmocka_unit_test(
+			test_router_saves_its_streams_itself_when_its_keeper_loses_the_store),
 		cmocka_unit_test(test_router_saves_its_streams_itself_until_reports_arrive_again),
 		cmocka_unit_test(test_report_that_does_not_fit_is_not_confirmed),
 		cmocka_unit_test(test_confirmation_waits_until_every_row_is_written),
