A report of streams that was lost on the way is sent again

Cause: after a loss a router tells again what it tells only when it changes, but the report of its streams was not among that. The next report was due with the next change or after 10 s; the router would have saved its streams itself after 3 s. The same holds for the keeper's confirmations and for a keeper that restarts before it is missed.

Ruled out: the store (rows are read and written in the same runs), and the keeper's start delay (its first save would still come in time).

Both new unit tests need the new function, so they could not run before; without the reset in it they fail by construction.

--- a/src/core/origin_keeper.c
+++ b/src/core/origin_keeper.c
@@ -259,6 +259,18 @@
 	return true;
 }
 
+void origin_keeper_reset_peer(origin_keeper_t *this, unsigned int slot)
+{
+	report_t *report;
+
+	if (slot == this->keeper)
+		this->sent_seq = 0;
+	cds_list_for_each_entry (report, &this->reports, link) {
+		if (report->slot == slot)
+			report->confirmed_seq = 0;
+	}
+}
+
 /* --- saving ------------------------------------------------------------- */
 
 static bool is_save_due(const origin_keeper_t *this, unsigned int routers, instant_t now)
--- a/src/core/origin_keeper.h
+++ b/src/core/origin_keeper.h
@@ -62,6 +62,11 @@
  */
 bool origin_keeper_next_entry(
 	origin_keeper_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
+/*
+ * The member has restarted, or messages to it were lost: it gets its report and confirmations
+ * again.
+ */
+void origin_keeper_reset_peer(origin_keeper_t *this, unsigned int slot);
 /* Handles ENTRY_STREAMS and ENTRY_STREAMS_SAVED of the member's run `incarnation`. */
 void origin_keeper_handle_entry(origin_keeper_t *this, unsigned int slot, uint64_t incarnation,
 	const message_entry_t *entry, instant_t now);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -48,6 +48,7 @@
 		if (header.incarnation != this->incarnations[slot]) {
 			row_gossip_reset_peer(this->gossip, slot);
 			part_watch_reset_peer(this->options.part_watch, slot);
+			origin_keeper_reset_peer(this->options.origin_keeper, slot);
 		}
 		this->incarnations[slot] = header.incarnation;
 		this->heard_at[slot] = now;
@@ -128,6 +129,7 @@
 {
 	row_gossip_repeat_versions(this->gossip, slot);
 	part_watch_reset_peer(this->options.part_watch, slot);
+	origin_keeper_reset_peer(this->options.origin_keeper, slot);
 	placement_repeat_reports(this->placement, slot);
 	this->lost[slot] = false;
 }
--- a/tests/test_origin_keeper.c
+++ b/tests/test_origin_keeper.c
@@ -293,6 +293,51 @@
 	fleet_delete(fleet);
 }
 
+/* Its streams do not change, so that there is no other report soon. */
+static void test_report_that_was_lost_is_sent_again(void **state)
+{
+	origin_keeper_t *router = origin_keeper_new(1, 0);
+	instant_t now = 100 * USEC_PER_SEC;
+	stream_origin_t own = {1, SERVICE, VERSION};
+	message_entry_t entry;
+
+	origin_keeper_set_keeper(router, KEEPER_SLOT, now);
+	origin_keeper_set_own(router, &own, 1, now);
+	assert_true(origin_keeper_next_entry(router, KEEPER_SLOT, &entry, now));
+	origin_keeper_reset_peer(router, KEEPER_SLOT + 1);
+	assert_false(origin_keeper_is_due(router, KEEPER_SLOT, now + ORIGIN_REPORT_INTERVAL));
+	origin_keeper_reset_peer(router, KEEPER_SLOT);
+	assert_false(origin_keeper_is_due(router, KEEPER_SLOT, now + ORIGIN_REPORT_INTERVAL - 1));
+	now += ORIGIN_REPORT_INTERVAL;
+	assert_true(origin_keeper_is_due(router, KEEPER_SLOT, now));
+	assert_true(origin_keeper_next_entry(router, KEEPER_SLOT, &entry, now));
+	assert_int_equal(entry.kind, ENTRY_STREAMS);
+	assert_int_equal(entry.size, STREAM_RECORD_BYTES);
+	origin_keeper_delete(router);
+}
+
+static void test_confirmation_that_was_lost_is_sent_again(void **state)
+{
+	char bytes[STREAM_RECORD_BYTES] = {0};
+	instant_t now = 100 * USEC_PER_SEC;
+	origin_keeper_t *keeper = origin_keeper_new(1, 0);
+	message_entry_t entry = {
+		.kind = ENTRY_STREAMS, .ticket = 1, .bytes = bytes, .size = sizeof(bytes)};
+
+	origin_keeper_handle_entry(keeper, 1, 1, &entry, now);
+	assert_true(origin_keeper_begin_save(keeper, ROUTERS, now));
+	origin_keeper_row_saved(keeper);
+	assert_true(origin_keeper_next_entry(keeper, 1, &entry, now));
+	assert_false(origin_keeper_next_entry(keeper, 1, &entry, now));
+	origin_keeper_reset_peer(keeper, 2);
+	assert_false(origin_keeper_next_entry(keeper, 1, &entry, now));
+	origin_keeper_reset_peer(keeper, 1);
+	assert_true(origin_keeper_next_entry(keeper, 1, &entry, now));
+	assert_int_equal(entry.kind, ENTRY_STREAMS_SAVED);
+	assert_int_equal(entry.ticket, 1);
+	origin_keeper_delete(keeper);
+}
+
 static void test_router_without_streams_sends_and_saves_nothing(void **state)
 {
 	origin_keeper_t *router = origin_keeper_new(1, 0);
@@ -364,6 +409,8 @@
 		cmocka_unit_test(test_report_that_does_not_fit_is_not_confirmed),
 		cmocka_unit_test(test_confirmation_waits_until_every_row_is_written),
 		cmocka_unit_test(test_new_keeper_gets_the_report_at_once),
+		cmocka_unit_test(test_report_that_was_lost_is_sent_again),
+		cmocka_unit_test(test_confirmation_that_was_lost_is_sent_again),
 		cmocka_unit_test(test_router_without_streams_sends_and_saves_nothing),
 		cmocka_unit_test(test_router_that_has_just_started_waits_for_its_keeper),
 		cmocka_unit_test(test_report_of_odd_size_and_foreign_confirmation_are_ignored),
