Routers know of an end in the turn before theirs

One that sends at the end of its turn tells of the end 0.2 s after it; by then the next turn has begun. Simulated with three routers and endpoints that come back at each moment of a turn: 3 ends where 2 suffice, 4 with news that are 0.5 s late, 6 with 1.0 s.

Now a request in doubt is sent in the first half of a turn only, and its ends are told without the delay that lets common prompt parts be shown sound: 2 ends, 3 from 0.5 s on, 4 from 1.1 s on. Failed tries on the way: the half turn alone (4 from 0.5 s on).

--- a/src/core/part_watch.c
+++ b/src/core/part_watch.c
@@ -442,9 +442,9 @@
 	if (routers < 2)
 		return record->trial_until;
 	turn += place * PART_WATCH_TURN;
-	if (turn + PART_WATCH_TURN <= now)
+	if (turn + PART_WATCH_TURN_OPEN <= now)
 		turn += (now - turn) / round * round;
-	if (turn + PART_WATCH_TURN <= now)
+	if (turn + PART_WATCH_TURN_OPEN <= now)
 		turn += round;
 	return instant_max(turn, record->trial_until);
 }
@@ -516,6 +516,17 @@
 	};
 }
 
+/*
+ * An end of a request that the routers send in turns is told at once.  For others a sound answer
+ * may come soon.
+ */
+static bool may_wait(const part_record_t *record, const part_end_t *end, instant_t now)
+{
+	bool in_turns = record->is_whole && (is_blocked(record, now) || is_in_doubt(record, now));
+
+	return !in_turns && now < end->at + TELL_DELAY;
+}
+
 static void tell_ends(part_watch_t *this, part_record_t *record, instant_t now)
 {
 	for (unsigned int i = 0; i < record->end_count; i++) {
@@ -524,7 +535,7 @@
 
 		if (end->told)
 			continue;
-		if (now < end->at + TELL_DELAY) {
+		if (may_wait(record, end, now)) {
 			this->has_untold_ends = true;
 			continue;
 		}
--- a/src/core/part_watch.h
+++ b/src/core/part_watch.h
@@ -16,7 +16,8 @@
  * blocked or its answer is sound: copies at all routers at once would end as many endpoints.
  *
  * Routers tell each other of ends and of sound answers, so that a part is blocked at all of them.
- * An end is told after a delay, in which common parts are shown to be sound.
+ * An end is told after a delay, in which common parts are shown to be sound; at once if the request
+ * is in doubt.
  *
  * Parts are hashes; endpoints are ids of one start.  The table is bounded, does no I/O and
  * reads no clock.
@@ -30,8 +31,12 @@
 /* An answer that has gone on for this long is sound. */
 #define PART_WATCH_SOUND_AFTER (500 * USEC_PER_MSEC)
 #define PART_WATCH_BLOCK_TIME (300 * USEC_PER_SEC) /* doubles each time it is blocked again */
-/* For which a router may send a request in doubt: peers are told of an end within it. */
+/*
+ * A router's turn with a request in doubt.  It sends the request in the first part of it only, so
+ * that the next router has been told of an end before its own turn begins.
+ */
 #define PART_WATCH_TURN (1 * USEC_PER_SEC)
+#define PART_WATCH_TURN_OPEN (PART_WATCH_TURN / 2)
 #define PART_SET_MAX 17 /* shared prompt parts that are told apart, and the whole */
 
 /* The parts of one request. */
