--- a/tests/engine_sim.c
+++ b/tests/engine_sim.c
@@ -41,9 +41,9 @@
 	GArray *prompt_sizes; /* prompt * 2 + served, of jobs with a first token or a refusal */
 };
 
-static id_t32 engine_id(unsigned int i)
+id_t32 sim_engine_id(unsigned int index)
 {
-	return 100 + i;
+	return 100 + index;
 }
 
 sim_t *sim_new(const sim_options_t *options)
@@ -62,7 +62,7 @@
 	this->batches = g_ptr_array_new();
 	this->prompt_sizes = g_array_new(FALSE, FALSE, sizeof(unsigned int));
 	for (unsigned int i = 0; i < options->engines; i++) {
-		scheduler_add_engine(this->scheduler, engine_id(i), SIM_POOL,
+		scheduler_add_engine(this->scheduler, sim_engine_id(i), SIM_POOL,
 			&(engine_limits_t){.slots = options->slots});
 		g_ptr_array_add(this->queues, g_ptr_array_new());
 		g_ptr_array_add(this->batches, g_ptr_array_new());
@@ -162,7 +162,7 @@
 
 static void begin_prefill(sim_t *this, job_t *job, id_t32 engine)
 {
-	unsigned int i = engine - engine_id(0);
+	unsigned int i = engine - sim_engine_id(0);
 	const prompt_chain_t *chain = &job->request.work.chain;
 	char *key = g_strdup_printf("%u/%" G_GUINT64_FORMAT, i, (guint64)chain->hash[0]);
 
--- a/tests/engine_sim.h
+++ b/tests/engine_sim.h
@@ -63,5 +63,7 @@
  */
 double sim_served_share(const sim_t *this, bool largest_tenth);
 instant_t sim_now(const sim_t *this);
+/* Id of an engine, from 0. */
+id_t32 sim_engine_id(unsigned int index);
 
 #endif
