Levels start anew when slots become scarce

Cause: the levels by which workspaces are ordered hold what each was served in the last seconds, also what nobody else wanted.

Now an owner's levels start anew when the first lane begins to get less than it asks for; a lane that joins is kept between 40,000 tokens below the mean of those in want and the highest of them.

--- a/src/core/sched_lane.c
+++ b/src/core/sched_lane.c
@@ -38,11 +38,9 @@
 	this->contended_until = now + CONTENTION_TIME;
 }
 
-void sched_lane_raise(sched_lane_t *this, double level, instant_t now)
+void sched_lane_limit_level(sched_lane_t *this, double least, double most, instant_t now)
 {
-	double current = sched_lane_level(this, now);
-
-	this->served = current < level ? level : current;
+	this->served = fmax(least, fmin(most, sched_lane_level(this, now)));
 	this->served_at = now;
 }
 
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -6,8 +6,8 @@
  * The level of a lane is the number of tokens that the whole fleet served to
  * the workspace recently.  It decays exponentially within some seconds, so that
  * a workspace can't save up credit while it is idle.  What a workspace was served while nobody
- * else wanted it does not count against it either: a lane that begins to get less than it asks for
- * starts a little below the lowest level of those that do so already.
+ * else wanted it does not count against it either: all levels start anew when the first lane begins
+ * to get less than it asks for, and one that joins later starts near the levels of those that do.
  */
 #include "core/sched_engine.h"
 
@@ -62,8 +62,7 @@
 bool sched_lane_is_contended(const sched_lane_t *this, instant_t now);
 /* Notes that a request of the lane could not start in time. */
 void sched_lane_set_contended(sched_lane_t *this, instant_t now);
-/* Raises the level to at least `level`. */
-void sched_lane_raise(sched_lane_t *this, double level, instant_t now);
+void sched_lane_limit_level(sched_lane_t *this, double least, double most, instant_t now);
 /* Returns the estimated cost of a request in tokens. */
 double slot_request_cost(const slot_request_t *request);
 /* Returns the cost of `answer` generated tokens. */
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -11,10 +11,10 @@
 /* A late request goes first when its lane's level is below this fraction of the timely one's. */
 #define STARVATION_RATIO 0.7
 /*
- * Part of the level of those that get less than they ask for at which a lane starts that begins to
- * get less, too: the rest lets a workspace that asks for little go first.
+ * Tokens below the mean of those that get less than they ask for at which a lane starts at least
+ * that begins to get less, too: so a workspace that asks for little goes first.
  */
-#define CONTENTION_START_RATIO 0.75
+#define CONTENTION_MAX_LEAD 40000
 /* A stream that goes on may wait longer for a slot than other late requests: it comes first. */
 #define STARTED_WAIT_FACTOR 4
 #define MAX_STARTED_CANDIDATES 16	 /* streams that go on, tried for a free slot */
@@ -395,29 +395,52 @@
 
 /* --- contention --------------------------------------------------------- */
 
-/* The lowest level of the other lanes that get less than they ask for; 0: none does. */
-static double contended_level(const sched_pool_t *this, const sched_lane_t *except, instant_t now)
+/* The levels of the lanes that get less than they ask for. */
+typedef struct level_range {
+	unsigned int lanes;
+	double mean;
+	double highest;
+} level_range_t;
+
+static level_range_t find_contended_levels(const sched_pool_t *this, instant_t now)
 {
+	level_range_t range = {0};
 	const sched_lane_t *lane;
-	double lowest = HUGE_VAL;
 
 	cds_list_for_each_entry (lane, &this->lanes, link) {
-		if (lane != except && sched_lane_is_contended(lane, now) &&
-			sched_lane_level(lane, now) < lowest)
-			lowest = sched_lane_level(lane, now);
+		double level = sched_lane_level(lane, now);
+
+		if (!sched_lane_is_contended(lane, now))
+			continue;
+		range.mean = (range.mean * range.lanes + level) / (range.lanes + 1);
+		range.highest = fmax(range.highest, level);
+		range.lanes++;
 	}
-	return lowest == HUGE_VAL ? 0 : lowest;
+	return range;
+}
+
+/* What the workspaces were served until now was wanted by nobody else. */
+static void reset_levels(sched_pool_t *this, instant_t now)
+{
+	sched_lane_t *lane;
+
+	cds_list_for_each_entry (lane, &this->lanes, link)
+		sched_lane_limit_level(lane, 0, 0, now);
 }
 
 /*
- * A request of the lane could not start in time.  A lane that was served all it asked for until now
- * would else be served alone until its level reaches that of the others.
+ * A request of the lane could not start in time.  Without the limits a lane far below the others
+ * would be served alone until it reaches them, and one far above would wait until it has decayed.
  */
 static void note_contention(sched_pool_t *this, sched_lane_t *lane, instant_t now)
 {
-	if (!sched_lane_is_contended(lane, now))
-		sched_lane_raise(
-			lane, contended_level(this, lane, now) * CONTENTION_START_RATIO, now);
+	level_range_t range = find_contended_levels(this, now);
+
+	if (!range.lanes)
+		reset_levels(this, now);
+	else if (!sched_lane_is_contended(lane, now))
+		sched_lane_limit_level(
+			lane, fmax(range.mean - CONTENTION_MAX_LEAD, 0), range.highest, now);
 	sched_lane_set_contended(lane, now);
 }
 
