Three routers of each failure domain follow the store for the others

Cause: each router follows each table, so each change costs a call for every router, and as each tells all others of a new version, a message for every pair; after rows of a peer it lists the table once more.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -183,6 +183,28 @@
 	return count;
 }
 
+bool members_is_neighbour(const members_t *this, unsigned int slot)
+{
+	return is_in_own_domain(this, &this->list[slot]);
+}
+
+void members_choose(const members_t *this, id_t32 key, unsigned int per_domain, bool *chosen)
+{
+	uint64_t weights[MEMBER_MAX];
+
+	for (unsigned int i = 0; i < this->count; i++)
+		weights[i] = weight_for(&this->list[i], key);
+	for (unsigned int i = 0; i < this->count; i++) {
+		const member_t *member = &this->list[i];
+		unsigned int place = 0;
+
+		for (unsigned int k = 0; k < this->count; k++)
+			place += this->list[k].domain == member->domain &&
+				 is_eligible(&this->list[k]) && weights[k] > weights[i];
+		chosen[i] = is_eligible(member) && place < per_domain;
+	}
+}
+
 unsigned int members_place(const members_t *this, id_t32 key, unsigned int *routers)
 {
 	uint64_t own = weight_for(&this->list[0], key);
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -85,6 +85,13 @@
  * this router's failure domain, by rendezvous hashing; 0, this router, when there is no other.
  */
 unsigned int members_keeper(const members_t *this, id_t32 key);
+/* Whether the member in `slot` is a living router of this router's failure domain. */
+bool members_is_neighbour(const members_t *this, unsigned int slot);
+/*
+ * Sets, in `chosen`, which routers are the first `per_domain` living ones of their failure domain,
+ * in an order that `key` decides.  `chosen` has an element for each member.
+ */
+void members_choose(const members_t *this, id_t32 key, unsigned int per_domain, bool *chosen);
 /* Returns the member slot of the router that owns `replica`, by rendezvous hashing over the view.
  */
 unsigned int members_owner(const members_t *this, id_t32 replica);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -50,6 +50,7 @@
 	/* The placement ignores these as well; routers of earlier builds read no further. */
 	ENTRY_STREAMS,	     /* the streams of the sender that may be taken up */
 	ENTRY_STREAMS_SAVED, /* the report of streams that the sender has saved */
+	ENTRY_STORE_STATE,   /* what the sender, a reader of the store, sees of it */
 	ENTRY_KINDS,
 } entry_kind_t;
 
@@ -78,7 +79,7 @@
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
 	 * ENTRY_FAILURE: slot_result_t; ENTRY_END: generated tokens; ENTRY_ROW_CHUNK:
 	 * rows still to come; ENTRY_PART_END: time since the end, ms; ENTRY_RATE_LIMIT: the
-	 * rate, see rate_limit.h.
+	 * rate, see rate_limit.h; ENTRY_STORE_STATE: store_state_t.
 	 */
 	uint32_t value;
 	slot_usage_t usage; /* ENTRY_SLOT_USAGE */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -398,6 +398,7 @@
 
 	part_watch_tick(this->part_watch, now);
 	update_origin_fleet(this, now);
+	gateway_update_store_reading(this, now);
 	origin_lookup_tick(this->origin_lookup, &this->origin_fleet, now);
 	expire_calls(this, now);
 	listener_set_max_callers(this->callers, max_callers(this));
@@ -530,9 +531,11 @@
 				      .max_backlog = settings->engine_backlog_ms * USEC_PER_MSEC}},
 		.part_watch = this->part_watch,
 		.origin_keeper = origin_lookup_keeper(this->origin_lookup),
+		.store_readers = this->store_readers,
 		.on_rate_limit = on_rate_limit,
 		.ctx = this,
 		.gossip = {.row_cache = this->row_cache,
+			.self = name_id(settings->name),
 			.on_rows = gateway_handle_peer_rows,
 			.ctx = this},
 	};
@@ -607,6 +610,7 @@
 	this->row_cache = row_cache_new();
 	this->part_watch = part_watch_new(&part_options);
 	this->origin_lookup = new_origin_lookup(this);
+	this->store_readers = store_readers_new();
 	this->retry_budgets = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	this->budget_options = (retry_budget_options_t){
 		.ratio = settings->retry_ratio,
@@ -673,6 +677,7 @@
 	endpoint_registry_delete(this->endpoint_registry);
 	row_cache_delete(this->row_cache);
 	part_watch_delete(this->part_watch);
+	store_readers_delete(this->store_readers);
 	catalog_put(this->catalog);
 	g_hash_table_destroy(this->retry_budgets);
 	g_hash_table_destroy(this->typical_times_left);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,11 @@
 	listener_t *metrics;
 	table_watch_t *catalog_watch;
 	table_watch_t *endpoint_watch;
+	store_readers_t *store_readers;
+	bool reads_store;	       /* follows the tables itself, see store_readers.h */
+	store_state_t catalog_state;   /* of the table, by this router's own reads */
+	store_state_t endpoints_state; /* likewise */
+	instant_t store_reading_due;   /* when it is looked at again */
 	catalog_t *catalog;
 	endpoint_registry_t *endpoint_registry;
 	row_cache_t *row_cache;
@@ -123,6 +128,8 @@
  * share of the retry allowance and of the endpoints' connections.
  */
 void gateway_apply_fleet_size(gateway_t *this);
+/* Follows the store's tables itself or not, as the readers of its failure domain make needful. */
+void gateway_update_store_reading(gateway_t *this, instant_t now);
 /* Handles a listing of the endpoints' table at once. */
 void gateway_handle_endpoint_table(void *ctx, const GArray *rows, store_version_t version);
 /*
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -56,6 +56,7 @@
 	metrics_append(out, "endpoints_read_in_era",
 		row_cache_newest_version(this->row_cache, CACHED_ENDPOINTS).era);
 	metrics_append(out, "store_losses_total", this->store_losses);
+	metrics_append(out, "store_reader", this->reads_store);
 	metrics_append(out, "log_lines_dropped_total", log_dropped_lines());
 	loop_watch_write_metrics(this->loop_watch, out);
 	for (int i = 0; i < REASON_COUNT; i++)
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -7,6 +7,7 @@
 
 #define REFERENCE_FLEET_SIZE 8 /* routers for which the settings' waits and pauses are chosen */
 #define MAX_PAUSE_MS 800       /* well below the time within which a change must take effect */
+#define READING_CHECK_INTERVAL (100 * USEC_PER_MSEC) /* of gateway_update_store_reading() */
 
 /* True if the row is the document of the catalog in force. */
 static bool is_current_catalog(const gateway_t *this, const store_row_t *row)
@@ -77,18 +78,20 @@
 	gateway_t *this = ctx;
 
 	this->store_era = version.era;
+	this->catalog_state = STORE_FOLLOWED;
 	on_catalog_rows(ctx, rows);
 }
 
-static void on_store_unreachable(void *ctx)
+static void on_catalog_unreachable(void *ctx)
 {
 	gateway_t *this = ctx;
 
 	this->store_losses++;
+	this->catalog_state = STORE_LOST;
 }
 
 static const table_watch_ops_t catalog_ops = {
-	on_catalog_table, on_catalog_rows, on_store_unreachable};
+	on_catalog_table, on_catalog_rows, on_catalog_unreachable};
 
 /* Returns whether the endpoint was removed at once. */
 static bool apply_deleted_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
@@ -188,9 +191,18 @@
 
 	if (outage)
 		begin_lapse_grace(this);
+	this->endpoints_state = STORE_FOLLOWED;
 	apply_endpoint_table(this, rows, version);
 }
 
+static void on_endpoints_unreachable(void *ctx)
+{
+	gateway_t *this = ctx;
+
+	this->store_losses++;
+	this->endpoints_state = STORE_LOST;
+}
+
 void gateway_handle_endpoint_table(void *ctx, const GArray *rows, store_version_t version)
 {
 	gateway_t *this = ctx;
@@ -229,13 +241,13 @@
 	else
 		on_endpoint_rows(this, rows);
 	this->endpoints_loaded |= table == CACHED_ENDPOINTS;
-	if (store_version_compare(version, known) > 0)
+	if (this->reads_store && store_version_compare(version, known) > 0)
 		table_watch_refresh(
 			table == CACHED_CATALOG ? this->catalog_watch : this->endpoint_watch);
 }
 
 static const table_watch_ops_t endpoint_ops = {
-	on_endpoint_table, on_endpoint_rows, on_store_unreachable};
+	on_endpoint_table, on_endpoint_rows, on_endpoints_unreachable};
 
 /* True if this router's own row is among them. */
 static bool apply_roster_rows(gateway_t *this, const GArray *rows)
@@ -268,7 +280,15 @@
 		roster_check_own_row(this->roster, NULL);
 }
 
-static const table_watch_ops_t roster_ops = {on_roster_table, on_roster_rows, on_store_unreachable};
+static void on_roster_unreachable(void *ctx)
+{
+	gateway_t *this = ctx;
+
+	this->store_losses++;
+}
+
+static const table_watch_ops_t roster_ops = {
+	on_roster_table, on_roster_rows, on_roster_unreachable};
 
 static table_watch_t *watch_table(
 	gateway_t *this, const char *table, unsigned int wait_ms, const table_watch_ops_t *ops)
@@ -315,6 +335,39 @@
 		1.0 / scale);
 }
 
+static store_state_t store_state(const gateway_t *this)
+{
+	if (this->catalog_state == STORE_LOST || this->endpoints_state == STORE_LOST)
+		return STORE_LOST;
+	return this->catalog_state == STORE_FOLLOWED ? this->endpoints_state : STORE_UNREAD;
+}
+
+static void set_reads_store(gateway_t *this, bool reads)
+{
+	log_notice("store-reading", "reads=%d", reads);
+	this->reads_store = reads;
+	this->catalog_state = STORE_UNREAD;
+	this->endpoints_state = STORE_UNREAD;
+	table_watch_set_paused(this->catalog_watch, !reads);
+	table_watch_set_paused(this->endpoint_watch, !reads);
+	peers_set_only_source(this->peers, !reads);
+}
+
+void gateway_update_store_reading(gateway_t *this, instant_t now)
+{
+	bool reads;
+
+	if (now < this->store_reading_due)
+		return;
+	this->store_reading_due = now + READING_CHECK_INTERVAL;
+	reads = store_readers_must_read(this->store_readers, now);
+	if (reads != this->reads_store)
+		set_reads_store(this, reads);
+	store_readers_set_state(this->store_readers, reads ? store_state(this) : STORE_UNREAD);
+	if (store_readers_lost_store(this->store_readers, now))
+		begin_lapse_grace(this);
+}
+
 void gateway_watch_store(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
@@ -326,6 +379,7 @@
 			this->public_key, this->incarnation},
 	};
 
+	this->reads_store = true;
 	this->roster = roster_new(&options);
 	this->roster_watch = watch_table(this, ROSTER_TABLE, settings->roster_wait_ms, &roster_ops);
 	this->catalog_watch =
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -49,6 +49,7 @@
 			row_gossip_reset_peer(this->gossip, slot);
 			part_watch_reset_peer(this->options.part_watch, slot);
 			origin_keeper_reset_peer(this->options.origin_keeper, slot);
+			store_readers_reset_peer(this->options.store_readers, slot);
 		}
 		this->incarnations[slot] = header.incarnation;
 		this->heard_at[slot] = now;
@@ -61,6 +62,9 @@
 			else if (entry.kind == ENTRY_STREAMS || entry.kind == ENTRY_STREAMS_SAVED)
 				origin_keeper_handle_entry(this->options.origin_keeper, slot,
 					header.incarnation, &entry, now);
+			else if (entry.kind == ENTRY_STORE_STATE)
+				store_readers_handle_entry(
+					this->options.store_readers, slot, &entry, now);
 			else
 				placement_handle_entry(this->placement, slot, &entry, now);
 		}
@@ -135,7 +139,7 @@
 }
 
 /* They come last, as routers of earlier builds do not read on after them. */
-static void write_origins(peers_t *this, unsigned int slot, instant_t now)
+static void write_last_entries(peers_t *this, unsigned int slot, instant_t now)
 {
 	origin_keeper_t *keeper = this->options.origin_keeper;
 	message_entry_t entry;
@@ -143,6 +147,9 @@
 	while (entry_writer_bytes_left(this->writer) >= ORIGIN_REPORT_MAX_BYTES + ENTRY_MAX_BYTES &&
 		origin_keeper_next_entry(keeper, slot, &entry, now))
 		entry_writer_add(this->writer, &entry, now);
+	if (!entry_writer_is_full(this->writer) &&
+		store_readers_next_entry(this->options.store_readers, slot, &entry, now))
+		entry_writer_add(this->writer, &entry, now);
 }
 
 static void send_message(
@@ -166,7 +173,7 @@
 	if (!entry_writer_is_full(this->writer) &&
 		placement_next_receipt(this->placement, slot, &entry, now))
 		entry_writer_add(this->writer, &entry, now);
-	write_origins(this, slot, now);
+	write_last_entries(this, slot, now);
 	bytes = entry_writer_data(this->writer, &size);
 	if (this->socket_index[slot] >= 0)
 		this->lost[slot] = !peer_socket_send(
@@ -206,10 +213,15 @@
 static void wake_for_gossip(peers_t *this, instant_t now)
 {
 	const members_t *members = placement_members(this->placement);
+	store_readers_t *readers = this->options.store_readers;
 
+	store_readers_choose(readers, members);
 	for (unsigned int slot = 1; slot < members->count; slot++) {
+		bool at_once = store_readers_tells_versions(readers, slot);
+
 		if (check_state(this, slot, now) &&
-			(row_gossip_is_due(this->gossip, slot, now) ||
+			(row_gossip_is_due(this->gossip, slot, at_once, now) ||
+				store_readers_is_due(readers, slot, now) ||
 				part_watch_is_due(this->options.part_watch, slot) ||
 				origin_keeper_is_due(this->options.origin_keeper, slot, now)))
 			placement_make_message_due(this->placement, slot, now);
@@ -242,6 +254,11 @@
 {
 }
 
+void peers_set_only_source(peers_t *this, bool only_source)
+{
+	row_gossip_set_only_source(this->gossip, only_source);
+}
+
 uint64_t peers_links_renewed(const peers_t *this)
 {
 	return this->links_renewed;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -10,6 +10,7 @@
 #include "core/origin_keeper.h"
 #include "core/part_watch.h"
 #include "core/placement.h"
+#include "core/store_readers.h"
 #include "edge/peer_socket.h"
 #include "gateway/row_gossip.h"
 
@@ -31,6 +32,7 @@
 	void *ctx;
 	part_watch_t *part_watch;
 	origin_keeper_t *origin_keeper;
+	store_readers_t *store_readers;
 } peers_options_t;
 
 /* Returns NULL if the address can't be bound. */
@@ -39,6 +41,8 @@
 void peers_delete(peers_t *this);
 
 placement_t *peers_placement(peers_t *this);
+/* See row_gossip_set_only_source(). */
+void peers_set_only_source(peers_t *this, bool only_source);
 /* Number of links to other routers that were renewed, as they were silent. */
 uint64_t peers_links_renewed(const peers_t *this);
 /* Handles another router's row of the roster: adds, updates or unlists the peer. */
--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -7,6 +7,13 @@
 #define REQUEST_DELAY (400 * USEC_PER_MSEC) /* the store usually delivers the rows within it */
 /* After a request without an answer, until the next request to this or another peer. */
 #define REQUEST_RETRY_DELAY (1 * USEC_PER_SEC)
+/*
+ * The same if rows come from peers only.  Several tell of a version at the same time: delays that
+ * differ from peer to peer spread the requests of all routers over them.
+ */
+#define ONLY_SOURCE_MAX_DELAY (60 * USEC_PER_MSEC)
+#define ONLY_SOURCE_RETRY_DELAY (400 * USEC_PER_MSEC)
+#define SPREAD_FACTOR 0x9e3779b97f4a7c15ULL
 #define CHUNK_SIZE 16384
 
 /* A row that is being sent to or received from a peer in chunks. */
@@ -30,6 +37,7 @@
 
 struct row_gossip {
 	row_gossip_options_t options;
+	bool only_source; /* rows come from peers only */
 	/* Until then the peer that was asked for rows has time to send them; 0: none was asked. */
 	instant_t answer_by[CACHED_TABLE_COUNT];
 	peer_gossip_t peers[MEMBER_MAX];
@@ -85,6 +93,11 @@
 	memset(this->peers[slot].sent_version, 0, sizeof(this->peers[slot].sent_version));
 }
 
+void row_gossip_set_only_source(row_gossip_t *this, bool only_source)
+{
+	this->only_source = only_source;
+}
+
 void row_gossip_delete(row_gossip_t *this)
 {
 	if (!this)
@@ -112,15 +125,31 @@
 	return (store_version_t){entry->era, entry->version};
 }
 
+/* How long the store, or another peer, has to deliver rows that the peer has. */
+static uint64_t request_delay(
+	const row_gossip_t *this, const peer_gossip_t *peer, cached_table_t table)
+{
+	uint64_t slot = (uint64_t)(peer - this->peers);
+	uint64_t spread = ((this->options.self + slot) * SPREAD_FACTOR) >> 32;
+
+	/* A router without any rows does not wait for the store. */
+	if (!newest_version(this, table).number)
+		return 0;
+	return this->only_source ? spread % ONLY_SOURCE_MAX_DELAY : REQUEST_DELAY;
+}
+
+static uint64_t retry_delay(const row_gossip_t *this)
+{
+	return this->only_source ? ONLY_SOURCE_RETRY_DELAY : REQUEST_RETRY_DELAY;
+}
+
 static void handle_version(
 	row_gossip_t *this, peer_gossip_t *peer, const message_entry_t *entry, instant_t now)
 {
-	bool is_empty = !newest_version(this, entry->table).number;
 
 	peer->received_version[entry->table] = entry_version(entry);
-	/* A router without any rows does not wait for the store. */
 	if (is_behind(this, peer, entry->table) && !peer->request_at[entry->table])
-		peer->request_at[entry->table] = is_empty ? now : now + REQUEST_DELAY;
+		peer->request_at[entry->table] = now + request_delay(this, peer, entry->table);
 }
 
 typedef struct queue_context {
@@ -229,16 +258,19 @@
 	       now >= this->answer_by[table] && is_behind(this, peer, table);
 }
 
-bool row_gossip_is_due(const row_gossip_t *this, unsigned int slot, instant_t now)
+bool row_gossip_is_due(const row_gossip_t *this, unsigned int slot, bool at_once, instant_t now)
 {
 	const peer_gossip_t *peer = &this->peers[slot];
 
 	if (!g_queue_is_empty((GQueue *)&peer->send_queue))
 		return true;
 	for (int i = 0; i < CACHED_TABLE_COUNT; i++) {
-		if (store_version_compare(
-			    peer->sent_version[i], newest_version(this, (cached_table_t)i)) ||
-			is_request_due(this, peer, (cached_table_t)i, now))
+		cached_table_t table = (cached_table_t)i;
+
+		if (is_request_due(this, peer, table, now))
+			return true;
+		if (at_once &&
+			store_version_compare(peer->sent_version[i], newest_version(this, table)))
 			return true;
 	}
 	return false;
@@ -262,8 +294,8 @@
 		entry.kind = ENTRY_ROW_REQUEST;
 		if (is_request_due(this, peer, (cached_table_t)i, now)) {
 			entry_writer_add(writer, &entry, now);
-			peer->request_at[i] = now + REQUEST_RETRY_DELAY;
-			this->answer_by[i] = now + REQUEST_RETRY_DELAY;
+			peer->request_at[i] = now + retry_delay(this);
+			this->answer_by[i] = now + retry_delay(this);
 		} else if (!is_behind(this, peer, (cached_table_t)i)) {
 			peer->request_at[i] = 0;
 		}
--- a/src/gateway/table_watch.c
+++ b/src/gateway/table_watch.c
@@ -28,12 +28,13 @@
 	uv_async_t async;
 	pthread_t thread;
 	pthread_mutex_t lock;
-	pthread_cond_t stop_requested;
+	pthread_cond_t wake;
 
 	/* Guarded by the lock. */
 	struct cds_list_head updates;
 	bool stopping;
 	bool refresh;
+	bool paused;
 	unsigned int wait_ms;
 	unsigned int pause_ms;
 	double recheck_ratio;
@@ -121,7 +122,7 @@
 	bool stopping;
 
 	pthread_mutex_lock(&this->lock);
-	while (!this->stopping && cond_wait_until(&this->stop_requested, &this->lock, until))
+	while (!this->stopping && cond_wait_until(&this->wake, &this->lock, until))
 		;
 	stopping = this->stopping;
 	pthread_mutex_unlock(&this->lock);
@@ -273,11 +274,25 @@
 	return refresh;
 }
 
+/* After a pause, the full table is listed: the store may have been restored meanwhile. */
+static void wait_while_paused(table_watch_t *this)
+{
+	pthread_mutex_lock(&this->lock);
+	while (this->paused && !this->stopping && !this->refresh) {
+		this->version.number = 0;
+		cond_wait_until(&this->wake, &this->lock, INSTANT_NEVER);
+	}
+	pthread_mutex_unlock(&this->lock);
+}
+
 static void *run(void *ctx)
 {
 	table_watch_t *this = ctx;
 
 	while (!is_stopping(this)) {
+		wait_while_paused(this);
+		if (is_stopping(this))
+			break;
 		if (take_refresh_request(this))
 			this->version.number = 0;
 		if (this->version.number)
@@ -299,7 +314,7 @@
 	this->store = options->adapter->open_store(&options->store);
 	CDS_INIT_LIST_HEAD(&this->updates);
 	pthread_mutex_init(&this->lock, NULL);
-	cond_init(&this->stop_requested);
+	cond_init(&this->wake);
 	uv_async_init(options->loop, &this->async, on_async);
 	uv_unref((uv_handle_t *)&this->async);
 	this->async.data = this;
@@ -321,6 +336,15 @@
 {
 	pthread_mutex_lock(&this->lock);
 	this->refresh = true;
+	pthread_cond_broadcast(&this->wake);
+	pthread_mutex_unlock(&this->lock);
+}
+
+void table_watch_set_paused(table_watch_t *this, bool paused)
+{
+	pthread_mutex_lock(&this->lock);
+	this->paused = paused;
+	pthread_cond_broadcast(&this->wake);
 	pthread_mutex_unlock(&this->lock);
 }
 
@@ -328,7 +352,7 @@
 {
 	pthread_mutex_lock(&this->lock);
 	this->stopping = true;
-	pthread_cond_broadcast(&this->stop_requested);
+	pthread_cond_broadcast(&this->wake);
 	pthread_mutex_unlock(&this->lock);
 }
 
@@ -340,7 +364,7 @@
 	while ((update = pop_update(this)))
 		update_delete(update);
 	this->store->ops->delete (this->store);
-	pthread_cond_destroy(&this->stop_requested);
+	pthread_cond_destroy(&this->wake);
 	pthread_mutex_destroy(&this->lock);
 	g_free(this);
 }
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -50,6 +50,11 @@
 	table_watch_t *this, unsigned int wait_ms, unsigned int pause_ms, double recheck_ratio);
 /* Lists the full table again once the running read has returned. */
 void table_watch_refresh(table_watch_t *this);
+/*
+ * While it is paused, nothing is read after the running read has returned, but for what
+ * table_watch_refresh() requests.  After the pause, the full table is listed.
+ */
+void table_watch_set_paused(table_watch_t *this, bool paused);
 /* Joins the thread; the memory is freed when the loop runs next. */
 void table_watch_delete(table_watch_t *this);
 
--- a/tests/test_row_gossip.c
+++ b/tests/test_row_gossip.c
@@ -29,10 +29,10 @@
 		row_cache_put(f->cache, table, &g_array_index(rows, store_row_t, i));
 }
 
-static gossip_fixture_t *gossip_fixture_new(void)
+static gossip_fixture_t *gossip_fixture_new_for(id_t32 self)
 {
 	gossip_fixture_t *f = g_new0(gossip_fixture_t, 1);
-	row_gossip_options_t options = {.on_rows = store_rows, .ctx = f};
+	row_gossip_options_t options = {.self = self, .on_rows = store_rows, .ctx = f};
 
 	f->cache = row_cache_new();
 	options.row_cache = f->cache;
@@ -41,6 +41,11 @@
 	return f;
 }
 
+static gossip_fixture_t *gossip_fixture_new(void)
+{
+	return gossip_fixture_new_for(1);
+}
+
 static void gossip_fixture_delete(gossip_fixture_t *f)
 {
 	row_gossip_delete(f->gossip);
@@ -187,6 +192,80 @@
 	gossip_fixture_delete(f);
 }
 
+static bool has_request(gossip_fixture_t *f, unsigned int slot, instant_t now)
+{
+	return row_gossip_is_due(f->gossip, slot, false, now);
+}
+
+/* The store delivers them in most cases. */
+static void test_router_that_reads_the_store_waits_before_it_asks(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+
+	send_only_row(f, 1, VERSION - 1, SECOND);
+	announce(f, 1, SECOND);
+	assert_int_equal(count_requests(f, SECOND + 350 * USEC_PER_MSEC), 0);
+	assert_int_equal(count_requests(f, SECOND + 450 * USEC_PER_MSEC), 1);
+	gossip_fixture_delete(f);
+}
+
+/* Its peers are its only source: it asks soon, and another one soon if there is no answer. */
+static void test_router_that_does_not_read_the_store_asks_soon(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+	instant_t now = SECOND;
+
+	send_only_row(f, 1, VERSION - 1, now);
+	row_gossip_set_only_source(f->gossip, true);
+	for (unsigned int slot = 1; slot <= 3; slot++)
+		announce(f, slot, now);
+	now += 70 * USEC_PER_MSEC;
+	assert_int_equal(count_requests(f, now), 1);
+	assert_int_equal(count_requests(f, now + 300 * USEC_PER_MSEC), 0);
+	assert_int_equal(count_requests(f, now + 450 * USEC_PER_MSEC), 1);
+	send_only_row(f, 2, VERSION, now + 460 * USEC_PER_MSEC);
+	assert_int_equal(count_requests(f, now + 2 * SECOND), 0);
+	gossip_fixture_delete(f);
+}
+
+/* Readers of the store tell at the same time; each is asked first by some of the routers. */
+static void test_requests_of_routers_that_do_not_read_are_spread(void **state)
+{
+	unsigned int asked_first[3] = {0};
+
+	for (id_t32 self = 1000; self < 1060; self++) {
+		gossip_fixture_t *f = gossip_fixture_new_for(self);
+		instant_t now = SECOND;
+		unsigned int slot = 0;
+
+		send_only_row(f, 1, VERSION - 1, now);
+		row_gossip_set_only_source(f->gossip, true);
+		for (unsigned int i = 1; i <= 3; i++)
+			announce(f, i, now);
+		for (; !slot; now += USEC_PER_MSEC) {
+			for (unsigned int i = 1; i <= 3 && !slot; i++)
+				slot = has_request(f, i, now) ? i : 0;
+		}
+		asked_first[slot - 1]++;
+		gossip_fixture_delete(f);
+	}
+	for (unsigned int i = 0; i < 3; i++)
+		assert_in_range(asked_first[i], 10, 30);
+}
+
+/* A new version that need not be told at once goes out with the next message. */
+static void test_version_goes_out_with_the_next_message(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+
+	send_only_row(f, 1, VERSION, SECOND);
+	assert_true(row_gossip_is_due(f->gossip, 2, true, SECOND));
+	assert_false(row_gossip_is_due(f->gossip, 2, false, SECOND));
+	count_requests(f, SECOND);
+	assert_false(row_gossip_is_due(f->gossip, 2, true, SECOND));
+	gossip_fixture_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -195,6 +274,10 @@
 		cmocka_unit_test(test_next_peer_is_asked_at_once_if_rows_are_still_missing),
 		cmocka_unit_test(test_peer_of_a_newer_era_is_asked_and_one_of_an_older_era_is_not),
 		cmocka_unit_test(test_rows_of_a_request_are_delivered_only_if_all_have_arrived),
+		cmocka_unit_test(test_router_that_reads_the_store_waits_before_it_asks),
+		cmocka_unit_test(test_router_that_does_not_read_the_store_asks_soon),
+		cmocka_unit_test(test_requests_of_routers_that_do_not_read_are_spread),
+		cmocka_unit_test(test_version_goes_out_with_the_next_message),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
