--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -104,6 +104,8 @@
 	fixture_wait_ready(router, endpoints);
 	for (unsigned int i = 0; i < 3; i++) {
 		response = fixture_send_and_read(router, text, FOLLOW_MS);
+		if (!strstr(response, "hello"))
+			print_message("  response: %s\n", response);
 		assert_non_null(strstr(response, "hello"));
 		g_free(response);
 	}
