A reader that was not paused goes on saying that it follows the store

Found on rereading, not seen: a router that stops and begins to read again while a long read runs has never paused, so the table is not listed anew; its state was set back all the same, and it would not have told its domain until the next listing that it follows the store.

--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -90,8 +90,15 @@
 	this->catalog_state = STORE_LOST;
 }
 
+static void on_catalog_paused(void *ctx)
+{
+	gateway_t *this = ctx;
+
+	this->catalog_state = STORE_UNREAD;
+}
+
 static const table_watch_ops_t catalog_ops = {
-	on_catalog_table, on_catalog_rows, on_catalog_unreachable};
+	on_catalog_table, on_catalog_rows, on_catalog_unreachable, on_catalog_paused};
 
 /* Returns whether the endpoint was removed at once. */
 static bool apply_deleted_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
@@ -246,8 +253,15 @@
 			table == CACHED_CATALOG ? this->catalog_watch : this->endpoint_watch);
 }
 
+static void on_endpoints_paused(void *ctx)
+{
+	gateway_t *this = ctx;
+
+	this->endpoints_state = STORE_UNREAD;
+}
+
 static const table_watch_ops_t endpoint_ops = {
-	on_endpoint_table, on_endpoint_rows, on_endpoints_unreachable};
+	on_endpoint_table, on_endpoint_rows, on_endpoints_unreachable, on_endpoints_paused};
 
 /* True if this router's own row is among them. */
 static bool apply_roster_rows(gateway_t *this, const GArray *rows)
@@ -288,7 +302,7 @@
 }
 
 static const table_watch_ops_t roster_ops = {
-	on_roster_table, on_roster_rows, on_roster_unreachable};
+	on_roster_table, on_roster_rows, on_roster_unreachable, NULL};
 
 static table_watch_t *watch_table(
 	gateway_t *this, const char *table, unsigned int wait_ms, const table_watch_ops_t *ops)
@@ -346,8 +360,6 @@
 {
 	log_notice("store-reading", "reads=%d", reads);
 	this->reads_store = reads;
-	this->catalog_state = STORE_UNREAD;
-	this->endpoints_state = STORE_UNREAD;
 	table_watch_set_paused(this->catalog_watch, !reads);
 	table_watch_set_paused(this->endpoint_watch, !reads);
 	peers_set_only_source(this->peers, !reads);
--- a/src/gateway/table_watch.c
+++ b/src/gateway/table_watch.c
@@ -12,11 +12,18 @@
 #define RECHECK_WAIT_MS 500
 #define DELAY_LOGGED (200 * USEC_PER_MSEC) /* rows that wait longer for the loop are logged */
 
+typedef enum update_kind {
+	UPDATE_TABLE,
+	UPDATE_ROWS,
+	UPDATE_UNREACHABLE,
+	UPDATE_PAUSED,
+} update_kind_t;
+
 /* What the thread passes to the loop. */
 typedef struct update {
 	struct cds_list_head link;
-	GArray *rows; /* NULL: the store became unreachable */
-	bool is_full_table;
+	update_kind_t kind;
+	GArray *rows; /* UPDATE_TABLE, UPDATE_ROWS */
 	store_version_t version;
 	uint64_t outage;
 	instant_t posted_at;
@@ -87,25 +94,33 @@
 
 	while ((update = pop_update(this))) {
 		log_if_delayed(this, update);
-		if (!update->rows)
-			ops->on_unreachable(this->options.ctx);
-		else if (update->is_full_table)
+		switch (update->kind) {
+		case UPDATE_TABLE:
 			ops->on_table(
 				this->options.ctx, update->rows, update->version, update->outage);
-		else
+			break;
+		case UPDATE_ROWS:
 			ops->on_rows(this->options.ctx, update->rows);
+			break;
+		case UPDATE_UNREACHABLE:
+			ops->on_unreachable(this->options.ctx);
+			break;
+		case UPDATE_PAUSED:
+			ops->on_paused(this->options.ctx);
+			break;
+		}
 		update_delete(update);
 	}
 }
 
 /* --- watching thread -------------------------------------------------- */
 
-static void post_update(table_watch_t *this, GArray *rows, bool is_full_table, uint64_t outage)
+static void post_update(table_watch_t *this, update_kind_t kind, GArray *rows, uint64_t outage)
 {
 	update_t *update = g_new0(update_t, 1);
 
+	update->kind = kind;
 	update->rows = rows;
-	update->is_full_table = is_full_table;
 	update->version = this->version;
 	update->outage = outage;
 	update->posted_at = clock_now();
@@ -148,7 +163,7 @@
 	this->failures++;
 	if (!this->unreachable_since) {
 		this->unreachable_since = clock_now();
-		post_update(this, NULL, false, 0);
+		post_update(this, UPDATE_UNREACHABLE, NULL, 0);
 		log_warn("store-lost", "table=%s result=%d silent_ms=%" G_GUINT64_FORMAT,
 			this->options.table, (int)result, (guint64)silence_ms(this));
 	}
@@ -193,7 +208,7 @@
 	this->failures = 0;
 	note_era(this, version.era);
 	this->version = version;
-	post_update(this, rows, true, outage);
+	post_update(this, UPDATE_TABLE, rows, outage);
 }
 
 static void get_intervals(table_watch_t *this, unsigned int *wait_ms, unsigned int *pause_ms)
@@ -248,7 +263,7 @@
 		return;
 	}
 	if (result == ROWS_OK && rows->len) {
-		post_update(this, rows, false, 0);
+		post_update(this, UPDATE_ROWS, rows, 0);
 		sleep_unless_stopping(this, pause_ms);
 		this->must_recheck = draw_recheck(this);
 		return;
@@ -274,14 +289,26 @@
 	return refresh;
 }
 
+static bool must_pause(const table_watch_t *this)
+{
+	return this->paused && !this->stopping && !this->refresh;
+}
+
 /* After a pause, the full table is listed: the store may have been restored meanwhile. */
 static void wait_while_paused(table_watch_t *this)
 {
+	bool pauses;
+
 	pthread_mutex_lock(&this->lock);
-	while (this->paused && !this->stopping && !this->refresh) {
-		this->version.number = 0;
+	pauses = must_pause(this);
+	pthread_mutex_unlock(&this->lock);
+	if (!pauses)
+		return;
+	this->version.number = 0;
+	post_update(this, UPDATE_PAUSED, NULL, 0);
+	pthread_mutex_lock(&this->lock);
+	while (must_pause(this))
 		cond_wait_until(&this->wake, &this->lock, INSTANT_NEVER);
-	}
 	pthread_mutex_unlock(&this->lock);
 }
 
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -24,6 +24,8 @@
 	void (*on_rows)(void *ctx, const GArray *rows);
 	/* The store became unreachable. */
 	void (*on_unreachable)(void *ctx);
+	/* Nothing is read from now on, until the next on_table(); NULL if it is never paused. */
+	void (*on_paused)(void *ctx);
 } table_watch_ops_t;
 
 #define TABLE_WATCH_MAX_WAIT_MS 30000 /* longest wait that the store allows */
