--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -146,7 +146,6 @@
 static void handle_version(
 	row_gossip_t *this, peer_gossip_t *peer, const message_entry_t *entry, instant_t now)
 {
-
 	peer->received_version[entry->table] = entry_version(entry);
 	if (is_behind(this, peer, entry->table) && !peer->request_at[entry->table])
 		peer->request_at[entry->table] = now + request_delay(this, peer, entry->table);
