Owners log what they grant and refuse to each workspace, and at which level

A workspace that gets less than others could not be told from one whose requests wait at owners without free slots, nor from one whose level is too high: the log had lines of requests only. event=lane, each second, where requests were refused. No decision changes.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -535,6 +535,12 @@
 	placement_assign_owners(this, now);
 }
 
+void placement_report_lanes(placement_t *this, instant_t now,
+	void (*each)(void *ctx, const lane_report_t *report), void *ctx)
+{
+	scheduler_report_lanes(this->scheduler, now, each, ctx);
+}
+
 const members_t *placement_members(const placement_t *this)
 {
 	return &this->members;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -274,6 +274,10 @@
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
+/* See scheduler_report_lanes(). */
+void placement_report_lanes(placement_t *this, instant_t now,
+	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
+
 /* Number of engines that are known to have a rate limit. */
 unsigned int placement_rate_limited(const placement_t *this);
 const members_t *placement_members(const placement_t *this);
--- a/src/core/sched_lane.c
+++ b/src/core/sched_lane.c
@@ -40,7 +40,10 @@
 
 void sched_lane_limit_level(sched_lane_t *this, double least, double most, instant_t now)
 {
-	this->served = fmax(least, fmin(most, sched_lane_level(this, now)));
+	double level = sched_lane_level(this, now);
+
+	this->counts.raised += level < least;
+	this->served = fmax(least, fmin(most, level));
 	this->served_at = now;
 }
 
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -28,6 +28,14 @@
 
 typedef struct sched_lane sched_lane_t;
 
+/* What became of a lane's requests at this owner since the last report. */
+typedef struct lane_counts {
+	unsigned int granted;
+	unsigned int granted_late; /* those of `granted` that counted as late */
+	unsigned int refused;
+	unsigned int raised; /* times that the level was raised to those of other lanes */
+} lane_counts_t;
+
 /* A request that waits or has a slot. */
 typedef struct sched_record {
 	struct cds_list_head bucket; /* of the scheduler's hash table */
@@ -48,7 +56,8 @@
 	double served;	   /* tokens by all owners, decayed up to `served_at` */
 	double unreported; /* tokens served here, not yet reported to the other owners */
 	instant_t served_at;
-	instant_t contended_until;   /* it gets less than it asks for, or did so shortly before */
+	instant_t contended_until; /* it gets less than it asks for, or did so shortly before */
+	lane_counts_t counts;
 	struct cds_list_head timely; /* sched_record_t that can be in time, the oldest first */
 	struct cds_list_head late;   /* sched_record_t, the longest waiting first */
 };
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -167,6 +167,7 @@
 	push_action(this, &action);
 	refusal_cache_add(&this->refusals, record->request.request_fingerprint, this->now);
 	this->stats.refused++;
+	record->lane->counts.refused++;
 	sched_pool_dequeue(pool, record);
 	record_delete(this, record);
 }
@@ -209,6 +210,8 @@
 	this->running++;
 	this->stats.granted++;
 	this->stats.granted_late += record->request.is_late;
+	record->lane->counts.granted++;
+	record->lane->counts.granted_late += record->request.is_late;
 	push_grant(this, record);
 }
 
@@ -427,6 +430,61 @@
 	}
 }
 
+/* --- reports of lanes --------------------------------------------------- */
+
+static unsigned int list_length(const struct cds_list_head *list)
+{
+	const struct cds_list_head *link;
+	unsigned int length = 0;
+
+	cds_list_for_each (link, list)
+		length++;
+	return length;
+}
+
+static bool has_refused(const sched_pool_t *pool)
+{
+	const sched_lane_t *lane;
+
+	cds_list_for_each_entry (lane, &pool->lanes, link) {
+		if (lane->counts.refused)
+			return true;
+	}
+	return false;
+}
+
+static lane_report_t report_of(const sched_pool_t *pool, const sched_lane_t *lane, instant_t now)
+{
+	return (lane_report_t){
+		.pool = pool->id,
+		.workspace = lane->workspace,
+		.level = sched_lane_level(lane, now),
+		.timely = list_length(&lane->timely),
+		.late = list_length(&lane->late),
+		.counts = lane->counts,
+	};
+}
+
+void scheduler_report_lanes(scheduler_t *this, instant_t now,
+	void (*each)(void *ctx, const lane_report_t *report), void *ctx)
+{
+	sched_pool_t *pool;
+	sched_lane_t *lane;
+
+	cds_list_for_each_entry (pool, &this->pools, link) {
+		bool refused = has_refused(pool);
+
+		cds_list_for_each_entry (lane, &pool->lanes, link) {
+			lane_report_t report = report_of(pool, lane, now);
+
+			if (refused && (report.timely || report.late || report.counts.granted ||
+					       report.counts.refused))
+				each(ctx, &report);
+			lane->counts = (lane_counts_t){0};
+		}
+	}
+}
+
 /* --- engines ------------------------------------------------------------ */
 
 void scheduler_add_engine(
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -54,6 +54,16 @@
 	uint64_t withdrawn;
 } scheduler_stats_t;
 
+/* A lane of a pool in which requests were refused since the last report. */
+typedef struct lane_report {
+	id_t32 pool;
+	id_t32 workspace;
+	double level;	     /* tokens */
+	unsigned int timely; /* requests that wait and can be in time */
+	unsigned int late;   /* requests that wait and count as late */
+	lane_counts_t counts;
+} lane_report_t;
+
 typedef struct scheduler scheduler_t;
 
 scheduler_t *scheduler_new(const scheduler_options_t *options);
@@ -107,6 +117,13 @@
 void scheduler_report_served(scheduler_t *this,
 	void (*each)(void *ctx, id_t32 pool, id_t32 workspace, int32_t tokens), void *ctx);
 
+/*
+ * Calls `each` for each lane with requests since the last call, in pools that refused any since
+ * then.
+ */
+void scheduler_report_lanes(scheduler_t *this, instant_t now,
+	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
+
 /* Grants and refuses the requests that are due; returns the latest time of the next call. */
 instant_t scheduler_run(scheduler_t *this, instant_t now);
 bool scheduler_next_action(scheduler_t *this, scheduler_action_t *action);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/adapter.h"
 #include "gateway/call.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/lane_log.h"
 #include "gateway/listener.h"
 #include "gateway/loop_watch.h"
 #include "gateway/peers.h"
@@ -66,6 +67,7 @@
 	part_watch_t *part_watch;
 	origin_lookup_t *origin_lookup;
 	origin_fleet_t origin_fleet;
+	lane_log_t lane_log;
 	instant_t origin_fleet_due; /* when it is looked at again */
 	peers_t *peers;
 	roster_t *roster;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -624,6 +624,38 @@
 	scheduler_delete(this);
 }
 
+static void count_lanes(void *ctx, const lane_report_t *report)
+{
+	unsigned int *lanes = ctx;
+
+	assert_int_equal(report->counts.granted, report->workspace == 1);
+	assert_int_equal(report->counts.refused, report->workspace == 2);
+	assert_int_equal(report->timely + report->late, 0);
+	(*lanes)++;
+}
+
+/* Grants and refusals are reported once, by workspace, and only where requests were refused. */
+static void test_grants_and_refusals_are_reported_by_workspace(void **state)
+{
+	scheduler_t *this = scheduler_with_one_engine(1);
+	instant_t now = USEC_PER_SEC;
+	slot_request_t request = slot_request(1, now);
+	unsigned int lanes = 0;
+
+	scheduler_request_slot(this, 3, &request, now);
+	assert_int_equal(count_grants(this, now), 1);
+	request = slot_request(2, now);
+	request.workspace = 2;
+	request.is_late = true;
+	scheduler_request_slot(this, 3, &request, now);
+	assert_int_equal(count_grants(this, now + LATE_WAIT), 0);
+	scheduler_report_lanes(this, now + LATE_WAIT, count_lanes, &lanes);
+	assert_int_equal(lanes, 2);
+	scheduler_report_lanes(this, now + LATE_WAIT, count_lanes, &lanes);
+	assert_int_equal(lanes, 2);
+	scheduler_delete(this);
+}
+
 /* Returns the free slots of an engine of this rate that has just started a request. */
 static unsigned int free_slots_after_start(uint32_t rate)
 {
@@ -680,6 +712,7 @@
 		cmocka_unit_test(test_full_preferred_engine_becomes_copy_source),
 		cmocka_unit_test(test_only_engine_is_used_despite_failures),
 		cmocka_unit_test(test_unusable_engine_gets_no_grants),
+		cmocka_unit_test(test_grants_and_refusals_are_reported_by_workspace),
 		cmocka_unit_test(test_engine_with_rate_limit_is_not_full_between_two_starts),
 	};
 
