--- /dev/null
+++ b/tests/fleet_sim.h
@@ -0,0 +1,84 @@
+#ifndef TESTS_FLEET_SIM_H
+#define TESTS_FLEET_SIM_H
+/*
+ * fleet_sim - simulates a fleet of routers with their placements, engines and callers
+ *
+ * Messages between routers arrive after a delay.  An engine prefills prompts one after another and
+ * generates answers beside.  A refused caller comes back once, when it was told to.  Time is
+ * simulated, and all randomness comes from the seed.
+ *
+ * Tokens are counted by workspace and second: those asked for when a request arrives, those got
+ * when its run begins at an engine.  fleet_sim_unfair() checks them against the rule of fair
+ * sharing.
+ */
+#include <glib.h>
+
+#include "core/placement.h"
+
+#define FLEET_POOL 7
+#define FLEET_WORKSPACES 32
+#define FLEET_SECONDS 40
+#define FLEET_FAIR_WINDOW 6 /* seconds in which a workspace must get half of its share */
+
+typedef struct fleet_options {
+	unsigned int routers;
+	unsigned int engines;
+	unsigned int slots; /* of an engine */
+	uint32_t seed;
+} fleet_options_t;
+
+/* A kind of request; sizes are mean numbers of tokens. */
+typedef struct fleet_workload {
+	unsigned int prompt;
+	unsigned int shared;	   /* part of the prompt that other requests have too */
+	unsigned int shared_parts; /* different ones of each workspace */
+	unsigned int answer;
+	unsigned int target_ms; /* objective for the first token */
+	unsigned int deadline_ms;
+} fleet_workload_t;
+
+/* Requests of a workspace that arrive at `routers` routers, from number `first_router` on. */
+typedef struct fleet_offer {
+	unsigned int workspace;
+	const fleet_workload_t *workload;
+	double per_second;
+	unsigned int first_router;
+	unsigned int routers;
+	unsigned int from_ms; /* since the start of the simulation */
+	unsigned int until_ms;
+} fleet_offer_t;
+
+typedef struct fleet_count {
+	double asked;		  /* tokens */
+	double got;		  /* tokens */
+	unsigned int refused;	  /* requests */
+	unsigned int past_target; /* requests that were still waiting after their objective */
+} fleet_count_t;
+
+typedef struct fleet_sim fleet_sim_t;
+
+fleet_sim_t *fleet_sim_new(const fleet_options_t *options);
+void fleet_sim_delete(fleet_sim_t *this);
+void fleet_sim_offer(fleet_sim_t *this, const fleet_offer_t *offer);
+void fleet_sim_run(fleet_sim_t *this, unsigned int ms);
+/* Ends all runs at engines `first` to `first + count - 1`, which can't be reached until started. */
+void fleet_sim_crash(fleet_sim_t *this, unsigned int first, unsigned int count);
+void fleet_sim_start_engines(fleet_sim_t *this, unsigned int first, unsigned int count);
+const fleet_count_t *fleet_sim_count(
+	const fleet_sim_t *this, unsigned int workspace, unsigned int second);
+placement_t *fleet_sim_placement(fleet_sim_t *this, unsigned int router);
+/* Messages and slot requests that the routers have sent. */
+uint64_t fleet_sim_messages(const fleet_sim_t *this);
+uint64_t fleet_sim_slot_requests(const fleet_sim_t *this);
+/* Requests that have arrived, retries included, and the runs that have begun. */
+uint64_t fleet_sim_requests(const fleet_sim_t *this);
+uint64_t fleet_sim_runs(const fleet_sim_t *this);
+/*
+ * Returns the number of windows and workspaces from second `from` up to `until` in which a
+ * workspace had a request that was refused, or waited past its objective, in each second, and got
+ * less than half of what it asked for or the best served one got, whichever is less, second by
+ * second, less three of its largest requests.  Prints each of them.
+ */
+unsigned int fleet_sim_unfair(const fleet_sim_t *this, unsigned int from, unsigned int until);
+
+#endif
--- /dev/null
+++ b/tests/test_fair_share.c
@@ -0,0 +1,91 @@
+/*
+ * fair sharing over a whole fleet: one workspace floods through all routers, others ask through one
+ * or two, and engines crash
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "tests/fleet_sim.h"
+
+#define ROUTERS 60
+#define ENGINES 60
+#define SLOTS 24
+#define FLOOD 0	 /* the workspace that floods through all routers */
+#define NARROW 1 /* the first of those whose callers are at one or two routers */
+#define NARROWS 5
+#define OTHERS 24 /* that ask for little, at three routers each */
+#define UNTIL 24  /* seconds */
+
+static const fleet_workload_t plan = {6600, 5000, 60, 378, 400, 12000};
+static const fleet_workload_t answer = {630, 200, 60, 290, 250, 10000};
+static const fleet_workload_t label = {1800, 400, 100, 27, 300, 2500};
+
+/* Offers the workspace's mix of requests from second `from` on. */
+static void offer_mix(fleet_sim_t *sim, unsigned int workspace, double per_second,
+	unsigned int first_router, unsigned int routers, unsigned int from)
+{
+	fleet_offer_t offer = {.workspace = workspace,
+		.first_router = first_router,
+		.routers = routers,
+		.from_ms = from * 1000,
+		.until_ms = UNTIL * 1000};
+
+	offer.workload = &plan;
+	offer.per_second = per_second * 0.25;
+	fleet_sim_offer(sim, &offer);
+	offer.workload = &answer;
+	offer.per_second = per_second * 0.23;
+	fleet_sim_offer(sim, &offer);
+	offer.workload = &label;
+	offer.per_second = per_second * 0.52;
+	fleet_sim_offer(sim, &offer);
+}
+
+static fleet_sim_t *flooded_fleet(uint32_t seed)
+{
+	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, seed};
+	fleet_sim_t *sim = fleet_sim_new(&options);
+
+	offer_mix(sim, FLOOD, 100, 0, ROUTERS, 1);
+	offer_mix(sim, FLOOD, 900, 0, ROUTERS, 4);
+	for (unsigned int i = 0; i < NARROWS; i++) {
+		offer_mix(sim, NARROW + i, 15, 11 * i, 1 + i % 2, 1);
+		offer_mix(sim, NARROW + i, 110, 11 * i, 1 + i % 2, 7 + i);
+	}
+	for (unsigned int i = 0; i < OTHERS; i++)
+		offer_mix(sim, NARROW + NARROWS + i, 15, 5 * i, 3, 1);
+	return sim;
+}
+
+/*
+ * A quarter of the engines is left for eight seconds.  In any six seconds no workspace gets less
+ * than half of what the rule allows.
+ */
+static void test_flood_through_all_routers_does_not_starve_a_workspace_at_two(void **state)
+{
+	for (uint32_t seed = 1; seed <= 2; seed++) {
+		fleet_sim_t *sim = flooded_fleet(seed);
+		unsigned int unfair;
+
+		fleet_sim_run(sim, 13500);
+		fleet_sim_crash(sim, 0, ENGINES * 3 / 4);
+		fleet_sim_run(sim, 8000);
+		fleet_sim_start_engines(sim, 0, ENGINES * 3 / 4);
+		fleet_sim_run(sim, 2500);
+		unfair = fleet_sim_unfair(sim, 2, UNTIL);
+		fleet_sim_delete(sim);
+		assert_int_equal(unfair, 0);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_flood_through_all_routers_does_not_starve_a_workspace_at_two),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
