A run that has begun counts as served, however it ends

Cause: owners refund a granted slot whose run does not end well, at its full cost and at any time. A run that broke off had its share; its charge has decayed meanwhile, so that the refund exceeds what is left of it; and slots that another owner granted, or that were started without a grant, are refunded though they were never charged here.

Now only what this owner charged for a run that did not begin is refunded, less its decay.

--- a/src/core/sched_lane.c
+++ b/src/core/sched_lane.c
@@ -15,9 +15,14 @@
 	CDS_INIT_LIST_HEAD(&this->late);
 }
 
+static double decayed(double tokens, instant_t since, instant_t now)
+{
+	return tokens * exp(-(double)(now - since) / SERVICE_DECAY);
+}
+
 double sched_lane_level(const sched_lane_t *this, instant_t now)
 {
-	return this->served * exp(-(double)(now - this->served_at) / SERVICE_DECAY);
+	return decayed(this->served, this->served_at, now);
 }
 
 void sched_lane_charge(sched_lane_t *this, double tokens, instant_t now)
@@ -53,6 +58,11 @@
 	this->unreported += tokens;
 }
 
+void sched_lane_refund(sched_lane_t *this, double tokens, instant_t since, instant_t now)
+{
+	sched_lane_charge_local(this, -decayed(tokens, since, now), now);
+}
+
 double answer_cost(double answer)
 {
 	return ANSWER_WEIGHT * answer;
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -47,6 +47,7 @@
 	sched_lane_t *lane;
 	sched_engine_t *engine; /* NULL while it waits */
 	id_t32 source;		/* engine to copy the shared parts of the prompt from, 0: none */
+	double charge;		/* tokens that its lane was charged here for the grant */
 	engine_request_t engine_request;
 } sched_record_t;
 
@@ -68,6 +69,8 @@
 void sched_lane_charge(sched_lane_t *this, double tokens, instant_t now);
 /* Like sched_lane_charge(), for tokens served by this owner, which it reports to the others. */
 void sched_lane_charge_local(sched_lane_t *this, double tokens, instant_t now);
+/* Takes back what is left of a charge of this owner that was made at `since`. */
+void sched_lane_refund(sched_lane_t *this, double tokens, instant_t since, instant_t now);
 bool sched_lane_is_contended(const sched_lane_t *this, instant_t now);
 /* Notes that a request of the lane could not start in time. */
 void sched_lane_set_contended(sched_lane_t *this, instant_t now);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -199,7 +199,8 @@
 	sched_pool_dequeue(pool, record);
 	grant_rate_count(&pool->grants, now);
 	rate_limit_count(&choice->engine->rate_limit, this->rate_share, now);
-	sched_lane_charge_local(record->lane, slot_request_cost(&record->request), now);
+	record->charge = slot_request_cost(&record->request);
+	sched_lane_charge_local(record->lane, record->charge, now);
 	record->source = sched_pool_copy_source(pool, &record->request, choice->engine);
 	engine_begin_request(&choice->engine->model, &record->engine_request, work,
 		record->source ? engine_prefill_tokens(source_model(this, record->source), work)
@@ -296,7 +297,10 @@
 		return;
 	this->stats.withdrawn++;
 	if (record->engine) {
-		sched_lane_charge_local(record->lane, -slot_request_cost(&record->request), now);
+		/* A run that has begun was served, however it ends. */
+		if (!record->engine_request.prefill_done)
+			sched_lane_refund(
+				record->lane, record->charge, record->engine_request.began_at, now);
 		release_record(this, record, now);
 		return;
 	}
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -87,7 +87,10 @@
 /* Queues a slot request; sends the grant again if the request was granted before. */
 void scheduler_request_slot(
 	scheduler_t *this, unsigned int router, const slot_request_t *request, instant_t now);
-/* Removes a request whose slot is no longer wanted, granted or not; it costs no tokens. */
+/*
+ * Removes a request whose slot is no longer wanted, granted or not; it costs no tokens unless its
+ * first token has arrived.
+ */
 void scheduler_withdraw(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 void scheduler_first_token(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 /* Like scheduler_withdraw(), and records the failure of the engine. */
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -624,6 +624,103 @@
 	scheduler_delete(this);
 }
 
+/* Requests one slot for each of the workspaces 1 and 2; returns the one that gets it. */
+static id_t32 next_served(scheduler_t *this, instant_t now)
+{
+	scheduler_action_t action;
+
+	for (id_t32 workspace = 1; workspace <= 2; workspace++) {
+		slot_request_t request = slot_request(1000 + workspace, now);
+
+		request.workspace = workspace;
+		scheduler_request_slot(this, 9, &request, now);
+	}
+	scheduler_run(this, now);
+	assert_true(scheduler_next_action(this, &action));
+	assert_int_equal(action.kind, SCHEDULER_GRANT);
+	return (id_t32)(action.ticket - 1000);
+}
+
+/* Workspace 1 has used the only slot for a run that has begun. */
+static scheduler_t *scheduler_with_run(instant_t now)
+{
+	scheduler_t *this = scheduler_with_one_engine(1);
+	slot_request_t request = slot_request(1, now);
+
+	scheduler_request_slot(this, 3, &request, now);
+	assert_int_equal(count_grants(this, now), 1);
+	scheduler_first_token(this, 3, 1, now);
+	return this;
+}
+
+/* Engines crash: the workspace that had most runs there must not go before all others after it. */
+static void test_run_that_breaks_off_counts_as_served(void **state)
+{
+	instant_t now = USEC_PER_SEC;
+	scheduler_t *this = scheduler_with_run(now);
+
+	scheduler_fail(this, 3, 1, SLOT_INCOMPLETE, now);
+	assert_int_equal(next_served(this, now), 2);
+	scheduler_delete(this);
+}
+
+static void test_run_of_a_dead_router_counts_as_served(void **state)
+{
+	instant_t now = USEC_PER_SEC;
+	scheduler_t *this = scheduler_with_run(now);
+
+	scheduler_forget_router(this, 3, now);
+	assert_int_equal(next_served(this, now), 2);
+	scheduler_delete(this);
+}
+
+/* A slot that another owner granted was not charged here. */
+static void test_slot_of_another_owner_is_not_refunded(void **state)
+{
+	instant_t now = USEC_PER_SEC;
+	scheduler_t *this = scheduler_with_run(now);
+	held_slot_t slot = {.ticket = 9, .engine = 100, .workspace = 1, .prompt = 5000};
+
+	scheduler_end(this, 3, 1, 100, now);
+	scheduler_confirm_slot(this, 4, &slot, now);
+	scheduler_withdraw(this, 4, 9, now);
+	assert_int_equal(next_served(this, now), 2);
+	scheduler_delete(this);
+}
+
+/* The charge of a slot that is not used decays, and no more than the rest of it is taken back. */
+static void test_refund_of_an_unused_slot_is_no_credit(void **state)
+{
+	instant_t now = USEC_PER_SEC;
+	scheduler_t *this = scheduler_with_run(now);
+	slot_request_t request;
+
+	scheduler_end(this, 3, 1, 100, now);
+	request = slot_request(2, now);
+	request.work.prompt = 10000;
+	scheduler_request_slot(this, 3, &request, now);
+	assert_int_equal(count_grants(this, now), 1);
+	now += 2 * USEC_PER_SEC;
+	scheduler_fail(this, 3, 2, SLOT_UNREACHABLE, now);
+	assert_int_equal(next_served(this, now + USEC_PER_SEC), 2);
+	scheduler_delete(this);
+}
+
+/* An engine that can't be reached serves nobody: the workspace keeps its place. */
+static void test_start_that_fails_costs_no_tokens(void **state)
+{
+	instant_t now = USEC_PER_SEC;
+	scheduler_t *this = scheduler_with_one_engine(1);
+	slot_request_t request = slot_request(1, now);
+
+	scheduler_request_slot(this, 3, &request, now);
+	assert_int_equal(count_grants(this, now), 1);
+	scheduler_fail(this, 3, 1, SLOT_REFUSED, now);
+	now += 100 * USEC_PER_MSEC;
+	assert_int_equal(next_served(this, now), 1);
+	scheduler_delete(this);
+}
+
 static void count_lanes(void *ctx, const lane_report_t *report)
 {
 	unsigned int *lanes = ctx;
@@ -712,6 +809,11 @@
 		cmocka_unit_test(test_full_preferred_engine_becomes_copy_source),
 		cmocka_unit_test(test_only_engine_is_used_despite_failures),
 		cmocka_unit_test(test_unusable_engine_gets_no_grants),
+		cmocka_unit_test(test_run_that_breaks_off_counts_as_served),
+		cmocka_unit_test(test_run_of_a_dead_router_counts_as_served),
+		cmocka_unit_test(test_slot_of_another_owner_is_not_refunded),
+		cmocka_unit_test(test_refund_of_an_unused_slot_is_no_credit),
+		cmocka_unit_test(test_start_that_fails_costs_no_tokens),
 		cmocka_unit_test(test_grants_and_refusals_are_reported_by_workspace),
 		cmocka_unit_test(test_engine_with_rate_limit_is_not_full_between_two_starts),
 	};
