--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -49,7 +49,9 @@
 typedef struct sim_router {
 	placement_t *placement;
 	instant_t ticked_at;
-	bool due; /* has something to do before the next tick */
+	bool due;	      /* has something to do before the next tick */
+	unsigned int turn_ms; /* duration of a turn of its loop, in which it reads no messages */
+	GQueue inbox;	      /* fleet_message_t */
 } sim_router_t;
 
 typedef struct sim_engine {
@@ -78,6 +80,9 @@
 	GSequence *returning; /* job_t that are refused, by when they come back */
 	fleet_count_t counts[FLEET_WORKSPACES][FLEET_SECONDS];
 	double largest[FLEET_WORKSPACES];
+	bool cut;
+	unsigned int runs; /* now */
+	unsigned int peak_runs;
 	uint64_t message_count;
 	uint64_t request_count;
 	uint64_t run_count;
@@ -182,6 +187,8 @@
 {
 	for (unsigned int i = 0; i < this->options.routers; i++)
 		placement_delete(this->routers[i].placement);
+	for (unsigned int i = 0; i < this->options.routers; i++)
+		g_queue_clear_full(&this->routers[i].inbox, message_delete);
 	for (unsigned int i = 0; i < this->options.engines; i++) {
 		g_queue_clear(&this->engines[i].prefilling);
 		g_ptr_array_unref(this->engines[i].generating);
@@ -323,6 +330,8 @@
 		return;
 	}
 	this->run_count++;
+	this->runs++;
+	this->peak_runs = MAX(this->peak_runs, this->runs);
 	count_now(this, job->workspace)->got += tokens_of(job);
 	job->engine = engine_index(id);
 	job->state = JOB_PREFILLING;
@@ -367,6 +376,7 @@
 			continue;
 		}
 		g_ptr_array_remove_index_fast(engine->generating, i);
+		this->runs--;
 		placement_end(this->routers[job->router].placement, &job->request,
 			job->request.work.answer, this->now);
 		this->routers[job->router].due = true;
@@ -376,6 +386,7 @@
 
 static void break_off(fleet_sim_t *this, job_t *job)
 {
+	this->runs--;
 	placement_fail(
 		this->routers[job->router].placement, &job->request, SLOT_INCOMPLETE, this->now);
 	this->routers[job->router].due = true;
@@ -397,6 +408,13 @@
 	}
 }
 
+void fleet_sim_slow_routers(
+	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int ms)
+{
+	for (unsigned int i = first; i < first + count; i++)
+		this->routers[i].turn_ms = ms;
+}
+
 void fleet_sim_start_engines(fleet_sim_t *this, unsigned int first, unsigned int count)
 {
 	for (unsigned int i = first; i < first + count; i++)
@@ -434,7 +452,28 @@
 	if (placement_next_receipt(from, slot, &entry, this->now))
 		g_array_append_val(message->entries, entry);
 	this->message_count++;
-	g_queue_push_tail(&this->messages, message);
+	if (this->cut)
+		message_delete(message);
+	else
+		g_queue_push_tail(&this->messages, message);
+}
+
+static void read_messages(fleet_sim_t *this, sim_router_t *router)
+{
+	fleet_message_t *message;
+
+	while ((message = g_queue_pop_head(&router->inbox))) {
+		unsigned int slot;
+
+		if (placement_accept_message(
+			    router->placement, &message->header, &slot, this->now)) {
+			for (unsigned int i = 0; i < message->entries->len; i++)
+				placement_handle_entry(router->placement, slot,
+					&g_array_index(message->entries, message_entry_t, i),
+					this->now);
+		}
+		message_delete(message);
+	}
 }
 
 static void run_router(fleet_sim_t *this, sim_router_t *router)
@@ -442,10 +481,13 @@
 	message_header_t header;
 	unsigned int slot;
 
+	if (this->now < router->ticked_at + router->turn_ms * USEC_PER_MSEC)
+		return;
 	if (!router->due && this->now < router->ticked_at + TICK_INTERVAL)
 		return;
 	router->due = false;
 	router->ticked_at = this->now;
+	read_messages(this, router);
 	placement_tick(router->placement, this->now);
 	handle_actions(this, router);
 	while (placement_next_message(router->placement, &slot, &header, this->now))
@@ -458,17 +500,10 @@
 
 	while ((message = g_queue_peek_head(&this->messages)) && message->due <= this->now) {
 		sim_router_t *to = &this->routers[message->to];
-		unsigned int slot;
 
 		g_queue_pop_head(&this->messages);
-		if (placement_accept_message(to->placement, &message->header, &slot, this->now)) {
-			for (unsigned int i = 0; i < message->entries->len; i++)
-				placement_handle_entry(to->placement, slot,
-					&g_array_index(message->entries, message_entry_t, i),
-					this->now);
-		}
+		g_queue_push_tail(&to->inbox, message);
 		to->due = true;
-		message_delete(message);
 	}
 }
 
@@ -532,6 +567,25 @@
 	return sum;
 }
 
+void fleet_sim_cut(fleet_sim_t *this, bool cut)
+{
+	this->cut = cut;
+}
+
+unsigned int fleet_sim_peak_runs(const fleet_sim_t *this)
+{
+	return this->peak_runs;
+}
+
+uint64_t fleet_sim_without_grant(const fleet_sim_t *this)
+{
+	uint64_t sum = 0;
+
+	for (unsigned int i = 0; i < this->options.routers; i++)
+		sum += placement_stats(this->routers[i].placement)->without_grant;
+	return sum;
+}
+
 uint64_t fleet_sim_requests(const fleet_sim_t *this)
 {
 	return this->request_count;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -64,12 +64,21 @@
 /* Ends all runs at engines `first` to `first + count - 1`, which can't be reached until started. */
 void fleet_sim_crash(fleet_sim_t *this, unsigned int first, unsigned int count);
 void fleet_sim_start_engines(fleet_sim_t *this, unsigned int first, unsigned int count);
+/* Routers `first` to `first + count - 1` take `ms` for each turn of their loop; 0: no time. */
+void fleet_sim_slow_routers(
+	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int ms);
+/* Drops all messages between routers, or stops dropping them. */
+void fleet_sim_cut(fleet_sim_t *this, bool cut);
+/* Most runs that there were at all engines together, from the start of the simulation on. */
+unsigned int fleet_sim_peak_runs(const fleet_sim_t *this);
 const fleet_count_t *fleet_sim_count(
 	const fleet_sim_t *this, unsigned int workspace, unsigned int second);
 placement_t *fleet_sim_placement(fleet_sim_t *this, unsigned int router);
 /* Messages and slot requests that the routers have sent. */
 uint64_t fleet_sim_messages(const fleet_sim_t *this);
 uint64_t fleet_sim_slot_requests(const fleet_sim_t *this);
+/* Requests that were started without a grant of an owner. */
+uint64_t fleet_sim_without_grant(const fleet_sim_t *this);
 /* Requests that have arrived, retries included, and the runs that have begun. */
 uint64_t fleet_sim_requests(const fleet_sim_t *this);
 uint64_t fleet_sim_runs(const fleet_sim_t *this);
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -81,10 +81,44 @@
 	}
 }
 
+/*
+ * Nine routers of 60 take 0.15 s for each turn.  Requests are started without a grant only by
+ * routers that reach no owner, not where owners reply late.
+ */
+static void test_slow_owners_cause_no_starts_without_a_grant(void **state)
+{
+	fleet_sim_t *sim = flooded_fleet(1);
+
+	fleet_sim_run(sim, 8000);
+	fleet_sim_slow_routers(sim, 23, 9, 150);
+	fleet_sim_run(sim, 8000);
+	assert_true(fleet_sim_runs(sim) > 0);
+	assert_int_equal(fleet_sim_without_grant(sim), 0);
+	assert_int_equal(fleet_sim_unfair(sim, 2, 16), 0);
+	fleet_sim_delete(sim);
+}
+
+/* Routers that reach no owner use half of the slots at most, all of them together. */
+static void test_starts_without_a_grant_take_half_of_the_slots_at_most(void **state)
+{
+	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1};
+	fleet_sim_t *sim = fleet_sim_new(&options);
+
+	fleet_sim_run(sim, 500);
+	fleet_sim_cut(sim, true);
+	offer_mix(sim, FLOOD, 2000, 0, ROUTERS, 2);
+	fleet_sim_run(sim, 8000);
+	assert_true(fleet_sim_without_grant(sim) > 0);
+	assert_in_range(fleet_sim_peak_runs(sim), 1, ENGINES * SLOTS / 2);
+	fleet_sim_delete(sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_flood_through_all_routers_does_not_starve_a_workspace_at_two),
+		cmocka_unit_test(test_slow_owners_cause_no_starts_without_a_grant),
+		cmocka_unit_test(test_starts_without_a_grant_take_half_of_the_slots_at_most),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -59,6 +59,7 @@
 	entry_writer_t *writer;
 	uint64_t incarnation;
 	unsigned int started;
+	int64_t reported_tokens; /* as served, by router 0 to router 1 */
 	unsigned int rejected;
 	unsigned int in_use[ENGINES];
 	unsigned int peak_in_use[ENGINES];
@@ -163,8 +164,12 @@
 	message_entry_t entry;
 
 	entry_writer_begin(this->writer, header);
-	while (placement_next_entry(this->placements[from], slot, &entry))
+	while (placement_next_entry(this->placements[from], slot, &entry)) {
+		if (entry.kind == ENTRY_SERVED_TOKENS && from == 0 &&
+			members->list[slot].id == router_id(1))
+			this->reported_tokens += entry.tokens;
 		entry_writer_add(this->writer, &entry, this->now);
+	}
 	if (placement_next_receipt(this->placements[from], slot, &entry, this->now))
 		entry_writer_add(this->writer, &entry, this->now);
 	bytes = entry_writer_data(this->writer, &message->size);
@@ -1046,6 +1051,26 @@
 	placement_delete(placement);
 }
 
+/*
+ * A router that hears no owner starts requests on its own.  They count for their workspace's share
+ * like those that an owner has granted.
+ */
+static void test_start_without_a_grant_counts_as_served(void **state)
+{
+	fleet_t *f = fleet_new(1);
+
+	fleet_run(f, 500);
+	for (unsigned int k = 1; k < ROUTERS; k++)
+		f->cut[k][0] = true;
+	for (unsigned int i = 0; i < 6; i++) {
+		request_slot(f, 0);
+		fleet_run(f, 100);
+	}
+	assert_true(placement_stats(f->placements[0])->without_grant > 0);
+	assert_int_equal(f->reported_tokens, f->started * (500 + 2 * 50));
+	fleet_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1077,6 +1102,7 @@
 		cmocka_unit_test(test_flood_at_one_router_is_refused_without_asking_owners),
 		cmocka_unit_test(test_slow_router_does_not_take_its_owners_for_silent),
 		cmocka_unit_test(test_flood_leaves_slots_to_other_workspace_at_the_same_router),
+		cmocka_unit_test(test_start_without_a_grant_counts_as_served),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
