No start without a grant while an owner replies; owners that reply late are known

Cause: nine of 62 routers are slowed, and reply after the 25 ms that an owner has. A slow owner is chosen more often than others: what waits unread in its sockets is not in the utilization that it reports, and each late reply counts as a sign of life. Of 10,000 slot requests a second 1,467 to 4,788 went unanswered, and after three owners a router started the request on its own, past every order among workspaces. The more routers a workspace's callers use, the more of that it gets.

Now a router knows how late each owner replies (a timeout doubles it, up to 0.2 s; replies bring it down), gives it as much more time, and counts it as load when it chooses. From the third owner on a request has to be queued; it is asked for at further owners until it can't be in time, then refused with a time to come back. Only a router that no other owner answers, and whose own slots are in use, starts requests without a grant.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -190,10 +190,8 @@
 		bool owner_lost = request->owner && (!member_is_alive(owner) || owner->stopping ||
 							    owner->state == MEMBER_SUSPECT);
 
-		if (timed_out) {
-			this->stats.unanswered++;
-			this->peers[request->owner].unresponsive = true;
-		}
+		if (timed_out)
+			placement_record_timeout(this, request);
 		if (timed_out || owner_lost) {
 			placement_withdraw(this, request->owner, request->ticket, now);
 			placement_send_request(this, request, now);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -32,7 +32,8 @@
 
 /* What this router knows of a member, and the entries of the next message to it. */
 typedef struct peer_state {
-	bool unresponsive; /* did not reply to a slot request, and has sent no message since */
+	bool unresponsive;    /* did not reply to a slot request, and has sent no message since */
+	uint64_t reply_delay; /* recent time from a slot request to its reply, microseconds */
 	pool_usage_t usages[MAX_POOLS];
 	unsigned int usage_count;
 	message_entry_t *entries;
@@ -124,6 +125,9 @@
 /* Returns whether this router may send the request to the engine now. */
 bool placement_may_use(
 	const engine_state_t *state, const placement_request_t *request, instant_t now);
+/* Record that the request's owner has replied, or that it did not in time. */
+void placement_record_reply(placement_t *this, const placement_request_t *request, instant_t now);
+void placement_record_timeout(placement_t *this, const placement_request_t *request);
 /* Sends a slot request to an owner, or to the next one if it was sent before. */
 void placement_send_request(placement_t *this, placement_request_t *request, instant_t now);
 /* Returns the message entry of the slot request. */
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -10,6 +10,17 @@
 	return request && request->state != PLACEMENT_GRANTED ? request : NULL;
 }
 
+/* Like find_pending(), for the request that an entry replies to. */
+static placement_request_t *find_replied(
+	placement_t *this, unsigned int owner, uint64_t ticket, instant_t now)
+{
+	placement_request_t *request = find_pending(this, owner, ticket);
+
+	if (request && request->state == PLACEMENT_REQUESTED)
+		placement_record_reply(this, request, now);
+	return request;
+}
+
 /* Returns whether our engines of the pool are full while another owner probably has a free slot. */
 static bool should_redirect(placement_t *this, const slot_request_t *request, instant_t now)
 {
@@ -49,7 +60,7 @@
 static void handle_queued(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	placement_request_t *request = find_pending(this, slot, entry->ticket);
+	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (request)
 		request->state = PLACEMENT_QUEUED;
@@ -99,7 +110,7 @@
 static void handle_grant(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	placement_request_t *request = find_pending(this, slot, entry->ticket);
+	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (request && is_usable(this, request, entry->engine, now)) {
 		request->source = entry->source;
@@ -116,7 +127,7 @@
 static void handle_refusal(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	placement_request_t *request = find_pending(this, slot, entry->ticket);
+	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (!request)
 		return;
@@ -127,7 +138,7 @@
 static void handle_not_owner(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	placement_request_t *request = find_pending(this, slot, entry->ticket);
+	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (request)
 		try_next_owner(this, request, false, now);
@@ -136,7 +147,7 @@
 static void handle_full(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	placement_request_t *request = find_pending(this, slot, entry->ticket);
+	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (request)
 		try_next_owner(this, request, true, now);
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -1,8 +1,11 @@
 #include "core/placement_internal.h"
 
-#define REPLY_TIMEOUT (25 * USEC_PER_MSEC)  /* ten times a typical round trip */
-#define MAX_OWN_DELAY (500 * USEC_PER_MSEC) /* most that our own slowness adds to it */
-#define MAX_OWNERS_TRIED 3		    /* before a router starts the request without a grant */
+#define REPLY_TIMEOUT (25 * USEC_PER_MSEC)    /* ten times a typical round trip */
+#define MAX_OWN_DELAY (500 * USEC_PER_MSEC)   /* most that our own slowness adds to it */
+#define MAX_REPLY_DELAY (200 * USEC_PER_MSEC) /* most that an owner's slowness adds to it */
+#define REPLY_DELAY_DECAY 8	/* part by which the known delay approaches a shorter one */
+#define MAX_REDIRECTS 2		/* after which an owner has to queue the request */
+#define MAX_OWNERS_TRIED 10	/* before a request is refused that no owner has decided on */
 #define MAX_CANDIDATES 3	/* engines that may have cached the shared parts of a prompt */
 #define UTILIZATION_NONE 1000.0 /* stands for an owner without a usable engine */
 /* Differences between owners count only above this utilization. */
@@ -11,6 +14,8 @@
 #define UTILIZATION_MARGIN 0.25
 /* ... less this for each rank of the engine among the candidates. */
 #define UTILIZATION_RANK_STEP 0.05
+/* An owner that replies this late is chosen like one whose slots are all in use besides. */
+#define DELAY_OF_FULL_OWNER (400 * USEC_PER_MSEC)
 /* Without grants, a router's share of an engine's slots is its even share divided by this. */
 #define WITHOUT_GRANT_SHARE_DIVISOR 2
 
@@ -120,26 +125,34 @@
 	return false;
 }
 
-/* Returns the owner with the lowest utilization, a random one among equals; -1: none. */
-static int least_utilized_owner(
-	placement_t *this, const placement_request_t *request, instant_t now)
+/* The owner's utilization, and more for one that replies late: it is busy, whatever it reports. */
+static double owner_load(placement_t *this, unsigned int slot, id_t32 pool, instant_t now)
+{
+	uint64_t delay = this->peers[slot].reply_delay;
+	double load = placement_utilization(this, slot, pool, now);
+
+	return delay > REPLY_TIMEOUT ? load + (double)delay / DELAY_OF_FULL_OWNER : load;
+}
+
+/* Returns the owner with the lowest load, a random one among equals; -1: none. */
+static int least_loaded_owner(placement_t *this, const placement_request_t *request, instant_t now)
 {
 	unsigned int start = (unsigned int)(next_random(this) % this->members.count);
 	int best = -1;
-	double best_utilization = 0;
+	double best_load = 0;
 
 	for (unsigned int k = 0; k < this->members.count; k++) {
 		unsigned int slot = (start + k) % this->members.count;
-		double utilization;
+		double load;
 
 		if (!placement_accepts_requests(this, slot) ||
 			!owns_engine_for(this, slot, request, now))
 			continue;
-		utilization = placement_utilization(this, slot, request->pool, now);
-		if (best >= 0 && utilization >= best_utilization)
+		load = owner_load(this, slot, request->pool, now);
+		if (best >= 0 && load >= best_load)
 			continue;
 		best = (int)slot;
-		best_utilization = utilization;
+		best_load = load;
 	}
 	return best;
 }
@@ -159,8 +172,8 @@
 }
 
 /*
- * Chooses the owner with the lowest utilization, unless an owner whose engine has
- * probably cached the shared parts of the prompt is not much more utilized.
+ * Chooses the owner with the lowest load, unless an owner whose engine has
+ * probably cached the shared parts of the prompt is not much more loaded.
  * Returns -1 when no owner accepts requests.
  */
 static int choose_owner(placement_t *this, const placement_request_t *request, instant_t now)
@@ -169,9 +182,8 @@
 	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
 	unsigned int ranked[MAX_CANDIDATES];
 	unsigned int count = prefix ? rank_engines(this, request, prefix, ranked) : 0;
-	int best = least_utilized_owner(this, request, now);
-	double lowest =
-		best < 0 ? 0 : placement_utilization(this, (unsigned int)best, request->pool, now);
+	int best = least_loaded_owner(this, request, now);
+	double lowest = best < 0 ? 0 : owner_load(this, (unsigned int)best, request->pool, now);
 	double bound = (lowest < UTILIZATION_LOW ? UTILIZATION_LOW : lowest) + UTILIZATION_MARGIN;
 
 	if (lowest < UTILIZATION_FREE && bound > UTILIZATION_FREE)
@@ -181,13 +193,41 @@
 
 		if (placement_accepts_requests(this, owner) &&
 			placement_may_use(&this->engines[ranked[i]], request, now) &&
-			placement_utilization(this, owner, request->pool, now) <=
+			owner_load(this, owner, request->pool, now) <=
 				bound - i * UTILIZATION_RANK_STEP)
 			return (int)owner;
 	}
 	return best;
 }
 
+/* Whether others own engines for the request, and none of them accepts requests. */
+static bool is_cut_off(const placement_t *this, const placement_request_t *request, instant_t now)
+{
+	bool others = false;
+
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		unsigned int owner = this->engines[i].owner;
+
+		if (!owner || !placement_may_use(&this->engines[i], request, now))
+			continue;
+		if (owner < this->members.count && placement_accepts_requests(this, owner))
+			return false;
+		others = true;
+	}
+	return others;
+}
+
+/* Returns the owner to ask; -1: none, the request may be started without a grant. */
+static int next_owner(placement_t *this, const placement_request_t *request, instant_t now)
+{
+	int owner = choose_owner(this, request, now);
+
+	if (owner == 0 && placement_utilization(this, 0, request->pool, now) >= 1 &&
+		is_cut_off(this, request, now))
+		return -1;
+	return owner;
+}
+
 static struct cds_list_head *backlog_bucket(placement_t *this, const placement_request_t *request)
 {
 	return &this->backlogs[mix(request->pool, request->workspace) % BACKLOG_BUCKETS];
@@ -404,7 +444,7 @@
 				.deadline = request->deadline,
 				.version = request->version,
 				.is_late = request->is_late,
-				.must_queue = request->owners_tried >= MAX_OWNERS_TRIED,
+				.must_queue = request->owners_tried > MAX_REDIRECTS,
 			},
 	};
 }
@@ -433,7 +473,8 @@
 		return;
 	}
 	request->state = PLACEMENT_REQUESTED;
-	request->reply_by = now + REPLY_TIMEOUT + own_delay(this);
+	request->asked_at = now;
+	request->reply_by = now + REPLY_TIMEOUT + own_delay(this) + this->peers[owner].reply_delay;
 	this->next_pending_check = instant_min(this->next_pending_check, request->reply_by);
 	usage = placement_pool_usage(&this->peers[owner], request->pool);
 	if (usage)
@@ -441,10 +482,40 @@
 	placement_queue_entry(this, owner, &entry, now);
 }
 
+void placement_record_reply(placement_t *this, const placement_request_t *request, instant_t now)
+{
+	uint64_t *delay = &this->peers[request->owner].reply_delay;
+	uint64_t taken = now - request->asked_at;
+
+	taken -= instant_min(taken, own_delay(this));
+	if (taken > *delay)
+		*delay = instant_min(taken, MAX_REPLY_DELAY);
+	else
+		*delay -= (*delay - taken) / REPLY_DELAY_DECAY;
+}
+
+void placement_record_timeout(placement_t *this, const placement_request_t *request)
+{
+	peer_state_t *owner = &this->peers[request->owner];
+
+	this->stats.unanswered++;
+	owner->unresponsive = true;
+	owner->reply_delay =
+		instant_min(2 * instant_max(owner->reply_delay, REPLY_TIMEOUT), MAX_REPLY_DELAY);
+}
+
+/* Whether it is too late to ask one more owner for a request that several did not decide on. */
+static bool is_given_up(const placement_request_t *request, instant_t now)
+{
+	instant_t until = request->was_started ? request->deadline : request->first_token_deadline;
+
+	return request->owners_tried > MAX_REDIRECTS &&
+	       (request->owners_tried >= MAX_OWNERS_TRIED || now >= until);
+}
+
 void placement_send_request(placement_t *this, placement_request_t *request, instant_t now)
 {
-	int owner =
-		request->owners_tried < MAX_OWNERS_TRIED ? choose_owner(this, request, now) : -1;
+	int owner = next_owner(this, request, now);
 
 	if (request->state != PLACEMENT_NONE)
 		leave_list(request);
@@ -452,6 +523,10 @@
 		start_without_grant(this, request, now);
 		return;
 	}
+	if (is_given_up(request, now)) {
+		placement_reject(this, request, own_retry_after_ms(this, request, now));
+		return;
+	}
 	request->owners_tried++;
 	backlog_add(placement_backlog(this, request), &request->backlog_entry, now);
 	send_request(this, request, (unsigned int)owner, now);
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -104,10 +104,10 @@
 	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
-	fleet_sim_run(sim, 500);
+	offer_mix(sim, FLOOD, 2000, 0, ROUTERS, 1);
+	fleet_sim_run(sim, 2000);
 	fleet_sim_cut(sim, true);
-	offer_mix(sim, FLOOD, 2000, 0, ROUTERS, 2);
-	fleet_sim_run(sim, 8000);
+	fleet_sim_run(sim, 4000);
 	assert_in_range(fleet_sim_peak_without_grant(sim), 1, ENGINES * SLOTS / 2);
 	fleet_sim_delete(sim);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -1062,10 +1062,11 @@
 	fleet_run(f, 500);
 	for (unsigned int k = 1; k < ROUTERS; k++)
 		f->cut[k][0] = true;
-	for (unsigned int i = 0; i < 6; i++) {
+	for (unsigned int i = 0; i < 40; i++) {
 		request_slot(f, 0);
-		fleet_run(f, 100);
+		fleet_run(f, 10);
 	}
+	fleet_run(f, 200);
 	assert_true(placement_stats(f->placements[0])->without_grant > 0);
 	assert_int_equal(f->reported_tokens, f->started * (500 + 2 * 50));
 	fleet_delete(f);
