--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -11,7 +11,6 @@
 #define MAX_BACKLOG (15 * USEC_PER_MSEC)
 #define MAX_EVENT_GAP (300 * USEC_PER_MSEC)
 #define TOKEN_MEMORY 714611
-#define PREFILL_TOKENS_PER_MS 157
 #define DECODE_STEP_US 4500.0
 #define FIRST_TOKEN_US 26000
 #define ANSWER_WEIGHT 2	   /* tokens that a generated token counts for */
@@ -356,7 +355,7 @@
 
 static void run_engine(fleet_sim_t *this, sim_engine_t *engine)
 {
-	unsigned int budget = PREFILL_TOKENS_PER_MS;
+	unsigned int budget = this->options.prefill_tokens_per_ms;
 	job_t *job;
 
 	while (budget && (job = g_queue_peek_head(&engine->prefilling))) {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -25,6 +25,7 @@
 	unsigned int engines;
 	unsigned int slots; /* of an engine */
 	uint32_t seed;
+	unsigned int prefill_tokens_per_ms; /* of an engine */
 } fleet_options_t;
 
 /* A kind of request; sizes are mean numbers of tokens. */
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -13,6 +13,7 @@
 #define ROUTERS 60
 #define ENGINES 60
 #define SLOTS 24
+#define PREFILL_TOKENS_PER_MS 157
 #define FLOOD 0	 /* the workspace that floods through all routers */
 #define NARROW 1 /* the first of those whose callers are at one or two routers */
 #define NARROWS 5
@@ -46,7 +47,7 @@
 
 static fleet_sim_t *flooded_fleet(uint32_t seed)
 {
-	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, seed};
+	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, seed, PREFILL_TOKENS_PER_MS};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
 	offer_mix(sim, FLOOD, 100, 0, ROUTERS, 1);
@@ -101,7 +102,7 @@
 /* Routers that reach no owner use half of the slots at most, all of them together. */
 static void test_starts_without_a_grant_take_half_of_the_slots_at_most(void **state)
 {
-	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1};
+	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1, PREFILL_TOKENS_PER_MS};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
 	offer_mix(sim, FLOOD, 2000, 0, ROUTERS, 1);
@@ -112,12 +113,50 @@
 	fleet_sim_delete(sim);
 }
 
+/*
+ * Eight routers with slow engines.  Workspace 0 asks for several times its share at one router, and
+ * is served what nobody else wants, until four of nine engines crash and all others ask for eight
+ * times as much.
+ */
+static fleet_sim_t *surged_fleet(uint32_t seed)
+{
+	fleet_options_t options = {8, 9, 128, seed, 60};
+	fleet_sim_t *sim = fleet_sim_new(&options);
+
+	offer_mix(sim, 0, 270, 3, 1, 1);
+	offer_mix(sim, 0, 270, 3, 1, 12);
+	for (unsigned int i = 1; i <= 3; i++) {
+		offer_mix(sim, i, 90.0 / i, i, 8, 1);
+		offer_mix(sim, i, 630.0 / i, i, 8, 12);
+	}
+	for (unsigned int i = 4; i < 16; i++) {
+		offer_mix(sim, i, 4, i, 3, 1);
+		offer_mix(sim, i, 28, i, 3, 12);
+	}
+	return sim;
+}
+
+static void test_workspace_served_most_is_not_locked_out_when_others_ask_for_more(void **state)
+{
+	for (uint32_t seed = 1; seed <= 4; seed++) {
+		fleet_sim_t *sim = surged_fleet(seed);
+
+		fleet_sim_run(sim, 11500);
+		fleet_sim_crash(sim, 0, 4);
+		fleet_sim_run(sim, 8500);
+		assert_int_equal(fleet_sim_unfair(sim, 2, 20), 0);
+		fleet_sim_delete(sim);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_flood_through_all_routers_does_not_starve_a_workspace_at_two),
 		cmocka_unit_test(test_slow_owners_cause_no_starts_without_a_grant),
 		cmocka_unit_test(test_starts_without_a_grant_take_half_of_the_slots_at_most),
+		cmocka_unit_test(
+			test_workspace_served_most_is_not_locked_out_when_others_ask_for_more),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
