What a workspace was served counts against it for 1.5 s, not 4

Cause: owners order by what was served, with a time constant of 4 s. What was served at ten times the present rate takes nine seconds to fade. Levels start anew, and those that join are raised, only where none or not all were in want before; in steady overload all are, now and then.

Now the time constant is 1.5 s, and never less than the time between two reports of the other owners (3.5 s at 295 routers), of which the levels consist.

Ruled out: a floor for joining lanes at 0.7 of the highest level (two tests fail; trial).

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -239,9 +239,12 @@
 
 static void report_all_served(placement_t *this, instant_t now)
 {
+	uint64_t interval = SERVED_INTERVAL * this->members.count;
+
 	if (now < this->next_served_report_at)
 		return;
-	this->next_served_report_at = now + SERVED_INTERVAL * this->members.count;
+	this->next_served_report_at = now + interval;
+	scheduler_set_report_interval(this->scheduler, interval);
 	scheduler_report_served(this->scheduler, report_served, this);
 }
 
--- a/src/core/sched_lane.c
+++ b/src/core/sched_lane.c
@@ -2,27 +2,27 @@
 
 #include <math.h>
 
-#define SERVICE_DECAY (4.0 * USEC_PER_SEC) /* time constant over which fair share is kept */
 #define CONTENTION_TIME                                                                            \
 	(1 * USEC_PER_SEC) /* after the last request that could not start in time                  \
 			    */
 #define ANSWER_WEIGHT 2	   /* cost of a generated token, in prompt tokens */
 
-void sched_lane_init(sched_lane_t *this, id_t32 workspace)
+void sched_lane_init(sched_lane_t *this, id_t32 workspace, const double *decay)
 {
 	this->workspace = workspace;
+	this->decay = decay;
 	CDS_INIT_LIST_HEAD(&this->timely);
 	CDS_INIT_LIST_HEAD(&this->late);
 }
 
-static double decayed(double tokens, instant_t since, instant_t now)
+static double decayed(const sched_lane_t *this, double tokens, instant_t since, instant_t now)
 {
-	return tokens * exp(-(double)(now - since) / SERVICE_DECAY);
+	return tokens * exp(-(double)(now - since) / *this->decay);
 }
 
 double sched_lane_level(const sched_lane_t *this, instant_t now)
 {
-	return decayed(this->served, this->served_at, now);
+	return decayed(this, this->served, this->served_at, now);
 }
 
 void sched_lane_charge(sched_lane_t *this, double tokens, instant_t now)
@@ -60,7 +60,7 @@
 
 void sched_lane_refund(sched_lane_t *this, double tokens, instant_t since, instant_t now)
 {
-	sched_lane_charge_local(this, -decayed(tokens, since, now), now);
+	sched_lane_charge_local(this, -decayed(this, tokens, since, now), now);
 }
 
 double answer_cost(double answer)
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -4,7 +4,7 @@
  * sched_lane - the requests of one workspace that wait at an owner, and its share of service
  *
  * The level of a lane is the number of tokens that the whole fleet served to
- * the workspace recently.  It decays exponentially within some seconds, so that
+ * the workspace recently.  It decays exponentially within seconds, so that
  * a workspace can't save up credit while it is idle.  What a workspace was served while nobody
  * else wanted it does not count against it either: all levels start anew when the first lane begins
  * to get less than it asks for, and one that joins later starts near the levels of those that do.
@@ -54,6 +54,7 @@
 struct sched_lane {
 	struct cds_list_head link; /* in its pool */
 	id_t32 workspace;
+	const double *decay;
 	double served;	   /* tokens by all owners, decayed up to `served_at` */
 	double unreported; /* tokens served here, not yet reported to the other owners */
 	instant_t served_at;
@@ -63,7 +64,8 @@
 	struct cds_list_head late;   /* sched_record_t, the longest waiting first */
 };
 
-void sched_lane_init(sched_lane_t *this, id_t32 workspace);
+/* `decay`: time constant of the level in microseconds; valid as long as the lane. */
+void sched_lane_init(sched_lane_t *this, id_t32 workspace, const double *decay);
 double sched_lane_level(const sched_lane_t *this, instant_t now);
 /* Adds tokens that any owner served; negative to correct an estimate that was too high. */
 void sched_lane_charge(sched_lane_t *this, double tokens, instant_t now);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -1,10 +1,16 @@
 #include "core/scheduler.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "core/refusal_cache.h"
 
 #define BUCKETS 1024
+/*
+ * Time constant over which fair share is kept.  Levels of more plentiful seconds must not lock a
+ * workspace out for long once slots are scarce.
+ */
+#define SERVICE_DECAY (1.5 * USEC_PER_SEC)
 /*
  * Starts that an engine's rate allows within this time count as free slots, so that enough
  * requests wait at the owner for it to choose by fair share.
@@ -29,8 +35,9 @@
 	unsigned int action_count;
 	unsigned int action_capacity;
 	unsigned int running;
-	instant_t now;	   /* of the current scheduler_run() */
-	double rate_share; /* see scheduler_set_rate_share() */
+	instant_t now;	      /* of the current scheduler_run() */
+	double rate_share;    /* see scheduler_set_rate_share() */
+	double service_decay; /* see scheduler_set_report_interval() */
 	refusal_cache_t refusals;
 	scheduler_stats_t stats;
 };
@@ -102,7 +109,7 @@
 			return lane;
 	}
 	lane = allocator_new(this->allocator, 1, sizeof(*lane));
-	sched_lane_init(lane, workspace);
+	sched_lane_init(lane, workspace, &this->service_decay);
 	cds_list_add_tail(&lane->link, &pool->lanes);
 	return lane;
 }
@@ -355,6 +362,11 @@
 	sched_lane_charge(get_lane(this, get_pool(this, pool), workspace), tokens, now);
 }
 
+void scheduler_set_report_interval(scheduler_t *this, uint64_t interval)
+{
+	this->service_decay = fmax(SERVICE_DECAY, (double)interval);
+}
+
 void scheduler_charge(
 	scheduler_t *this, id_t32 pool, id_t32 workspace, double tokens, instant_t now)
 {
@@ -579,6 +591,7 @@
 	this->options = *options;
 	this->allocator = allocator;
 	this->rate_share = 1;
+	this->service_decay = SERVICE_DECAY;
 	CDS_INIT_LIST_HEAD(&this->pools);
 	for (unsigned int i = 0; i < BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&this->buckets[i]);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -116,6 +116,11 @@
 /* Adds tokens that another owner served, to keep the fair share over the whole fleet. */
 void scheduler_add_served(
 	scheduler_t *this, id_t32 pool, id_t32 workspace, int32_t tokens, instant_t now);
+/*
+ * Sets the time between two reports of another owner, microseconds: levels decay no faster than
+ * these arrive.
+ */
+void scheduler_set_report_interval(scheduler_t *this, uint64_t interval);
 /* Adds tokens of a request that this router started without a grant. */
 void scheduler_charge(
 	scheduler_t *this, id_t32 pool, id_t32 workspace, double tokens, instant_t now);
