--- /dev/null
+++ b/tests/test_planned_stop.c
@@ -0,0 +1,148 @@
+/* threaded: planned_stop - callers that go on sending until the process is gone */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "edge/clock.h"
+#include "edge/log.h"
+#include "tests/gateway_fixture.h"
+
+#define CALLERS 6
+#define RUN_MS 1200 /* of a request at the endpoint */
+#define WAIT_MS 4000
+#define BODY "0123456789"
+
+typedef struct slow_endpoint {
+	int reached; /* accessed atomically */
+} slow_endpoint_t;
+
+static bool respond_late(void *ctx, int fd, const raw_request_t *request)
+{
+	slow_endpoint_t *this = ctx;
+
+	__atomic_add_fetch(&this->reached, 1, __ATOMIC_SEQ_CST);
+	sleep_ms(RUN_MS);
+	return fixture_respond_hello(NULL, fd, request);
+}
+
+typedef struct stop_caller {
+	fixture_t *router;
+	pthread_t thread;
+	unsigned int number;
+	bool slow_body;
+	const bool *gone; /* the router has stopped; accessed atomically */
+	int served;
+	int refused;
+} stop_caller_t;
+
+/* Sends the body in two parts, so that the second may come long after the signal. */
+static void send_order(const stop_caller_t *this, int fd, unsigned int number)
+{
+	char *id = g_strdup_printf("c%u-%u", this->number, number);
+	char *text = fixture_format_request("POST", "/order/", id, "Deadline-Ms: 8000\r\n", BODY);
+	char *body = strstr(text, BODY);
+
+	if (this->slow_body && body) {
+		char *rest = g_strdup(body + 5);
+
+		body[5] = '\0';
+		raw_write(fd, text);
+		sleep_ms(300);
+		raw_write(fd, rest);
+		g_free(rest);
+	} else {
+		raw_write(fd, text);
+	}
+	g_free(text);
+	g_free(id);
+}
+
+/* Returns whether the connection goes on. */
+static bool exchange(stop_caller_t *this, int fd, unsigned int number)
+{
+	char *response;
+	bool goes_on;
+
+	send_order(this, fd, number);
+	response = fixture_read_until(fd, "hello", WAIT_MS);
+	goes_on = !strstr(response, "Connection: close");
+	if (g_str_has_prefix(response, "HTTP/1.1 200") && strstr(response, "hello"))
+		this->served++;
+	else if (g_str_has_prefix(response, "HTTP/1.1 503") ||
+		 g_str_has_prefix(response, "HTTP/1.1 429"))
+		this->refused++; /* both say that the request has not run */
+	else if (*response)
+		fail_msg("unexpected response: %s", response);
+	goes_on &= *response && strstr(response, "hello");
+	g_free(response);
+	return goes_on;
+}
+
+/* Uses each connection until it ends, and opens another one until the process is gone. */
+static void *send_until_gone(void *ctx)
+{
+	stop_caller_t *this = ctx;
+	unsigned int number = 0;
+	int fd;
+
+	while (!__atomic_load_n(this->gone, __ATOMIC_SEQ_CST)) {
+		fd = fixture_connect(this->router->caller_address);
+		if (fd < 0)
+			break;
+		while (exchange(this, fd, number++))
+			;
+		close(fd);
+		sleep_ms(20);
+	}
+	return NULL;
+}
+
+/*
+ * Every order that has reached the endpoint is answered, also one that came late in the grace, or
+ * whose body was still on its way when the stop began; the others were refused.
+ */
+static void test_no_order_is_cut_in_a_planned_stop(void **state)
+{
+	slow_endpoint_t endpoint = {0};
+	stop_caller_t callers[CALLERS] = {0};
+	fixture_t *f = fixture_new();
+	bool gone = false;
+	int served = 0;
+	int refused = 0;
+
+	fixture_add_endpoint(f, respond_late, &endpoint);
+	fixture_wait_ready(f, 1);
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		callers[i] = (stop_caller_t){
+			.router = f, .number = i, .slow_body = i % 2, .gone = &gone};
+		pthread_create(&callers[i].thread, NULL, send_until_gone, &callers[i]);
+	}
+	sleep_ms(500);
+	assert_int_equal(fixture_stop(f), 0);
+	__atomic_store_n(&gone, true, __ATOMIC_SEQ_CST);
+	for (unsigned int i = 0; i < CALLERS; i++) {
+		pthread_join(callers[i].thread, NULL);
+		served += callers[i].served;
+		refused += callers[i].refused;
+	}
+	assert_true(served > 0);
+	assert_true(refused > 0);
+	assert_int_equal(served, __atomic_load_n(&endpoint.reached, __ATOMIC_SEQ_CST));
+	fixture_delete(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_no_order_is_cut_in_a_planned_stop),
+	};
+
+	log_init("test", FALSE);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
