Test that owners that were slow are asked again; two comments

Passed at once: without it one could fear that the known delay of an owner keeps it from being asked, and so from being found quick again.

--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -14,7 +14,7 @@
 #define UTILIZATION_MARGIN 0.25
 /* ... less this for each rank of the engine among the candidates. */
 #define UTILIZATION_RANK_STEP 0.05
-/* An owner that replies this late is chosen like one whose slots are all in use besides. */
+/* A reply delay of this much counts like the use of all slots. */
 #define DELAY_OF_FULL_OWNER (400 * USEC_PER_MSEC)
 /* Without grants, a router's share of an engine's slots is its even share divided by this. */
 #define WITHOUT_GRANT_SHARE_DIVISOR 2
@@ -398,7 +398,6 @@
 
 	if (!routers)
 		routers = 1;
-
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		engine_state_t *state = &this->engines[i];
 
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -149,12 +149,45 @@
 	}
 }
 
+static uint64_t granted_by(fleet_sim_t *sim, unsigned int router)
+{
+	return scheduler_stats(placement_scheduler(fleet_sim_placement(sim, router)))->granted;
+}
+
+/* A third of the routers was slow for a second.  Four seconds later, in calm, they are asked again.
+ */
+static void test_owners_that_were_slow_are_asked_again(void **state)
+{
+	static const fleet_workload_t plain = {600, 0, 0, 290, 250, 10000};
+	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1, PREFILL_TOKENS_PER_MS};
+	fleet_offer_t offer = {0, &plain, 300, 0, ROUTERS, 0, UNTIL * 1000};
+	fleet_sim_t *sim = fleet_sim_new(&options);
+	uint64_t first[ROUTERS];
+	uint64_t before[ROUTERS];
+
+	fleet_sim_offer(sim, &offer);
+	fleet_sim_run(sim, 1000);
+	for (unsigned int i = 0; i < ROUTERS; i++)
+		first[i] = granted_by(sim, i);
+	fleet_sim_slow_routers(sim, 0, ROUTERS / 3, 150);
+	fleet_sim_run(sim, 1000);
+	fleet_sim_slow_routers(sim, 0, ROUTERS / 3, 0);
+	fleet_sim_run(sim, 4000);
+	for (unsigned int i = 0; i < ROUTERS; i++)
+		before[i] = granted_by(sim, i);
+	fleet_sim_run(sim, 6000);
+	for (unsigned int i = 0; i < ROUTERS; i++)
+		assert_true(!first[i] || granted_by(sim, i) > before[i]);
+	fleet_sim_delete(sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_flood_through_all_routers_does_not_starve_a_workspace_at_two),
 		cmocka_unit_test(test_slow_owners_cause_no_starts_without_a_grant),
 		cmocka_unit_test(test_starts_without_a_grant_take_half_of_the_slots_at_most),
+		cmocka_unit_test(test_owners_that_were_slow_are_asked_again),
 		cmocka_unit_test(
 			test_workspace_served_most_is_not_locked_out_when_others_ask_for_more),
 	};
