--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -33,7 +33,7 @@
 /* Writes the first `size` bytes of the answer and ends the connection. */
 typedef struct breaking_endpoint {
 	const answer_t *answer;
-	size_t size;
+	size_t size; /* accessed atomically */
 	bool resets;
 } breaking_endpoint_t;
 
@@ -45,10 +45,11 @@
 static bool break_off(void *ctx, int fd, const raw_request_t *request)
 {
 	const breaking_endpoint_t *this = ctx;
+	size_t size = __atomic_load_n(&this->size, __ATOMIC_SEQ_CST);
 	char *text = answer_text(this->answer, request->id);
 
-	if (this->size < strlen(text))
-		text[this->size] = '\0';
+	if (size < strlen(text))
+		text[size] = '\0';
 	raw_write(fd, text);
 	g_free(text);
 	if (this->resets)
