--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -15,7 +15,8 @@
 #define FIRST_TOKEN_US 26000
 #define ANSWER_WEIGHT 2	   /* tokens that a generated token counts for */
 #define LARGEST_REQUESTS 3 /* of slack that the rule gives */
-#define ATTEMPTS 2	   /* of a caller */
+#define ROUTER_ID_STEP 7919
+#define ATTEMPTS 2 /* of a caller */
 
 typedef struct fleet_message {
 	unsigned int to;
@@ -89,7 +90,7 @@
 
 static id_t32 router_id(unsigned int i)
 {
-	return 1000 + i * 7919;
+	return 1000 + i * ROUTER_ID_STEP;
 }
 
 static id_t32 engine_id(unsigned int i)
@@ -442,7 +443,7 @@
 	fleet_message_t *message = g_new0(fleet_message_t, 1);
 	message_entry_t entry;
 
-	message->to = (placement_members(from)->list[slot].id - router_id(0)) / 7919;
+	message->to = (placement_members(from)->list[slot].id - router_id(0)) / ROUTER_ID_STEP;
 	message->due = this->now + MESSAGE_DELAY;
 	message->header = *header;
 	message->entries = g_array_new(FALSE, FALSE, sizeof(entry));
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -16,6 +16,8 @@
 #define CALLERS 6
 #define RUN_MS 1200 /* of a request at the endpoint */
 #define WAIT_MS 4000
+#define BODY_PAUSE_MS 300 /* between the two parts of a slow body */
+#define SIGNAL_MS 150	  /* after the callers begin: slow bodies are under way */
 #define BODY "0123456789"
 
 typedef struct slow_endpoint {
@@ -39,9 +41,10 @@
 	const bool *gone; /* the router has stopped; accessed atomically */
 	int served;
 	int refused;
+	int unexpected; /* other responses */
 } stop_caller_t;
 
-/* Sends the body in two parts, so that the second may come long after the signal. */
+/* A slow body comes in two parts. */
 static void send_order(const stop_caller_t *this, int fd, unsigned int number)
 {
 	char *id = g_strdup_printf("c%u-%u", this->number, number);
@@ -53,7 +56,7 @@
 
 		body[5] = '\0';
 		raw_write(fd, text);
-		sleep_ms(300);
+		sleep_ms(BODY_PAUSE_MS);
 		raw_write(fd, rest);
 		g_free(rest);
 	} else {
@@ -78,7 +81,7 @@
 		 g_str_has_prefix(response, "HTTP/1.1 429"))
 		this->refused++; /* both say that the request has not run */
 	else if (*response)
-		fail_msg("unexpected response: %s", response);
+		this->unexpected++;
 	goes_on &= *response && strstr(response, "hello");
 	g_free(response);
 	return goes_on;
@@ -123,13 +126,14 @@
 			.router = f, .number = i, .slow_body = i % 2, .gone = &gone};
 		pthread_create(&callers[i].thread, NULL, send_until_gone, &callers[i]);
 	}
-	sleep_ms(500);
+	sleep_ms(SIGNAL_MS);
 	assert_int_equal(fixture_stop(f), 0);
 	__atomic_store_n(&gone, true, __ATOMIC_SEQ_CST);
 	for (unsigned int i = 0; i < CALLERS; i++) {
 		pthread_join(callers[i].thread, NULL);
 		served += callers[i].served;
 		refused += callers[i].refused;
+		assert_int_equal(callers[i].unexpected, 0);
 	}
 	assert_true(served > 0);
 	assert_true(refused > 0);
