--- a/review/rig.c
+++ b/review/rig.c
@@ -1180,6 +1180,140 @@
 	return lost > 3; /* the rule allows three */
 }
 
+/* --- case `pair`: two requests on one connection when a planned stop begins ---------------- */
+
+#define PAIRS 6
+#define PAIR_WORK_MS 800
+#define LOSS_SLACK_MS 200
+
+typedef struct pair {
+	pthread_t thread;
+	unsigned int number;
+	int statuses[2];
+	int64_t sent_at;
+	int64_t ended_at;
+	bool was_reset; /* the connection ended by a reset, not by its proper end */
+} pair_t;
+
+static bool handle_pair(void *ctx, int fd, const message_t *request)
+{
+	char id[32];
+
+	header_of(request, "Request-Id", id, sizeof(id));
+	note_begun(id);
+	if (!strncmp(request->bytes, "GET /status/pair", 16)) {
+		record("replica: begins to run %s", id);
+		sleep_ms(PAIR_WORK_MS);
+	}
+	return respond_sound(fd, request, "", "fine");
+}
+
+/* Reads from `fd` until two answers are whole, or the connection or the time ends. */
+static void read_two(pair_t *this, int fd)
+{
+	int64_t until = steady_ms() + 8000;
+	message_t bytes = {0};
+	size_t capacity = 0;
+	unsigned int count = 0;
+	size_t at = 0;
+
+	while (count < 2) {
+		char *end = bytes.bytes ? strstr(bytes.bytes + at, "\r\n\r\nfine") : NULL;
+
+		if (end) {
+			this->statuses[count++] = atoi(bytes.bytes + at + 9);
+			at = (size_t)(end - bytes.bytes) + 8;
+			continue;
+		}
+		if (!wait_readable(fd, until))
+			break;
+		errno = 0;
+		if (!read_some(fd, &bytes, &capacity, until)) {
+			this->was_reset = errno == ECONNRESET;
+			break;
+		}
+	}
+	this->ended_at = steady_ms();
+	if (count < 2 && bytes.bytes && bytes.size > at)
+		this->statuses[count] = atoi(bytes.bytes + at + 9);
+	message_clear(&bytes);
+}
+
+static void *run_pair(void *ctx)
+{
+	pair_t *this = ctx;
+	message_t answer = {0};
+	int fd = connect_to(gateways[0].front);
+	char texts[1024];
+	char id[32];
+
+	snprintf(id, sizeof(id), "pair-%u-0", this->number);
+	if (fd < 0 || !send_request(fd, "GET", "/status/first", KEY_A, id, 5000, "", "") ||
+		!read_message(fd, &answer, 6000))
+		return NULL;
+	message_clear(&answer);
+	snprintf(texts, sizeof(texts),
+		"GET /status/pair HTTP/1.1\r\nHost: " HOST "\r\nRequest-Id: pair-%u-1\r\n"
+		"Deadline-Ms: 5000\r\nAuthorization: Bearer " KEY_A "\r\n\r\n"
+		"GET /status/pair HTTP/1.1\r\nHost: " HOST "\r\nRequest-Id: pair-%u-2\r\n"
+		"Deadline-Ms: 5000\r\nAuthorization: Bearer " KEY_A "\r\n\r\n",
+		this->number, this->number);
+	this->sent_at = steady_ms();
+	record("client: sends pair-%u-1 and pair-%u-2 on one kept connection", this->number,
+		this->number);
+	write_text(fd, texts);
+	read_two(this, fd);
+	record("client: pair-%u-1 is answered %d, pair-%u-2 %d; %s %lld ms after they were sent",
+		this->number, this->statuses[0], this->number, this->statuses[1],
+		this->statuses[1] ? "all is there"
+				  : (this->was_reset ? "the connection is reset"
+						     : "the connection is closed"),
+		(long long)(this->ended_at - this->sent_at));
+	close(fd);
+	return NULL;
+}
+
+static int run_pairs(void)
+{
+	static replica_t replica;
+	static pair_t pairs[PAIRS];
+	unsigned int answered = 0;
+	unsigned int lost = 0;
+
+	put_config("");
+	replica_start(&replica, "i-shop-1", "shop", 12, handle_pair);
+	gateway_start();
+	gateway_start();
+	for (unsigned int i = 0; i < gateway_count; i++) {
+		if (!wait_ready(&gateways[i]) || !wait_served(&gateways[i]))
+			return cannot_run("a gateway doesn't serve");
+	}
+	for (unsigned int i = 0; i < PAIRS; i++) {
+		pairs[i].number = i;
+		pairs[i].thread = start_thread(run_pair, &pairs[i]);
+	}
+	sleep_ms(300);
+	for (unsigned int i = 0; i < PAIRS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "pair-%u-1", i);
+		if (!has_begun(id))
+			return cannot_run("the requests didn't reach the replica");
+	}
+	if (trouble)
+		stop_gateway(&gateways[0]);
+	for (unsigned int i = 0; i < PAIRS; i++) {
+		pthread_join(pairs[i].thread, NULL);
+		answered += (pairs[i].statuses[0] != 0) + (pairs[i].statuses[1] != 0);
+		/* A reset may hide that the request was not read. */
+		lost += pairs[i].statuses[0] && !pairs[i].statuses[1] && !pairs[i].was_reset &&
+			pairs[i].ended_at - pairs[i].sent_at > LOSS_SLACK_MS;
+	}
+	record("of %d requests, %u were answered; %u were read and lost", 2 * PAIRS, answered,
+		lost);
+	return lost > 0;
+}
+
 /* --- start ------------------------------------------------------------------------------- */
 
 typedef struct review_case {
@@ -1190,6 +1324,7 @@
 static const review_case_t cases[] = {
 	{"stop", run_stop},
 	{"memory", run_memory},
+	{"pair", run_pairs},
 };
 
 static void on_alarm(int number)
