--- a/review/rig.c
+++ b/review/rig.c
@@ -568,13 +568,12 @@
 /* Answers with success, as a sound replica does: echoes the id, and signs. */
 static bool respond_sound(int fd, const message_t *request, const char *extra, const char *body)
 {
-	char headers[512];
-	char id[128];
+	char headers[8192];
+	char id[4096];
 
 	header_of(request, "Request-Id", id, sizeof(id));
 	snprintf(headers, sizeof(headers),
-		"Request-Id: %s\r\nServer-Stamp: s.%s\r\nContent-Type: text/plain\r\n%s", id, id,
-		extra);
+		"Request-Id: %s\r\nServer-Stamp: s.1\r\nContent-Type: text/plain\r\n%s", id, extra);
 	return respond(fd, 200, headers, body);
 }
 
@@ -1314,6 +1313,124 @@
 	return lost > 0;
 }
 
+/* --- case `ids`: refusals of requests with long ids ----------------------------------------- */
+
+#define IDS_USUAL 3  /* requests at a time, of tenant A */
+#define IDS_HOT_X 10 /* times the usual */
+#define IDS_HOT_MS 3000
+#define IDS_SHORTEST 260 /* bytes of an id; each client's are longer than those of the one before  \
+			  */
+#define IDS_STEP 60
+#define IDS_SLOTS 32
+
+static bool ids_over; /* accessed atomically */
+static unsigned int ids_served;
+static unsigned int ids_refused;
+static unsigned int ids_unanswered;
+static unsigned int ids_ends; /* processes that ended by themselves */
+
+/* One client of tenant A: one request after the other, each on a new connection. */
+static void *send_long_ids(void *ctx)
+{
+	unsigned int number = *(unsigned int *)ctx;
+	unsigned int size = IDS_SHORTEST + number * IDS_STEP;
+	char *id = calloc(1, size + 1);
+
+	for (unsigned int i = 0; !__atomic_load_n(&ids_over, __ATOMIC_SEQ_CST); i++) {
+		message_t answer = {0};
+		int fd = connect_to(gateways[0].front);
+		int status;
+
+		memset(id, 'a', size);
+		id[snprintf(id, size, "a-%u-%u-", number, i)] = 'a';
+		if (fd >= 0 && send_request(fd, "GET", "/status/long", KEY_A, id, 1000, "", "") &&
+			read_message(fd, &answer, 1500)) {
+			status = status_of(&answer);
+			__atomic_add_fetch(
+				status == 200 ? &ids_served : &ids_refused, 1, __ATOMIC_SEQ_CST);
+		} else if (fd >= 0) {
+			__atomic_add_fetch(&ids_unanswered, 1, __ATOMIC_SEQ_CST);
+		}
+		message_clear(&answer);
+		if (fd >= 0)
+			close(fd);
+		sleep_ms(50);
+	}
+	free(id);
+	return NULL;
+}
+
+/* As the platform does it: a process that has ended is started again. */
+static void *keep_running(void *ctx)
+{
+	gateway_t *this = ctx;
+
+	while (!__atomic_load_n(&ids_over, __ATOMIC_SEQ_CST)) {
+		int status = 0;
+
+		if (waitpid(this->pid, &status, WNOHANG) == this->pid) {
+			ids_ends++;
+			record("platform: gateway %u has ended by itself: %s %d", this->index,
+				WIFSIGNALED(status) ? "signal" : "exit code",
+				WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status));
+			sleep_ms(RESTART_MS);
+			gateway_run(this);
+		}
+		sleep_ms(5);
+	}
+	return NULL;
+}
+
+static int run_ids(void)
+{
+	static replica_t replica;
+	static unsigned int numbers[IDS_USUAL * IDS_HOT_X];
+	unsigned int count = trouble ? IDS_USUAL * IDS_HOT_X : IDS_USUAL;
+	pthread_t threads[IDS_USUAL * IDS_HOT_X];
+	neighbour_t neighbours[NEIGHBOURS] = {0};
+	unsigned int answered = 0;
+	unsigned int lost = 0;
+	pthread_t platform;
+
+	put_config("");
+	replica_start(&replica, "i-shop-1", "shop", IDS_SLOTS, handle_status);
+	gateway_start();
+	gateway_start();
+	for (unsigned int i = 0; i < gateway_count; i++) {
+		if (!wait_ready(&gateways[i]) || !wait_served(&gateways[i]))
+			return cannot_run("a gateway doesn't serve");
+	}
+	platform = start_thread(keep_running, &gateways[0]);
+	for (unsigned int i = 0; i < NEIGHBOURS; i++) {
+		neighbours[i].number = i;
+		neighbours[i].thread = start_thread(send_statuses, &neighbours[i]);
+	}
+	sleep_ms(1500);
+	record("tenant A: %u clients, ids of %u bytes and more", count, IDS_SHORTEST);
+	for (unsigned int i = 0; i < count; i++) {
+		numbers[i] = i;
+		threads[i] = start_thread(send_long_ids, &numbers[i]);
+	}
+	sleep_ms(IDS_HOT_MS);
+	__atomic_store_n(&ids_over, true, __ATOMIC_SEQ_CST);
+	__atomic_store_n(&memory_over, true, __ATOMIC_SEQ_CST);
+	for (unsigned int i = 0; i < count; i++)
+		pthread_join(threads[i], NULL);
+	pthread_join(platform, NULL);
+	for (unsigned int i = 0; i < NEIGHBOURS; i++) {
+		pthread_join(neighbours[i].thread, NULL);
+		answered += neighbours[i].answered;
+		lost += neighbours[i].lost;
+	}
+	record("tenant A: %u served, %u refused, %u without a whole answer", ids_served,
+		ids_refused, ids_unanswered);
+	record("gateway 0 ended by itself %u time(s); tenant B: %u answered, %u lost", ids_ends,
+		answered, lost);
+	if (!answered)
+		return cannot_run("nothing was answered");
+	return lost > 3; /* the rule allows three */
+}
+
 /* --- start ------------------------------------------------------------------------------- */
 
 typedef struct review_case {
@@ -1325,6 +1442,7 @@
 	{"stop", run_stop},
 	{"memory", run_memory},
 	{"pair", run_pairs},
+	{"ids", run_ids},
 };
 
 static void on_alarm(int number)
