--- a/review/rig.c
+++ b/review/rig.c
@@ -498,30 +498,64 @@
 	return at;
 }
 
-/* Conditions aren't checked: only the gateway that wrote a row of its own removes it. */
+/* The version that the row has; 0: it does not exist. */
+static uint64_t row_version(const char *table, const char *key)
+{
+	for (unsigned int i = 0; i < store.count; i++) {
+		if (!strcmp(store.rows[i].table, table) && !strcmp(store.rows[i].key, key))
+			return store.rows[i].value ? store.rows[i].version : 0;
+	}
+	return 0;
+}
+
+/* Whether all rows between `expected` and `end` have the versions that stand there. */
+static bool conditions_hold(const char *expected, const char *end)
+{
+	char table[64];
+	char key[201];
+	const char *at = expected;
+
+	while ((at = text_member(at, end, "table", table, sizeof(table)))) {
+		const char *version = strstr(at, "\"ver\":");
+
+		if (!text_member(at, end, "key", key, sizeof(key)) || !version || version >= end ||
+			strtoull(version + 6, NULL, 10) != row_version(table, key))
+			return false;
+	}
+	return true;
+}
+
+/* One row at most is written and one removed: more the gateway never does in a call. */
 static bool handle_transaction(int fd, const message_t *request)
 {
 	static _Thread_local char value[100000];
 	const char *body = request->bytes + request->head;
+	const char *expected = strstr(body, "\"expected\":[");
 	const char *writes = strstr(body, "\"writes\":[");
 	const char *removes = strstr(body, "\"remove\":[");
 	char table[64];
 	char key[201];
 	char text[64];
+	bool holds;
 
+	if (!expected || !writes || !removes)
+		return respond(fd, 400, "", "");
 	pthread_mutex_lock(&store.lock);
-	store.version++;
-	if (text_member(writes, removes, "table", table, sizeof(table)) &&
-		text_member(writes, removes, "key", key, sizeof(key)) &&
-		text_member(writes, removes, "value", value, sizeof(value)))
-		put_row(table, key, value);
-	if (text_member(removes, NULL, "table", table, sizeof(table)) &&
-		text_member(removes, NULL, "key", key, sizeof(key)))
-		put_row(table, key, NULL);
-	snprintf(text, sizeof(text), "{\"ver\":%llu,\"nowMs\":%lld}",
+	holds = conditions_hold(expected, writes);
+	if (holds) {
+		store.version++;
+		if (text_member(writes, removes, "table", table, sizeof(table)) &&
+			text_member(writes, removes, "key", key, sizeof(key)) &&
+			text_member(writes, removes, "value", value, sizeof(value)))
+			put_row(table, key, value);
+		if (text_member(removes, NULL, "table", table, sizeof(table)) &&
+			text_member(removes, NULL, "key", key, sizeof(key)))
+			put_row(table, key, NULL);
+	}
+	snprintf(text, sizeof(text), "{\"rows\":[],\"ver\":%llu,\"nowMs\":%lld}",
 		(unsigned long long)store.version, (long long)steady_ms());
 	pthread_mutex_unlock(&store.lock);
-	return respond(fd, 200, "Content-Type: application/json\r\n", text);
+	return respond(fd, holds ? 200 : 412, "Content-Type: application/json\r\n", text);
 }
 
 static bool handle_store(void *ctx, int fd, const message_t *request)
@@ -565,16 +599,16 @@
 	store_put("servers", name, text);
 }
 
-/* Answers with success, as a sound replica does: echoes the id, and signs. */
-static bool respond_sound(int fd, const message_t *request, const char *extra, const char *body)
+/* Answers as a sound replica does: echoes the id, and signs. */
+static bool respond_sound(int fd, const message_t *request, int status, const char *body)
 {
 	char headers[8192];
 	char id[4096];
 
 	header_of(request, "Request-Id", id, sizeof(id));
 	snprintf(headers, sizeof(headers),
-		"Request-Id: %s\r\nServer-Stamp: s.1\r\nContent-Type: text/plain\r\n%s", id, extra);
-	return respond(fd, 200, headers, body);
+		"Request-Id: %s\r\nServer-Stamp: s.1\r\nContent-Type: text/plain\r\n", id);
+	return respond(fd, status, headers, body);
 }
 
 /* --- gateways ---------------------------------------------------------------------------- */
@@ -594,6 +628,10 @@
 /* In the child: runs the command of the deploy file. */
 static void run_program(const gateway_t *this)
 {
+	sigset_t none;
+
+	sigemptyset(&none);
+	sigprocmask(SIG_SETMASK, &none, NULL);
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	setenv("AMARANTHWALL_NODE_FILE", this->settings, 1);
 	if (!freopen(this->output, "a", stdout) || !freopen(this->output, "a", stderr))
@@ -700,8 +738,6 @@
 			kill(gateways[i].pid, SIGKILL);
 			waitpid(gateways[i].pid, NULL, 0);
 		}
-		if (getenv("KEEP"))
-			continue;
 		unlink(gateways[i].settings);
 		unlink(gateways[i].output);
 	}
@@ -768,6 +804,17 @@
 	return answer->bytes && answer->size > 12 ? atoi(answer->bytes + 9) : 0;
 }
 
+/* Clients come back when they are told to, after a third of the time left at the latest. */
+static void wait_as_told(const message_t *answer, int deadline_ms)
+{
+	char value[32];
+	int64_t ms;
+
+	header_of(answer, "Retry-After", value, sizeof(value));
+	ms = (int64_t)(strtod(value, NULL) * 1000);
+	sleep_ms(ms < deadline_ms / 3 ? ms : deadline_ms / 3);
+}
+
 /* Asks for a short status until it is served; false after 10 s. */
 static bool wait_served(const gateway_t *gateway)
 {
@@ -830,23 +877,29 @@
  * closes is dropped. */
 static bool handle_order(void *ctx, int fd, const message_t *request)
 {
-	int64_t until = steady_ms() + STOP_WORK_MS;
+	int64_t begun_at = steady_ms();
+	int64_t deadline;
+	char value[32];
 	char id[64];
 
 	header_of(request, "Request-Id", id, sizeof(id));
+	header_of(request, "Deadline-Ms", value, sizeof(value));
+	deadline = begun_at + (*value ? atoi(value) : 600000);
 	if (strncmp(request->bytes, "POST /order/", 12))
-		return respond_sound(fd, request, "", "fine");
+		return respond_sound(fd, request, 200, "fine");
 	note_order_begun(id);
 	record("replica: begins to run %s", id);
-	while (steady_ms() < until) {
+	while (steady_ms() < begun_at + STOP_WORK_MS) {
 		if (has_left(fd)) {
 			record("replica: connection of %s has closed", id);
 			return false;
 		}
+		if (steady_ms() >= deadline)
+			return respond_sound(fd, request, 504, "late");
 		sleep_ms(10);
 	}
 	record("replica: has run %s to its end", id);
-	return respond_sound(fd, request, "", "booked");
+	return respond_sound(fd, request, 200, "booked");
 }
 
 static int send_order(const gateway_t *gateway, const char *id, int deadline_ms)
@@ -1009,7 +1062,7 @@
 	note_begun(id);
 	if (!strncmp(request->bytes, "GET /status/long", 16))
 		sleep_ms(STATUS_WORK_MS);
-	return respond_sound(fd, request, "", "fine");
+	return respond_sound(fd, request, 200, "fine");
 }
 
 static void *send_statuses(void *ctx)
@@ -1031,6 +1084,8 @@
 		if (send_request(fd, "GET", "/status/long", KEY_B, id, 5000, "", "") &&
 			read_message(fd, &answer, 6000)) {
 			this->answered += status_of(&answer) == 200;
+			if (status_of(&answer) != 200)
+				wait_as_told(&answer, 5000);
 		} else {
 			if (has_begun(id) && !answer.size) {
 				this->lost++;
@@ -1204,7 +1259,7 @@
 		record("replica: begins to run %s", id);
 		sleep_ms(PAIR_WORK_MS);
 	}
-	return respond_sound(fd, request, "", "fine");
+	return respond_sound(fd, request, 200, "fine");
 }
 
 /* Reads from `fd` until two answers are whole, or the connection or the time ends. */
@@ -1317,12 +1372,14 @@
 
 #define IDS_USUAL 3  /* requests at a time, of tenant A */
 #define IDS_HOT_X 10 /* times the usual */
-#define IDS_HOT_MS 3000
+#define IDS_HOT_MS 8000
 #define IDS_SHORTEST                                                                               \
 	260 /* bytes of an id; each client's are longer than those of the one before               \
 	     */
-#define IDS_STEP 60
-#define IDS_SLOTS 32
+#define IDS_LONGEST 2000
+#define IDS_STEP 37 /* from one client to the next, and from one request to the next */
+#define IDS_SLOTS 20
+#define IDS_DEADLINE_MS 1000
 
 static bool ids_over; /* accessed atomically */
 static unsigned int ids_served;
@@ -1334,21 +1391,29 @@
 static void *send_long_ids(void *ctx)
 {
 	unsigned int number = *(unsigned int *)ctx;
-	unsigned int size = IDS_SHORTEST + number * IDS_STEP;
-	char *id = calloc(1, size + 1);
+	char id[IDS_LONGEST + 1];
 
 	for (unsigned int i = 0; !__atomic_load_n(&ids_over, __ATOMIC_SEQ_CST); i++) {
 		message_t answer = {0};
 		int fd = connect_to(gateways[0].front);
+		unsigned int size;
 		int status;
 
+		size = IDS_SHORTEST +
+		       (number * IDS_STEP + i * 30 * IDS_STEP) % (IDS_LONGEST - IDS_SHORTEST);
 		memset(id, 'a', size);
+		id[size] = '\0';
 		id[snprintf(id, size, "a-%u-%u-", number, i)] = 'a';
-		if (fd >= 0 && send_request(fd, "GET", "/status/long", KEY_A, id, 1000, "", "") &&
-			read_message(fd, &answer, 1500)) {
+		if (fd >= 0 &&
+			send_request(
+				fd, "GET", "/status/long", KEY_A, id, IDS_DEADLINE_MS, "", "") &&
+			read_message(fd, &answer, IDS_DEADLINE_MS + 500)) {
 			status = status_of(&answer);
 			__atomic_add_fetch(
 				status == 200 ? &ids_served : &ids_refused, 1, __ATOMIC_SEQ_CST);
+			/* What the answer says of a time can't be read. */
+			if (status != 200)
+				sleep_ms(IDS_DEADLINE_MS / 3);
 		} else if (fd >= 0) {
 			__atomic_add_fetch(&ids_unanswered, 1, __ATOMIC_SEQ_CST);
 		}
@@ -1357,7 +1422,6 @@
 			close(fd);
 		sleep_ms(50);
 	}
-	free(id);
 	return NULL;
 }
 
@@ -1405,7 +1469,7 @@
 		neighbours[i].thread = start_thread(send_statuses, &neighbours[i]);
 	}
 	sleep_ms(1500);
-	record("tenant A: %u clients, ids of %u bytes and more", count, IDS_SHORTEST);
+	record("tenant A: %u clients, ids of %d to %d bytes", count, IDS_SHORTEST, IDS_LONGEST);
 	for (unsigned int i = 0; i < count; i++) {
 		numbers[i] = i;
 		threads[i] = start_thread(send_long_ids, &numbers[i]);
@@ -1444,14 +1508,21 @@
 	{"ids", run_ids},
 };
 
-static void on_alarm(int number)
+/* After the longest time that a case may take, or when the script is ended. */
+static void *wait_for_end(void *ctx)
 {
-	_exit(2); /* the gateways end with this process */
+	int number;
+
+	sigwait(ctx, &number);
+	record("ended early by signal %d", number);
+	clean_up();
+	_exit(2);
 }
 
 int main(int argc, char **argv)
 {
 	const char *setting = getenv("TROUBLE");
+	static sigset_t ends;
 	int code = 2;
 
 	if (argc != 3 || !(record_file = fopen(argv[2], "w"))) {
@@ -1461,10 +1532,15 @@
 	trouble = !setting || strcmp(setting, "0");
 	started_ms = steady_ms();
 	signal(SIGPIPE, SIG_IGN);
-	signal(SIGALRM, on_alarm);
+	sigemptyset(&ends);
+	sigaddset(&ends, SIGALRM);
+	sigaddset(&ends, SIGTERM);
+	sigaddset(&ends, SIGINT);
+	sigprocmask(SIG_BLOCK, &ends, NULL);
 	alarm(115);
 	if (!mkdtemp(folder))
 		return 2;
+	pthread_detach(start_thread(wait_for_end, &ends));
 	pthread_detach(start_thread(start_programs, NULL));
 	server_start(&store.server, handle_store, NULL);
 	record("case %s, trouble: %d", argv[1], trouble);
