A refusal of a request with a long id is built in a string that grows

Cause: send_error() used the result of g_snprintf() as an offset into 256 bytes. The result is the length that the text would have had, so the size that was left wrapped, and Retry-After was written onto the stack.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -57,6 +57,7 @@
 	grep -q '^/\* threaded' "$t" && run "$name-tsan" "build-tsan/$name"
 done
 run embed build-asan/embed
+run formats scripts/check_formats.sh
 run fuzz-message scripts/fuzz.sh message
 run fuzz-text scripts/fuzz.sh text
 run fuzz-events scripts/fuzz.sh events
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,5 +13,6 @@
 	--suppress=missingIncludeSystem -Isrc -I. \
 	--include=scripts/cppcheck-lists.h \
 	$files || code=1
+scripts/check_formats.sh || code=1
 [ $code = 0 ] && echo "lint: clean"
 exit $code
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -1,6 +1,6 @@
 #include <argp.h>
+#include <glib.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "cmd/commands.h"
@@ -38,10 +38,7 @@
 	}
 	for (size_t i = 0; argc > 1 && i < sizeof(commands) / sizeof(commands[0]); i++) {
 		if (!strcmp(argv[1], commands[i].name)) {
-			char *name = malloc(strlen(argv[1]) + sizeof("amaranthwall "));
-
-			sprintf(name, "amaranthwall %s", argv[1]);
-			argv[1] = name;
+			argv[1] = g_strconcat("amaranthwall ", argv[1], NULL);
 			return commands[i].run(argc - 1, argv + 1);
 		}
 	}
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -58,19 +58,19 @@
 	call_leave_placement(this, SLOT_DONE);
 }
 
+/* The id is as long as the caller's headers may be. */
 static void send_error(call_t *this)
 {
 	const reason_info_t *info = reason_info(this->reason);
-	char headers[256];
-	int n;
+	GString *headers = g_string_new(NULL);
 
-	n = g_snprintf(headers, sizeof(headers), "%s: %s\r\n",
-		this->gateway->header_names->request_id, this->id ? this->id : "-");
+	g_string_append_printf(headers, "%s: %s\r\n", this->gateway->header_names->request_id,
+		this->id ? this->id : "-");
 	if (info->retry_after && this->retry_after_s > 0)
-		g_snprintf(headers + n, sizeof(headers) - (gsize)n, "Retry-After: %.3f\r\n",
-			this->retry_after_s);
-	caller_send_response(
-		this->caller, (unsigned int)info->status, headers, info->name, strlen(info->name));
+		g_string_append_printf(headers, "Retry-After: %.3f\r\n", this->retry_after_s);
+	caller_send_response(this->caller, (unsigned int)info->status, headers->str, info->name,
+		strlen(info->name));
+	g_string_free(headers, TRUE);
 }
 
 void call_fail(call_t *this, reason_t reason)
