The last try of a claim heeds what another attempt has done

A caller of the product's own router could be told 503 store-down, outcome not-run, of an order that another attempt with its key had sent: the claim's reply was lost, the row could not be read, and the last read found the other attempt's row. The count of tries was checked before the row.

Now only a row that could be claimed once more is given up at the last try; a done order is replayed, one that was sent is may-have-run.

test_order, two scenarios, seen to fail before (ANSWER store-down for REPLAY and for may-have-run). test_order_model, every interleaving: passes.

--- a/src/core/order.c
+++ b/src/core/order.c
@@ -47,12 +47,21 @@
 	}
 }
 
+/* The store cannot be reached.  Nothing was sent, so the order has not run. */
+static order_action_t abandon_claim(order_t *this)
+{
+	this->withdraw = true;
+	return finish(this, REASON_STORE_DOWN);
+}
+
 static order_action_t act_on_row(order_t *this, const order_row_t *row)
 {
 	reason_t reason;
 
 	switch (order_check_row(row, this->body_hash, &reason)) {
 	case ORDER_CLAIMABLE:
+		if (this->tries >= ORDER_STORE_TRIES)
+			return abandon_claim(this);
 		return claim(this, row->version);
 	case ORDER_REPLAY:
 		finish(this, REASON_NONE);
@@ -62,13 +71,6 @@
 	}
 }
 
-/* The store cannot be reached.  Nothing was sent, so the order has not run. */
-static order_action_t abandon_claim(order_t *this)
-{
-	this->withdraw = true;
-	return finish(this, REASON_STORE_DOWN);
-}
-
 static order_action_t claim_reply_lost(order_t *this)
 {
 	if (++this->tries >= ORDER_STORE_TRIES)
@@ -106,8 +108,7 @@
 		return claim_reply_lost(this);
 	if (row->state == ROW_STARTED && row->attempt == this->attempt)
 		return claim_succeeded(this, row->version);
-	if (++this->tries >= ORDER_STORE_TRIES)
-		return abandon_claim(this);
+	this->tries++;
 	return act_on_row(this, row);
 }
 
