--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 BUILD ?= build
 SAN ?=
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
-CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE -Isrc -I. $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+# As distributions build network daemons; the sanitizers bring checks of their own.
+HARDEN = $(if $(SAN),,-D_FORTIFY_SOURCE=2 -fstack-protector-strong -fPIE)
+HARDEN_LINK = $(if $(SAN),,-pie -Wl$(comma)-z$(comma)relro$(comma)-z$(comma)now)
+comma = ,
+CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE -Isrc -I. $(WARN) $(HARDEN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lmsgpackc -lurcu-bp -lurcu-common -lpthread -lm
 
 # libamaranthwall.a holds the coordination core alone, for embedding (examples/embed.c).
@@ -38,25 +42,25 @@
 	ar rcs $@ $^
 
 $(BUILD)/amaranthwall: $(call OBJ,$(CMD)) $(BUILD)/libinternal.a
-	$(CC) $(SAN) -o $@ $^ $(LIBS)
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ $(LIBS)
 
 $(BUILD)/amaranthwall-standin: $(BUILD)/obj/standin/main.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
-	$(CC) $(SAN) -o $@ $^ $(LIBS)
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ $(LIBS)
 
 $(BUILD)/amaranthwall-load: $(call OBJ,$(LOAD)) $(BUILD)/libstandin.a $(BUILD)/libinternal.a
-	$(CC) $(SAN) -o $@ $^ $(LIBS)
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ $(LIBS)
 
 $(BUILD)/embed: $(BUILD)/obj/examples/embed.o $(BUILD)/libamaranthwall.a
-	$(CC) $(SAN) -o $@ $^ -lxxhash
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lxxhash
 
 $(BUILD)/micro: $(BUILD)/obj/bench/micro.o $(BUILD)/obj/src/edge/clock.o $(BUILD)/libamaranthwall.a
-	$(CC) $(SAN) -o $@ $^ -lxxhash
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lxxhash
 
 $(BUILD)/summary: $(BUILD)/obj/bench/summary.o $(BUILD)/libinternal.a
-	$(CC) $(SAN) -o $@ $^ $(LIBS)
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ $(LIBS)
 
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/obj/tests/fleet_sim.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
-	$(CC) $(SAN) -o $@ $^ -lcmocka $(LIBS)
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lcmocka $(LIBS)
 
 test-programs: $(patsubst tests/%.c,$(BUILD)/%,$(TESTS))
 
