What all exchanges hold of their responses is bounded by the memory

Other operators saw: a faulty endpoint sends bytes without end, the router that keeps them runs out of memory, and other callers' requests end with it.

Causes: bounds of one exchange only; event_stream_feed() searched and copied all that was held of an event at each piece, so that its work grew with the square; pending writes were counted without the memory of the write itself.

Now buffer_pool counts what exchanges hold and callers have not read; its limit is a quarter of memory_mb, and above it the largest exchange of the endpoint that holds most is ended (or of the callers, if they do). event_stream looks at each byte once. Each bound that ends an exchange is logged and counted.

--- a/src/core/reason.c
+++ b/src/core/reason.c
@@ -16,8 +16,8 @@
 		OUTCOME_NOT_RUN, false},
 	[REASON_IN_PROGRESS] = {"in-progress", "an order with this key is in progress", 409,
 		OUTCOME_UNKNOWN, true},
-	[REASON_MAY_HAVE_RUN] = {"may-have-run", "the request was sent and its end is not known", 502,
-		OUTCOME_UNKNOWN, false},
+	[REASON_MAY_HAVE_RUN] = {"may-have-run", "the request was sent and its end is not known",
+		502, OUTCOME_UNKNOWN, false},
 	[REASON_OVERLOADED] = {"overloaded",
 		"the workspace waits for more than its share can "
 		"serve before the deadline",
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -40,8 +40,7 @@
 	origin_lookup_cancel(&this->origin);
 	call_account.run(this);
 	event_stream_clear(&this->events);
-	if (this->body)
-		g_string_free(this->body, TRUE);
+	call_discard_body(this);
 	g_string_free(this->headers, TRUE);
 	g_free(this->id);
 	g_free(this->resumes);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -182,5 +182,7 @@
 void call_on_caller_drained(call_t *this);
 /* Discards response data of the last attempt that was not forwarded to the caller. */
 void call_reset_response(call_t *this);
+/* Frees the part of the response body that is buffered. */
+void call_discard_body(call_t *this);
 
 #endif
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -174,6 +174,39 @@
 		call->sent_at, clock_now());
 }
 
+/* --- bounds ------------------------------------------------------------- */
+
+static size_t held_bytes(const void *user)
+{
+	const call_t *call = user;
+
+	return call->headers->allocated_len + event_stream_held(&call->events) +
+	       (call->body ? call->body->allocated_len : 0);
+}
+
+/* Logs and counts an exchange that a bound ends. */
+static void report_bound(call_t *call, response_bound_t bound)
+{
+	const buffer_pool_t *buffers = &call->gateway->buffers;
+
+	log_warn("response-too-large",
+		"id=%s endpoint=%s bound=%s body=%" G_GUINT64_FORMAT
+		" held=%zu all_held=%zu most=%zu",
+		call->id, call->endpoint->name, response_bound_name(bound),
+		(guint64)call->body_bytes, held_bytes(call), buffers->held, buffers->limit);
+	call->gateway->bounds_exceeded[bound]++;
+}
+
+static void report_failure_bound(call_t *call, connection_failure_t failure)
+{
+	if (failure == CONNECTION_FAILURE_HEAD)
+		report_bound(call, BOUND_HEAD);
+	else if (failure == CONNECTION_FAILURE_OVERHEAD)
+		report_bound(call, BOUND_OVERHEAD);
+	else if (failure == CONNECTION_FAILURE_MEMORY)
+		report_bound(call, BOUND_MEMORY);
+}
+
 /* --- response body ---------------------------------------------------- */
 
 static void start_response(call_t *call)
@@ -222,8 +255,11 @@
 	call->cost += (call->events.forwarded - before) * call->service->tokens_per_event;
 	if (result == EVENT_STREAM_OK)
 		return;
-	log_warn("events-malformed", "id=%s endpoint=%s after=%" G_GINT64_FORMAT, call->id,
-		call->endpoint->name, (gint64)call->events.last_id);
+	if (result == EVENT_STREAM_TOO_LARGE)
+		report_bound(call, BOUND_EVENT);
+	else
+		log_warn("events-malformed", "id=%s endpoint=%s after=%" G_GINT64_FORMAT, call->id,
+			call->endpoint->name, (gint64)call->events.last_id);
 	abort_attempt(call, SLOT_INCOMPLETE, true);
 }
 
@@ -235,8 +271,7 @@
 	if (!call->answer_began)
 		call->answer_began = clock_now();
 	if (call->body_bytes > call->gateway->settings->max_response_bytes) {
-		log_warn("response-too-large", "id=%s endpoint=%s limit=%u", call->id,
-			call->endpoint->name, call->gateway->settings->max_response_bytes);
+		report_bound(call, BOUND_BODY);
 		abort_attempt(call, SLOT_INCOMPLETE, true);
 		return;
 	}
@@ -254,7 +289,14 @@
 	if (call->body->len <= MAX_BUFFERED_BODY)
 		return;
 	forward_body(call, call->body->str, call->body->len);
-	g_string_truncate(call->body, 0);
+	call_discard_body(call);
+}
+
+void call_discard_body(call_t *this)
+{
+	if (this->body)
+		g_string_free(this->body, TRUE);
+	this->body = NULL;
 }
 
 void call_reset_response(call_t *this)
@@ -264,8 +306,7 @@
 	this->body_bytes = 0;
 	this->answer_began = 0;
 	this->answer_is_sound = false;
-	if (this->body)
-		g_string_truncate(this->body, 0);
+	call_discard_body(this);
 }
 
 void call_on_caller_drained(call_t *this)
@@ -310,12 +351,16 @@
 		[CONNECTION_FAILURE_SILENT] = "silent",
 		[CONNECTION_FAILURE_ENDED] = "ended",
 		[CONNECTION_FAILURE_MALFORMED] = "malformed",
+		[CONNECTION_FAILURE_HEAD] = "head-too-large",
+		[CONNECTION_FAILURE_OVERHEAD] = "overhead",
+		[CONNECTION_FAILURE_MEMORY] = "memory",
 	};
 	call_t *call = user;
 	bool may_have_run = call->request_sent;
 
 	log_info("link-failed", "id=%s endpoint=%s failure=%s", call->id, call->endpoint->name,
 		names[failure]);
+	report_failure_bound(call, failure);
 	if (may_have_run &&
 		(failure == CONNECTION_FAILURE_RESET || failure == CONNECTION_FAILURE_ENDED))
 		record_endpoint_end(call);
@@ -328,6 +373,7 @@
 	.on_body = on_body,
 	.on_end = on_end,
 	.on_fail = on_fail,
+	.held = held_bytes,
 };
 
 /* Waits for the endpoint's complete response; then sends the rest of it to the caller. */
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -11,7 +11,7 @@
 
 #define READ_SIZE 16384
 #define MAX_PIPELINED_BYTES 65536 /* buffered during a response before reading stops */
-#define WRITE_HIGH_WATER 131072	  /* unwritten bytes above which reading the endpoint stops */
+#define WRITE_HIGH_WATER 131072	  /* pending bytes above which reading the endpoint stops */
 #define CHUNK_HEAD_SIZE 16
 
 typedef enum caller_state {
@@ -39,6 +39,8 @@
 	bool head_sent;
 	bool no_body;
 	unsigned int pending_writes;
+	buffer_holder_t unwritten; /* memory of the pending writes */
+	size_t unwritten_bytes;	   /* the same; counted without a pool too */
 	bool is_reading;
 };
 
@@ -81,11 +83,19 @@
 	group->on_closed(group);
 }
 
+static void update_unwritten(caller_t *this, size_t bytes)
+{
+	this->unwritten_bytes = bytes;
+	if (this->group->buffers && this->state != CALLER_CLOSED)
+		buffer_pool_update(this->group->buffers, &this->unwritten, bytes);
+}
+
 /* Returns false if the connection is closed already. */
 static bool leave_group(caller_t *this)
 {
 	if (this->state == CALLER_CLOSED)
 		return false;
+	update_unwritten(this, 0);
 	this->state = CALLER_CLOSED;
 	this->group->connected--;
 	cds_list_del(&this->link);
@@ -128,12 +138,26 @@
 		uv_close((uv_handle_t *)&this->tcp, on_closed);
 }
 
+static void on_reclaim(buffer_holder_t *unwritten)
+{
+	caller_t *this = caa_container_of(unwritten, caller_t, unwritten);
+	void *exchange = this->exchange;
+
+	log_warn("caller-too-slow", "unwritten=%zu responding=%d", this->unwritten_bytes,
+		exchange != NULL);
+	this->group->reclaimed++;
+	caller_abort(this);
+	if (exchange)
+		this->group->ops->on_gone(exchange);
+}
+
 /* --- writing ---------------------------------------------------------- */
 
 typedef struct pending_write {
 	uv_write_t write;
 	caller_t *caller;
 	GString *bytes;
+	size_t size; /* of memory */
 } pending_write_t;
 
 static void on_shutdown(uv_shutdown_t *shutdown, int status)
@@ -163,6 +187,8 @@
 	caller_t *this = pending->caller;
 
 	this->pending_writes--;
+	if (this->state != CALLER_CLOSED)
+		update_unwritten(this, this->unwritten_bytes - pending->size);
 	g_string_free(pending->bytes, TRUE);
 	g_free(pending);
 	if (this->state == CALLER_CLOSED)
@@ -195,6 +221,7 @@
 	pending = g_new0(pending_write_t, 1);
 	pending->caller = this;
 	pending->bytes = bytes;
+	pending->size = sizeof(*pending) + sizeof(*bytes) + bytes->allocated_len;
 	buffer = uv_buf_init(bytes->str, (unsigned int)bytes->len);
 	if (uv_write(&pending->write, (uv_stream_t *)&this->tcp, &buffer, 1, on_written)) {
 		g_string_free(bytes, TRUE);
@@ -202,11 +229,12 @@
 		return;
 	}
 	this->pending_writes++;
+	update_unwritten(this, this->unwritten_bytes + pending->size);
 }
 
 bool caller_is_write_blocked(const caller_t *this)
 {
-	return this->tcp.write_queue_size > WRITE_HIGH_WATER;
+	return this->unwritten_bytes > WRITE_HIGH_WATER;
 }
 
 static const char *status_text(unsigned int status)
@@ -559,6 +587,8 @@
 	caller_t *this = g_new0(caller_t, 1);
 
 	this->group = group;
+	this->unwritten.group = &group->unwritten;
+	this->unwritten.reclaim = on_reclaim;
 	this->wait.kind = CALLER_WAIT_NONE;
 	uv_tcp_init(group->loop, &this->tcp);
 	this->tcp.data = this;
--- a/src/gateway/caller_group.c
+++ b/src/gateway/caller_group.c
@@ -7,6 +7,7 @@
 void caller_group_init(caller_group_t *this)
 {
 	CDS_INIT_LIST_HEAD(&this->callers);
+	buffer_group_init(&this->unwritten);
 	for (unsigned int i = 0; i < CALLER_WAIT_KINDS; i++)
 		CDS_INIT_LIST_HEAD(&this->waits[i]);
 }
--- a/src/gateway/caller_group.h
+++ b/src/gateway/caller_group.h
@@ -10,6 +10,7 @@
 #include <urcu/list.h>
 #include <uv.h>
 
+#include "core/buffer_pool.h"
 #include "core/types.h"
 #include "gateway/catalog.h"
 
@@ -45,6 +46,9 @@
 	unsigned int allocated; /* includes closed callers whose memory is not freed yet */
 	unsigned int connected;
 	uint64_t examined;	   /* callers looked at to make room for others */
+	buffer_pool_t *buffers;	   /* for what is still to be written; NULL: not bounded */
+	buffer_group_t unwritten;  /* of all callers */
+	uint64_t reclaimed;	   /* callers closed to keep the process within its memory */
 	bool draining;		   /* responses carry "Connection: close" */
 	instant_t close_idle_from; /* while draining, idle callers are closed from this time on */
 	/* Called after a closed caller's memory was freed. */
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -16,6 +16,7 @@
 #define IDLE_MARGIN (1 * USEC_PER_SEC)		/* closes this long before the endpoint would */
 #define MAX_RETRY_AFTER_S 3600			/* a longer one is taken for an error */
 #define KEEPALIVE_PROBES 2
+#define MAX_IDLE_BUFFER 1024 /* bytes of each string that an idle connection keeps */
 
 typedef enum connection_state {
 	CONNECTION_CONNECTING,
@@ -44,6 +45,7 @@
 	/* the response being read */
 	connection_response_t response;
 	size_t overhead; /* bytes received that are not part of the response's body */
+	buffer_holder_t buffered;
 	GString *header_name;
 	GString *header_value;
 	bool in_header_value;
@@ -90,6 +92,7 @@
 		leave_idle_list(this);
 	this->state = CONNECTION_CLOSED;
 	this->ops = NULL;
+	buffer_pool_update(this->options->buffers, &this->buffered, 0);
 	(*this->options->open_count)--;
 	uv_close((uv_handle_t *)&this->tcp, on_closed);
 	uv_close((uv_handle_t *)&this->timer, on_closed);
@@ -105,6 +108,38 @@
 		ops->on_fail(user, failure);
 }
 
+/* --- memory ----------------------------------------------------------- */
+
+static void update_buffered(endpoint_connection_t *this)
+{
+	size_t held = this->response.headers->allocated_len + this->header_name->allocated_len +
+		      this->header_value->allocated_len + this->ops->held(this->user);
+
+	buffer_pool_update(this->options->buffers, &this->buffered, held);
+}
+
+static void on_reclaim(buffer_holder_t *buffered)
+{
+	connection_fail(caa_container_of(buffered, endpoint_connection_t, buffered),
+		CONNECTION_FAILURE_MEMORY);
+}
+
+static void shrink_string(GString **string)
+{
+	if ((*string)->allocated_len <= MAX_IDLE_BUFFER)
+		return;
+	g_string_free(*string, TRUE);
+	*string = g_string_new(NULL);
+}
+
+static void shrink_buffers(endpoint_connection_t *this)
+{
+	shrink_string(&this->response.headers);
+	shrink_string(&this->header_name);
+	shrink_string(&this->header_value);
+	buffer_pool_update(this->options->buffers, &this->buffered, 0);
+}
+
 /* --- parsing ---------------------------------------------------------- */
 
 static void parse_keep_alive(endpoint_connection_t *this, const char *value)
@@ -285,6 +320,7 @@
 	registered_endpoint_t *endpoint = this->endpoint;
 
 	this->state = CONNECTION_IDLE;
+	shrink_buffers(this);
 	this->idle_deadline =
 		(instant_t)uv_now(this->options->loop) * USEC_PER_MSEC + this->idle_timeout;
 	uv_timer_stop(&this->timer);
@@ -309,6 +345,17 @@
 	ops->on_end(user);
 }
 
+static connection_failure_t parse_failure(const endpoint_connection_t *this)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
+
+	if (this->overhead > MAX_OVERHEAD)
+		return CONNECTION_FAILURE_OVERHEAD;
+	if (error == HPE_HEADER_OVERFLOW || error == HPE_CB_header_field)
+		return CONNECTION_FAILURE_HEAD;
+	return CONNECTION_FAILURE_MALFORMED;
+}
+
 static void process_bytes(endpoint_connection_t *this, const char *data, size_t len)
 {
 	size_t used;
@@ -326,7 +373,9 @@
 			this, used == len && !this->outgoing &&
 				      HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
 	else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK || this->overhead > MAX_OVERHEAD)
-		connection_fail(this, CONNECTION_FAILURE_MALFORMED);
+		connection_fail(this, parse_failure(this));
+	else
+		update_buffered(this);
 }
 
 /* libuv may report a reset that follows data as end of file; the socket tells which it was. */
@@ -368,6 +417,8 @@
 	else if (n < 0)
 		connection_fail(this,
 			n == UV_ETIMEDOUT ? CONNECTION_FAILURE_SILENT : CONNECTION_FAILURE_RESET);
+	/* After each read, as one turn of the loop may read more than the pool's limit. */
+	buffer_pool_reclaim(this->options->buffers);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
@@ -471,6 +522,8 @@
 
 	this->options = options;
 	this->endpoint = registered_endpoint_get(endpoint);
+	this->buffered.group = &endpoint->buffers;
+	this->buffered.reclaim = on_reclaim;
 	(*options->open_count)++;
 	this->idle_timeout = DEFAULT_IDLE_TIMEOUT;
 	this->response.headers = g_string_new(NULL);
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -7,8 +7,9 @@
  * complete, had the request's id, and was followed by no further bytes.  The oldest
  * idle connection is closed when the list exceeds this router's share of the
  * connections that the endpoint accepts.  Responses with the id of another request
- * are read and discarded.  endpoint_connection_ops_t reports an exchange's progress to the
- * user, who must not use the connection after on_end or on_fail.
+ * are read and discarded.  What an exchange holds of its response is bounded by itself, and
+ * together with all others by the buffer pool.  endpoint_connection_ops_t reports an exchange's
+ * progress to the user, who must not use the connection after on_end or on_fail.
  */
 #include <http_parser.h>
 #include <uv.h>
@@ -23,6 +24,9 @@
 	CONNECTION_FAILURE_SILENT,    /* no acknowledgement for too long */
 	CONNECTION_FAILURE_ENDED,     /* closed before the response was complete */
 	CONNECTION_FAILURE_MALFORMED, /* not a valid HTTP response */
+	CONNECTION_FAILURE_HEAD,      /* the response's head is over its bound */
+	CONNECTION_FAILURE_OVERHEAD,  /* too many bytes that belong to no body */
+	CONNECTION_FAILURE_MEMORY,    /* ended to keep the process within its memory */
 } connection_failure_t;
 
 typedef struct connection_response {
@@ -54,6 +58,8 @@
 	void (*on_body)(void *user, const char *data, size_t len);
 	void (*on_end)(void *user); /* the response is complete */
 	void (*on_fail)(void *user, connection_failure_t failure);
+	/* Bytes of the response that the user holds for now. */
+	size_t (*held)(const void *user);
 } endpoint_connection_ops_t;
 
 typedef struct endpoint_connection_options {
@@ -62,6 +68,7 @@
 	unsigned int connect_timeout_ms;
 	unsigned int silence_timeout_ms; /* for unacknowledged bytes and keepalive probes */
 	unsigned int *open_count;	 /* updated to the number of open connections */
+	buffer_pool_t *buffers;		 /* for what the exchanges hold of their responses */
 } endpoint_connection_options_t;
 
 typedef struct connection_request {
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -103,6 +103,7 @@
 	this->era = registration->era;
 	this->ref_count = 1;
 	this->named_rate = RATE_NONE;
+	buffer_group_init(&this->buffers);
 	CDS_INIT_LIST_HEAD(&this->idle_connections);
 	return this;
 }
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 #include <urcu/list.h>
 
+#include "core/buffer_pool.h"
 #include "core/types.h"
 
 typedef enum endpoint_state {
@@ -50,6 +51,7 @@
 	instant_t remove_at;  /* if its row is missing: when it is removed; else 0 */
 	instant_t hold_until; /* if it had left: when it may be used, draining until then; else 0 */
 	unsigned int ref_count;
+	buffer_group_t buffers;		       /* of the exchanges with it */
 	struct cds_list_head idle_connections; /* endpoint_connection_t, newest first */
 	unsigned int idle_connection_count;
 	unsigned int max_idle_connections; /* idle connections that this router may keep */
--- a/src/gateway/event_stream.c
+++ b/src/gateway/event_stream.c
@@ -9,26 +9,31 @@
 
 void event_stream_init(event_stream_t *this)
 {
-	this->partial = g_string_new(NULL);
+	this->partial = NULL;
 	this->last_id = EVENT_ID_NONE;
 	this->forwarded = 0;
 }
 
 void event_stream_clear(event_stream_t *this)
+{
+	event_stream_discard_partial(this);
+}
+
+void event_stream_discard_partial(event_stream_t *this)
 {
 	if (this->partial)
 		g_string_free(this->partial, TRUE);
 	this->partial = NULL;
 }
 
-void event_stream_discard_partial(event_stream_t *this)
+size_t event_stream_held(const event_stream_t *this)
 {
-	g_string_truncate(this->partial, 0);
+	return this->partial ? this->partial->allocated_len : 0;
 }
 
 bool event_stream_is_at_boundary(const event_stream_t *this)
 {
-	return !this->partial->len;
+	return !this->partial;
 }
 
 /* Parses a decimal id, with leading spaces allowed; EVENT_ID_INVALID if it is anything else. */
@@ -92,21 +97,51 @@
 	return end ? (size_t)(end - data) + 2 : 0;
 }
 
+/* How many bytes of `data` complete the partial event; 0 if they do not. */
+static size_t find_partial_end(const GString *partial, const char *data, size_t len)
+{
+	if (len && *data == '\n' && partial->str[partial->len - 1] == '\n')
+		return 1;
+	return find_event_end(data, len);
+}
+
+static event_stream_result_t extend_partial(event_stream_t *this, const char *data, size_t len)
+{
+	if (!len)
+		return EVENT_STREAM_OK;
+	if (!this->partial)
+		this->partial = g_string_new(NULL);
+	g_string_append_len(this->partial, data, (gssize)len);
+	return this->partial->len > MAX_EVENT ? EVENT_STREAM_TOO_LARGE : EVENT_STREAM_OK;
+}
+
+static event_stream_result_t complete_partial(
+	event_stream_t *this, const char *data, size_t len, GString *out)
+{
+	event_stream_result_t result;
+
+	g_string_append_len(this->partial, data, (gssize)len);
+	result = process_event(this, this->partial->str, this->partial->len, out);
+	event_stream_discard_partial(this);
+	return result;
+}
+
 event_stream_result_t event_stream_feed(
 	event_stream_t *this, const char *data, size_t len, GString *out)
 {
-	GString *partial = this->partial;
+	event_stream_result_t result = EVENT_STREAM_OK;
 	size_t at = 0;
 	size_t size;
 
-	g_string_append_len(partial, data, (gssize)len);
-	while ((size = find_event_end(partial->str + at, partial->len - at))) {
-		event_stream_result_t result = process_event(this, partial->str + at, size, out);
-
-		if (result != EVENT_STREAM_OK)
-			return result;
+	if (this->partial) {
+		at = find_partial_end(this->partial, data, len);
+		if (!at)
+			return extend_partial(this, data, len);
+		result = complete_partial(this, data, at, out);
+	}
+	while (result == EVENT_STREAM_OK && (size = find_event_end(data + at, len - at))) {
+		result = process_event(this, data + at, size, out);
 		at += size;
 	}
-	g_string_erase(partial, 0, (gssize)at);
-	return partial->len > MAX_EVENT ? EVENT_STREAM_TOO_LARGE : EVENT_STREAM_OK;
+	return result == EVENT_STREAM_OK ? extend_partial(this, data + at, len - at) : result;
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -25,6 +25,8 @@
 #define CONNECTION_DIVISOR 2
 #define SLOW_TURN (200 * USEC_PER_MSEC) /* a turn of the loop that is logged; callers notice it */
 #define CALLER_MEMORY_KB 24		/* least memory per caller, kernel buffers included */
+/* Part of the process's memory for responses that are held; callers may take half of it. */
+#define RESPONSE_MEMORY_DIVISOR 4
 
 /* Apply until the first catalog is loaded. */
 static const catalog_limits_t default_limits = {
@@ -279,6 +281,7 @@
 	instant_t now = clock_now();
 
 	begin_turn(this);
+	buffer_pool_reclaim(&this->buffers);
 	gateway_update_engines(this);
 	peers_receive(this->peers, now);
 	peers_step(this->peers, now);
@@ -458,6 +461,7 @@
 		.limits = get_limits,
 		.on_accepted = on_accepted,
 		.max_callers = max_callers,
+		.buffers = &this->buffers,
 	};
 
 	return listener_new(&options);
@@ -626,7 +630,10 @@
 		.connect_timeout_ms = settings->connect_timeout_ms,
 		.silence_timeout_ms = settings->silence_timeout_ms,
 		.open_count = &this->open_connections,
+		.buffers = &this->buffers,
 	};
+	buffer_pool_init(&this->buffers,
+		(size_t)(settings->memory_mb * 1024 * 1024 / RESPONSE_MEMORY_DIVISOR));
 	this->typical_times_left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (!start_peers(this) || !open_listeners(this)) {
 		gateway_delete(this);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
  */
 #include <uv.h>
 
+#include "core/buffer_pool.h"
 #include "core/overload.h"
 #include "gateway/adapter.h"
 #include "gateway/call.h"
@@ -37,6 +38,16 @@
 	uint64_t placement_time; /* messages of peers and the decisions that follow */
 } turn_stats_t;
 
+/* Bounds that end an exchange because of what its endpoint has sent. */
+typedef enum response_bound {
+	BOUND_HEAD,	/* of the response's head */
+	BOUND_OVERHEAD, /* of bytes that belong to no body */
+	BOUND_EVENT,	/* of one event of a stream */
+	BOUND_BODY,	/* of the response's body */
+	BOUND_MEMORY,	/* of what all exchanges hold together */
+	BOUND_COUNT,
+} response_bound_t;
+
 struct gateway {
 	const gateway_settings_t *settings;
 	const adapter_t *adapter;
@@ -79,6 +90,8 @@
 	bool engines_outdated;		/* update_engines() is due */
 	endpoint_connection_options_t connection_options;
 	unsigned int open_connections; /* to endpoints */
+	buffer_pool_t buffers;	       /* parts of responses that are held, of all exchanges */
+	uint64_t bounds_exceeded[BOUND_COUNT];
 	retry_budget_options_t budget_options;
 	GHashTable *retry_budgets; /* service id -> retry_budget_t */
 	struct cds_list_head calls;
@@ -141,6 +154,7 @@
 void gateway_update_engines(gateway_t *this);
 /* Handles rows that were requested from a peer as if they came from the store. */
 void gateway_handle_peer_rows(void *ctx, cached_table_t table, const GArray *rows);
+const char *response_bound_name(response_bound_t bound);
 /* Appends metrics in the text exposition format. */
 void gateway_write_metrics(const gateway_t *this, GString *out);
 
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -13,6 +13,33 @@
 		origin_lookup_origins(this->origin_lookup), services, ARRAY_LEN(services));
 }
 
+const char *response_bound_name(response_bound_t bound)
+{
+	static const char *const names[] = {
+		[BOUND_HEAD] = "head",
+		[BOUND_OVERHEAD] = "overhead",
+		[BOUND_EVENT] = "event",
+		[BOUND_BODY] = "body",
+		[BOUND_MEMORY] = "memory",
+	};
+
+	return names[bound];
+}
+
+static void write_buffer_metrics(const gateway_t *this, GString *out)
+{
+	metrics_append(out, "response_buffer_bytes", this->buffers.held);
+	metrics_append(out, "response_buffer_peak_bytes", this->buffers.peak);
+	metrics_append(out, "response_buffer_limit_bytes", this->buffers.limit);
+	metrics_append(out, "callers_too_slow_total", listener_callers_reclaimed(this->callers));
+	for (int i = 0; i < BOUND_COUNT; i++)
+		g_string_append_printf(out,
+			"amaranthwall_responses_too_large_total{bound=\"%s\"} %" G_GUINT64_FORMAT
+			"\n",
+			response_bound_name((response_bound_t)i),
+			(guint64)this->bounds_exceeded[i]);
+}
+
 void gateway_write_metrics(const gateway_t *this, GString *out)
 {
 	const placement_t *placement = peers_placement(this->peers);
@@ -58,6 +85,7 @@
 	metrics_append(out, "store_losses_total", this->store_losses);
 	metrics_append(out, "store_reader", this->reads_store);
 	metrics_append(out, "log_lines_dropped_total", log_dropped_lines());
+	write_buffer_metrics(this, out);
 	loop_watch_write_metrics(this->loop_watch, out);
 	for (int i = 0; i < REASON_COUNT; i++)
 		g_string_append_printf(out,
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -100,6 +100,7 @@
 		.ctx = options->ctx,
 		.limits = options->limits,
 		.max_callers = options->max_callers,
+		.buffers = options->buffers,
 		.on_closed = on_caller_closed,
 	};
 	this->on_accepted = options->on_accepted;
@@ -134,6 +135,11 @@
 	return this->group.examined;
 }
 
+uint64_t listener_callers_reclaimed(const listener_t *this)
+{
+	return this->group.reclaimed;
+}
+
 void listener_check_timeouts(listener_t *this, instant_t now)
 {
 	caller_wait_t *wait;
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -15,6 +15,7 @@
 	/* Called for each connection, with the time in microseconds that accepting it took. */
 	void (*on_accepted)(void *ctx, uint64_t time_taken);
 	unsigned int max_callers;
+	buffer_pool_t *buffers; /* for what is still to be written; NULL: not bounded */
 } listener_options_t;
 
 /* Returns NULL, with the error logged, if the address can't be bound. */
@@ -27,6 +28,8 @@
 void listener_drain(listener_t *this, instant_t close_idle_from);
 /* Number of callers looked at so far to make room for others. */
 uint64_t listener_callers_examined(const listener_t *this);
+/* Number of callers closed so far to keep the process within its memory. */
+uint64_t listener_callers_reclaimed(const listener_t *this);
 /* Closes the callers whose time is up. */
 void listener_check_timeouts(listener_t *this, instant_t now);
 unsigned int listener_caller_count(const listener_t *this);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -17,11 +17,7 @@
 #define PORT_COUNT 9000 /* those of other tests begin at 19800 */
 #define PORTS_PER_PROCESS 211
 
-/*
- * Finds an address that nothing is bound to.  The port is below those that the system gives to
- * connections, so that none takes it before the gateway does; processes begin at different ports.
- */
-static void find_free_address(char *out, size_t size)
+void fixture_free_address(char *out, size_t size)
 {
 	static int next_port;
 	struct sockaddr_in addr = {.sin_family = AF_INET};
@@ -119,9 +115,9 @@
 
 	if (options->store_address)
 		store = options->store_address;
-	find_free_address(this->caller_address, sizeof(this->caller_address));
-	find_free_address(this->ready_address, sizeof(this->ready_address));
-	find_free_address(peer, sizeof(peer));
+	fixture_free_address(this->caller_address, sizeof(this->caller_address));
+	fixture_free_address(this->ready_address, sizeof(this->ready_address));
+	fixture_free_address(peer, sizeof(peer));
 	text = g_strdup_printf("{\"name\":\"%s\",\"failure_domain\":\"z\",\"adapter\":\"rows\","
 			       "\"caller_address\":\"%s\",\"ready_address\":\"%s\","
 			       "\"peer_address\":\"%s\",\"store_address\":\"%s\","
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -95,6 +95,11 @@
  */
 unsigned int fixture_stop(fixture_t *this);
 
+/*
+ * Finds an address that nothing is bound to.  The port is below those that the system gives to
+ * connections, so that none takes it before the gateway does; processes begin at different ports.
+ */
+void fixture_free_address(char *out, size_t size);
 /* Connects to `address` (ip:port); -1 on failure. */
 int fixture_connect(const char *address);
 /*
--- /dev/null
+++ b/tests/test_endless_bytes.c
@@ -0,0 +1,496 @@
+/* endless_bytes - endpoints that send without end, before the program as it is deployed */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "edge/clock.h"
+#include "edge/http_call.h"
+#include "edge/log.h"
+#include "tests/gateway_fixture.h"
+
+#define PROGRAM "build/amaranthwall" /* without the sanitizers, whose memory would count */
+#define MEMORY_MB 110		     /* of the smallest routers */
+#define SLOTS 128		     /* of each endpoint */
+#define CALLERS 120
+#define FAULTY_ENDPOINTS 3
+#define WAIT_MS 15000
+#define SOUND_WAIT_MS 5000
+#define LEAVE_AFTER_MS 100
+#define BLOCK 16384
+#define ID "mine" /* of every request at a faulty endpoint */
+#define OK "HTTP/1.1 200 OK\r\n" ENDPOINT_MARKER "Request-Id: " ID "\r\n"
+#define EVENTS OK "Content-Type: text/event-stream\r\n\r\n"
+#define CHUNKS OK "Transfer-Encoding: chunked\r\n\r\n"
+
+extern char **environ;
+
+/* What a faulty endpoint sends: the start, then the piece again and again. */
+typedef struct form {
+	const char *name;
+	const char *start;
+	const char *piece;
+	size_t total;	       /* bytes after which it falls silent; 0: never */
+	unsigned int pause_ms; /* between the start and the first piece */
+} form_t;
+
+typedef struct faulty_endpoint {
+	const form_t *forms;
+	unsigned int reached[32]; /* requests by form; accessed atomically */
+} faulty_endpoint_t;
+
+/* The program with a store, faulty endpoints of one service and a sound one of another. */
+typedef struct rig {
+	row_store_standin_t *store;
+	faulty_endpoint_t faulty;
+	raw_endpoint_t *endpoints[FAULTY_ENDPOINTS + 1];
+	char caller_address[32];
+	char ready_address[32];
+	char *settings_path;
+	pid_t pid;
+	unsigned int sound_requests;
+} rig_t;
+
+/* Of the program that runs now; 0: none.  A test that fails leaves it running. */
+static pid_t running;
+
+/* --- endpoints ------------------------------------------------------------ */
+
+static bool send_all(int fd, const char *bytes, size_t size)
+{
+	while (size) {
+		ssize_t n = send(fd, bytes, size, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		bytes += n;
+		size -= (size_t)n;
+	}
+	return true;
+}
+
+/* Sends the form whose number ends the request's path, until the other side closes. */
+static bool send_form(void *ctx, int fd, const raw_request_t *request)
+{
+	faulty_endpoint_t *this = ctx;
+	const char *slash = strchr(strchr(request->head, '/') + 1, '/');
+	unsigned long number = strtoul(slash + 1, NULL, 10);
+	const form_t *form = &this->forms[number];
+	GString *block = g_string_new(NULL);
+	size_t sent = 0;
+	char byte;
+
+	__atomic_add_fetch(&this->reached[number], 1, __ATOMIC_SEQ_CST);
+	while (block->len < BLOCK)
+		g_string_append(block, form->piece);
+	if (send_all(fd, form->start, strlen(form->start))) {
+		sleep_ms(form->pause_ms);
+		while ((!form->total || sent < form->total) && send_all(fd, block->str, block->len))
+			sent += block->len;
+		while (recv(fd, &byte, sizeof(byte), 0) > 0)
+			;
+	}
+	g_string_free(block, TRUE);
+	return false;
+}
+
+/* --- the program ---------------------------------------------------------- */
+
+static void put_config(rig_t *this)
+{
+	static const char *const kinds[][2] = {{"status", "\"kind\":\"idempotent\""},
+		{"order", "\"kind\":\"non_idempotent\""},
+		{"draft", "\"kind\":\"streaming\",\"resumable\":true"},
+		{"note", "\"kind\":\"streaming\""}, {"sound", "\"kind\":\"idempotent\""}};
+	GString *text = g_string_new("{\"version\":1,\"routes\":[");
+
+	for (size_t i = 0; i < ARRAY_LEN(kinds); i++)
+		g_string_append_printf(text,
+			"%s{\"name\":\"%s\",\"host\":\"" FIXTURE_HOST "\",\"prefix\":\"/%s/\",%s,"
+			"\"timeoutMs\":3000,\"maxAttempts\":2,\"service\":\"%s\"}",
+			i ? "," : "", kinds[i][0], kinds[i][0], kinds[i][1],
+			strcmp(kinds[i][0], "sound") ? "faulty" : "sound");
+	g_string_append(text,
+		"],\"services\":[{\"name\":\"faulty\",\"healthPath\":\"/health\",\"maxConns\":600},"
+		"{\"name\":\"sound\",\"healthPath\":\"/health\",\"maxConns\":600}],"
+		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":65536,"
+		"\"headerTimeoutMs\":1000,\"idleTimeoutMs\":1000},"
+		"\"tenants\":[{\"name\":\"w1\",\"apiKeys\":[\"k1\"]}]}");
+	row_store_standin_put(this->store, "op", "config", text->str);
+	g_string_free(text, TRUE);
+}
+
+static void add_endpoint(
+	rig_t *this, unsigned int index, const char *service, raw_handler_t handler, void *ctx)
+{
+	char *key = g_strdup_printf("i-%u", index);
+	char *text;
+
+	this->endpoints[index] = raw_endpoint_new(handler, ctx);
+	text = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
+			       "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+			       "\"coldRemainingMs\":0,\"sequence\":1}",
+		service, raw_endpoint_address(this->endpoints[index]), SLOTS);
+	row_store_standin_put(this->store, "servers", key, text);
+	g_free(text);
+	g_free(key);
+}
+
+static void write_settings(rig_t *this)
+{
+	char peer[32];
+	char *text;
+	int fd = g_file_open_tmp(NULL, &this->settings_path, NULL);
+
+	fixture_free_address(this->caller_address, sizeof(this->caller_address));
+	fixture_free_address(this->ready_address, sizeof(this->ready_address));
+	fixture_free_address(peer, sizeof(peer));
+	text = g_strdup_printf("{\"name\":\"r\",\"failure_domain\":\"z\",\"adapter\":\"rows\","
+			       "\"caller_address\":\"%s\",\"ready_address\":\"%s\","
+			       "\"peer_address\":\"%s\",\"store_address\":\"%s\","
+			       "\"memory_mb\":%d,\"expected_routers\":1,\"retry_allowance\":100}",
+		this->caller_address, this->ready_address, peer,
+		row_store_standin_address(this->store), MEMORY_MB);
+	g_file_set_contents(this->settings_path, text, -1, NULL);
+	close(fd);
+	g_free(text);
+}
+
+static char *get_metrics(const rig_t *this)
+{
+	int fd = fixture_connect(this->ready_address);
+	char *response;
+
+	if (fd < 0)
+		return g_strdup("");
+	raw_write(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	response = fixture_read_until(fd, NULL, SOUND_WAIT_MS);
+	close(fd);
+	return response;
+}
+
+static bool has_metrics(const rig_t *this, const char *first, const char *second)
+{
+	char *metrics = get_metrics(this);
+	bool found = strstr(metrics, first) && strstr(metrics, second);
+
+	g_free(metrics);
+	return found;
+}
+
+static uint64_t metric_of(const rig_t *this, const char *name)
+{
+	char *line = g_strdup_printf("amaranthwall_%s ", name);
+	char *metrics = get_metrics(this);
+	const char *at = strstr(metrics, line);
+	uint64_t value = at ? g_ascii_strtoull(at + strlen(line), NULL, 10) : 0;
+
+	g_free(metrics);
+	g_free(line);
+	return value;
+}
+
+static void start_program(rig_t *this)
+{
+	char *const args[] = {(char *)PROGRAM, (char *)"gateway", (char *)"--settings",
+		this->settings_path, NULL};
+	instant_t until = clock_now() + WAIT_MS * USEC_PER_MSEC;
+
+	assert_int_equal(posix_spawn(&this->pid, PROGRAM, NULL, NULL, args, environ), 0);
+	running = this->pid;
+	while (!has_metrics(this, "amaranthwall_endpoints 4\n", "amaranthwall_ready 1\n")) {
+		assert_true(clock_now() < until);
+		sleep_ms(20);
+	}
+}
+
+static rig_t *rig_new(const form_t *forms)
+{
+	rig_t *this = g_new0(rig_t, 1);
+
+	http_init();
+	this->faulty.forms = forms;
+	this->store = row_store_standin_new("127.0.0.1:0");
+	put_config(this);
+	for (unsigned int i = 0; i < FAULTY_ENDPOINTS; i++)
+		add_endpoint(this, i, "faulty", send_form, &this->faulty);
+	add_endpoint(this, FAULTY_ENDPOINTS, "sound", fixture_respond_hello, NULL);
+	write_settings(this);
+	start_program(this);
+	return this;
+}
+
+/* Peak of the program's resident memory so far, in kB. */
+static unsigned long peak_memory_kb(const rig_t *this)
+{
+	char *path = g_strdup_printf("/proc/%d/status", (int)this->pid);
+	char *text = NULL;
+	const char *line;
+	unsigned long peak = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL)) {
+		line = strstr(text, "VmHWM:");
+		peak = line ? strtoul(line + strlen("VmHWM:"), NULL, 10) : 0;
+	}
+	g_free(text);
+	g_free(path);
+	return peak;
+}
+
+static int end_program(void **state)
+{
+	int status;
+
+	if (!running)
+		return 0;
+	kill(running, SIGKILL);
+	waitpid(running, &status, 0);
+	running = 0;
+	return 0;
+}
+
+/* Checks that the program has not ended, and ends it. */
+static void rig_delete(rig_t *this)
+{
+	int status;
+
+	assert_int_equal(waitpid(this->pid, &status, WNOHANG), 0);
+	end_program(NULL);
+	for (unsigned int i = 0; i <= FAULTY_ENDPOINTS; i++)
+		raw_endpoint_delete(this->endpoints[i]);
+	row_store_standin_delete(this->store);
+	unlink(this->settings_path);
+	g_free(this->settings_path);
+	g_free(this);
+}
+
+/* --- callers -------------------------------------------------------------- */
+
+typedef enum caller_mode {
+	MODE_DRAINS,
+	MODE_STANDS_STILL,
+	MODE_LEAVES,
+	MODE_COUNT,
+} caller_mode_t;
+
+static int send_request(const rig_t *this, const char *route, unsigned int form)
+{
+	char *path = g_strdup_printf("/%s/%u", route, form);
+	char *text = fixture_format_request("POST", path, ID, "", "");
+	int fd = fixture_connect(this->caller_address);
+	int size = BLOCK;
+
+	assert_true(fd >= 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	raw_write(fd, text);
+	g_free(text);
+	g_free(path);
+	return fd;
+}
+
+static void drain(int *fds, unsigned int count)
+{
+	static char buffer[BLOCK];
+
+	for (unsigned int i = 0; i < count; i++) {
+		ssize_t n = 1;
+
+		while (fds[i] >= 0 && n > 0)
+			n = recv(fds[i], buffer, sizeof(buffer), MSG_DONTWAIT);
+		if (fds[i] >= 0 && n == 0) {
+			close(fds[i]);
+			fds[i] = -1;
+		}
+	}
+}
+
+static void close_all(int *fds, unsigned int count)
+{
+	for (unsigned int i = 0; i < count; i++) {
+		if (fds[i] >= 0)
+			close(fds[i]);
+		fds[i] = -1;
+	}
+}
+
+/* A request of the sound service, which has to be served whatever the others do. */
+static void check_sound_request(rig_t *this)
+{
+	char *text = fixture_format_request("POST", "/sound/", "s", "Connection: close\r\n", "");
+	int fd = fixture_connect(this->caller_address);
+	char *response;
+
+	assert_true(fd >= 0);
+	raw_write(fd, text);
+	response = fixture_read_until(fd, "hello", SOUND_WAIT_MS);
+	if (!g_str_has_prefix(response, "HTTP/1.1 200 ") || !strstr(response, "hello"))
+		fail_msg("sound request %u: %s", this->sound_requests, response);
+	this->sound_requests++;
+	close(fd);
+	g_free(response);
+	g_free(text);
+}
+
+/* Until no call is in progress and nothing is held for one. */
+static void run_callers(rig_t *this, int *fds, unsigned int count, caller_mode_t mode)
+{
+	instant_t began = clock_now();
+	bool done = false;
+
+	while (!done) {
+		instant_t now = clock_now();
+
+		assert_true(now < began + WAIT_MS * USEC_PER_MSEC);
+		check_sound_request(this);
+		if (mode == MODE_DRAINS)
+			drain(fds, count);
+		else if (mode == MODE_LEAVES && now >= began + LEAVE_AFTER_MS * USEC_PER_MSEC)
+			close_all(fds, count);
+		done = now >= began + 2 * LEAVE_AFTER_MS * USEC_PER_MSEC &&
+		       has_metrics(this, "amaranthwall_calls_in_progress 0\n",
+			       "amaranthwall_response_buffer_bytes 0\n");
+	}
+	close_all(fds, count);
+}
+
+static void check_memory(const rig_t *this, const char *name)
+{
+	unsigned long peak = peak_memory_kb(this);
+
+	print_message(
+		"%s: peak %lu kB, %u sound requests served\n", name, peak, this->sound_requests);
+	assert_true(peak > 0);
+	if (peak >= MEMORY_MB * 1024UL)
+		fail_msg("%s: %lu kB of memory, %d MB are allowed", name, peak, MEMORY_MB);
+}
+
+/* --- tests ---------------------------------------------------------------- */
+
+static const form_t endless_forms[] = {
+	{.name = "no status line", .start = "", .piece = "x"},
+	{.name = "empty lines", .start = "", .piece = "\r\n"},
+	{.name = "status text", .start = "HTTP/1.1 200 ", .piece = "x"},
+	{.name = "header name", .start = "HTTP/1.1 200 OK\r\nX-", .piece = "a"},
+	{.name = "header value", .start = "HTTP/1.1 200 OK\r\nX-A: ", .piece = "b"},
+	{.name = "headers", .start = "HTTP/1.1 200 OK\r\n", .piece = "X-A: b\r\n"},
+	{.name = "interim answers", .start = "", .piece = "HTTP/1.1 103 E\r\nLink: a\r\n\r\n"},
+	{.name = "another request's answer",
+		.start = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n",
+		.piece = "x"},
+	{.name = "chunk size", .start = CHUNKS, .piece = "0"},
+	{.name = "chunk extension", .start = CHUNKS "5;", .piece = "x"},
+	{.name = "small chunks", .start = CHUNKS, .piece = "1\r\nx\r\n"},
+	{.name = "trailers", .start = CHUNKS "0\r\n", .piece = "X-A: b\r\n"},
+	{.name = "after the answer", .start = OK "Content-Length: 5\r\n\r\nhello", .piece = "x"},
+	{.name = "on an idle connection",
+		.start = OK "Content-Length: 5\r\n\r\nhello",
+		.piece = "HTTP/1.1 200 OK\r\n",
+		.pause_ms = 50},
+	{.name = "body without length", .start = OK "\r\n", .piece = "x"},
+	{.name = "body of great length",
+		.start = OK "Content-Length: 99999999999\r\n\r\n",
+		.piece = "x"},
+	{.name = "event line", .start = EVENTS "data: ", .piece = "x"},
+	{.name = "event lines", .start = EVENTS, .piece = "data: x\n"},
+	{.name = "event id", .start = EVENTS "id: ", .piece = "1"},
+	{.name = "comment", .start = EVENTS ": ", .piece = "x"},
+	{.name = "comments", .start = EVENTS, .piece = ": x\n\n"},
+	{.name = "events", .start = EVENTS, .piece = "data: x\n\n"},
+};
+
+/* Guards against a place in a response whose bytes are kept for as long as they come. */
+static void test_endless_bytes_end_in_every_place_and_before_every_caller(void **state)
+{
+	static const char *const routes[] = {"status", "order", "draft", "note"};
+	static const char *const modes[] = {"drains", "stands still", "leaves"};
+	int fds[ARRAY_LEN(endless_forms) * ARRAY_LEN(routes)];
+
+	for (unsigned int mode = 0; mode < MODE_COUNT; mode++) {
+		rig_t *rig = rig_new(endless_forms);
+
+		for (unsigned int i = 0; i < ARRAY_LEN(fds); i++)
+			fds[i] = send_request(
+				rig, routes[i % ARRAY_LEN(routes)], i / ARRAY_LEN(routes));
+		run_callers(rig, fds, ARRAY_LEN(fds), (caller_mode_t)mode);
+		for (unsigned int i = 0; i < ARRAY_LEN(endless_forms); i++) {
+			if (!__atomic_load_n(&rig->faulty.reached[i], __ATOMIC_SEQ_CST))
+				print_message("not reached: %s\n", endless_forms[i].name);
+		}
+		check_memory(rig, modes[mode]);
+		rig_delete(rig);
+	}
+}
+
+/* What many exchanges hold together, each of them less than it may hold alone. */
+static const struct {
+	form_t form;
+	const char *route;
+	caller_mode_t mode;
+	bool exceeds; /* more than the memory for responses */
+} crowds[] = {
+	{{.name = "one line of an event", .start = EVENTS "data: ", .piece = "x", .total = 1000000},
+		"note", MODE_DRAINS, true},
+	{{.name = "an event of short lines",
+		 .start = EVENTS,
+		 .piece = "data: x\n",
+		 .total = 1000000},
+		"note", MODE_DRAINS, true},
+	{{.name = "the same, resumable", .start = EVENTS, .piece = "data: x\n", .total = 1000000},
+		"draft", MODE_DRAINS, true},
+	{{.name = "an unfinished header",
+		 .start = "HTTP/1.1 200 OK\r\nX-A: ",
+		 .piece = "b",
+		 .total = 64000},
+		"order", MODE_DRAINS, false},
+	{{.name = "an unfinished body",
+		 .start = OK "Content-Length: 99999999\r\n\r\n",
+		 .piece = "x",
+		 .total = 229376},
+		"order", MODE_DRAINS, true},
+	{{.name = "events that nobody reads",
+		 .start = EVENTS,
+		 .piece = "data: 0123456789012345678901234567890123456789\n\n"},
+		"note", MODE_STANDS_STILL, false},
+};
+
+/* Guards against the sum over all exchanges: the program stays within its memory and serves. */
+static void test_many_exchanges_together_stay_within_the_memory(void **state)
+{
+	for (unsigned int i = 0; i < ARRAY_LEN(crowds); i++) {
+		rig_t *rig = rig_new(&crowds[i].form);
+		int fds[CALLERS];
+
+		for (unsigned int k = 0; k < CALLERS; k++)
+			fds[k] = send_request(rig, crowds[i].route, 0);
+		run_callers(rig, fds, CALLERS, crowds[i].mode);
+		check_memory(rig, crowds[i].form.name);
+		assert_true(metric_of(rig, "response_buffer_peak_bytes") > 0);
+		if (crowds[i].exceeds)
+			assert_true(
+				metric_of(rig, "responses_too_large_total{bound=\"memory\"}") > 0);
+		rig_delete(rig);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(
+			test_endless_bytes_end_in_every_place_and_before_every_caller, end_program),
+		cmocka_unit_test_teardown(
+			test_many_exchanges_together_stay_within_the_memory, end_program),
+	};
+
+	log_init("test", FALSE);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
