--- a/src/edge/http_call.c
+++ b/src/edge/http_call.c
@@ -12,6 +12,8 @@
 #include "edge/clock.h"
 #include "settings/address.h"
 
+#define MAX_HEADER_BYTES 65536 /* of a response */
+
 typedef struct http_call {
 	const http_options_t *options;
 	CURLM *multi;
@@ -19,6 +21,7 @@
 	struct curl_slist *headers;
 	GString *response;
 	size_t max_response;
+	size_t header_bytes; /* received so far, interim responses included */
 	bool too_large;
 	/* When the connection must be there, then when more of the response must have arrived. */
 	instant_t read_by;
@@ -51,8 +54,12 @@
 
 static size_t on_header(char *data, size_t size, size_t count, void *ctx)
 {
-	extend_deadline(ctx);
-	return size * count;
+	http_call_t *this = ctx;
+
+	extend_deadline(this);
+	this->header_bytes += size * count;
+	this->too_large |= this->header_bytes > MAX_HEADER_BYTES;
+	return this->too_large ? 0 : size * count;
 }
 
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -15,6 +15,8 @@
 #define ONLY_SOURCE_RETRY_DELAY (400 * USEC_PER_MSEC)
 #define SPREAD_FACTOR 0x9e3779b97f4a7c15ULL
 #define CHUNK_SIZE 16384
+#define MAX_ROW_BYTES (1U << 20)   /* the store's rows have 64 kB */
+#define MAX_ROWS_BYTES (16U << 20) /* of the rows of one request */
 
 /* A row that is being sent to or received from a peer in chunks. */
 typedef struct transfer {
@@ -33,6 +35,7 @@
 	transfer_t receiving;
 	cached_table_t received_table;
 	GArray *received_rows; /* complete rows of the request that is being answered */
+	size_t received_bytes; /* of their values */
 } peer_gossip_t;
 
 struct row_gossip {
@@ -181,6 +184,12 @@
 		((transfer_t *)link->data)->row_count = peer->send_queue.length;
 }
 
+static void forget_received(peer_gossip_t *peer)
+{
+	g_array_set_size(peer->received_rows, 0);
+	peer->received_bytes = 0;
+}
+
 /*
  * Adds the complete row to those that have arrived of the same request, and delivers them with
  * the last one.  If a row was lost, the others are discarded, and the request is repeated.
@@ -191,26 +200,37 @@
 	GArray *rows = peer->received_rows;
 
 	if (rows_left + 1 == transfer->row_count || peer->received_table != transfer->table)
-		g_array_set_size(rows, 0);
+		forget_received(peer);
 	peer->received_table = transfer->table;
+	peer->received_bytes += transfer->row.len;
 	g_array_append_val(rows, transfer->row);
 	transfer->row = (store_row_t){0};
 	if (rows->len + rows_left != transfer->row_count) {
 		log_notice("peer-rows-incomplete", "table=%d rows=%u left=%u of=%u",
 			(int)transfer->table, rows->len, rows_left, transfer->row_count);
-		g_array_set_size(rows, 0);
+		forget_received(peer);
+	} else if (peer->received_bytes > MAX_ROWS_BYTES) {
+		log_warn("peer-rows-too-large", "table=%d rows=%u bytes=%zu", (int)transfer->table,
+			rows->len, peer->received_bytes);
+		forget_received(peer);
 	}
 	if (rows_left || !rows->len)
 		return;
 	this->answer_by[transfer->table] = 0;
 	this->options.on_rows(this->options.ctx, transfer->table, rows);
-	g_array_set_size(rows, 0);
+	forget_received(peer);
 }
 
 static void handle_chunk(row_gossip_t *this, peer_gossip_t *peer, const message_entry_t *entry)
 {
 	transfer_t *transfer = &peer->receiving;
 
+	if (entry->total_size > MAX_ROW_BYTES) {
+		if (!entry->offset)
+			log_warn("peer-row-too-large", "table=%u key=%s bytes=%u", entry->table,
+				entry->key, entry->total_size);
+		return;
+	}
 	if (!entry->offset) {
 		transfer_clear(transfer);
 		transfer->table = entry->table;
--- a/src/gateway/store.h
+++ b/src/gateway/store.h
@@ -15,6 +15,7 @@
 	ROWS_CONFLICT,	  /* a row's version was not the expected one; nothing was written */
 	ROWS_COMPACTED,	  /* changes since the version are not available: list the table again */
 	ROWS_REFUSED,	  /* the request was not sent, or the store answered that it did nothing */
+	ROWS_TOO_LARGE,	  /* the response, or the table, is larger than any that is of use */
 	ROWS_NO_RESPONSE, /* no usable response; a write may have taken effect */
 } row_result_t;
 
--- a/src/settings/jsondoc.c
+++ b/src/settings/jsondoc.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <yajl/yajl_parse.h>
 
+#define MANY_KEYS 16			     /* of an object: found by a hash from here on */
 #define MAX_EXACT_INTEGER 9007199254740992.0 /* 2^53; doubles above it skip whole numbers */
 
 typedef struct builder {
@@ -14,7 +15,9 @@
 	size_t scanned; /* bytes already searched for newlines */
 	unsigned int line;
 	json_value_t *stack[JSONDOC_MAX_DEPTH];
+	GHashTable *keys[JSONDOC_MAX_DEPTH]; /* of an open object with many keys; else NULL */
 	unsigned int depth;
+	unsigned int value_count;
 	char *key;
 } builder_t;
 
@@ -36,8 +39,25 @@
 	return 0;
 }
 
-static bool has_key(const json_value_t *object, const char *key)
+static GHashTable *hash_keys(const json_value_t *object)
 {
+	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (const json_value_t *v = object->first; v; v = v->next)
+		g_hash_table_add(keys, v->key);
+	return keys;
+}
+
+/* Whether the innermost object has the key already. */
+static bool has_key(builder_t *this, const char *key)
+{
+	const json_value_t *object = this->stack[this->depth - 1];
+	GHashTable **keys = &this->keys[this->depth - 1];
+
+	if (!*keys && object->count >= MANY_KEYS)
+		*keys = hash_keys(object);
+	if (*keys)
+		return g_hash_table_contains(*keys, key);
 	for (const json_value_t *v = object->first; v; v = v->next) {
 		if (!strcmp(v->key, key))
 			return true;
@@ -45,6 +65,13 @@
 	return false;
 }
 
+static void forget_keys(builder_t *this, unsigned int level)
+{
+	if (this->keys[level])
+		g_hash_table_destroy(this->keys[level]);
+	this->keys[level] = NULL;
+}
+
 static json_value_t *builder_add(builder_t *this, json_type_t type)
 {
 	json_value_t *value = g_new0(json_value_t, 1);
@@ -54,6 +81,9 @@
 	value->line = builder_line(this);
 	value->key = this->key;
 	this->key = NULL;
+	this->value_count++;
+	if (value->key && this->keys[this->depth - 1])
+		g_hash_table_add(this->keys[this->depth - 1], value->key);
 	if (!parent) {
 		this->doc->root = value;
 		return value;
@@ -67,16 +97,24 @@
 	return value;
 }
 
+/* What a parser callback that added a value returns: 0 ends the parsing. */
+static int check_value_count(builder_t *this)
+{
+	if (this->value_count > JSONDOC_MAX_VALUES)
+		return builder_fail(this, "too many values", "");
+	return 1;
+}
+
 static int on_null(void *ctx)
 {
 	builder_add(ctx, JSON_NULL);
-	return 1;
+	return check_value_count(ctx);
 }
 
 static int on_boolean(void *ctx, int value)
 {
 	builder_add(ctx, JSON_BOOL)->integer = value;
-	return 1;
+	return check_value_count(ctx);
 }
 
 /* Reads a whole number that int64_t holds exactly, however it is written: 8, 8.0 and 80e-1. */
@@ -105,7 +143,7 @@
 	value->integer = integer;
 	value->number = number;
 	g_free(copy);
-	return 1;
+	return check_value_count(ctx);
 }
 
 static int on_string(void *ctx, const unsigned char *text, size_t len)
@@ -114,7 +152,7 @@
 		builder_add(ctx, JSON_STRING_WITH_NUL);
 	else
 		builder_add(ctx, JSON_STRING)->string = g_strndup((const char *)text, len);
-	return 1;
+	return check_value_count(ctx);
 }
 
 static int builder_open(builder_t *this, json_type_t type)
@@ -125,7 +163,7 @@
 		return builder_fail(this, "nested too deeply", "");
 	value = builder_add(this, type);
 	this->stack[this->depth++] = value;
-	return 1;
+	return check_value_count(this);
 }
 
 static int on_start_map(void *ctx)
@@ -143,6 +181,7 @@
 	builder_t *this = ctx;
 
 	this->depth--;
+	forget_keys(this, this->depth);
 	return 1;
 }
 
@@ -152,7 +191,7 @@
 
 	g_free(this->key);
 	this->key = g_strndup((const char *)text, len);
-	if (has_key(this->stack[this->depth - 1], this->key))
+	if (has_key(this, this->key))
 		return builder_fail(this, "duplicate key ", this->key);
 	return 1;
 }
@@ -200,6 +239,8 @@
 	else if (!this->root)
 		builder_fail(&builder, "the document is empty", "");
 	yajl_free(builder.parser);
+	for (unsigned int i = 0; i < JSONDOC_MAX_DEPTH; i++)
+		forget_keys(&builder, i);
 	g_free(builder.key);
 	return this;
 }
--- a/src/settings/jsondoc.h
+++ b/src/settings/jsondoc.h
@@ -3,9 +3,10 @@
 /*
  * jsondoc - tree of a JSON document, with the line number of each value
  *
- * Parsed by yajl.  Comments are allowed; duplicate keys and nesting deeper than
- * JSONDOC_MAX_DEPTH are errors.  A string with a NUL byte has a type of its own, so that it
- * does no harm where nobody reads it.  Values belong to their document.
+ * Parsed by yajl.  Comments are allowed; duplicate keys, nesting deeper than
+ * JSONDOC_MAX_DEPTH and more values than JSONDOC_MAX_VALUES are errors.  A string with a NUL byte
+ * has a type of its own, so that it does no harm where nobody reads it.  Values belong to their
+ * document.
  */
 #include <glib.h>
 #include <stdbool.h>
@@ -13,6 +14,7 @@
 #include <stdint.h>
 
 #define JSONDOC_MAX_DEPTH 32
+#define JSONDOC_MAX_VALUES 200000 /* some 24 MB of memory */
 
 typedef enum json_type {
 	JSON_NULL,
--- a/tests/test_row_gossip.c
+++ b/tests/test_row_gossip.c
@@ -192,6 +192,49 @@
 	gossip_fixture_delete(f);
 }
 
+#define CHUNK 16384
+
+/* Sends a row of this size in chunks. */
+static void send_large_row(
+	gossip_fixture_t *f, uint32_t size, unsigned int left, unsigned int count)
+{
+	static const char bytes[CHUNK];
+	char *key = g_strdup_printf("i-%u", left);
+	message_entry_t entry = {
+		.kind = ENTRY_ROW_CHUNK,
+		.table = CACHED_ENDPOINTS,
+		.version = VERSION,
+		.key = key,
+		.bytes = bytes,
+		.size = CHUNK,
+		.total_size = size,
+		.value = left,
+		.row_count = count,
+	};
+
+	for (; entry.offset < size; entry.offset += CHUNK)
+		row_gossip_handle_entry(f->gossip, 1, &entry, SECOND);
+	g_free(key);
+}
+
+/* Guards against a peer whose row, or rows together, take memory for as long as they come. */
+static void test_rows_of_a_peer_are_bounded(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+
+	send_large_row(f, 64 * CHUNK, 0, 1);
+	assert_int_equal(f->deliveries, 1);
+	send_large_row(f, 65 * CHUNK, 0, 1);
+	assert_int_equal(f->deliveries, 1);
+	for (unsigned int left = 15; left < 16; left--)
+		send_large_row(f, 64 * CHUNK, left, 16);
+	assert_int_equal(f->deliveries, 2);
+	for (unsigned int left = 99; left < 100; left--)
+		send_large_row(f, 64 * CHUNK, left, 100);
+	assert_int_equal(f->deliveries, 2);
+	gossip_fixture_delete(f);
+}
+
 static bool has_request(gossip_fixture_t *f, unsigned int slot, instant_t now)
 {
 	return row_gossip_is_due(f->gossip, slot, false, now);
@@ -274,6 +317,7 @@
 		cmocka_unit_test(test_next_peer_is_asked_at_once_if_rows_are_still_missing),
 		cmocka_unit_test(test_peer_of_a_newer_era_is_asked_and_one_of_an_older_era_is_not),
 		cmocka_unit_test(test_rows_of_a_request_are_delivered_only_if_all_have_arrived),
+		cmocka_unit_test(test_rows_of_a_peer_are_bounded),
 		cmocka_unit_test(test_router_that_reads_the_store_waits_before_it_asks),
 		cmocka_unit_test(test_router_that_does_not_read_the_store_asks_soon),
 		cmocka_unit_test(test_requests_of_routers_that_do_not_read_are_spread),
