--- a/tests/test_endless_bytes.c
+++ b/tests/test_endless_bytes.c
@@ -35,12 +35,13 @@
 
 extern char **environ;
 
-/* What a faulty endpoint sends: the start, then the piece again and again. */
+/* What a faulty endpoint sends: the start, then the piece again and again, then the end. */
 typedef struct form {
 	const char *name;
 	const char *start;
 	const char *piece;
 	size_t total;	       /* bytes after which it falls silent; 0: never */
+	const char *end;       /* NULL: nothing */
 	unsigned int pause_ms; /* between the start and the first piece */
 } form_t;
 
@@ -97,6 +98,8 @@
 		sleep_ms(form->pause_ms);
 		while ((!form->total || sent < form->total) && send_all(fd, block->str, block->len))
 			sent += block->len;
+		if (form->end)
+			send_all(fd, form->end, strlen(form->end));
 		while (recv(fd, &byte, sizeof(byte), 0) > 0)
 			;
 	}
@@ -408,6 +411,19 @@
 	{.name = "events", .start = EVENTS, .piece = "data: x\n\n"},
 };
 
+static void check_bounds_are_counted(const rig_t *this)
+{
+	static const char *const bounds[] = {"head", "overhead", "event", "body"};
+
+	for (unsigned int i = 0; i < ARRAY_LEN(bounds); i++) {
+		char *name = g_strdup_printf("responses_too_large_total{bound=\"%s\"}", bounds[i]);
+
+		if (!metric_of(this, name))
+			fail_msg("%s is 0", name);
+		g_free(name);
+	}
+}
+
 /* Guards against a place in a response whose bytes are kept for as long as they come. */
 static void test_endless_bytes_end_in_every_place_and_before_every_caller(void **state)
 {
@@ -427,40 +443,55 @@
 				print_message("not reached: %s\n", endless_forms[i].name);
 		}
 		check_memory(rig, modes[mode]);
+		if (mode == MODE_DRAINS)
+			check_bounds_are_counted(rig);
 		rig_delete(rig);
 	}
 }
 
+#define ENDED "responses_too_large_total{bound=\"memory\"}"
+
 /* What many exchanges hold together, each of them less than it may hold alone. */
 static const struct {
 	form_t form;
 	const char *route;
 	caller_mode_t mode;
-	bool exceeds; /* more than the memory for responses */
+	const char *counter; /* of exchanges that the memory for responses ends; NULL: none is */
 } crowds[] = {
 	{{.name = "one line of an event", .start = EVENTS "data: ", .piece = "x", .total = 1000000},
-		"note", MODE_DRAINS, true},
+		"note", MODE_DRAINS, ENDED},
 	{{.name = "an event of short lines",
 		 .start = EVENTS,
 		 .piece = "data: x\n",
 		 .total = 1000000},
-		"note", MODE_DRAINS, true},
+		"note", MODE_DRAINS, ENDED},
 	{{.name = "the same, resumable", .start = EVENTS, .piece = "data: x\n", .total = 1000000},
-		"draft", MODE_DRAINS, true},
+		"draft", MODE_DRAINS, ENDED},
 	{{.name = "an unfinished header",
 		 .start = "HTTP/1.1 200 OK\r\nX-A: ",
 		 .piece = "b",
 		 .total = 64000},
-		"order", MODE_DRAINS, false},
+		"order", MODE_DRAINS, NULL},
 	{{.name = "an unfinished body",
 		 .start = OK "Content-Length: 99999999\r\n\r\n",
 		 .piece = "x",
 		 .total = 229376},
-		"order", MODE_DRAINS, true},
+		"order", MODE_DRAINS, ENDED},
 	{{.name = "events that nobody reads",
 		 .start = EVENTS,
 		 .piece = "data: 0123456789012345678901234567890123456789\n\n"},
-		"note", MODE_STANDS_STILL, false},
+		"note", MODE_STANDS_STILL, NULL},
+	{{.name = "large events that nobody reads",
+		 .start = EVENTS "data: ",
+		 .piece = "x",
+		 .total = 900000,
+		 .end = "\n\n"},
+		"note", MODE_STANDS_STILL, ENDED},
+	{{.name = "bodies that nobody reads",
+		 .start = OK "Content-Length: 229376\r\n\r\n",
+		 .piece = "x",
+		 .total = 229376},
+		"order", MODE_STANDS_STILL, NULL},
 };
 
 /* Guards against the sum over all exchanges: the program stays within its memory and serves. */
@@ -475,9 +506,8 @@
 		run_callers(rig, fds, CALLERS, crowds[i].mode);
 		check_memory(rig, crowds[i].form.name);
 		assert_true(metric_of(rig, "response_buffer_peak_bytes") > 0);
-		if (crowds[i].exceeds)
-			assert_true(
-				metric_of(rig, "responses_too_large_total{bound=\"memory\"}") > 0);
+		if (crowds[i].counter)
+			assert_true(metric_of(rig, crowds[i].counter) > 0);
 		rig_delete(rig);
 	}
 }
