--- a/tests/test_refusals.c
+++ b/tests/test_refusals.c
@@ -9,6 +9,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "edge/log.h"
@@ -18,9 +19,9 @@
 #define FIRST_PORT 19500
 #define PORTS 200
 #define HEADER_BYTES 16384 /* of a request, names and values: maxHeaderBytes */
-#define WAIT_MS 5000
+#define WAIT_S 5
 #define MAX_RESPONSE 32768
-#define TEST_SERVER "GET /stop HTTP/1.1\r\n\r\n"
+#define STOP_REQUEST "GET /stop HTTP/1.1\r\n\r\n"
 
 /* A gateway without endpoints or store, which ends each call with the reason that its path names.
  */
@@ -115,7 +116,7 @@
 {
 	int fd = fixture_connect(this->address);
 
-	raw_write(fd, TEST_SERVER);
+	raw_write(fd, STOP_REQUEST);
 	pthread_join(this->thread, NULL);
 	listener_delete(this->listener);
 	uv_run(&this->loop, UV_RUN_DEFAULT);
@@ -124,6 +125,16 @@
 	g_free(this);
 }
 
+/* Connects; a response that does not come whole ends after WAIT_S. */
+static int connect_to(const char *address)
+{
+	struct timeval wait = {.tv_sec = WAIT_S};
+	int fd = fixture_connect(address);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	return fd;
+}
+
 /* Reads one response with a length; its head and body follow each other in the result. */
 static char *read_response(int fd)
 {
@@ -150,7 +161,7 @@
 	return g_string_free(text, FALSE);
 }
 
-/* The whole response that the page of the interface promises for the reason. */
+/* The whole response for the reason. */
 static char *expected_response(reason_t reason, const char *id, unsigned int retry_after_ms)
 {
 	const reason_info_t *info = reason_info(reason);
@@ -202,7 +213,7 @@
 {
 	static const size_t sizes[] = {1, 64, 225, 1000, 4096, 8191, 16000};
 	refusing_server_t *server = refusing_server_new();
-	int fd = fixture_connect(server->address);
+	int fd = connect_to(server->address);
 
 	for (size_t size = 226; size < 262; size++)
 		check_refusals(fd, size, "");
@@ -216,7 +227,7 @@
 static void test_refusals_are_whole_whatever_the_other_headers(void **state)
 {
 	refusing_server_t *server = refusing_server_new();
-	int fd = fixture_connect(server->address);
+	int fd = connect_to(server->address);
 	char *value = g_strnfill(HEADER_BYTES - 400, 'v');
 	char *one = g_strdup_printf("X-Long: %s\r\n", value);
 	GString *many = g_string_new(NULL);
@@ -244,7 +255,7 @@
 static void test_no_refusal_denies_a_possible_run(void **state)
 {
 	refusing_server_t *server = refusing_server_new();
-	int fd = fixture_connect(server->address);
+	int fd = connect_to(server->address);
 
 	for (unsigned int reason = REASON_NONE + 1; reason < REASON_COUNT; reason++) {
 		for (unsigned int attempt = 0; attempt < ATTEMPT_STATES; attempt++) {
@@ -274,7 +285,7 @@
 static char *refuse_at_router(fixture_t *f, const char *path, const char *id, const char *extra)
 {
 	char *text = fixture_format_request("POST", path, id, extra, "");
-	int fd = fixture_connect(f->caller_address);
+	int fd = connect_to(f->caller_address);
 	char *response;
 
 	raw_write(fd, text);
