--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -22,8 +22,7 @@
 	HTTP_OK,	 /* the response header or, from http_call(), the whole response was read */
 	HTTP_NOT_SENT,	 /* no byte of the request was sent */
 	HTTP_INCOMPLETE, /* the request may have been sent; the response is incomplete */
-	HTTP_TOO_LARGE,	 /* the response's body exceeds the caller's limit, or its head is too long
-			  */
+	HTTP_TOO_LARGE,	 /* the response's head or its body is over its limit */
 } http_result_t;
 
 typedef struct http_header {
