--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -51,9 +51,25 @@
 	ENTRY_STREAMS,	     /* the streams of the sender that may be taken up */
 	ENTRY_STREAMS_SAVED, /* the report of streams that the sender has saved */
 	ENTRY_STORE_STATE,   /* what the sender, a reader of the store, sees of it */
+	/* Routers of earlier builds read no further here either. */
+	ENTRY_ENGINE_STATE, /* what is known of an engine, from its owner or for it */
 	ENTRY_KINDS,
 } entry_kind_t;
 
+/*
+ * What routers tell each other of an engine.  Zero stands for a part that the sender does not
+ * know; so does a field that a router of an earlier build did not send.
+ */
+typedef struct engine_state_report {
+	uint64_t cold_left; /* microseconds until it is warm; UINT64_MAX: until told otherwise */
+	uint64_t cold_age;  /* microseconds since that was stated */
+	uint32_t cold_pace; /* starts that it bears while cold, see rate_limit.h */
+	uint32_t prefill_token_ns; /* time to prefill one prompt token */
+	uint32_t decode_step_us;   /* time of one decode step of a batch of one */
+	uint32_t speed_samples;	   /* that the two are based on; more are worth more */
+	uint64_t speed_age;	   /* microseconds since the latest of them */
+} engine_state_report_t;
+
 /* One entry of a message.  A field is set only for the kinds that its comment names. */
 typedef struct message_entry {
 	entry_kind_t kind;
@@ -62,7 +78,7 @@
 	 * message's sequence number; ENTRY_STREAMS, ENTRY_STREAMS_SAVED: the report's.
 	 */
 	uint64_t ticket;
-	id_t32 engine; /* ENTRY_GRANT, ENTRY_PART_END, ENTRY_RATE_LIMIT */
+	id_t32 engine; /* ENTRY_GRANT, ENTRY_PART_END, ENTRY_RATE_LIMIT, ENTRY_ENGINE_STATE */
 	/*
 	 * ENTRY_GRANT: engine to copy the shared parts from, 0: none; ENTRY_PART_END: time since
 	 * the prompt was sent, ms; ENTRY_RATE_LIMIT: time since the request was sent whose response
@@ -85,8 +101,9 @@
 	slot_usage_t usage; /* ENTRY_SLOT_USAGE */
 	/* ENTRY_SLOT_REQUEST; the decoder converts instants to the receiver's clock. */
 	slot_request_t slot_request;
-	held_slot_t held_slot; /* ENTRY_HELD_SLOT */
-	unsigned int table;    /* ENTRY_ROW_VERSION, ENTRY_ROW_REQUEST, ENTRY_ROW_CHUNK */
+	held_slot_t held_slot;		    /* ENTRY_HELD_SLOT */
+	engine_state_report_t engine_state; /* ENTRY_ENGINE_STATE */
+	unsigned int table; /* ENTRY_ROW_VERSION, ENTRY_ROW_REQUEST, ENTRY_ROW_CHUNK */
 	/* The same kinds: the number of a store_version_t; ENTRY_RECEIPT: the incarnation. */
 	uint64_t version;
 	uint64_t era; /* the same kinds: its era */
@@ -149,7 +166,13 @@
 	id_t32 pool;
 	engine_limits_t limits;
 	id_t32 version; /* of its software */
+	id_t32 region;	/* that its failure domain is in, 0: unknown */
 	bool usable;	/* accepts new requests */
+	/* Starts that it bears while it is cold, see rate_limit.h; RATE_NONE: as many as when warm.
+	 */
+	uint32_t cold_pace;
+	instant_t cold_until;	  /* according to its registration, 0: warm */
+	instant_t cold_stated_at; /* when the registration was known to say so */
 } placement_engine_t;
 
 typedef enum placement_action_kind {
--- a/src/gateway/catalog.h
+++ b/src/gateway/catalog.h
@@ -10,7 +10,8 @@
 #include <glib.h>
 #include <urcu/ref.h>
 
-#include "core/types.h"
+#include "core/rate_limit.h"
+#include "core/region_set.h"
 
 typedef struct catalog_service {
 	char *name;
@@ -19,6 +20,9 @@
 	uint64_t token_memory; /* capacity of an engine's KV cache, in tokens; 0: not an engine */
 	unsigned int tokens_per_event; /* tokens that one event of a stream carries */
 	unsigned int max_event_gap_ms; /* lowest limit among its routes; 0: no limit */
+	unsigned int cold_start_ms;    /* for which an endpoint is cold after its start; 0: none */
+	uint32_t cold_pace; /* requests that a cold endpoint bears, see rate_limit.h; RATE_NONE: any
+			     */
 } catalog_service_t;
 
 typedef struct catalog_target {
@@ -39,6 +43,7 @@
 	unsigned int target_ms;	 /* target time to the first byte */
 	unsigned int max_event_gap_ms; /* longest acceptable time between two events; 0: no limit */
 	unsigned int max_attempts;
+	region_set_t regions; /* where its requests may run */
 	catalog_target_t *targets;
 	unsigned int target_count;
 	unsigned int total_weight;
@@ -47,6 +52,7 @@
 typedef struct catalog_workspace {
 	char *name;
 	id_t32 id;
+	region_set_t regions; /* where its requests may run */
 } catalog_workspace_t;
 
 typedef struct catalog_limits {
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -27,8 +27,11 @@
 typedef struct endpoint_registration {
 	char *name;
 	char *service;
-	char *address; /* ip:port */
-	char *version; /* of the endpoint's software; empty: not stated */
+	char *address;	      /* ip:port */
+	char *version;	      /* of the endpoint's software; empty: not stated */
+	char *failure_domain; /* empty: not stated */
+	bool cold_stated;     /* the registration says how long the endpoint stays cold */
+	uint64_t cold_left;   /* then: microseconds, 0: warm */
 	unsigned int slots;
 	endpoint_state_t state;
 	uint64_t incarnation; /* rises from one start under the same name to the next */
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -16,7 +16,12 @@
 	const char *response_marker;   /* in each response that the endpoint itself produced */
 	const char *not_run;	       /* present if the endpoint did not execute the request */
 	const char *leaving;	       /* "1" if the endpoint takes no further requests */
-	const char *load;	       /* RUNNING,WAITING,SLOTS: the endpoint's load */
+	/*
+	 * RUNNING,WAITING,SLOTS[,SLOWNESS]: the endpoint's load, and how long work takes on its
+	 * instance now, in hundredths of the usual time.
+	 */
+	const char *load;
+	const char *cold_left_ms; /* how long the endpoint stays cold */
 	const char *rate_limit;	  /* requests a second that the endpoint takes from all routers */
 	const char *prompt_parts; /* ID:TOKENS,... in the prompt's order */
 	const char *token_usage;  /* PROMPT,MAX: prompt tokens, maximum output tokens */
