--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -7,9 +7,15 @@
 #define INITIAL_FIRST_TOKEN_US 30000.0
 #define MIN_PREFILL_TOKEN_US 1.0
 #define MAX_PREFILL_TOKEN_US 1000.0
-/* Weights of a new sample in the moving averages. */
-#define PREFILL_WEIGHT 0.15
+/* Weight of a new sample in the moving average. */
 #define FIRST_TOKEN_WEIGHT 0.05
+/* Streams with at least this many tokens tell the time of a decode step. */
+#define STEP_SAMPLE_MIN_TOKENS 32
+/* Samples of fewer tokens than these count less. */
+#define STEP_SAMPLE_FULL_TOKENS 256.0
+#define PREFILL_SAMPLE_FULL_TOKENS 16384.0
+/* Decoding takes at least this part of the stream's time; the rest is prefill beside it. */
+#define STEP_SAMPLE_MIN_PART 0.25
 /* Samples with at least this many prefill tokens update the time per prompt token, ... */
 #define PREFILL_SAMPLE_MIN_TOKENS 1500
 /* ... and samples with at most this many update the rest of the time to the first token. */
@@ -26,6 +32,8 @@
 	memset(this, 0, sizeof(*this));
 	this->id = id;
 	this->limits = *limits;
+	engine_speed_init(&this->speed,
+		&(engine_speed_prior_t){.time[ENGINE_SPEED_PREFILL] = INITIAL_PREFILL_TOKEN_US});
 	this->prefill_token_us = INITIAL_PREFILL_TOKEN_US;
 	this->first_token_us = INITIAL_FIRST_TOKEN_US;
 	CDS_INIT_LIST_HEAD(&this->requests);
@@ -148,13 +156,22 @@
 			  this->prefill_token_us * engine_prefill_tokens(this, work));
 }
 
+/* Beyond prefill; a plain request has no more than that. */
+static double first_token_us(const engine_t *this, const engine_work_t *work, instant_t now)
+{
+	double plain = engine_speed_time(&this->speed, ENGINE_SPEED_PLAIN, now);
+
+	return !work->prompt && plain > 0 ? plain : this->first_token_us;
+}
+
 instant_t engine_first_token_at(
 	const engine_t *this, const engine_work_t *work, uint32_t source_prefill, instant_t now)
 {
 	uint32_t prefill = engine_prefill_tokens_with_copy(this, work, source_prefill);
 
 	return now + engine_prefill_backlog(this, now) +
-	       (uint64_t)(this->first_token_us + this->prefill_token_us * prefill);
+	       (uint64_t)(engine_speed_load(&this->speed, now) *
+			  (first_token_us(this, work, now) + this->prefill_token_us * prefill));
 }
 
 static uint32_t total_tokens(const engine_work_t *work)
@@ -173,7 +190,8 @@
 		if (now < this->prefills[i].start + window)
 			busy += this->prefills[i].duration;
 	}
-	return (double)busy <= PREFILL_SHARE * (double)window;
+	return engine_speed_load(&this->speed, now) * (double)busy <=
+	       PREFILL_SHARE * (double)window;
 }
 
 bool engine_has_room(const engine_t *this, const engine_work_t *work)
@@ -205,13 +223,16 @@
 	request->memory_tokens = total_tokens(work);
 	request->private_tokens = request->memory_tokens;
 	request->began_at = now;
+	request->reported_delay = 0;
 	request->prefill_done = false;
 	cds_list_add_tail(&request->link, &this->requests);
 	this->running++;
 	this->prefilling++;
 	this->memory_tokens += request->memory_tokens;
 	duration = (uint64_t)(this->prefill_token_us * request->prefill_tokens);
-	this->prefill_until = start + duration;
+	this->prefill_until =
+		start + (uint64_t)(engine_speed_load(&this->speed, now) * (double)duration);
+	this->prefill_total += duration;
 	record_prefill(this, start, duration);
 	for (unsigned int i = 0; i < work->chain.count; i++) {
 		cache_prefix(this, work->chain.hash[i], work->chain.tokens[i], now);
@@ -226,28 +247,83 @@
 	*mean += weight * (sample - *mean);
 }
 
+/* Takes over the estimate of `speed`, within bounds. */
+static void update_prefill_time(engine_t *this, instant_t now)
+{
+	double time = engine_speed_time(&this->speed, ENGINE_SPEED_PREFILL, now);
+
+	if (time < MIN_PREFILL_TOKEN_US)
+		time = MIN_PREFILL_TOKEN_US;
+	this->prefill_token_us = time < MAX_PREFILL_TOKEN_US ? time : MAX_PREFILL_TOKEN_US;
+}
+
 /*
- * Updates the estimates from the time between the earliest possible start of
- * the prefill and the first token.  Prefill starts when the request begins, or
- * at the previous first token if that is later, as the engine processes prompts
- * one after another.
+ * Returns the time between the earliest possible start of the prefill and the first token.
+ * Prefill starts when the request begins, or at the previous first token if that is later, as the
+ * engine processes prompts one after another.
  */
+static double time_to_first_token(
+	const engine_t *this, const engine_request_t *request, instant_t now)
+{
+	instant_t start = request->reported_delay && request->reported_delay < now
+				  ? now - request->reported_delay
+				  : request->began_at;
+
+	return (double)instant_left(now, instant_max(start, this->last_first_token_at));
+}
+
+/* Of a long request more is known than of a short one, whose delays elsewhere weigh more. */
+static double sample_weight(uint32_t tokens, double full)
+{
+	return tokens < full ? tokens / full : 1;
+}
+
 static void update_estimates(engine_t *this, const engine_request_t *request, instant_t now)
 {
-	instant_t start = request->began_at > this->last_first_token_at ? request->began_at
-									: this->last_first_token_at;
-	double duration = (double)(now - start);
+	double duration = time_to_first_token(this, request, now);
 
-	if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS && duration > this->first_token_us)
-		update_mean(&this->prefill_token_us,
+	if (!request->memory_tokens)
+		engine_speed_record(&this->speed, ENGINE_SPEED_PLAIN, duration, 1, now);
+	else if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS &&
+		 duration > this->first_token_us)
+		engine_speed_record(&this->speed, ENGINE_SPEED_PREFILL,
 			(duration - this->first_token_us) / request->prefill_tokens,
-			PREFILL_WEIGHT);
-	else if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
+			sample_weight(request->prefill_tokens, PREFILL_SAMPLE_FULL_TOKENS), now);
+	if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
 		update_mean(&this->first_token_us, duration, FIRST_TOKEN_WEIGHT);
-	if (this->prefill_token_us < MIN_PREFILL_TOKEN_US)
-		this->prefill_token_us = MIN_PREFILL_TOKEN_US;
-	if (this->prefill_token_us > MAX_PREFILL_TOKEN_US)
-		this->prefill_token_us = MAX_PREFILL_TOKEN_US;
+	update_prefill_time(this, now);
+}
+
+void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
+	uint64_t duration, instant_t now)
+{
+	double beside = (double)(this->prefill_total - request->prefill_before);
+	double decoding = (double)duration - beside;
+
+	if (!request->prefill_done || answer < STEP_SAMPLE_MIN_TOKENS || !duration)
+		return;
+	if (decoding < STEP_SAMPLE_MIN_PART * (double)duration)
+		decoding = STEP_SAMPLE_MIN_PART * (double)duration;
+	engine_speed_record(&this->speed, ENGINE_SPEED_STEP, decoding / answer,
+		sample_weight(answer, STEP_SAMPLE_FULL_TOKENS), now);
+	update_prefill_time(this, now);
+}
+
+void engine_record_load(engine_t *this, unsigned int percent, instant_t now)
+{
+	engine_speed_record_load(&this->speed, percent, now);
+}
+
+void engine_set_speed_prior(engine_t *this, const engine_speed_prior_t *prior, instant_t now)
+{
+	engine_speed_set_prior(&this->speed, prior);
+	update_prefill_time(this, now);
+}
+
+void engine_restore_speed(engine_t *this, const engine_speed_report_t *report, instant_t now)
+{
+	engine_speed_restore(&this->speed, report, now);
+	update_prefill_time(this, now);
 }
 
 static void update_prefill_until(engine_t *this, instant_t now)
@@ -266,6 +342,7 @@
 		return;
 	update_estimates(this, request, now);
 	request->prefill_done = true;
+	request->prefill_before = this->prefill_total;
 	this->prefilling--;
 	this->last_first_token_at = now;
 	update_prefill_until(this, now);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -14,6 +14,7 @@
 #include <urcu/list.h>
 
 #include "core/allocator.h"
+#include "core/engine_speed.h"
 #include "core/types.h"
 
 #define PROMPT_MAX_PARTS 4
@@ -44,6 +45,8 @@
 	uint32_t memory_tokens;	   /* that the request will occupy at its end */
 	uint32_t private_tokens;   /* those of memory_tokens that are in no shared part */
 	instant_t began_at;
+	uint64_t reported_delay;  /* to the first token, as its router measured it; 0: unknown */
+	uint64_t prefill_before; /* engine_t.prefill_total at its first token */
 	bool prefill_done; /* prefill is finished: the first token has arrived */
 } engine_request_t;
 
@@ -74,8 +77,10 @@
 	uint64_t memory_tokens;	       /* of all requests at the engine */
 	instant_t prefill_until;       /* predicted end of the prefill of all requests */
 	instant_t last_first_token_at; /* arrival of the latest first token */
-	double prefill_token_us;       /* estimated prefill time of a prompt token */
-	double first_token_us;	       /* estimated time to the first token beyond prefill */
+	engine_speed_t speed;
+	double prefill_token_us; /* usual prefill time of a prompt token, from `speed` */
+	double first_token_us;	 /* estimated time to the first token beyond prefill */
+	uint64_t prefill_total;	 /* predicted time of all prefills begun so far */
 	cached_prefix_t cache[ENGINE_CACHE_SETS][ENGINE_CACHE_WAYS]; /* hash 0: empty */
 	uint64_t cache_tokens;
 	uint64_t ended;					    /* requests that ended */
@@ -115,6 +120,17 @@
 	uint32_t source_prefill, instant_t now);
 /* Records that the first token has arrived; later calls for the same request do nothing. */
 void engine_finish_prefill(engine_t *this, engine_request_t *request, instant_t now);
+/*
+ * Records that a stream of `answer` tokens took `duration` from its first token on; to be called
+ * before engine_end_request().
+ */
+void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
+	uint64_t duration, instant_t now);
+/* Records that the engine's machine says that work takes `percent` of its usual time. */
+void engine_record_load(engine_t *this, unsigned int percent, instant_t now);
+/* Sets what to assume of its speed without samples, and what its last owner knew of it. */
+void engine_set_speed_prior(engine_t *this, const engine_speed_prior_t *prior, instant_t now);
+void engine_restore_speed(engine_t *this, const engine_speed_report_t *report, instant_t now);
 void engine_end_request(engine_t *this, engine_request_t *request, instant_t now);
 
 #endif
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -92,6 +92,14 @@
 		placement_handle_entry(this, 0, entry, now);
 }
 
+/* Microseconds, as much as an entry can hold. */
+static uint32_t duration_entry(instant_t since, instant_t now)
+{
+	uint64_t duration = instant_left(now, since);
+
+	return duration < UINT32_MAX ? (uint32_t)duration : UINT32_MAX;
+}
+
 void placement_first_token(placement_t *this, placement_request_t *request, instant_t now)
 {
 	message_entry_t entry = {.kind = ENTRY_FIRST_TOKEN, .ticket = request->ticket};
@@ -99,13 +107,24 @@
 	if (request->state != PLACEMENT_GRANTED || request->prefill_done)
 		return;
 	request->prefill_done = true;
+	request->first_token_at = now;
+	entry.source = duration_entry(request->started_at, now);
 	send_entry(this, request->owner, &entry, now);
 }
 
 void placement_load_report(
 	placement_t *this, placement_request_t *request, unsigned int load, instant_t now)
 {
-	message_entry_t entry = {.kind = ENTRY_LOAD, .ticket = request->ticket, .value = load};
+	placement_slowness_report(this, request, load, 0, now);
+}
+
+void placement_slowness_report(placement_t *this, placement_request_t *request, unsigned int load,
+	unsigned int percent, instant_t now)
+{
+	message_entry_t entry = {.kind = ENTRY_LOAD,
+		.ticket = request->ticket,
+		.value = load,
+		.source = percent};
 
 	if (request->state == PLACEMENT_GRANTED)
 		send_entry(this, request->owner, &entry, now);
@@ -138,6 +157,9 @@
 
 	if (request->state != PLACEMENT_GRANTED)
 		return;
+	/* What an earlier engine has answered tells nothing of this one. */
+	if (request->prefill_done && !request->was_started)
+		entry.source = duration_entry(request->first_token_at, now);
 	send_entry(this, request->owner, &entry, now);
 	placement_release_slot(this, request);
 }
@@ -300,6 +322,7 @@
 		this->next_report_at = now + REPORT_INTERVAL;
 		placement_report_all_slots(this, now);
 		placement_announce_rates(this, now);
+		placement_update_speeds(this, now);
 	}
 	next = check_pending(this, now);
 	next = instant_min(next, scheduler_run(this->scheduler, now));
@@ -413,6 +436,7 @@
 {
 	peer_state_t *peer = &this->peers[slot];
 
+	peer->speed_serial = 0;
 	for (unsigned int i = 0; i < peer->usage_count; i++)
 		peer->usages[i].sent = (slot_usage_t){.slots = UINT_MAX};
 }
@@ -514,7 +538,7 @@
 		this->engine_capacity = capacity;
 	}
 	state = &this->engines[this->engine_count++];
-	*state = (engine_state_t){.owner = MEMBER_MAX};
+	*state = (engine_state_t){.owner = MEMBER_MAX, .weight = 1};
 	rate_limit_init(&state->rate_limit);
 	return state;
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -82,7 +82,9 @@
 	/*
 	 * ENTRY_GRANT: engine to copy the shared parts from, 0: none; ENTRY_PART_END: time since
 	 * the prompt was sent, ms; ENTRY_RATE_LIMIT: time since the request was sent whose response
-	 * named the limit, ms.
+	 * named the limit, ms; ENTRY_FIRST_TOKEN: time since the start, us; ENTRY_END: time since
+	 * the first token, us; ENTRY_LOAD: how long work takes, percent of its usual time.  0 is
+	 * unknown: earlier builds send nothing else with the last three.
 	 */
 	id_t32 source;
 	id_t32 pool;	  /* ENTRY_SLOT_USAGE, ENTRY_SERVED_TOKENS */
@@ -158,7 +160,8 @@
 	unsigned int owners_tried; /* owners that the slot request was sent to */
 	bool prefill_done;	   /* the first token has arrived */
 	bool without_grant;	   /* no owner granted the slot */
-	instant_t started_at;	   /* of a request without a grant */
+	instant_t started_at;	   /* at the engine */
+	instant_t first_token_at;
 } placement_request_t;
 
 typedef struct placement_engine {
@@ -205,6 +208,8 @@
 	scheduler_options_t scheduler;
 	/* Called when the limit of an engine that this router owns changes; may be NULL. */
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	/* Called when the speed of an engine that this router owns changes; may be NULL. */
+	void (*on_speed)(void *ctx, id_t32 engine, const engine_speed_report_t *speed);
 	void *ctx;
 	const allocator_t *allocator; /* NULL: allocator_default */
 } placement_options_t;
@@ -251,6 +256,9 @@
 /* Reports that the engine has `load` requests running or queued. */
 void placement_load_report(
 	placement_t *this, placement_request_t *request, unsigned int load, instant_t now);
+/* Like it, and reports that work takes `percent` of its usual time on the engine's machine. */
+void placement_slowness_report(placement_t *this, placement_request_t *request, unsigned int load,
+	unsigned int percent, instant_t now);
 /*
  * Reports the rate limit that the engine named in the response to a request sent at `sent_at`;
  * RATE_NONE: it named none.
@@ -299,6 +307,13 @@
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
+/*
+ * Gives the next report of an engine's speed to the router; false when there is none.  It comes
+ * after all other entries of a message.
+ */
+bool placement_next_engine_state(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
+
 /* See scheduler_report_lanes(). */
 void placement_report_lanes(placement_t *this, instant_t now,
 	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -7,6 +7,7 @@
 #define MAX_POOLS 16
 #define BACKLOG_BUCKETS 256
 #define TICKET_BUCKETS 1024
+#define MAX_MEDIAN_ENGINES 512 /* of which the median is taken */
 #define LIST_GROWTH 64 /* elements added to a list that is full */
 /* Interval at which a router repeats a slot request that waits at its owner. */
 #define RESEND_INTERVAL (200 * USEC_PER_MSEC)
@@ -21,6 +22,10 @@
 	rate_limit_t rate_limit;
 	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
 	instant_t paused_until; /* this router sends it nothing before */
+	engine_speed_report_t speed; /* as its owner has told, so that all routers agree on it */
+	instant_t speed_at;	     /* when it did, 0: not yet */
+	uint64_t speed_serial;	     /* of our report of it to the others, 0: none */
+	double weight; /* its share of the prompt parts, 1: that of a median engine */
 } engine_state_t;
 
 /* Slot usage of a member's engines of a pool. */
@@ -46,6 +51,7 @@
 	link_watch_t link;    /* whether our messages arrive */
 	uint64_t receipt_seq; /* newest message of the peer that we have confirmed */
 	instant_t receipt_at; /* when the next confirmation may be sent */
+	uint64_t speed_serial; /* newest report of an engine's speed that the peer was sent */
 } peer_state_t;
 
 struct placement {
@@ -73,6 +79,8 @@
 	uint64_t random;
 	instant_t next_report_at;	 /* of all slots in use */
 	instant_t next_served_report_at; /* of the tokens served */
+	uint64_t speed_serial; /* of the newest report of a speed */
+	bool speeds_differ;    /* engine_state_t.weight is not 1 everywhere */
 	bool stopping;
 	placement_stats_t stats;
 };
@@ -107,6 +115,16 @@
 /* Counts a start without a grant, of which a router uses a part of its even share of the rate. */
 void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
 
+/* placement_speed.c: speeds of engines */
+/* Handles an ENTRY_ENGINE_STATE, as far as it states a speed. */
+void placement_handle_engine_state(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* Notes what this router's engines need; recomputes the medians and the engines' weights. */
+void placement_update_speeds(placement_t *this, instant_t now);
+/* Gives the engine's new owner its speed; `was_owner`: this router was the owner. */
+void placement_take_over_speed(
+	placement_t *this, engine_state_t *state, bool was_owner, instant_t now);
+
 /* placement_request.c: slot requests and the choice of their owner */
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -131,8 +131,10 @@
 
 		state->owner = owner;
 		apply_ownership(this, state);
-		if (moved)
+		if (moved) {
 			placement_hand_over_rate(this, state, was_owner, now);
+			placement_take_over_speed(this, state, was_owner, now);
+		}
 		changed |= moved;
 	}
 	this->owned_view = this->members.view;
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -162,12 +162,16 @@
 static void handle_first_token(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	scheduler_record_first_token(this->scheduler, slot, entry->ticket, entry->source);
 	scheduler_first_token(this->scheduler, slot, entry->ticket, now);
 }
 
 static void handle_load(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	if (entry->source)
+		scheduler_record_slowness(
+			this->scheduler, slot, entry->ticket, entry->source, now);
 	scheduler_load_report(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -180,6 +184,8 @@
 static void handle_end(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	scheduler_record_stream(
+		this->scheduler, slot, entry->ticket, entry->value, entry->source, now);
 	scheduler_end(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -237,6 +243,7 @@
 	[ENTRY_SLOT_USAGE] = handle_slot_usage,
 	[ENTRY_RECEIPT] = handle_receipt,
 	[ENTRY_RATE_LIMIT] = placement_handle_rate_limit,
+	[ENTRY_ENGINE_STATE] = placement_handle_engine_state,
 };
 
 void placement_handle_entry(
@@ -261,6 +268,8 @@
 		return false;
 	if (result == MESSAGE_STATUS_RESTARTED)
 		scheduler_forget_router(this->scheduler, *slot, now);
+	if (result == MESSAGE_STATUS_RESTARTED)
+		this->peers[*slot].speed_serial = 0;
 	members_set_stopping(&this->members, *slot, header->stopping);
 	this->peers[*slot].unresponsive = false;
 	return true;
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -1,5 +1,7 @@
 #include "core/placement_internal.h"
 
+#include <math.h>
+
 #define REPLY_TIMEOUT (25 * USEC_PER_MSEC)    /* ten times a typical round trip */
 #define MAX_OWN_DELAY (500 * USEC_PER_MSEC)   /* most that our own slowness adds to it */
 #define MAX_REPLY_DELAY (200 * USEC_PER_MSEC) /* most that an owner's slowness adds to it */
@@ -19,6 +21,8 @@
 /* Without grants, a router's share of an engine's slots is its even share divided by this. */
 #define WITHOUT_GRANT_SHARE_DIVISOR 2
 
+#define HASH_RANGE 18446744073709551616.0 /* 2^64 */
+
 static uint64_t mix(uint64_t a, uint64_t b)
 {
 	uint64_t h = a * 0x9e3779b97f4a7c15ULL + b;
@@ -74,20 +78,33 @@
 	       state->paused_until <= now;
 }
 
+/*
+ * The engine's score for the prefix.  A faster engine wins as many more prefixes as its weight
+ * says, and when a weight changes, only prefixes of that engine move.
+ */
+static double score_of(const placement_t *this, const engine_state_t *state, uint64_t prefix)
+{
+	uint64_t hash = mix(prefix, state->engine.id);
+
+	return this->speeds_differ ? -state->weight / log(((double)hash + 0.5) / HASH_RANGE)
+				   : (double)hash;
+}
+
 /* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
 static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
 	uint64_t prefix, unsigned int *best)
 {
-	uint64_t scores[MAX_CANDIDATES];
+	double scores[MAX_CANDIDATES];
 	unsigned int count = 0;
 
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		const placement_engine_t *engine = &this->engines[i].engine;
-		uint64_t score = mix(prefix, engine->id);
+		double score;
 		unsigned int rank;
 
 		if (!placement_engine_fits(engine, request->pool, request->version))
 			continue;
+		score = score_of(this, &this->engines[i], prefix);
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
 			if (rank < MAX_CANDIDATES) {
 				scores[rank] = scores[rank - 1];
@@ -295,6 +312,7 @@
 	request->state = PLACEMENT_GRANTED;
 	request->engine = engine;
 	request->owner = owner;
+	request->started_at = now;
 	if (state)
 		state->running_here++;
 	placement_push_action(this, &action);
@@ -417,7 +435,6 @@
 	placement_count_rate(this, best, now);
 	this->stats.without_grant++;
 	request->without_grant = true;
-	request->started_at = now;
 	scheduler_charge(this->scheduler, request->pool, request->workspace,
 		engine_work_cost(&request->work), now);
 	request->ticket = ++this->next_ticket;
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -325,6 +325,34 @@
 	sched_engine_record_success(record->engine);
 }
 
+void scheduler_record_first_token(
+	scheduler_t *this, unsigned int router, uint64_t ticket, uint64_t delay)
+{
+	sched_record_t *record = find_record(this, router, ticket);
+
+	if (record && record->engine)
+		record->engine_request.reported_delay = delay;
+}
+
+void scheduler_record_stream(scheduler_t *this, unsigned int router, uint64_t ticket,
+	uint32_t answer, uint64_t duration, instant_t now)
+{
+	sched_record_t *record = find_record(this, router, ticket);
+
+	if (record && record->engine)
+		engine_record_stream(&record->engine->model, &record->engine_request, answer,
+			duration, now);
+}
+
+void scheduler_record_slowness(scheduler_t *this, unsigned int router, uint64_t ticket,
+	unsigned int percent, instant_t now)
+{
+	sched_record_t *record = find_record(this, router, ticket);
+
+	if (record && record->engine)
+		engine_record_load(&record->engine->model, percent, now);
+}
+
 void scheduler_load_report(
 	scheduler_t *this, unsigned int router, uint64_t ticket, unsigned int load, instant_t now)
 {
@@ -573,6 +601,34 @@
 		engine->version = version;
 }
 
+void scheduler_set_speed_prior(
+	scheduler_t *this, id_t32 id, const engine_speed_prior_t *prior, instant_t now)
+{
+	sched_pool_t *pool = find_pool(this, id);
+	sched_engine_t *engine;
+
+	if (!pool)
+		return;
+	cds_list_for_each_entry (engine, &pool->engines, link)
+		engine_set_speed_prior(&engine->model, prior, now);
+}
+
+void scheduler_restore_speed(
+	scheduler_t *this, id_t32 id, const engine_speed_report_t *report, instant_t now)
+{
+	sched_engine_t *engine = find_engine(this, id);
+
+	if (engine)
+		engine_restore_speed(&engine->model, report, now);
+}
+
+const engine_t *scheduler_engine(const scheduler_t *this, id_t32 id)
+{
+	const sched_engine_t *engine = find_engine(this, id);
+
+	return engine ? &engine->model : NULL;
+}
+
 void scheduler_set_usable(scheduler_t *this, id_t32 id, bool usable)
 {
 	sched_engine_t *engine = find_engine(this, id);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -81,6 +81,14 @@
 /* Sets the version of the engine's software: requests that are bound to another do not run on it.
  */
 void scheduler_set_version(scheduler_t *this, id_t32 engine, id_t32 version);
+/* Sets what to assume of the speed of the pool's engines without samples. */
+void scheduler_set_speed_prior(
+	scheduler_t *this, id_t32 pool, const engine_speed_prior_t *prior, instant_t now);
+/* Takes over what an earlier owner knew of the engine's speed. */
+void scheduler_restore_speed(
+	scheduler_t *this, id_t32 engine, const engine_speed_report_t *report, instant_t now);
+/* Returns the model of an engine that this router owns, or NULL. */
+const engine_t *scheduler_engine(const scheduler_t *this, id_t32 engine);
 /* Sets whether the engine accepts new requests; running ones continue. */
 void scheduler_set_usable(scheduler_t *this, id_t32 engine, bool usable);
 
@@ -93,6 +101,17 @@
  */
 void scheduler_withdraw(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 void scheduler_first_token(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
+/*
+ * What the request's router measured, to be told before the event itself: the time from the grant
+ * to the first token, and from there to the end of a stream of `answer` tokens.
+ */
+void scheduler_record_first_token(
+	scheduler_t *this, unsigned int router, uint64_t ticket, uint64_t delay);
+void scheduler_record_stream(scheduler_t *this, unsigned int router, uint64_t ticket,
+	uint32_t answer, uint64_t duration, instant_t now);
+/* Records that work takes `percent` of its usual time on the machine of the request's engine. */
+void scheduler_record_slowness(scheduler_t *this, unsigned int router, uint64_t ticket,
+	unsigned int percent, instant_t now);
 /* Like scheduler_withdraw(), and records the failure of the engine. */
 void scheduler_fail(scheduler_t *this, unsigned int router, uint64_t ticket, slot_result_t failure,
 	instant_t now);
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -119,6 +119,20 @@
 	put_field(fields, slot->prefill_done);
 }
 
+static void put_engine_state(fields_t *fields, const message_entry_t *entry)
+{
+	const engine_state_report_t *state = &entry->engine_state;
+
+	put_field(fields, entry->engine);
+	put_field(fields, (int64_t)state->cold_left);
+	put_field(fields, (int64_t)state->cold_age);
+	put_field(fields, state->cold_pace);
+	put_field(fields, state->prefill_token_ns);
+	put_field(fields, state->decode_step_us);
+	put_field(fields, state->speed_samples);
+	put_field(fields, (int64_t)state->speed_age);
+}
+
 static void put_row_chunk(fields_t *fields, const message_entry_t *entry)
 {
 	put_field(fields, entry->table);
@@ -167,6 +181,9 @@
 		put_field(&fields, entry->usage.slots);
 		put_field(&fields, entry->usage.taken);
 		break;
+	case ENTRY_ENGINE_STATE:
+		put_engine_state(&fields, entry);
+		break;
 	case ENTRY_RECEIPT:
 	case ENTRY_STREAMS_SAVED:
 		put_field(&fields, (int64_t)entry->ticket);
@@ -348,6 +365,20 @@
 	slot->prefill_done = get_field(fields) != 0;
 }
 
+static void get_engine_state(fields_t *fields, message_entry_t *entry)
+{
+	engine_state_report_t *state = &entry->engine_state;
+
+	entry->engine = (id_t32)get_field(fields);
+	state->cold_left = (uint64_t)get_field(fields);
+	state->cold_age = (uint64_t)get_field(fields);
+	state->cold_pace = (uint32_t)get_field(fields);
+	state->prefill_token_ns = (uint32_t)get_field(fields);
+	state->decode_step_us = (uint32_t)get_field(fields);
+	state->speed_samples = (uint32_t)get_field(fields);
+	state->speed_age = (uint64_t)get_field(fields);
+}
+
 /* Reads a binary value as a pointer into the message; false if the next value is not binary. */
 static bool read_bytes(
 	entry_reader_t *this, msgpack_unpacked *unpacked, const char **bytes, uint32_t *size)
@@ -409,6 +440,9 @@
 		entry->usage.slots = (unsigned int)get_field(&fields);
 		entry->usage.taken = (unsigned int)get_field(&fields);
 		return true;
+	case ENTRY_ENGINE_STATE:
+		get_engine_state(&fields, entry);
+		return true;
 	case ENTRY_RECEIPT:
 	case ENTRY_STREAMS_SAVED:
 		entry->ticket = (uint64_t)get_field(&fields);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -160,8 +160,11 @@
  * is on its way: the call stays allocated until that has arrived.
  */
 void call_leave_placement(call_t *this, slot_result_t result);
-/* Reports to the placement how many requests the endpoint runs and queues. */
-void call_report_load(call_t *this, unsigned int load);
+/*
+ * Reports to the placement how many requests the endpoint runs and queues, and how long work takes
+ * on its machine, in percent of the usual time or 0.
+ */
+void call_report_load(call_t *this, unsigned int load, unsigned int slowness);
 /* Reports the rate limit that the endpoint named, RATE_NONE: none. */
 void call_report_rate_limit(call_t *this, uint32_t rate);
 /* Reports that the endpoint wants no requests from this router for so long. */
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -87,11 +87,11 @@
 		placement_fail(placement_of(this), &this->placement_request, result, now);
 }
 
-void call_report_load(call_t *this, unsigned int load)
+void call_report_load(call_t *this, unsigned int load, unsigned int slowness)
 {
 	if (this->in_placement)
-		placement_load_report(
-			placement_of(this), &this->placement_request, load, clock_now());
+		placement_slowness_report(placement_of(this), &this->placement_request, load,
+			slowness, clock_now());
 }
 
 void call_report_rate_limit(call_t *this, uint32_t rate)
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -158,12 +158,14 @@
 	unsigned int running;
 	unsigned int waiting;
 	unsigned int slots;
+	unsigned int slowness = 0;
 
-	if (sscanf(value, "%u,%u,%u", &running, &waiting, &slots) != 3)
+	if (sscanf(value, "%u,%u,%u,%u", &running, &waiting, &slots, &slowness) < 3)
 		return;
 	response->has_load = true;
 	response->load_running = running;
 	response->load_waiting = waiting;
+	response->slowness = slowness;
 }
 
 static void parse_rate_limit(connection_response_t *response, const char *value)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -509,6 +509,17 @@
 	return typical;
 }
 
+static void on_speed(void *ctx, id_t32 engine, const engine_speed_report_t *speed)
+{
+	const gateway_t *this = ctx;
+	const registered_endpoint_t *endpoint =
+		endpoint_registry_find(this->endpoint_registry, engine);
+
+	log_notice("engine-speed", "engine=%s prefill_ns=%.0f step_us=%.0f plain_us=%.0f samples=%.0f",
+		endpoint ? endpoint->name : "-", speed->time[ENGINE_SPEED_PREFILL] * 1000,
+		speed->time[ENGINE_SPEED_STEP], speed->time[ENGINE_SPEED_PLAIN], speed->samples);
+}
+
 static void on_rate_limit(void *ctx, id_t32 engine, uint32_t rate, uint32_t before)
 {
 	gateway_t *this = ctx;
@@ -539,6 +550,7 @@
 		.origin_keeper = origin_lookup_keeper(this->origin_lookup),
 		.store_readers = this->store_readers,
 		.on_rate_limit = on_rate_limit,
+		.on_speed = on_speed,
 		.ctx = this,
 		.gossip = {.row_cache = this->row_cache,
 			.self = name_id(settings->name),
