Speed of engines: the stated load counts in relation to what the machine usually states

Its figure holds the machine's own speed too (60 and 120 here, 2.5 times that at times): divided out, all engines looked alike.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -283,11 +283,13 @@
 	double duration = time_to_first_token(this, request, now);
 
 	if (!request->memory_tokens)
-		engine_speed_record(&this->speed, ENGINE_SPEED_PLAIN, duration, 1, now);
+		engine_speed_record(&this->speed, ENGINE_SPEED_PLAIN,
+			duration / engine_speed_load(&this->speed, now), 1, now);
 	else if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS &&
-		 duration > this->first_token_us)
+		 duration / engine_speed_load(&this->speed, now) > this->first_token_us)
 		engine_speed_record(&this->speed, ENGINE_SPEED_PREFILL,
-			(duration - this->first_token_us) / request->prefill_tokens,
+			(duration / engine_speed_load(&this->speed, now) - this->first_token_us) /
+				request->prefill_tokens,
 			sample_weight(request->prefill_tokens, PREFILL_SAMPLE_FULL_TOKENS), now);
 	if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
 		update_mean(&this->first_token_us, duration, FIRST_TOKEN_WEIGHT);
--- a/src/core/engine_speed.c
+++ b/src/core/engine_speed.c
@@ -18,6 +18,8 @@
 /* The weight of a stated load falls with this constant. */
 #define LOAD_LIFETIME (300.0 * USEC_PER_MSEC)
 #define MAX_LOAD 20.0
+#define FIRST_LOAD_STEP 1.0
+#define MAX_LOAD_REPORTS 40.0
 /* An engine is degraded when it takes this many times its usual time, known by enough samples. */
 #define DEGRADED_RATIO 1.8
 #define DEGRADED_MIN_SAMPLES 30.0
@@ -31,7 +33,6 @@
 {
 	memset(this, 0, sizeof(*this));
 	this->prior = *prior;
-	this->load = 1;
 }
 
 void engine_speed_set_prior(engine_speed_t *this, const engine_speed_prior_t *prior)
@@ -119,18 +120,26 @@
 void engine_speed_record(engine_speed_t *this, engine_speed_kind_t kind, double time, double weight,
 	instant_t now)
 {
-	double usual_load = fmax(time / engine_speed_load(this, now), MIN_TIME);
-
+	time = fmax(time, MIN_TIME);
 	if (!this->prior.time[kind])
-		this->prior.time[kind] = usual_load;
-	add_sample(&this->estimates[kind], log(usual_load / this->prior.time[kind]), weight,
-		now);
+		this->prior.time[kind] = time;
+	add_sample(&this->estimates[kind], log(time / this->prior.time[kind]), weight, now);
 }
 
 void engine_speed_record_load(engine_speed_t *this, unsigned int percent, instant_t now)
 {
-	this->load = fmin((double)percent / ENGINE_SPEED_USUAL_LOAD, MAX_LOAD);
+	double step;
+
+	if (!percent)
+		return;
+	this->load = log(fmin((double)percent / ENGINE_SPEED_USUAL_LOAD, MAX_LOAD));
 	this->load_at = now;
+	this->load_reports = fmin(this->load_reports + 1, MAX_LOAD_REPORTS);
+	if (this->load_reports == 1)
+		this->usual_load = this->load;
+	/* Small steps of the same size lead to the median: a machine is slow now and then. */
+	step = FIRST_LOAD_STEP / this->load_reports;
+	this->usual_load += fmin(fmax(this->load - this->usual_load, -step), step);
 }
 
 double engine_speed_time(const engine_speed_t *this, engine_speed_kind_t kind, instant_t now)
@@ -140,7 +149,7 @@
 
 double engine_speed_load(const engine_speed_t *this, instant_t now)
 {
-	return 1 + (this->load - 1) * kept(LOAD_LIFETIME, this->load_at, now);
+	return exp((this->load - this->usual_load) * kept(LOAD_LIFETIME, this->load_at, now));
 }
 
 /* --- comparison ------------------------------------------------------------- */
--- a/src/core/engine_speed.h
+++ b/src/core/engine_speed.h
@@ -10,8 +10,9 @@
  * again.  The prior is what the pool's engines need in the median: a new engine gets as much work as
  * the others, not more.  One sample moves an estimate by a bounded part, however far off it is.
  *
- * Beside these stands what the engine's machine says of itself: how long work takes there now, in
- * percent of its usual time.  It changes many times a second, and its weight halves with its age.
+ * Beside these stands what the engine's machine says of itself: how long work takes there now.  It
+ * changes many times a second.  What counts is its ratio to what the same machine says usually, as
+ * how fast the machine is by itself is in the estimates already; the ratio fades with its age.
  *
  * Times are in microseconds.
  */
@@ -43,7 +44,9 @@
 typedef struct engine_speed {
 	engine_speed_prior_t prior;
 	speed_estimate_t estimates[ENGINE_SPEED_KINDS];
-	double load; /* that its machine stated, 1: as usual */
+	double load;	     /* that its machine stated last, as a natural logarithm */
+	double usual_load;   /* that it states mostly, likewise */
+	double load_reports; /* how many stated it so far, up to a limit */
 	instant_t load_at;
 } engine_speed_t;
 
@@ -58,17 +61,17 @@
 /* Sets what to assume without samples; keeps the estimates. */
 void engine_speed_set_prior(engine_speed_t *this, const engine_speed_prior_t *prior);
 /*
- * Records that a unit took `time`, on a machine that is as loaded as last stated; the sample counts
- * by its weight, above 0 and at most 1.
+ * Records that a unit took `time` on a machine as loaded as usual; the sample counts by its weight,
+ * above 0 and at most 1.
  */
 void engine_speed_record(engine_speed_t *this, engine_speed_kind_t kind, double time, double weight,
 	instant_t now);
-/* Records that the machine says that work takes `percent` of its usual time. */
+/* Records that the machine says that work takes `percent` of some nominal time. */
 void engine_speed_record_load(engine_speed_t *this, unsigned int percent, instant_t now);
 
 /* Returns the time of a unit while the machine is as loaded as usual. */
 double engine_speed_time(const engine_speed_t *this, engine_speed_kind_t kind, instant_t now);
-/* Returns how much longer work takes now than usual; 1 when nothing recent is known. */
+/* Returns how much longer work takes now than usually on this machine; 1: nothing recent known. */
 double engine_speed_load(const engine_speed_t *this, instant_t now);
 /*
  * Returns the engine's time in relation to the prior, over prefill and decoding or over plain
