--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -32,6 +32,7 @@
 	memset(this, 0, sizeof(*this));
 	this->id = id;
 	this->limits = *limits;
+	this->prefill_share = PREFILL_SHARE;
 	engine_speed_init(&this->speed,
 		&(engine_speed_prior_t){.time[ENGINE_SPEED_PREFILL] = INITIAL_PREFILL_TOKEN_US});
 	this->prefill_token_us = INITIAL_PREFILL_TOKEN_US;
@@ -191,7 +192,7 @@
 			busy += this->prefills[i].duration;
 	}
 	return engine_speed_load(&this->speed, now) * (double)busy <=
-	       PREFILL_SHARE * (double)window;
+	       this->prefill_share * (double)window;
 }
 
 bool engine_has_room(const engine_t *this, const engine_work_t *work)
@@ -296,12 +297,28 @@
 	update_prefill_time(this, now);
 }
 
+static void adapt_share(engine_t *this, uint64_t pause, instant_t now)
+{
+	if (pause < this->limits.max_event_gap)
+		this->prefill_share *= 1.005;
+	else if (now >= this->pause_counts_at) {
+		this->prefill_share *= 0.84;
+		this->pause_counts_at = now + this->limits.max_event_gap;
+	}
+	if (this->prefill_share > 1)
+		this->prefill_share = 1;
+	if (this->prefill_share < 0.15)
+		this->prefill_share = 0.15;
+}
+
 void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
-	uint64_t duration, instant_t now)
+	uint64_t duration, uint64_t pause, instant_t now)
 {
 	double beside = (double)(this->prefill_total - request->prefill_before);
 	double decoding = (double)duration - beside;
 
+	if (this->limits.max_event_gap && answer)
+		adapt_share(this, pause, now);
 	if (!request->prefill_done || answer < STEP_SAMPLE_MIN_TOKENS || !duration)
 		return;
 	if (decoding < STEP_SAMPLE_MIN_PART * (double)duration)
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -80,6 +80,8 @@
 	engine_speed_t speed;
 	double prefill_token_us; /* usual prefill time of a prompt token, from `speed` */
 	double first_token_us;	 /* estimated time to the first token beyond prefill */
+	double prefill_share; /* of the time, for prefill beside streams */
+	instant_t pause_counts_at; /* a late pause before belongs to the same delay as the last */
 	uint64_t prefill_total;	 /* predicted time of all prefills begun so far */
 	cached_prefix_t cache[ENGINE_CACHE_SETS][ENGINE_CACHE_WAYS]; /* hash 0: empty */
 	uint64_t cache_tokens;
@@ -125,7 +127,7 @@
  * before engine_end_request().
  */
 void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
-	uint64_t duration, instant_t now);
+	uint64_t duration, uint64_t pause, instant_t now);
 /* Records that the engine's machine says that work takes `percent` of its usual time. */
 void engine_record_load(engine_t *this, unsigned int percent, instant_t now);
 /* Sets what to assume of its speed without samples, and what its last owner knew of it. */
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -92,6 +92,8 @@
 	int32_t tokens;	  /* ENTRY_SERVED_TOKENS */
 	/* ENTRY_PART_END: as the sender counts the occasions, 0: unknown; see part_watch.c */
 	uint32_t occasions;
+	/* ENTRY_END: longest pause of the stream, ms; routers of earlier builds send none. */
+	uint32_t pause_ms;
 	bool is_whole; /* ENTRY_PART_END: the part stands for a request as a whole */
 	/*
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
@@ -162,6 +164,7 @@
 	bool without_grant;	   /* no owner granted the slot */
 	instant_t started_at;	   /* at the engine */
 	instant_t first_token_at;
+	uint64_t longest_pause; /* of the stream, set by the embedder before placement_end() */
 } placement_request_t;
 
 typedef struct placement_engine {
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -185,7 +185,8 @@
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
 	scheduler_record_stream(
-		this->scheduler, slot, entry->ticket, entry->value, entry->source, now);
+		this->scheduler, slot, entry->ticket, entry->value, entry->source,
+		entry->pause_ms * USEC_PER_MSEC, now);
 	scheduler_end(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -168,7 +168,7 @@
 	ratio = known ? exp(sum / known) : 1;
 	if (ratio < ENGINE_SPEED_MIN_RATIO && ratio * ENGINE_SPEED_MIN_RATIO > 1)
 		return 1;
-	return fmax(fmin(1 / ratio, MAX_WEIGHT), 1 / MAX_WEIGHT);
+	return fmax(fmin(pow(ratio, -1.5), MAX_WEIGHT), 1 / MAX_WEIGHT);
 }
 
 static void update_pool(placement_t *this, id_t32 pool, instant_t now)
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -335,13 +335,13 @@
 }
 
 void scheduler_record_stream(scheduler_t *this, unsigned int router, uint64_t ticket,
-	uint32_t answer, uint64_t duration, instant_t now)
+	uint32_t answer, uint64_t duration, uint64_t pause, instant_t now)
 {
 	sched_record_t *record = find_record(this, router, ticket);
 
 	if (record && record->engine)
 		engine_record_stream(&record->engine->model, &record->engine_request, answer,
-			duration, now);
+			duration, pause, now);
 }
 
 void scheduler_record_slowness(scheduler_t *this, unsigned int router, uint64_t ticket,
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -108,7 +108,7 @@
 void scheduler_record_first_token(
 	scheduler_t *this, unsigned int router, uint64_t ticket, uint64_t delay);
 void scheduler_record_stream(scheduler_t *this, unsigned int router, uint64_t ticket,
-	uint32_t answer, uint64_t duration, instant_t now);
+	uint32_t answer, uint64_t duration, uint64_t pause, instant_t now);
 /* Records that work takes `percent` of its usual time on the machine of the request's engine. */
 void scheduler_record_slowness(scheduler_t *this, unsigned int router, uint64_t ticket,
 	unsigned int percent, instant_t now);
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -146,8 +146,10 @@
 }
 
 /* Fields that routers of earlier versions neither send nor read. */
-static void put_part_fields(fields_t *fields, const message_entry_t *entry)
+static void put_late_fields(fields_t *fields, const message_entry_t *entry)
 {
+	if (entry->kind == ENTRY_END)
+		put_field(fields, entry->pause_ms);
 	if (entry->kind != ENTRY_PART_END)
 		return;
 	put_field(fields, entry->occasions);
@@ -211,7 +213,7 @@
 		put_field(&fields, entry->engine);
 		put_field(&fields, entry->value);
 		put_field(&fields, entry->source);
-		put_part_fields(&fields, entry);
+		put_late_fields(&fields, entry);
 		break;
 	}
 	write_fields(this, &fields);
@@ -464,6 +466,10 @@
 		entry->engine = (id_t32)get_field(&fields);
 		entry->value = (uint32_t)get_field(&fields);
 		entry->source = (id_t32)get_field(&fields);
+		if (entry->kind == ENTRY_END) {
+			entry->pause_ms = (uint32_t)get_field(&fields);
+			return true;
+		}
 		entry->occasions = (uint32_t)get_field(&fields);
 		entry->is_whole = get_field(&fields) != 0;
 		return true;
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -79,6 +79,7 @@
 	if (!this->in_placement || (this->decision_pending && is_placement_decided(this)))
 		return;
 	this->in_placement = false;
+	this->placement_request.longest_pause = this->max_event_gap;
 	if (result == SLOT_DONE && this->placement_request.state == PLACEMENT_GRANTED)
 		placement_end(placement_of(this), &this->placement_request, this->cost, now);
 	else if (result == SLOT_UNUSED || this->placement_request.state != PLACEMENT_GRANTED)
