--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -25,6 +25,12 @@
 #define PRIVATE_HASH_STEP 0x9e3779b97f4a7c16ULL
 /* Share of the longest pause for prefill; the rest is for decode steps and one more prompt. */
 #define PREFILL_SHARE 0.44
+/* Where engines differ in speed, each has a share of its own within these bounds. */
+#define MIN_PREFILL_SHARE 0.15
+#define MAX_PREFILL_SHARE 1.0
+/* With each stream that kept its pauses, and with a longer pause: balanced at 3 in 100 streams. */
+#define SHARE_GROWTH 1.005
+#define SHARE_CUT 0.84
 #define MEMORY_RESERVE_DIVISOR 16 /* 1/16 of the memory is left for the engine's own blocks */
 
 void engine_init(engine_t *this, id_t32 id, const engine_limits_t *limits)
@@ -297,18 +303,26 @@
 	update_prefill_time(this, now);
 }
 
+/*
+ * An engine that is fast may prefill for longer beside its streams than one that is slow, before
+ * their pauses become too long: the share grows while they do not, and falls when one did.
+ */
 static void adapt_share(engine_t *this, uint64_t pause, instant_t now)
 {
-	if (pause < this->limits.max_event_gap)
-		this->prefill_share *= 1.005;
-	else if (now >= this->pause_counts_at) {
-		this->prefill_share *= 0.84;
+	if (!this->speed.prior.differ) {
+		this->prefill_share = PREFILL_SHARE;
+		return;
+	}
+	if (pause <= this->limits.max_event_gap) {
+		this->prefill_share *= SHARE_GROWTH;
+	} else if (now >= this->pause_counts_at) {
+		this->prefill_share *= SHARE_CUT;
 		this->pause_counts_at = now + this->limits.max_event_gap;
 	}
-	if (this->prefill_share > 1)
-		this->prefill_share = 1;
-	if (this->prefill_share < 0.15)
-		this->prefill_share = 0.15;
+	if (this->prefill_share > MAX_PREFILL_SHARE)
+		this->prefill_share = MAX_PREFILL_SHARE;
+	if (this->prefill_share < MIN_PREFILL_SHARE)
+		this->prefill_share = MIN_PREFILL_SHARE;
 }
 
 void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
--- a/src/core/engine_speed.c
+++ b/src/core/engine_speed.c
@@ -37,6 +37,7 @@
 
 void engine_speed_set_prior(engine_speed_t *this, const engine_speed_prior_t *prior)
 {
+	this->prior.differ = prior->differ;
 	for (unsigned int i = 0; i < ENGINE_SPEED_KINDS; i++) {
 		speed_estimate_t *estimate = &this->estimates[i];
 		double shift;
--- a/src/core/engine_speed.h
+++ b/src/core/engine_speed.h
@@ -20,7 +20,7 @@
 
 #define ENGINE_SPEED_USUAL_LOAD 100 /* percent */
 /* From this ratio of their speeds on, two engines count as different. */
-#define ENGINE_SPEED_MIN_RATIO 1.25
+#define ENGINE_SPEED_MIN_RATIO 1.4
 
 typedef enum engine_speed_kind {
 	ENGINE_SPEED_PREFILL, /* a prompt token */
@@ -39,6 +39,7 @@
 
 typedef struct engine_speed_prior {
 	double time[ENGINE_SPEED_KINDS]; /* 0: unknown */
+	bool differ;			 /* some engines of the pool differ from the median */
 } engine_speed_prior_t;
 
 typedef struct engine_speed {
--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -4,11 +4,13 @@
 #include <stdlib.h>
 
 /* An owner tells the speed of an engine again when it has changed by this ratio, ... */
-#define TELL_RATIO 1.15
+#define TELL_RATIO 1.3
 /* ... and now and then, as a message may be lost and routers start. */
 #define TELL_INTERVAL (4 * USEC_PER_SEC)
-#define MIN_SAMPLES 5.0 /* that an engine's speed is based on before it is told */
+#define MIN_SAMPLES 10.0 /* that an engine's speed is based on before it is told */
 #define MAX_WEIGHT 8.0
+/* A fast engine gets more than its part: a long prompt delays the streams beside it less there. */
+#define WEIGHT_EXPONENT 1.5
 #define NSEC_PER_USEC 1000.0
 
 static bool has_changed(const engine_speed_report_t *now, const engine_speed_report_t *told)
@@ -152,7 +154,7 @@
 	return times[count / 2];
 }
 
-/* One over the engine's time in relation to the pool's median; 1 for about the same. */
+/* By the engine's time in relation to the pool's median; 1 for about the same. */
 static double weight_of(const engine_state_t *state, const engine_speed_prior_t *median)
 {
 	double sum = 0;
@@ -168,7 +170,7 @@
 	ratio = known ? exp(sum / known) : 1;
 	if (ratio < ENGINE_SPEED_MIN_RATIO && ratio * ENGINE_SPEED_MIN_RATIO > 1)
 		return 1;
-	return fmax(fmin(pow(ratio, -1.5), MAX_WEIGHT), 1 / MAX_WEIGHT);
+	return fmax(fmin(pow(ratio, -WEIGHT_EXPONENT), MAX_WEIGHT), 1 / MAX_WEIGHT);
 }
 
 static void update_pool(placement_t *this, id_t32 pool, instant_t now)
@@ -178,15 +180,16 @@
 		.time[ENGINE_SPEED_STEP] = median_time(this, pool, ENGINE_SPEED_STEP),
 	};
 
-	scheduler_set_speed_prior(this->scheduler, pool, &median, now);
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		engine_state_t *state = &this->engines[i];
 
 		if (state->engine.pool == pool) {
 			state->weight = weight_of(state, &median);
-			this->speeds_differ |= state->weight != 1;
+			median.differ |= state->weight != 1;
 		}
 	}
+	this->speeds_differ |= median.differ;
+	scheduler_set_speed_prior(this->scheduler, pool, &median, now);
 }
 
 void placement_update_speeds(placement_t *this, instant_t now)
