--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -254,11 +254,12 @@
 	*mean += weight * (sample - *mean);
 }
 
-/* Takes over the estimate of `speed`, within bounds. */
-static void update_prefill_time(engine_t *this, instant_t now)
+/* Takes over the estimates of `speed`, within bounds. */
+static void update_speed(engine_t *this, instant_t now)
 {
 	double time = engine_speed_time(&this->speed, ENGINE_SPEED_PREFILL, now);
 
+	this->degraded = engine_speed_is_degraded(&this->speed, now);
 	if (time < MIN_PREFILL_TOKEN_US)
 		time = MIN_PREFILL_TOKEN_US;
 	this->prefill_token_us = time < MAX_PREFILL_TOKEN_US ? time : MAX_PREFILL_TOKEN_US;
@@ -300,7 +301,7 @@
 			sample_weight(request->prefill_tokens, PREFILL_SAMPLE_FULL_TOKENS), now);
 	if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
 		update_mean(&this->first_token_us, duration, FIRST_TOKEN_WEIGHT);
-	update_prefill_time(this, now);
+	update_speed(this, now);
 }
 
 /*
@@ -339,7 +340,7 @@
 		decoding = STEP_SAMPLE_MIN_PART * (double)duration;
 	engine_speed_record(&this->speed, ENGINE_SPEED_STEP, decoding / answer,
 		sample_weight(answer, STEP_SAMPLE_FULL_TOKENS), now);
-	update_prefill_time(this, now);
+	update_speed(this, now);
 }
 
 void engine_record_load(engine_t *this, unsigned int percent, instant_t now)
@@ -350,13 +351,13 @@
 void engine_set_speed_prior(engine_t *this, const engine_speed_prior_t *prior, instant_t now)
 {
 	engine_speed_set_prior(&this->speed, prior);
-	update_prefill_time(this, now);
+	update_speed(this, now);
 }
 
 void engine_restore_speed(engine_t *this, const engine_speed_report_t *report, instant_t now)
 {
 	engine_speed_restore(&this->speed, report, now);
-	update_prefill_time(this, now);
+	update_speed(this, now);
 }
 
 static void update_prefill_until(engine_t *this, instant_t now)
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -45,9 +45,9 @@
 	uint32_t memory_tokens;	   /* that the request will occupy at its end */
 	uint32_t private_tokens;   /* those of memory_tokens that are in no shared part */
 	instant_t began_at;
-	uint64_t reported_delay;  /* to the first token, as its router measured it; 0: unknown */
+	uint64_t reported_delay; /* to the first token, as its router measured it; 0: unknown */
 	uint64_t prefill_before; /* engine_t.prefill_total at its first token */
-	bool prefill_done; /* prefill is finished: the first token has arrived */
+	bool prefill_done;	 /* prefill is finished: the first token has arrived */
 } engine_request_t;
 
 typedef struct cached_prefix {
@@ -78,11 +78,12 @@
 	instant_t prefill_until;       /* predicted end of the prefill of all requests */
 	instant_t last_first_token_at; /* arrival of the latest first token */
 	engine_speed_t speed;
-	double prefill_token_us; /* usual prefill time of a prompt token, from `speed` */
-	double first_token_us;	 /* estimated time to the first token beyond prefill */
-	double prefill_share; /* of the time, for prefill beside streams */
+	double prefill_token_us;   /* usual prefill time of a prompt token, from `speed` */
+	double first_token_us;	   /* estimated time to the first token beyond prefill */
+	bool degraded;		   /* much slower than it used to be */
+	double prefill_share;	   /* of the time, for prefill beside streams */
 	instant_t pause_counts_at; /* a late pause before belongs to the same delay as the last */
-	uint64_t prefill_total;	 /* predicted time of all prefills begun so far */
+	uint64_t prefill_total;	   /* predicted time of all prefills begun so far */
 	cached_prefix_t cache[ENGINE_CACHE_SETS][ENGINE_CACHE_WAYS]; /* hash 0: empty */
 	uint64_t cache_tokens;
 	uint64_t ended;					    /* requests that ended */
--- a/src/core/engine_speed.c
+++ b/src/core/engine_speed.c
@@ -118,8 +118,8 @@
 	this->sampled_at = now;
 }
 
-void engine_speed_record(engine_speed_t *this, engine_speed_kind_t kind, double time, double weight,
-	instant_t now)
+void engine_speed_record(
+	engine_speed_t *this, engine_speed_kind_t kind, double time, double weight, instant_t now)
 {
 	time = fmax(time, MIN_TIME);
 	if (!this->prior.time[kind])
@@ -189,8 +189,7 @@
 	return report;
 }
 
-void engine_speed_restore(
-	engine_speed_t *this, const engine_speed_report_t *report, instant_t now)
+void engine_speed_restore(engine_speed_t *this, const engine_speed_report_t *report, instant_t now)
 {
 	instant_t sampled_at = now > report->age ? now - report->age : 0;
 
--- a/src/core/engine_speed.h
+++ b/src/core/engine_speed.h
@@ -7,8 +7,8 @@
  * of a decode step, and the time of a plain request.  Each keeps a recent value and the engine's
  * usual one.  Without samples the recent value returns to the usual one within seconds and the
  * usual one to the prior within a minute, so that an engine that was slow for a moment is tried
- * again.  The prior is what the pool's engines need in the median: a new engine gets as much work as
- * the others, not more.  One sample moves an estimate by a bounded part, however far off it is.
+ * again.  The prior is what the pool's engines need in the median: a new engine gets as much work
+ * as the others, not more.  One sample moves an estimate by a bounded part, however far off it is.
  *
  * Beside these stands what the engine's machine says of itself: how long work takes there now.  It
  * changes many times a second.  What counts is its ratio to what the same machine says usually, as
@@ -65,8 +65,8 @@
  * Records that a unit took `time` on a machine as loaded as usual; the sample counts by its weight,
  * above 0 and at most 1.
  */
-void engine_speed_record(engine_speed_t *this, engine_speed_kind_t kind, double time, double weight,
-	instant_t now);
+void engine_speed_record(
+	engine_speed_t *this, engine_speed_kind_t kind, double time, double weight, instant_t now);
 /* Records that the machine says that work takes `percent` of some nominal time. */
 void engine_speed_record_load(engine_speed_t *this, unsigned int percent, instant_t now);
 
@@ -84,7 +84,6 @@
 
 /* What the next owner needs, and taking it over: samples of one's own that are newer stay. */
 engine_speed_report_t engine_speed_report(const engine_speed_t *this, instant_t now);
-void engine_speed_restore(
-	engine_speed_t *this, const engine_speed_report_t *report, instant_t now);
+void engine_speed_restore(engine_speed_t *this, const engine_speed_report_t *report, instant_t now);
 
 #endif
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -122,10 +122,8 @@
 void placement_slowness_report(placement_t *this, placement_request_t *request, unsigned int load,
 	unsigned int percent, instant_t now)
 {
-	message_entry_t entry = {.kind = ENTRY_LOAD,
-		.ticket = request->ticket,
-		.value = load,
-		.source = percent};
+	message_entry_t entry = {
+		.kind = ENTRY_LOAD, .ticket = request->ticket, .value = load, .source = percent};
 
 	if (request->state == PLACEMENT_GRANTED)
 		send_entry(this, request->owner, &entry, now);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -8,7 +8,7 @@
 #define BACKLOG_BUCKETS 256
 #define TICKET_BUCKETS 1024
 #define MAX_MEDIAN_ENGINES 512 /* of which the median is taken */
-#define LIST_GROWTH 64 /* elements added to a list that is full */
+#define LIST_GROWTH 64	       /* elements added to a list that is full */
 /* Interval at which a router repeats a slot request that waits at its owner. */
 #define RESEND_INTERVAL (200 * USEC_PER_MSEC)
 /* Up to this reported utilization, an owner is assumed to have a free slot. */
@@ -20,12 +20,12 @@
 	unsigned int running_here; /* requests of this router that run on the engine */
 	/* As known here; its starts are those without a grant. */
 	rate_limit_t rate_limit;
-	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
-	instant_t paused_until; /* this router sends it nothing before */
+	instant_t rate_told_at;	     /* when the owner was last told of the limit; 0: not yet */
+	instant_t paused_until;	     /* this router sends it nothing before */
 	engine_speed_report_t speed; /* as its owner has told, so that all routers agree on it */
 	instant_t speed_at;	     /* when it did, 0: not yet */
 	uint64_t speed_serial;	     /* of our report of it to the others, 0: none */
-	double weight; /* its share of the prompt parts, 1: that of a median engine */
+	double weight;		     /* its share of the prompt parts, 1: that of a median engine */
 } engine_state_t;
 
 /* Slot usage of a member's engines of a pool. */
@@ -48,9 +48,9 @@
 	uint64_t seq;	   /* of the last message sent */
 	instant_t send_at; /* when the next message is due */
 	instant_t sent_at;
-	link_watch_t link;    /* whether our messages arrive */
-	uint64_t receipt_seq; /* newest message of the peer that we have confirmed */
-	instant_t receipt_at; /* when the next confirmation may be sent */
+	link_watch_t link;     /* whether our messages arrive */
+	uint64_t receipt_seq;  /* newest message of the peer that we have confirmed */
+	instant_t receipt_at;  /* when the next confirmation may be sent */
 	uint64_t speed_serial; /* newest report of an engine's speed that the peer was sent */
 } peer_state_t;
 
@@ -79,8 +79,8 @@
 	uint64_t random;
 	instant_t next_report_at;	 /* of all slots in use */
 	instant_t next_served_report_at; /* of the tokens served */
-	uint64_t speed_serial; /* of the newest report of a speed */
-	bool speeds_differ;    /* engine_state_t.weight is not 1 everywhere */
+	uint64_t speed_serial;		 /* of the newest report of a speed */
+	bool speeds_differ;		 /* engine_state_t.weight is not 1 everywhere */
 	bool stopping;
 	placement_stats_t stats;
 };
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -170,8 +170,7 @@
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
 	if (entry->source)
-		scheduler_record_slowness(
-			this->scheduler, slot, entry->ticket, entry->source, now);
+		scheduler_record_slowness(this->scheduler, slot, entry->ticket, entry->source, now);
 	scheduler_load_report(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -184,8 +183,7 @@
 static void handle_end(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	scheduler_record_stream(
-		this->scheduler, slot, entry->ticket, entry->value, entry->source,
+	scheduler_record_stream(this->scheduler, slot, entry->ticket, entry->value, entry->source,
 		entry->pause_ms * USEC_PER_MSEC, now);
 	scheduler_end(this->scheduler, slot, entry->ticket, entry->value, now);
 }
--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -161,7 +161,8 @@
 	unsigned int known = 0;
 	double ratio;
 
-	for (unsigned int i = 0; i < ENGINE_SPEED_KINDS; i++) {
+	/* Plain requests have no homes, and only the owner knows their time. */
+	for (unsigned int i = 0; i < ENGINE_SPEED_PLAIN; i++) {
 		if (!state->speed.time[i] || !median->time[i])
 			continue;
 		sum += log(state->speed.time[i] / median->time[i]);
@@ -178,6 +179,7 @@
 	engine_speed_prior_t median = {
 		.time[ENGINE_SPEED_PREFILL] = median_time(this, pool, ENGINE_SPEED_PREFILL),
 		.time[ENGINE_SPEED_STEP] = median_time(this, pool, ENGINE_SPEED_STEP),
+		.time[ENGINE_SPEED_PLAIN] = median_time(this, pool, ENGINE_SPEED_PLAIN),
 	};
 
 	for (unsigned int i = 0; i < this->engine_count; i++) {
--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -9,7 +9,9 @@
 #define PROBE_FAILURES 2
 #define PROBE_SLOTS 2	   /* requests at a time at an engine that is only probed */
 #define FAILURE_WEIGHT 0.1 /* of a new sample in the moving average */
-#define FAILURE_PENALTY (500.0 * USEC_PER_MSEC)	  /* for an engine where all requests fail */
+#define FAILURE_PENALTY (500.0 * USEC_PER_MSEC) /* for an engine where all requests fail */
+/* For one much slower than it used to be: a fault may be the cause.  One always slow has none. */
+#define DEGRADED_PENALTY (100 * USEC_PER_MSEC)
 #define EXTERNAL_LOAD_WEIGHT 0.2		  /* of a new sample in the moving average */
 #define EXTERNAL_LOAD_LIFETIME (1 * USEC_PER_SEC) /* how long a load report stays valid */
 
@@ -34,7 +36,8 @@
 
 uint64_t sched_engine_failure_penalty(const sched_engine_t *this)
 {
-	return (uint64_t)(this->failure_ratio * FAILURE_PENALTY);
+	return (uint64_t)(this->failure_ratio * FAILURE_PENALTY) +
+	       (this->model.degraded ? DEGRADED_PENALTY : 0);
 }
 
 void sched_engine_record_success(sched_engine_t *this)
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -91,8 +91,8 @@
 void call_report_load(call_t *this, unsigned int load, unsigned int slowness)
 {
 	if (this->in_placement)
-		placement_slowness_report(placement_of(this), &this->placement_request, load,
-			slowness, clock_now());
+		placement_slowness_report(
+			placement_of(this), &this->placement_request, load, slowness, clock_now());
 }
 
 void call_report_rate_limit(call_t *this, uint32_t rate)
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -32,8 +32,8 @@
 static void report_load(call_t *call, const connection_response_t *response)
 {
 	if (response->has_load)
-		call_report_load(call, response->load_running + response->load_waiting,
-			response->slowness);
+		call_report_load(
+			call, response->load_running + response->load_waiting, response->slowness);
 }
 
 static void note_malformed_limit(call_t *call)
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -42,7 +42,7 @@
 	bool has_load;
 	unsigned int load_running;
 	unsigned int load_waiting;
-	unsigned int slowness; /* of its machine, percent of the usual time; 0: not stated */
+	unsigned int slowness;	   /* of its machine, percent of the usual time; 0: not stated */
 	uint32_t rate_limit;	   /* lowest named, see rate_limit.h; RATE_NONE: none */
 	bool rate_limit_malformed; /* one was named that can't be read */
 	bool is_encoded;	   /* the body has a content encoding */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -515,7 +515,8 @@
 	const registered_endpoint_t *endpoint =
 		endpoint_registry_find(this->endpoint_registry, engine);
 
-	log_notice("engine-speed", "engine=%s prefill_ns=%.0f step_us=%.0f plain_us=%.0f samples=%.0f",
+	log_notice("engine-speed",
+		"engine=%s prefill_ns=%.0f step_us=%.0f plain_us=%.0f samples=%.0f",
 		endpoint ? endpoint->name : "-", speed->time[ENGINE_SPEED_PREFILL] * 1000,
 		speed->time[ENGINE_SPEED_STEP], speed->time[ENGINE_SPEED_PLAIN], speed->samples);
 }
--- a/tests/engine_sim.h
+++ b/tests/engine_sim.h
@@ -5,7 +5,8 @@
  *
  * An engine prefills prompts one after another at a fixed rate.  At the same
  * time it generates one token every `step_us` for each request whose prefill is
- * done.  Time is simulated and all randomness comes from the seed.  A test sets
+ * done, and more slowly while it prefills if `interference` says so.  Engines may
+ * differ in speed.  Time is simulated and all randomness comes from the seed.  A test sets
  * the offered load, runs the simulation and checks which requests were served
  * in time.
  */
@@ -24,6 +25,14 @@
 	uint32_t seed;
 	uint64_t late_wait;		 /* option of the scheduler, microseconds */
 	unsigned int unreachable_engine; /* 1 + index of an engine that can't be reached, 0: none */
+	const double *slowness; /* for each engine: how many times longer all work takes; NULL: 1 */
+	/* Each engine is `noise` times slower in this share of the time, for `noise_ms` at once. */
+	double noise; /* 0: never */
+	double noise_share;
+	unsigned int noise_ms;
+	double interference;	   /* how many times longer a step takes beside a prefill, 0: 1 */
+	uint64_t max_event_gap;	   /* limit of the engines, microseconds; 0: none */
+	unsigned int event_tokens; /* tokens of one event of a stream, 0: 1 */
 } sim_options_t;
 
 /* A kind of request; sizes are in tokens. */
@@ -47,6 +56,13 @@
 	uint64_t shared_prefill_tokens; /* shared tokens that the engine had not cached */
 } sim_count_t;
 
+/* What one engine did. */
+typedef struct sim_engine_count {
+	unsigned int streams;	  /* that ended */
+	unsigned int late_pauses; /* those of them with a pause above max_event_gap */
+	uint64_t tokens;	  /* prompt + 2 * generated tokens of them */
+} sim_engine_count_t;
+
 typedef struct sim sim_t;
 
 sim_t *sim_new(const sim_options_t *options);
@@ -62,6 +78,7 @@
  * ones; with `largest_tenth`, only for the tenth of them with the largest prompts.
  */
 double sim_served_share(const sim_t *this, bool largest_tenth);
+const sim_engine_count_t *sim_engine_count(const sim_t *this, unsigned int index);
 instant_t sim_now(const sim_t *this);
 /* Id of an engine, from 0. */
 id_t32 sim_engine_id(unsigned int index);
