--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -332,7 +332,7 @@
 	double beside = (double)(this->prefill_total - request->prefill_before);
 	double decoding = (double)duration - beside;
 
-	if (this->limits.max_event_gap && answer)
+	if (this->limits.max_event_gap && answer && duration)
 		adapt_share(this, pause, now);
 	if (!request->prefill_done || answer < STEP_SAMPLE_MIN_TOKENS || !duration)
 		return;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -124,12 +124,13 @@
 /* Records that the first token has arrived; later calls for the same request do nothing. */
 void engine_finish_prefill(engine_t *this, engine_request_t *request, instant_t now);
 /*
- * Records that a stream of `answer` tokens took `duration` from its first token on; to be called
- * before engine_end_request().
+ * Records that a stream of `answer` tokens took `duration` from its first token on, 0 if unknown,
+ * and that `pause` was the longest time between two events; to be called before
+ * engine_end_request().
  */
 void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
 	uint64_t duration, uint64_t pause, instant_t now);
-/* Records that the engine's machine says that work takes `percent` of its usual time. */
+/* See engine_speed_record_load(). */
 void engine_record_load(engine_t *this, unsigned int percent, instant_t now);
 /* Sets what to assume of its speed without samples, and what its last owner knew of it. */
 void engine_set_speed_prior(engine_t *this, const engine_speed_prior_t *prior, instant_t now);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -38,6 +38,7 @@
 	request->prefill_done = false;
 	request->without_grant = false;
 	request->longest_pause = 0;
+	request->was_held_up = false;
 	request->source = 0;
 	if (!placement_has_usable_engine(this, request->pool, request->version)) {
 		placement_reject(this, request, NO_ENGINE_RETRY_MS);
@@ -157,9 +158,10 @@
 	if (request->state != PLACEMENT_GRANTED)
 		return;
 	/* What an earlier engine has answered tells nothing of this one. */
-	if (request->prefill_done && !request->was_started)
+	if (request->prefill_done && !request->was_started && !request->was_held_up) {
 		entry.source = duration_entry(request->first_token_at, now);
-	entry.pause_ms = (uint32_t)(request->longest_pause / USEC_PER_MSEC);
+		entry.pause_ms = (uint32_t)(request->longest_pause / USEC_PER_MSEC);
+	}
 	send_entry(this, request->owner, &entry, now);
 	placement_release_slot(this, request);
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -164,7 +164,9 @@
 	bool without_grant;	   /* no owner granted the slot */
 	instant_t started_at;	   /* at the engine */
 	instant_t first_token_at;
-	uint64_t longest_pause; /* of the stream, set by the embedder before placement_end() */
+	/* Of the stream, set by the embedder before placement_end(). */
+	uint64_t longest_pause;
+	bool was_held_up; /* its caller did not read: its times tell nothing of the engine */
 } placement_request_t;
 
 typedef struct placement_engine {
@@ -321,6 +323,8 @@
 void placement_report_lanes(placement_t *this, instant_t now,
 	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
 
+/* Number of engines whose speed differs from that of their pool's median. */
+unsigned int placement_unequal_engines(const placement_t *this);
 /* Number of engines that are known to have a rate limit. */
 unsigned int placement_rate_limited(const placement_t *this);
 const members_t *placement_members(const placement_t *this);
--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -194,6 +194,15 @@
 	scheduler_set_speed_prior(this->scheduler, pool, &median, now);
 }
 
+unsigned int placement_unequal_engines(const placement_t *this)
+{
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < this->engine_count; i++)
+		count += this->engines[i].weight != 1;
+	return count;
+}
+
 void placement_update_speeds(placement_t *this, instant_t now)
 {
 	const peer_state_t *own = &this->peers[0];
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -103,7 +103,8 @@
 void scheduler_first_token(scheduler_t *this, unsigned int router, uint64_t ticket, instant_t now);
 /*
  * What the request's router measured, to be told before the event itself: the time from the grant
- * to the first token, and from there to the end of a stream of `answer` tokens.
+ * to the first token; the time from there to the end of a stream of `answer` tokens and its
+ * longest pause.  A time of 0 is unknown.
  */
 void scheduler_record_first_token(
 	scheduler_t *this, unsigned int router, uint64_t ticket, uint64_t delay);
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -224,8 +224,10 @@
 {
 	start_response(call);
 	caller_send_body(call->caller, data, len);
-	if (caller_is_write_blocked(call->caller) && call->connection)
-		endpoint_connection_pause(call->connection, true);
+	if (!caller_is_write_blocked(call->caller) || !call->connection)
+		return;
+	call->placement_request.was_held_up = true;
+	endpoint_connection_pause(call->connection, true);
 }
 
 static void record_event_gap(call_t *call)
