--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -7,7 +7,8 @@
 #define INITIAL_FIRST_TOKEN_US 30000.0
 #define MIN_PREFILL_TOKEN_US 1.0
 #define MAX_PREFILL_TOKEN_US 1000.0
-/* Weight of a new sample in the moving average. */
+/* Weights of a new sample in the moving averages. */
+#define PREFILL_WEIGHT 0.15
 #define FIRST_TOKEN_WEIGHT 0.05
 /* Streams with at least this many tokens tell the time of a decode step. */
 #define STEP_SAMPLE_MIN_TOKENS 32
@@ -41,6 +42,7 @@
 	this->prefill_share = PREFILL_SHARE;
 	engine_speed_init(&this->speed,
 		&(engine_speed_prior_t){.time[ENGINE_SPEED_PREFILL] = INITIAL_PREFILL_TOKEN_US});
+	this->prefill_mean_us = INITIAL_PREFILL_TOKEN_US;
 	this->prefill_token_us = INITIAL_PREFILL_TOKEN_US;
 	this->first_token_us = INITIAL_FIRST_TOKEN_US;
 	CDS_INIT_LIST_HEAD(&this->requests);
@@ -152,6 +154,12 @@
 
 /* --- prediction --------------------------------------------------------- */
 
+/* How much longer work takes now than usually, as far as the engine's speed is looked at. */
+static double load_now(const engine_t *this, instant_t now)
+{
+	return this->speed.prior.differ ? engine_speed_load(&this->speed, now) : 1;
+}
+
 uint64_t engine_prefill_backlog(const engine_t *this, instant_t now)
 {
 	return this->prefilling ? instant_left(this->prefill_until, now) : 0;
@@ -177,7 +185,7 @@
 	uint32_t prefill = engine_prefill_tokens_with_copy(this, work, source_prefill);
 
 	return now + engine_prefill_backlog(this, now) +
-	       (uint64_t)(engine_speed_load(&this->speed, now) *
+	       (uint64_t)(load_now(this, now) *
 			  (first_token_us(this, work, now) + this->prefill_token_us * prefill));
 }
 
@@ -197,8 +205,7 @@
 		if (now < this->prefills[i].start + window)
 			busy += this->prefills[i].duration;
 	}
-	return engine_speed_load(&this->speed, now) * (double)busy <=
-	       this->prefill_share * (double)window;
+	return load_now(this, now) * (double)busy <= this->prefill_share * (double)window;
 }
 
 bool engine_has_room(const engine_t *this, const engine_work_t *work)
@@ -237,8 +244,7 @@
 	this->prefilling++;
 	this->memory_tokens += request->memory_tokens;
 	duration = (uint64_t)(this->prefill_token_us * request->prefill_tokens);
-	this->prefill_until =
-		start + (uint64_t)(engine_speed_load(&this->speed, now) * (double)duration);
+	this->prefill_until = start + (uint64_t)(load_now(this, now) * (double)duration);
 	this->prefill_total += duration;
 	record_prefill(this, start, duration);
 	for (unsigned int i = 0; i < work->chain.count; i++) {
@@ -254,10 +260,15 @@
 	*mean += weight * (sample - *mean);
 }
 
-/* Takes over the estimates of `speed`, within bounds. */
+/*
+ * Takes over the estimates.  Those of `speed` tell engines of one pool apart; without the delays
+ * elsewhere they are lower than the moving average, which serves where the engines do not differ.
+ */
 static void update_speed(engine_t *this, instant_t now)
 {
-	double time = engine_speed_time(&this->speed, ENGINE_SPEED_PREFILL, now);
+	double time = this->speed.prior.differ
+			      ? engine_speed_time(&this->speed, ENGINE_SPEED_PREFILL, now)
+			      : this->prefill_mean_us;
 
 	this->degraded = engine_speed_is_degraded(&this->speed, now);
 	if (time < MIN_PREFILL_TOKEN_US)
@@ -270,14 +281,25 @@
  * Prefill starts when the request begins, or at the previous first token if that is later, as the
  * engine processes prompts one after another.
  */
-static double time_to_first_token(
-	const engine_t *this, const engine_request_t *request, instant_t now)
+static double time_to_first_token(const engine_t *this, instant_t began_at, instant_t now)
+{
+	return (double)(now - instant_max(began_at, this->last_first_token_at));
+}
+
+static void update_means(engine_t *this, const engine_request_t *request, instant_t now)
 {
-	instant_t start = request->reported_delay && request->reported_delay < now
-				  ? now - request->reported_delay
-				  : request->began_at;
+	double duration = time_to_first_token(this, request->began_at, now);
 
-	return (double)instant_left(now, instant_max(start, this->last_first_token_at));
+	if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS && duration > this->first_token_us)
+		update_mean(&this->prefill_mean_us,
+			(duration - this->first_token_us) / request->prefill_tokens,
+			PREFILL_WEIGHT);
+	else if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
+		update_mean(&this->first_token_us, duration, FIRST_TOKEN_WEIGHT);
+	if (this->prefill_mean_us < MIN_PREFILL_TOKEN_US)
+		this->prefill_mean_us = MIN_PREFILL_TOKEN_US;
+	if (this->prefill_mean_us > MAX_PREFILL_TOKEN_US)
+		this->prefill_mean_us = MAX_PREFILL_TOKEN_US;
 }
 
 /* Of a long request more is known than of a short one, whose delays elsewhere weigh more. */
@@ -286,22 +308,22 @@
 	return tokens < full ? tokens / full : 1;
 }
 
-static void update_estimates(engine_t *this, const engine_request_t *request, instant_t now)
+/* Records what the request's router measured, on a machine as loaded as usual. */
+static void record_first_token(engine_t *this, const engine_request_t *request, instant_t now)
 {
-	double duration = time_to_first_token(this, request, now);
+	instant_t began_at = request->reported_delay && request->reported_delay < now
+				     ? now - request->reported_delay
+				     : request->began_at;
+	double duration = time_to_first_token(this, instant_min(began_at, now), now) /
+			  engine_speed_load(&this->speed, now);
+	double prefill = duration - this->first_token_us;
 
 	if (!request->memory_tokens)
-		engine_speed_record(&this->speed, ENGINE_SPEED_PLAIN,
-			duration / engine_speed_load(&this->speed, now), 1, now);
-	else if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS &&
-		 duration / engine_speed_load(&this->speed, now) > this->first_token_us)
+		engine_speed_record(&this->speed, ENGINE_SPEED_PLAIN, duration, 1, now);
+	else if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS && prefill > 0)
 		engine_speed_record(&this->speed, ENGINE_SPEED_PREFILL,
-			(duration / engine_speed_load(&this->speed, now) - this->first_token_us) /
-				request->prefill_tokens,
+			prefill / request->prefill_tokens,
 			sample_weight(request->prefill_tokens, PREFILL_SAMPLE_FULL_TOKENS), now);
-	if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
-		update_mean(&this->first_token_us, duration, FIRST_TOKEN_WEIGHT);
-	update_speed(this, now);
 }
 
 /*
@@ -374,7 +396,9 @@
 {
 	if (request->prefill_done)
 		return;
-	update_estimates(this, request, now);
+	record_first_token(this, request, now);
+	update_means(this, request, now);
+	update_speed(this, now);
 	request->prefill_done = true;
 	request->prefill_before = this->prefill_total;
 	this->prefilling--;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -78,7 +78,8 @@
 	instant_t prefill_until;       /* predicted end of the prefill of all requests */
 	instant_t last_first_token_at; /* arrival of the latest first token */
 	engine_speed_t speed;
-	double prefill_token_us;   /* usual prefill time of a prompt token, from `speed` */
+	double prefill_mean_us;	   /* moving average of the prefill time of a prompt token */
+	double prefill_token_us;   /* the same, or from `speed` where the pool's engines differ */
 	double first_token_us;	   /* estimated time to the first token beyond prefill */
 	bool degraded;		   /* much slower than it used to be */
 	double prefill_share;	   /* of the time, for prefill beside streams */
--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -7,6 +7,8 @@
 #define TELL_RATIO 1.3
 /* ... and now and then, as a message may be lost and routers start. */
 #define TELL_INTERVAL (4 * USEC_PER_SEC)
+/* The engines of a pool differ when one in so many does: a few that do are at fault, or new. */
+#define DIFFERENT_DIVISOR 8
 #define MIN_SAMPLES 10.0 /* that an engine's speed is based on before it is told */
 #define MAX_WEIGHT 8.0
 /* A fast engine gets more than its part: a long prompt delays the streams beside it less there. */
@@ -174,6 +176,32 @@
 	return fmax(fmin(pow(ratio, -WEIGHT_EXPONENT), MAX_WEIGHT), 1 / MAX_WEIGHT);
 }
 
+/* Sets the weights of the pool's engines; returns whether enough of them differ to count. */
+static bool weigh_engines(placement_t *this, id_t32 pool, const engine_speed_prior_t *median)
+{
+	unsigned int known = 0;
+	unsigned int different = 0;
+
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		engine_state_t *state = &this->engines[i];
+
+		if (state->engine.pool != pool)
+			continue;
+		state->weight = weight_of(state, median);
+		known += state->speed_at != 0;
+		different += state->weight != 1;
+	}
+	return different && different * DIFFERENT_DIVISOR >= known;
+}
+
+static void reset_weights(placement_t *this, id_t32 pool)
+{
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		if (this->engines[i].engine.pool == pool)
+			this->engines[i].weight = 1;
+	}
+}
+
 static void update_pool(placement_t *this, id_t32 pool, instant_t now)
 {
 	engine_speed_prior_t median = {
@@ -182,14 +210,9 @@
 		.time[ENGINE_SPEED_PLAIN] = median_time(this, pool, ENGINE_SPEED_PLAIN),
 	};
 
-	for (unsigned int i = 0; i < this->engine_count; i++) {
-		engine_state_t *state = &this->engines[i];
-
-		if (state->engine.pool == pool) {
-			state->weight = weight_of(state, &median);
-			median.differ |= state->weight != 1;
-		}
-	}
+	median.differ = weigh_engines(this, pool, &median);
+	if (!median.differ)
+		reset_weights(this, pool);
 	this->speeds_differ |= median.differ;
 	scheduler_set_speed_prior(this->scheduler, pool, &median, now);
 }
