--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -174,18 +174,22 @@
 /* Beyond prefill; a plain request has no more than that. */
 static double first_token_us(const engine_t *this, const engine_work_t *work, instant_t now)
 {
-	double plain = engine_speed_time(&this->speed, ENGINE_SPEED_PLAIN, now);
+	double plain;
 
-	return !work->prompt && plain > 0 ? plain : this->first_token_us;
+	if (work->prompt)
+		return this->first_token_us;
+	plain = engine_speed_time(&this->speed, ENGINE_SPEED_PLAIN, now);
+	return plain > 0 ? plain : this->first_token_us;
 }
 
 instant_t engine_first_token_at(
 	const engine_t *this, const engine_work_t *work, uint32_t source_prefill, instant_t now)
 {
 	uint32_t prefill = engine_prefill_tokens_with_copy(this, work, source_prefill);
+	double load = work->prompt ? load_now(this, now) : engine_speed_load(&this->speed, now);
 
 	return now + engine_prefill_backlog(this, now) +
-	       (uint64_t)(load_now(this, now) *
+	       (uint64_t)(load *
 			  (first_token_us(this, work, now) + this->prefill_token_us * prefill));
 }
 
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -15,6 +15,7 @@
 #define DEFAULT_IDLE_TIMEOUT (4 * USEC_PER_SEC) /* if the endpoint announces none */
 #define IDLE_MARGIN (1 * USEC_PER_SEC)		/* closes this long before the endpoint would */
 #define MAX_RETRY_AFTER_S 3600			/* a longer one is taken for an error */
+#define MAX_SLOWNESS 10000			/* percent; a higher one is taken for an error */
 #define KEEPALIVE_PROBES 2
 #define MAX_IDLE_BUFFER 1024 /* bytes of each string that an idle connection keeps */
 
@@ -165,7 +166,7 @@
 	response->has_load = true;
 	response->load_running = running;
 	response->load_waiting = waiting;
-	response->slowness = slowness;
+	response->slowness = slowness <= MAX_SLOWNESS ? slowness : 0;
 }
 
 static void parse_rate_limit(connection_response_t *response, const char *value)
--- a/tests/test_engine_speed.c
+++ b/tests/test_engine_speed.c
@@ -301,9 +301,12 @@
 
 /* --- plain services ------------------------------------------------------------ */
 
-/* Runs one request at a time; returns the engine that served the last of `count`. */
-static id_t32 run_plain_requests(
-	scheduler_t *scheduler, const uint64_t *times, unsigned int count, instant_t *now)
+/*
+ * Runs one request at a time, whose responses state a load of `percent`; returns the engine that
+ * served the last of `count`.
+ */
+static id_t32 run_plain_requests(scheduler_t *scheduler, const uint64_t *times,
+	unsigned int percent, unsigned int count, instant_t *now)
 {
 	static uint64_t ticket;
 	scheduler_action_t action = {0};
@@ -322,6 +325,7 @@
 		assert_int_equal(action.kind, SCHEDULER_GRANT);
 		time = times[action.engine - 1];
 		*now += time;
+		scheduler_record_slowness(scheduler, 0, ticket, percent, *now);
 		scheduler_record_first_token(scheduler, 0, ticket, time);
 		scheduler_first_token(scheduler, 0, ticket, *now);
 		scheduler_end(scheduler, 0, ticket, 0, *now);
@@ -341,11 +345,30 @@
 	for (id_t32 id = 1; id <= 3; id++)
 		scheduler_add_engine(scheduler, id, POOL, &(engine_limits_t){.slots = 2});
 	scheduler_set_speed_prior(scheduler, POOL, &median, now);
-	assert_int_equal(run_plain_requests(scheduler, times, 60, &now), 2);
+	assert_int_equal(run_plain_requests(scheduler, times, 100, 60, &now), 2);
 	/* It turns slow; the others are tried again. */
 	times[1] = 90000;
 	times[2] = 10000;
-	assert_int_equal(run_plain_requests(scheduler, times, 60, &now), 3);
+	assert_int_equal(run_plain_requests(scheduler, times, 100, 60, &now), 3);
+	scheduler_delete(scheduler);
+}
+
+/* Two engines are as fast as each other; the machine of one turns to other work. */
+static void test_plain_request_avoids_a_machine_that_is_slow_now(void **state)
+{
+	const scheduler_options_t options = {.pool = {.late_wait = 1, .max_backlog = 1}};
+	const engine_speed_prior_t median = {.time[ENGINE_SPEED_PLAIN] = 20000};
+	uint64_t times[] = {20000, 20000};
+	scheduler_t *scheduler = scheduler_new(&options);
+	instant_t now = START;
+	id_t32 engine;
+
+	for (id_t32 id = 1; id <= 2; id++)
+		scheduler_add_engine(scheduler, id, POOL, &(engine_limits_t){.slots = 2});
+	scheduler_set_speed_prior(scheduler, POOL, &median, now);
+	engine = run_plain_requests(scheduler, times, 100, 40, &now);
+	assert_int_equal(run_plain_requests(scheduler, times, 250, 1, &now), engine);
+	assert_int_equal(run_plain_requests(scheduler, times, 100, 1, &now), 3 - engine);
 	scheduler_delete(scheduler);
 }
 
@@ -456,6 +479,7 @@
 		cmocka_unit_test(test_fast_engines_are_home_to_more_prompt_parts),
 		cmocka_unit_test(test_homes_of_engines_that_do_not_differ_stay),
 		cmocka_unit_test(test_fastest_free_engine_gets_a_plain_request),
+		cmocka_unit_test(test_plain_request_avoids_a_machine_that_is_slow_now),
 		cmocka_unit_test(test_work_follows_the_speed_of_engines),
 		cmocka_unit_test(test_pauses_stay_in_bounds),
 	};
