The roster's rows go through the readers of a failure domain

Callers pay for each call to the store. Ruled out: a longer pause alone, as a change then takes as long to be known. Now only the readers follow the table, the others get its rows from them, and list it again only if an unknown peer goes on knocking for two seconds.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,7 +68,10 @@
 	bool reads_store;	       /* follows the tables itself, see store_readers.h */
 	store_state_t catalog_state;   /* of the table, by this router's own reads */
 	store_state_t endpoints_state; /* likewise */
-	instant_t store_reading_due;   /* when it is looked at again */
+	store_state_t roster_state;    /* likewise */
+	instant_t roster_refresh_at; /* when the roster is listed if unknown peers remain; else 0 */
+	bool saw_unknown_peer;	     /* one tried to connect shortly before then */
+	instant_t store_reading_due; /* when it is looked at again */
 	catalog_t *catalog;
 	endpoint_registry_t *endpoint_registry;
 	row_cache_t *row_cache;
--- a/standin/row_store_standin.c
+++ b/standin/row_store_standin.c
@@ -28,6 +28,7 @@
 	uint64_t era;
 	uint64_t compacted_version; /* a feed from an earlier version gets 410 */
 	unsigned int request_count;
+	GHashTable *followers; /* table -> number of feeds that wait for its changes */
 	int fault; /* store_fault_t; `fault` and `quit` are accessed atomically, without the lock */
 	int refusing; /* the second server refuses all requests; accessed like `fault` */
 	int quit;
@@ -167,7 +168,27 @@
 }
 
 /* Waits up to waitMs for rows that changed after the version `after`. */
-static enum MHD_Result handle_feed(row_store_standin_t *this, server_request_t *request)
+static void count_follower(row_store_standin_t *this, const char *table, int step)
+{
+	int count;
+
+	pthread_mutex_lock(&this->lock);
+	count = GPOINTER_TO_INT(g_hash_table_lookup(this->followers, table)) + step;
+	g_hash_table_replace(this->followers, g_strdup(table), GINT_TO_POINTER(count));
+	pthread_mutex_unlock(&this->lock);
+}
+
+unsigned int row_store_standin_follower_count(row_store_standin_t *this, const char *table)
+{
+	int count;
+
+	pthread_mutex_lock(&this->lock);
+	count = GPOINTER_TO_INT(g_hash_table_lookup(this->followers, table));
+	pthread_mutex_unlock(&this->lock);
+	return (unsigned int)count;
+}
+
+static enum MHD_Result wait_for_changes(row_store_standin_t *this, server_request_t *request)
 {
 	const char *table = server_query_value(request, "table");
 	uint64_t after = g_ascii_strtoull(server_query_value(request, "after"), NULL, 10);
@@ -203,6 +224,18 @@
 	}
 }
 
+static enum MHD_Result handle_feed(row_store_standin_t *this, server_request_t *request)
+{
+	char *table = g_strdup(server_query_value(request, "table"));
+	enum MHD_Result result;
+
+	count_follower(this, table, 1);
+	result = wait_for_changes(this, request);
+	count_follower(this, table, -1);
+	g_free(table);
+	return result;
+}
+
 /* True if each expected row has the expected version, 0 for a row that is absent. */
 static bool versions_match(row_store_standin_t *this, json_value_t *expected)
 {
@@ -289,6 +322,7 @@
 	pthread_mutex_init(&this->lock, NULL);
 	this->rows = g_ptr_array_new_with_free_func(row_delete);
 	this->history = g_ptr_array_new_with_free_func(row_delete);
+	this->followers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	this->version = 1;
 	this->era = 1;
 	this->server = server_new(address, on_request, this);
@@ -306,6 +340,7 @@
 	server_delete(this->second_server);
 	g_ptr_array_unref(this->rows);
 	g_ptr_array_unref(this->history);
+	g_hash_table_destroy(this->followers);
 	pthread_mutex_destroy(&this->lock);
 	g_free(this);
 }
--- a/standin/row_store_standin.h
+++ b/standin/row_store_standin.h
@@ -49,6 +49,8 @@
  * rises.  Connections that wait for rows are closed.
  */
 void row_store_standin_restore(row_store_standin_t *this, uint64_t version);
+/* Number of reads that wait for a change of the table now. */
+unsigned int row_store_standin_follower_count(row_store_standin_t *this, const char *table);
 /* Number of HTTP requests received so far. */
 unsigned int row_store_standin_request_count(row_store_standin_t *this);
 
--- a/tests/test_store_followers.c
+++ b/tests/test_store_followers.c
@@ -157,6 +157,64 @@
 	fleet_clear(&fleet);
 }
 
+/* Until the reads that began before have ended, the routers that do not read still seem to. */
+static void wait_for_followers(fleet_t *this, const char *table, unsigned int expected)
+{
+	instant_t deadline = clock_now() + WAIT_MS * USEC_PER_MSEC;
+	unsigned int count;
+
+	do {
+		g_usleep(USEC_PER_MSEC);
+		count = row_store_standin_follower_count(this->routers[0]->store, table);
+	} while (count != expected && clock_now() < deadline);
+	assert_int_equal(count, expected);
+}
+
+static void wait_for_alive(fleet_t *this, unsigned int expected)
+{
+	for (unsigned int i = 0; i < ROUTERS; i++) {
+		if (!this->routers[i]->stopped)
+			assert_true(
+				fixture_wait_metric(this->routers[i], "routers_alive", expected));
+	}
+}
+
+/* Each start and stop of a router changes the roster: not every router may read it then. */
+static void test_a_change_of_the_roster_wakes_the_readers_only(void **state)
+{
+	fixture_t *added;
+	fleet_t fleet;
+
+	fleet_init(&fleet);
+	wait_for_readers(&fleet, STORE_READERS_PER_DOMAIN);
+	wait_for_followers(&fleet, "routers", STORE_READERS_PER_DOMAIN);
+	added = fixture_new_router("g", fleet.routers[0]->store);
+	fixture_wait_ready(added, 0);
+	wait_for_alive(&fleet, ROUTERS + 1);
+	assert_true(fixture_wait_metric(added, "routers_alive", ROUTERS + 1));
+	fixture_delete(added);
+	wait_for_followers(&fleet, "routers", STORE_READERS_PER_DOMAIN);
+	fleet_clear(&fleet);
+}
+
+/* A router that comes back has another key, which the others learn from the readers. */
+static void test_restarted_routers_are_found_by_those_that_do_not_read(void **state)
+{
+	fleet_t fleet;
+
+	fleet_init(&fleet);
+	wait_for_readers(&fleet, STORE_READERS_PER_DOMAIN);
+	for (unsigned int i = 0; i < ROUTERS; i++) {
+		if (!fleet.is_reader[i])
+			continue;
+		fixture_kill_router(fleet.routers[i]);
+		fixture_restart_router(fleet.routers[i]);
+	}
+	wait_for_alive(&fleet, ROUTERS);
+	wait_for_readers(&fleet, STORE_READERS_PER_DOMAIN);
+	fleet_clear(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -164,6 +222,8 @@
 		cmocka_unit_test(test_change_reaches_all_after_the_readers_were_killed),
 		cmocka_unit_test(test_change_reaches_all_after_an_outage_of_the_store),
 		cmocka_unit_test(test_change_reaches_all_after_a_restore_of_the_store),
+		cmocka_unit_test(test_a_change_of_the_roster_wakes_the_readers_only),
+		cmocka_unit_test(test_restarted_routers_are_found_by_those_that_do_not_read),
 	};
 
 	log_init("test", FALSE);
