--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -139,6 +139,16 @@
  */
 double *gateway_typical_time_left(gateway_t *this, const catalog_route_t *route);
 void gateway_count_outcome(gateway_t *this, reason_t reason);
+/* gateway_roster.c: the rows of the other routers, from the store or from a peer. */
+extern const table_watch_ops_t gateway_roster_ops;
+void gateway_handle_peer_roster(gateway_t *this, const GArray *rows, store_version_t version);
+/*
+ * A router that is not in the roster yet may have tried to connect.  Its row arrives in a moment,
+ * from the store or from a reader; lists the table only if it does not.
+ */
+void gateway_update_roster_refresh(gateway_t *this, instant_t now);
+/* Whether the version is of a newer era than the table's rows. */
+bool gateway_is_newer_era(const gateway_t *this, cached_table_t table, store_version_t version);
 /* gateway_store.c: starts to watch the store's tables and adds this router to the roster. */
 void gateway_watch_store(gateway_t *this);
 /*
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -7,9 +7,6 @@
 
 #define REFERENCE_FLEET_SIZE 8 /* routers for which the settings' waits and pauses are chosen */
 #define MAX_PAUSE_MS 800       /* well below the time within which a change must take effect */
-/* For the row of a router that has just started to arrive, and the last part of it. */
-#define ROSTER_REFRESH_DELAY (2 * USEC_PER_SEC)
-#define ROSTER_REFRESH_WINDOW (500 * USEC_PER_MSEC)
 #define READING_CHECK_INTERVAL (100 * USEC_PER_MSEC) /* of gateway_update_store_reading() */
 
 /* True if the row is the document of the catalog in force. */
@@ -178,7 +175,7 @@
 			clock_now() + this->settings->lapse_grace_ms * USEC_PER_MSEC;
 }
 
-static bool is_newer_era(const gateway_t *this, cached_table_t table, store_version_t version)
+bool gateway_is_newer_era(const gateway_t *this, cached_table_t table, store_version_t version)
 {
 	return version.era > row_cache_newest_version(this->row_cache, table).era;
 }
@@ -186,7 +183,7 @@
 /* Applies all rows of the table as of `version`. */
 static void apply_endpoint_table(gateway_t *this, const GArray *rows, store_version_t version)
 {
-	if (is_newer_era(this, CACHED_ENDPOINTS, version))
+	if (gateway_is_newer_era(this, CACHED_ENDPOINTS, version))
 		begin_lapse_grace(this);
 	on_endpoint_rows(this, rows);
 	row_cache_delete_missing(
@@ -236,118 +233,13 @@
 
 static void handle_peer_endpoints(gateway_t *this, const GArray *rows, store_version_t version)
 {
-	if (is_newer_era(this, CACHED_ENDPOINTS, version))
+	if (gateway_is_newer_era(this, CACHED_ENDPOINTS, version))
 		apply_endpoint_table(this, rows, version);
 	else
 		on_endpoint_rows(this, rows);
 	this->endpoints_loaded = true;
 }
 
-/* --- the roster --------------------------------------------------------- */
-
-/* Applies the row if it is new; returns whether it is this router's own. */
-static bool apply_roster_row(gateway_t *this, const store_row_t *row)
-{
-	bool is_own = !strcmp(row->key, this->settings->name);
-
-	if (!row_cache_put(this->row_cache, CACHED_ROUTERS, row))
-		return is_own;
-	if (is_own)
-		roster_check_own_row(this->roster, row);
-	else
-		peers_handle_row(this->peers, row);
-	return is_own;
-}
-
-/* Returns whether this router's own row is among them. */
-static bool apply_roster_rows(gateway_t *this, const GArray *rows)
-{
-	bool has_own = false;
-
-	for (unsigned int i = 0; i < rows->len; i++)
-		has_own |= apply_roster_row(this, &g_array_index(rows, store_row_t, i));
-	return has_own;
-}
-
-static void on_roster_rows(void *ctx, const GArray *rows)
-{
-	apply_roster_rows(ctx, rows);
-}
-
-static void on_roster_deleted(void *ctx, const store_row_t *row)
-{
-	gateway_t *this = ctx;
-
-	if (strcmp(row->key, this->settings->name))
-		peers_handle_row(this->peers, row);
-}
-
-/* Applies all rows of the table as of `version`. */
-static void apply_roster_table(gateway_t *this, const GArray *rows, store_version_t version)
-{
-	bool has_own = apply_roster_rows(this, rows);
-
-	row_cache_delete_missing(
-		this->row_cache, CACHED_ROUTERS, rows, version, on_roster_deleted, this);
-	if (!has_own)
-		roster_check_own_row(this->roster, NULL);
-}
-
-static void on_roster_table(void *ctx, const GArray *rows, store_version_t version, uint64_t outage)
-{
-	gateway_t *this = ctx;
-
-	this->roster_state = STORE_FOLLOWED;
-	apply_roster_table(this, rows, version);
-}
-
-static void on_roster_unreachable(void *ctx)
-{
-	gateway_t *this = ctx;
-
-	this->store_losses++;
-	this->roster_state = STORE_LOST;
-}
-
-static void on_roster_paused(void *ctx)
-{
-	gateway_t *this = ctx;
-
-	this->roster_state = STORE_UNREAD;
-}
-
-static const table_watch_ops_t roster_ops = {
-	on_roster_table, on_roster_rows, on_roster_unreachable, on_roster_paused};
-
-static void handle_peer_roster(gateway_t *this, const GArray *rows, store_version_t version)
-{
-	if (is_newer_era(this, CACHED_ROUTERS, version))
-		apply_roster_table(this, rows, version);
-	else
-		apply_roster_rows(this, rows);
-}
-
-/*
- * A router that is not in the roster yet has tried to connect.  Its row arrives in a moment, from
- * the store or from a reader; the table is listed only if it does not.
- */
-static void update_roster_refresh(gateway_t *this, instant_t now)
-{
-	bool seen = peers_saw_unknown_peer(this->peers);
-
-	if (!this->roster_refresh_at) {
-		this->roster_refresh_at = seen ? now + ROSTER_REFRESH_DELAY : 0;
-		this->saw_unknown_peer = false;
-		return;
-	}
-	this->saw_unknown_peer |= seen && now + ROSTER_REFRESH_WINDOW >= this->roster_refresh_at;
-	if (now < this->roster_refresh_at)
-		return;
-	this->roster_refresh_at = 0;
-	if (this->saw_unknown_peer)
-		table_watch_refresh(this->roster_watch);
-}
-
 /* --- peers -------------------------------------------------------------- */
 
 /* Rows from peers carry the store's version, so they are applied like rows from the store. */
@@ -365,7 +257,7 @@
 	else if (table == CACHED_ENDPOINTS)
 		handle_peer_endpoints(this, rows, version);
 	else
-		handle_peer_roster(this, rows, version);
+		gateway_handle_peer_roster(this, rows, version);
 	/* A watch that the store has left waiting lists its table anew.  The roster can wait. */
 	if (table != CACHED_ROUTERS && this->reads_store &&
 		store_version_compare(version, known) > 0)
@@ -457,7 +349,7 @@
 {
 	bool reads;
 
-	update_roster_refresh(this, now);
+	gateway_update_roster_refresh(this, now);
 	if (now < this->store_reading_due)
 		return;
 	this->store_reading_due = now + READING_CHECK_INTERVAL;
@@ -482,7 +374,8 @@
 
 	this->reads_store = true;
 	this->roster = roster_new(&options);
-	this->roster_watch = watch_table(this, ROSTER_TABLE, settings->roster_wait_ms, &roster_ops);
+	this->roster_watch =
+		watch_table(this, ROSTER_TABLE, settings->roster_wait_ms, &gateway_roster_ops);
 	this->catalog_watch =
 		watch_table(this, adapter->catalog_table, settings->store_wait_ms, &catalog_ops);
 	this->endpoint_watch =
