--- a/tests/test_engine_speed.c
+++ b/tests/test_engine_speed.c
@@ -260,7 +260,7 @@
 	placement_request_t request = {
 		.pool = POOL, .work.chain = {.count = 1, .hash = {prefix}, .tokens = {4000}}};
 
-	return placement_likely_source(placement, &request, 0);
+	return placement_likely_source(placement, &request, 0, START);
 }
 
 static void test_fast_engines_are_home_to_more_prompt_parts(void **state)
