--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -9,7 +9,7 @@
 #define TELL_INTERVAL (4 * USEC_PER_SEC)
 /* The engines of a pool differ when one in so many does: a few that do are at fault, or new. */
 #define DIFFERENT_DIVISOR 8
-#define MIN_SAMPLES 10.0 /* that an engine's speed is based on before it is told */
+#define MIN_SAMPLES 4.0 /* that an engine's speed is based on before it is told */
 #define MAX_WEIGHT 8.0
 /* A fast engine gets more than its part: a long prompt delays the streams beside it less there. */
 #define WEIGHT_EXPONENT 1.5
