Cold endpoints: the owner keeps their pace, all routers know of it

A replica that has just started got as many requests as it had slots: coldRemainingMs, coldStartS, coldPerS and Cold-Ms were read nowhere. warm_up keeps the newest statement and the pace; sched_engine starts no faster, every router keeps half of its even share for starts without a grant, owners tell the others by ENTRY_ENGINE_STATE. Starts are counted while an endpoint is warm, too, and a new owner takes the last second for used.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -220,6 +220,7 @@
 	if (this->owned_view != this->members.view)
 		placement_assign_owners(this, now);
 	placement_update_rate_share(this);
+	placement_update_pace_share(this);
 }
 
 /* The entries are due at the time of the next report, but go out with any earlier message. */
@@ -300,6 +301,7 @@
 		this->next_report_at = now + REPORT_INTERVAL;
 		placement_report_all_slots(this, now);
 		placement_announce_rates(this, now);
+		placement_tick_warm_up(this, now);
 	}
 	next = check_pending(this, now);
 	next = instant_min(next, scheduler_run(this->scheduler, now));
@@ -516,6 +518,7 @@
 	state = &this->engines[this->engine_count++];
 	*state = (engine_state_t){.owner = MEMBER_MAX};
 	rate_limit_init(&state->rate_limit);
+	warm_up_init(&state->warm_up);
 	return state;
 }
 
@@ -529,6 +532,17 @@
 	return false;
 }
 
+static void set_engine(placement_t *this, const placement_engine_t *engine, instant_t now)
+{
+	bool is_known = placement_find_engine(this, engine->id) != NULL;
+	engine_state_t *state = get_engine(this, engine);
+
+	placement_set_warm_up(this, state, engine, is_known, now);
+	state->engine = *engine;
+	if (!is_known)
+		state->since_start = !this->has_engines;
+}
+
 void placement_set_engines(
 	placement_t *this, const placement_engine_t *engines, unsigned int count, instant_t now)
 {
@@ -541,9 +555,10 @@
 		this->engines[i] = this->engines[--this->engine_count];
 	}
 	for (unsigned int i = 0; i < count; i++) {
-		get_engine(this, &engines[i])->engine = engines[i];
+		set_engine(this, &engines[i], now);
 		placement_pool_usage(&this->peers[0], engines[i].pool);
 	}
+	this->has_engines |= count > 0;
 	placement_assign_owners(this, now);
 }
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -21,6 +21,7 @@
 #include "core/member.h"
 #include "core/rate_limit.h"
 #include "core/scheduler.h"
+#include "core/warm_up.h"
 
 typedef enum entry_kind {
 	ENTRY_SLOT_REQUEST,
@@ -171,8 +172,10 @@
 	/* Starts that it bears while it is cold, see rate_limit.h; RATE_NONE: as many as when warm.
 	 */
 	uint32_t cold_pace;
-	instant_t cold_until;	  /* according to its registration, 0: warm */
-	instant_t cold_stated_at; /* when the registration was known to say so */
+	uint64_t cold_time;	  /* microseconds for which it is cold after a start, 0: unknown */
+	instant_t cold_until;	  /* according to its registration or its start, 0: warm */
+	instant_t cold_stated_at; /* when that was known */
+	warm_up_source_t cold_source; /* WARM_UP_NONE: nothing says so */
 } placement_engine_t;
 
 typedef enum placement_action_kind {
@@ -205,6 +208,8 @@
 	scheduler_options_t scheduler;
 	/* Called when the limit of an engine that this router owns changes; may be NULL. */
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	/* Called when an engine that this router owns turns cold or warm; may be NULL. */
+	void (*on_warm_up)(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now);
 	void *ctx;
 	const allocator_t *allocator; /* NULL: allocator_default */
 } placement_options_t;
@@ -257,6 +262,12 @@
  */
 void placement_rate_report(placement_t *this, const placement_request_t *request, uint32_t rate,
 	instant_t sent_at, instant_t now);
+/*
+ * Reports how long the engine stays cold, in microseconds, according to the response to a request
+ * sent at `sent_at`; UINT64_MAX: until told otherwise.
+ */
+void placement_warm_up_report(placement_t *this, const placement_request_t *request,
+	uint64_t cold_left, instant_t sent_at, instant_t now);
 /*
  * The engine has asked this router to send it nothing until then; other routers may.  Grants for it
  * are declined.
@@ -299,12 +310,21 @@
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
+/*
+ * Gives the next of the engines' states that are to be told to the router; false when there is
+ * none.  They come last in a message, as routers of earlier builds do not read on after them.
+ */
+bool placement_next_engine_state(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
+
 /* See scheduler_report_lanes(). */
 void placement_report_lanes(placement_t *this, instant_t now,
 	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
 
 /* Number of engines that are known to have a rate limit. */
 unsigned int placement_rate_limited(const placement_t *this);
+/* Number of engines that are known to be cold. */
+unsigned int placement_cold(const placement_t *this, instant_t now);
 const members_t *placement_members(const placement_t *this);
 const scheduler_t *placement_scheduler(const placement_t *this);
 const placement_stats_t *placement_stats(const placement_t *this);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -19,6 +19,11 @@
 	unsigned int running_here; /* requests of this router that run on the engine */
 	/* As known here; its starts are those without a grant. */
 	rate_limit_t rate_limit;
+	/* Cold time as known here; the starts at its pace are those without a grant. */
+	warm_up_t warm_up;
+	instant_t heard_at;	/* when this router itself learnt of the cold time, for its owner */
+	bool logged_cold;	/* as this router, its owner, has last logged */
+	bool since_start;	/* it was there when this router started */
 	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
 	instant_t paused_until; /* this router sends it nothing before */
 } engine_state_t;
@@ -43,9 +48,10 @@
 	uint64_t seq;	   /* of the last message sent */
 	instant_t send_at; /* when the next message is due */
 	instant_t sent_at;
-	link_watch_t link;    /* whether our messages arrive */
-	uint64_t receipt_seq; /* newest message of the peer that we have confirmed */
-	instant_t receipt_at; /* when the next confirmation may be sent */
+	link_watch_t link;	  /* whether our messages arrive */
+	uint64_t receipt_seq;	  /* newest message of the peer that we have confirmed */
+	instant_t receipt_at;	  /* when the next confirmation may be sent */
+	unsigned int engine_told; /* engines whose state was told in this round of reports */
 } peer_state_t;
 
 struct placement {
@@ -73,6 +79,7 @@
 	uint64_t random;
 	instant_t next_report_at;	 /* of all slots in use */
 	instant_t next_served_report_at; /* of the tokens served */
+	bool has_engines;		 /* engines were set before */
 	bool stopping;
 	placement_stats_t stats;
 };
@@ -107,6 +114,27 @@
 /* Counts a start without a grant, of which a router uses a part of its even share of the rate. */
 void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
 
+/* placement_warm_up.c: engines that are cold */
+/* Handles an ENTRY_ENGINE_STATE, of the engine's owner or for it. */
+void placement_handle_engine_state(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* Begins a round of reports to the other routers. */
+void placement_tick_warm_up(placement_t *this, instant_t now);
+/* Takes up what a registration says, before it replaces `state->engine`. */
+void placement_set_warm_up(placement_t *this, engine_state_t *state,
+	const placement_engine_t *engine, bool is_known, instant_t now);
+/* Keeps what the scheduler knows of an engine that this router owns no longer. */
+void placement_keep_warm_up(placement_t *this, engine_state_t *state);
+/* The engine has a new owner; `former`: the one before, MEMBER_MAX: none. */
+void placement_hand_over_warm_up(
+	placement_t *this, engine_state_t *state, unsigned int former, instant_t now);
+void placement_update_pace_share(placement_t *this);
+/* Counts a start without a grant. */
+void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now);
+/* Whether a grant may have been read so late that it adds to later starts at a cold engine. */
+bool placement_grant_is_too_old(
+	const placement_t *this, const engine_state_t *state, instant_t now);
+
 /* placement_request.c: slot requests and the choice of their owner */
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -127,12 +127,16 @@
 		engine_state_t *state = &this->engines[i];
 		unsigned int owner = members_owner(&this->members, state->engine.id);
 		bool moved = owner != state->owner;
-		bool was_owner = state->owner == 0;
+		unsigned int former = state->owner;
 
+		if (moved && former == 0)
+			placement_keep_warm_up(this, state);
 		state->owner = owner;
 		apply_ownership(this, state);
-		if (moved)
-			placement_hand_over_rate(this, state, was_owner, now);
+		if (moved) {
+			placement_hand_over_rate(this, state, former == 0, now);
+			placement_hand_over_warm_up(this, state, former, now);
+		}
 		changed |= moved;
 	}
 	this->owned_view = this->members.view;
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -94,7 +94,8 @@
 {
 	const engine_state_t *state = placement_find_engine(this, engine);
 
-	return state && placement_may_use(state, request, now);
+	return state && placement_may_use(state, request, now) &&
+	       !placement_grant_is_too_old(this, state, now);
 }
 
 /* The owner may not know yet that the engine leaves, or that it wants nothing from us now. */
@@ -237,6 +238,7 @@
 	[ENTRY_SLOT_USAGE] = handle_slot_usage,
 	[ENTRY_RECEIPT] = handle_receipt,
 	[ENTRY_RATE_LIMIT] = placement_handle_rate_limit,
+	[ENTRY_ENGINE_STATE] = placement_handle_engine_state,
 };
 
 void placement_handle_entry(
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -402,7 +402,8 @@
 		engine_state_t *state = &this->engines[i];
 
 		if (!placement_may_use(state, request, now) || state->engine.id == request->avoid ||
-			!rate_limit_allows(&state->rate_limit, now))
+			!rate_limit_allows(&state->rate_limit, now) ||
+			!warm_up_allows(&state->warm_up, now))
 			continue;
 		if (!best || state->running_here < best->running_here)
 			best = state;
@@ -415,6 +416,7 @@
 		return;
 	}
 	placement_count_rate(this, best, now);
+	placement_count_warm_up(this, best, now);
 	this->stats.without_grant++;
 	request->without_grant = true;
 	request->started_at = now;
--- a/src/core/rate_limit.c
+++ b/src/core/rate_limit.c
@@ -5,23 +5,23 @@
 
 /* A start may come this much before it is due, so that slow turns of a loop cost no requests. */
 #define BURST_TIME (100 * USEC_PER_MSEC)
-#define RATE_UNIT 1000 /* of a request a second */
 
 void rate_limit_init(rate_limit_t *this)
 {
 	*this = (rate_limit_t){.rate = RATE_NONE};
 }
 
-static uint64_t start_interval(uint32_t rate)
+uint64_t rate_limit_interval(uint32_t rate)
 {
-	uint64_t interval = rate ? (RATE_UNIT * USEC_PER_SEC + rate - 1) / rate : RATE_MAX_INTERVAL;
+	uint64_t interval =
+		rate ? (RATE_PER_SECOND * USEC_PER_SEC + rate - 1) / rate : RATE_MAX_INTERVAL;
 
 	return interval < RATE_MAX_INTERVAL ? interval : RATE_MAX_INTERVAL;
 }
 
 void rate_limit_set(rate_limit_t *this, uint32_t rate, instant_t now)
 {
-	instant_t latest = now + BURST_TIME + start_interval(rate);
+	instant_t latest = now + BURST_TIME + rate_limit_interval(rate);
 
 	if (rate == this->rate)
 		return;
@@ -40,6 +40,11 @@
 	return true;
 }
 
+instant_t rate_limit_due_at(instant_t at)
+{
+	return at + BURST_TIME;
+}
+
 instant_t rate_limit_next(const rate_limit_t *this)
 {
 	if (this->rate == RATE_NONE || this->next_at < BURST_TIME)
@@ -53,7 +58,7 @@
 
 	if (this->rate == RATE_NONE)
 		return UINT32_MAX;
-	return until < next ? 0 : (uint32_t)((until - next) / start_interval(this->rate)) + 1;
+	return until < next ? 0 : (uint32_t)((until - next) / rate_limit_interval(this->rate)) + 1;
 }
 
 bool rate_limit_allows(const rate_limit_t *this, instant_t now)
@@ -66,7 +71,7 @@
 	if (this->rate == RATE_NONE)
 		return;
 	this->next_at = instant_max(this->next_at, now);
-	this->next_at += (uint64_t)((double)start_interval(this->rate) / share);
+	this->next_at += (uint64_t)((double)rate_limit_interval(this->rate) / share);
 }
 
 bool rate_limit_parse(const char *text, uint32_t *rate)
@@ -77,7 +82,7 @@
 
 	if (strspn(text, digits) != strlen(text))
 		return false;
-	value = strtod(text, &end) * RATE_UNIT;
+	value = strtod(text, &end) * RATE_PER_SECOND;
 	if (end == text || *end)
 		return false;
 	*rate = value < RATE_MAX ? (uint32_t)value : RATE_MAX;
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -13,6 +13,7 @@
 #include "core/types.h"
 
 #define RATE_NONE UINT32_MAX
+#define RATE_PER_SECOND 1000 /* one request a second */
 #define RATE_MAX 1000000000U
 /* An endpoint that takes hardly any requests is sent one now and then, to learn of a change. */
 #define RATE_MAX_INTERVAL (5 * USEC_PER_SEC)
@@ -31,6 +32,10 @@
  * RATE_NONE; returns whether the limit has changed.
  */
 bool rate_limit_observe(rate_limit_t *this, uint32_t rate, instant_t sent_at, instant_t now);
+/* Returns the time between two starts at an even pace. */
+uint64_t rate_limit_interval(uint32_t rate);
+/* Returns the `next_at` with which the next request may start at `at`. */
+instant_t rate_limit_due_at(instant_t at);
 /* Returns the time from which one more request may start. */
 instant_t rate_limit_next(const rate_limit_t *this);
 /* Returns how many requests may start until `until`; UINT32_MAX: any number. */
--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -37,8 +37,27 @@
 	return (uint64_t)(this->failure_ratio * FAILURE_PENALTY);
 }
 
-void sched_engine_record_success(sched_engine_t *this)
+bool sched_engine_may_start(const sched_engine_t *this, instant_t now)
 {
+	return rate_limit_allows(&this->rate_limit, now) && warm_up_allows(&this->warm_up, now);
+}
+
+instant_t sched_engine_next_start(const sched_engine_t *this, instant_t now)
+{
+	return instant_max(rate_limit_next(&this->rate_limit), warm_up_next(&this->warm_up, now));
+}
+
+uint32_t sched_engine_starts_until(const sched_engine_t *this, instant_t until, instant_t now)
+{
+	uint32_t by_limit = rate_limit_starts_until(&this->rate_limit, until);
+	uint32_t by_pace = warm_up_starts_until(&this->warm_up, until, now);
+
+	return by_limit < by_pace ? by_limit : by_pace;
+}
+
+void sched_engine_record_success(sched_engine_t *this, instant_t now)
+{
+	warm_up_reached(&this->warm_up, now);
 	this->failures = 0;
 	this->failure_ratio *= 1 - FAILURE_WEIGHT;
 }
@@ -54,8 +73,11 @@
 	this->failure_ratio += FAILURE_WEIGHT * (1 - this->failure_ratio);
 	doublings = this->failures < MAX_DOWN_DOUBLINGS ? this->failures : MAX_DOWN_DOUBLINGS;
 	this->failures++;
-	if (result == SLOT_UNREACHABLE)
-		this->down_until = now + (INITIAL_DOWN_TIME << doublings);
+	if (result != SLOT_UNREACHABLE)
+		return;
+	this->down_until = now + (INITIAL_DOWN_TIME << doublings);
+	if (this->failures >= PROBE_FAILURES)
+		warm_up_away(&this->warm_up, now);
 }
 
 void sched_engine_record_load(sched_engine_t *this, unsigned int load, instant_t now)
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -10,6 +10,7 @@
  */
 #include "core/engine.h"
 #include "core/rate_limit.h"
+#include "core/warm_up.h"
 
 /* How the use of a granted slot ended. */
 typedef enum slot_result {
@@ -34,13 +35,20 @@
 	double external_load;	    /* moving average of the requests that others sent */
 	instant_t external_load_at; /* time of its last update */
 	rate_limit_t rate_limit;    /* of its requests from all routers */
+	warm_up_t warm_up;	    /* its `pace` counts the starts of all routers */
 } sched_engine_t;
 
 /* Returns the number of slots that may be in use now, 0 while the engine is down. */
 unsigned int sched_engine_usable_slots(const sched_engine_t *this, instant_t now);
 /* Returns the time in microseconds that is added to the engine's predictions for its failures. */
 uint64_t sched_engine_failure_penalty(const sched_engine_t *this);
-void sched_engine_record_success(sched_engine_t *this);
+void sched_engine_record_success(sched_engine_t *this, instant_t now);
+/* Returns whether one more request may start now according to the engine's rates. */
+bool sched_engine_may_start(const sched_engine_t *this, instant_t now);
+/* Returns the time from which its rates let one more request start. */
+instant_t sched_engine_next_start(const sched_engine_t *this, instant_t now);
+/* Returns how many requests its rates let start until `until`; UINT32_MAX: any number. */
+uint32_t sched_engine_starts_until(const sched_engine_t *this, instant_t until, instant_t now);
 void sched_engine_record_failure(sched_engine_t *this, slot_result_t result, instant_t now);
 /* Records that the engine reported `load` requests running or queued, whoever sent them. */
 void sched_engine_record_load(sched_engine_t *this, unsigned int load, instant_t now);
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -106,7 +106,7 @@
 	unsigned int reserved, instant_t now)
 {
 	return engine->model.running + reserved < sched_engine_usable_slots(engine, now) &&
-	       rate_limit_allows(&engine->rate_limit, now) &&
+	       sched_engine_may_start(engine, now) &&
 	       engine_prefill_backlog(&engine->model, now) <= this->options->max_backlog &&
 	       engine_can_prefill(&engine->model, now);
 }
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -37,6 +37,7 @@
 	unsigned int running;
 	instant_t now;	      /* of the current scheduler_run() */
 	double rate_share;    /* see scheduler_set_rate_share() */
+	double pace_share;    /* the same for the pace of cold engines */
 	double service_decay; /* see scheduler_set_report_interval() */
 	refusal_cache_t refusals;
 	scheduler_stats_t stats;
@@ -206,6 +207,7 @@
 	sched_pool_dequeue(pool, record);
 	grant_rate_count(&pool->grants, now);
 	rate_limit_count(&choice->engine->rate_limit, this->rate_share, now);
+	warm_up_count(&choice->engine->warm_up, this->pace_share, now);
 	record->charge = engine_work_cost(&record->request.work);
 	sched_lane_charge_local(record->lane, record->charge, now);
 	record->source = sched_pool_copy_source(pool, &record->request, choice->engine);
@@ -238,8 +240,8 @@
 	instant_t next = INSTANT_NEVER;
 
 	cds_list_for_each_entry (engine, &pool->engines, link) {
-		if (engine->usable && !rate_limit_allows(&engine->rate_limit, now))
-			next = instant_min(next, rate_limit_next(&engine->rate_limit));
+		if (engine->usable && !sched_engine_may_start(engine, now))
+			next = instant_min(next, sched_engine_next_start(engine, now));
 	}
 	return next;
 }
@@ -322,7 +324,7 @@
 	if (!record || !record->engine)
 		return;
 	engine_finish_prefill(&record->engine->model, &record->engine_request, now);
-	sched_engine_record_success(record->engine);
+	sched_engine_record_success(record->engine, now);
 }
 
 void scheduler_load_report(
@@ -418,6 +420,8 @@
 	record->engine = engine;
 	record->confirmed_at = now;
 	this->running++;
+	if (!slot->prefill_done)
+		warm_up_count(&engine->warm_up, this->pace_share, now);
 	engine_begin_request(
 		&engine->model, &record->engine_request, &record->request.work, UINT32_MAX, now);
 	if (slot->prefill_done)
@@ -529,6 +533,7 @@
 	engine->usable = true;
 	engine_init(&engine->model, id, limits);
 	rate_limit_init(&engine->rate_limit);
+	warm_up_init(&engine->warm_up);
 	cds_list_add_tail(&engine->link, &engine->pool->engines);
 }
 
@@ -565,6 +570,18 @@
 	this->rate_share = share;
 }
 
+void scheduler_set_pace_share(scheduler_t *this, double share)
+{
+	this->pace_share = share;
+}
+
+warm_up_t *scheduler_warm_up(scheduler_t *this, id_t32 id)
+{
+	sched_engine_t *engine = find_engine(this, id);
+
+	return engine ? &engine->warm_up : NULL;
+}
+
 void scheduler_set_version(scheduler_t *this, id_t32 id, id_t32 version)
 {
 	sched_engine_t *engine = find_engine(this, id);
@@ -591,6 +608,7 @@
 	this->options = *options;
 	this->allocator = allocator;
 	this->rate_share = 1;
+	this->pace_share = 1;
 	this->service_decay = SERVICE_DECAY;
 	CDS_INIT_LIST_HEAD(&this->pools);
 	for (unsigned int i = 0; i < BUCKETS; i++)
@@ -643,8 +661,7 @@
 		return usage;
 	cds_list_for_each_entry (engine, &pool->engines, link) {
 		unsigned int slots = sched_engine_usable_slots(engine, now);
-		unsigned int starts =
-			rate_limit_starts_until(&engine->rate_limit, now + RATE_QUEUE_TIME);
+		unsigned int starts = sched_engine_starts_until(engine, now + RATE_QUEUE_TIME, now);
 
 		if (starts < slots && engine->model.running + starts < slots)
 			slots = engine->model.running + starts;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -78,6 +78,10 @@
 void scheduler_set_rate_limit(scheduler_t *this, id_t32 engine, uint32_t rate, instant_t now);
 /* Sets the part of the engines' rates that this owner may use, above 0 and at most 1. */
 void scheduler_set_rate_share(scheduler_t *this, double share);
+/* The same for the pace of engines that are cold. */
+void scheduler_set_pace_share(scheduler_t *this, double share);
+/* What is known of the cold time of an engine that this router owns; else NULL. */
+warm_up_t *scheduler_warm_up(scheduler_t *this, id_t32 engine);
 /* Sets the version of the engine's software: requests that are bound to another do not run on it.
  */
 void scheduler_set_version(scheduler_t *this, id_t32 engine, id_t32 version);
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -88,6 +88,11 @@
 	return at == INSTANT_NEVER ? NEVER_US : (int64_t)instant_left(at, now);
 }
 
+static int64_t put_duration(uint64_t duration)
+{
+	return duration < NEVER_US ? (int64_t)duration : NEVER_US;
+}
+
 static void put_slot_request(fields_t *fields, const slot_request_t *request, instant_t now)
 {
 	put_field(fields, (int64_t)request->ticket);
@@ -131,6 +136,20 @@
 	put_field(fields, entry->row_count);
 }
 
+static void put_engine_state(fields_t *fields, const message_entry_t *entry)
+{
+	const engine_state_report_t *state = &entry->engine_state;
+
+	put_field(fields, entry->engine);
+	put_field(fields, put_duration(state->cold_left));
+	put_field(fields, put_duration(state->cold_age));
+	put_field(fields, state->cold_pace);
+	put_field(fields, state->prefill_token_ns);
+	put_field(fields, state->decode_step_us);
+	put_field(fields, state->speed_samples);
+	put_field(fields, put_duration(state->speed_age));
+}
+
 /* Fields that routers of earlier versions neither send nor read. */
 static void put_part_fields(fields_t *fields, const message_entry_t *entry)
 {
@@ -167,6 +186,9 @@
 		put_field(&fields, entry->usage.slots);
 		put_field(&fields, entry->usage.taken);
 		break;
+	case ENTRY_ENGINE_STATE:
+		put_engine_state(&fields, entry);
+		break;
 	case ENTRY_RECEIPT:
 	case ENTRY_STREAMS_SAVED:
 		put_field(&fields, (int64_t)entry->ticket);
@@ -382,6 +404,29 @@
 	       entry->size <= entry->total_size - entry->offset;
 }
 
+static uint64_t get_duration(fields_t *fields)
+{
+	int64_t duration = get_field(fields);
+
+	if (duration == NEVER_US)
+		return UINT64_MAX;
+	return duration > 0 ? (uint64_t)duration : 0;
+}
+
+static void get_engine_state(fields_t *fields, message_entry_t *entry)
+{
+	engine_state_report_t *state = &entry->engine_state;
+
+	entry->engine = (id_t32)get_field(fields);
+	state->cold_left = get_duration(fields);
+	state->cold_age = get_duration(fields);
+	state->cold_pace = (uint32_t)get_field(fields);
+	state->prefill_token_ns = (uint32_t)get_field(fields);
+	state->decode_step_us = (uint32_t)get_field(fields);
+	state->speed_samples = (uint32_t)get_field(fields);
+	state->speed_age = get_duration(fields);
+}
+
 bool entry_reader_next(entry_reader_t *this, message_entry_t *entry, instant_t now)
 {
 	fields_t fields;
@@ -409,6 +454,9 @@
 		entry->usage.slots = (unsigned int)get_field(&fields);
 		entry->usage.taken = (unsigned int)get_field(&fields);
 		return true;
+	case ENTRY_ENGINE_STATE:
+		get_engine_state(&fields, entry);
+		return true;
 	case ENTRY_RECEIPT:
 	case ENTRY_STREAMS_SAVED:
 		entry->ticket = (uint64_t)get_field(&fields);
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -3,6 +3,7 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "gateway/call.h"
+#include "gateway/endpoint_warm_up.h"
 #include "gateway/gateway.h"
 
 #define MAX_BUFFERED_BODY 262144 /* bytes; a larger response is forwarded before it is complete */
@@ -126,6 +127,7 @@
 
 	report_load(call, response);
 	report_limit(call, response);
+	endpoint_warm_up_report(call, response);
 	report_leaving(call, response);
 	report_pause(call, response);
 	part_watch_record_response(call->gateway->part_watch, call->endpoint->id, clock_now());
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "core/warm_up.h"
 #include "settings/address.h"
 
 #define READ_SIZE 16384
@@ -176,6 +177,12 @@
 		response->rate_limit = rate;
 }
 
+static void parse_cold_left(connection_response_t *response, const char *value)
+{
+	response->has_cold = true;
+	response->cold_malformed |= !warm_up_parse_ms(value, &response->cold_left);
+}
+
 /* Seconds, with a fraction or without; 0 for a date or anything else. */
 static double parse_retry_after(const char *value)
 {
@@ -207,6 +214,8 @@
 		parse_load(response, value);
 	} else if (!strcasecmp(name, names->rate_limit)) {
 		parse_rate_limit(response, value);
+	} else if (!strcasecmp(name, names->cold_left_ms)) {
+		parse_cold_left(response, value);
 	} else if (!strcasecmp(name, "Content-Encoding")) {
 		response->is_encoded = strcasecmp(value, "identity") != 0;
 	} else if (!strcasecmp(name, "Retry-After")) {
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -44,6 +44,9 @@
 	unsigned int load_waiting;
 	uint32_t rate_limit;	   /* lowest named, see rate_limit.h; RATE_NONE: none */
 	bool rate_limit_malformed; /* one was named that can't be read */
+	bool has_cold;		   /* it said how long the endpoint stays cold */
+	bool cold_malformed;	   /* it did, in a way that can't be read */
+	uint64_t cold_left;	   /* microseconds, UINT64_MAX: until told otherwise */
 	bool is_encoded;	   /* the body has a content encoding */
 	int64_t content_length;	   /* -1: unknown */
 	bool ends_by_close;	   /* the body has neither a length nor chunks */
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/rate_limit.h"
+#include "gateway/endpoint_warm_up.h"
 #include "settings/fleet_config.h"
 
 /*
@@ -47,6 +48,7 @@
 	g_free(this->service);
 	g_free(this->address);
 	g_free(this->version);
+	g_free(this->failure_domain);
 }
 
 static void unref_endpoint(void *item)
@@ -162,7 +164,7 @@
 }
 
 static bool update_endpoint(
-	registered_endpoint_t *endpoint, const endpoint_registration_t *registration)
+	registered_endpoint_t *endpoint, const endpoint_registration_t *registration, instant_t now)
 {
 	bool restored = registration->era > endpoint->era;
 	bool stays = (restored && endpoint->state == ENDPOINT_DRAINING) || endpoint->said_it_leaves;
@@ -170,6 +172,8 @@
 	bool changed = set_version(endpoint, registration->version) || endpoint->state != state ||
 		       endpoint->slots != registration->slots;
 
+	changed |= endpoint_warm_up_put(endpoint, registration, now);
+
 	endpoint->state = state;
 	endpoint->slots = registration->slots;
 	endpoint->era = registration->era;
@@ -198,13 +202,16 @@
 	registered_endpoint_t *endpoint = g_hash_table_lookup(this->by_name, registration->name);
 
 	if (endpoint && is_same_incarnation(endpoint, registration))
-		return update_endpoint(endpoint, registration);
+		return update_endpoint(endpoint, registration, now);
 	if (endpoint && registration->era > endpoint->era &&
 		registration->incarnation < endpoint->incarnation)
 		return false;
 	if (endpoint)
 		remove_endpoint(this, endpoint, now);
 	endpoint = endpoint_new(registration);
+	endpoint->seen_at = now;
+	endpoint->seen_wall_ms = (uint64_t)(g_get_real_time() / 1000);
+	endpoint_warm_up_put(endpoint, registration, now);
 	hold_if_departed(this, endpoint, now);
 	g_hash_table_insert(this->by_name, endpoint->name, endpoint);
 	g_hash_table_insert(this->by_id, GUINT_TO_POINTER(endpoint->id), endpoint);
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -60,6 +60,12 @@
 	unsigned int max_idle_connections; /* idle connections that this router may keep */
 	uint32_t named_rate;		   /* limit in its newest response, see rate_limit.h */
 	bool named_malformed_rate;	   /* its newest response had a limit that can't be read */
+	bool named_malformed_cold;	   /* the same of the time for which it stays cold */
+	uint64_t cold_left;		   /* microseconds in its newest row that names them */
+	instant_t cold_until;		   /* according to that row, 0: warm */
+	instant_t cold_stated_at;	   /* when the row was known to say so, 0: not at all */
+	instant_t seen_at;		   /* when this start was seen first */
+	uint64_t seen_wall_ms;		   /* the same as Unix time */
 } registered_endpoint_t;
 
 typedef struct endpoint_registry endpoint_registry_t;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,6 +5,7 @@
 
 #include "edge/clock.h"
 #include "edge/log.h"
+#include "gateway/endpoint_warm_up.h"
 #include "settings/fleet_config.h"
 
 #define ROUTERS_PER_KEEPER 64 /* routers of a failure domain whose streams one router saves */
@@ -190,6 +191,7 @@
 	const catalog_t *catalog;
 	GArray *engines;
 	GArray *versions; /* service_version_t of each endpoint */
+	instant_t loaded_at;
 } engine_list_t;
 
 static const catalog_service_t *find_service(
@@ -219,6 +221,7 @@
 	};
 	service_version_t version = {endpoint->service_id, endpoint->version_id};
 
+	endpoint_warm_up_describe(endpoint, service, list->loaded_at, &engine);
 	g_array_append_val(list->engines, engine);
 	g_array_append_val(list->versions, version);
 }
@@ -247,7 +250,7 @@
 
 void gateway_update_engines(gateway_t *this)
 {
-	engine_list_t list = {.catalog = this->catalog};
+	engine_list_t list = {.catalog = this->catalog, .loaded_at = this->endpoints_loaded_at};
 
 	if (!this->engines_outdated || !this->catalog)
 		return;
@@ -521,6 +524,22 @@
 		(gint64)rate_limit_signed(before));
 }
 
+static void on_warm_up(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now)
+{
+	gateway_t *this = ctx;
+	const registered_endpoint_t *endpoint =
+		endpoint_registry_find(this->endpoint_registry, engine);
+	uint64_t left = warm_up_left(warm_up, now);
+
+	log_notice(left ? "endpoint-cold" : "endpoint-warm",
+		"endpoint=%s left_ms=%" G_GINT64_FORMAT " pace_milli=%" G_GINT64_FORMAT
+		" source=%s",
+		endpoint ? endpoint->name : "-",
+		left == UINT64_MAX ? -1 : (gint64)(left / USEC_PER_MSEC),
+		(gint64)rate_limit_signed(warm_up->pace.rate),
+		warm_up_source_name(warm_up->newest.source));
+}
+
 static bool start_peers(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
@@ -539,6 +558,7 @@
 		.origin_keeper = origin_lookup_keeper(this->origin_lookup),
 		.store_readers = this->store_readers,
 		.on_rate_limit = on_rate_limit,
+		.on_warm_up = on_warm_up,
 		.ctx = this,
 		.gossip = {.row_cache = this->row_cache,
 			.self = name_id(settings->name),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,7 @@
 	endpoint_registry_t *endpoint_registry;
 	row_cache_t *row_cache;
 	unsigned int applied_router_count; /* fleet size of the last gateway_apply_fleet_size() */
+	instant_t endpoints_loaded_at;	   /* the time of the first one, 0: none yet */
 	bool endpoints_loaded;	     /* a full listing was received, from the store or a peer */
 	instant_t lapse_grace_until; /* endpoints whose rows disappear are kept until then */
 	part_watch_t *part_watch;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -62,6 +62,7 @@
 	metrics_append(out, "refused_for_backlog_total", placement_counters->refused);
 	metrics_append(out, "grants_declined_total", placement_counters->declined);
 	metrics_append(out, "endpoints_rate_limited", placement_rate_limited(placement));
+	metrics_append(out, "endpoints_cold", placement_cold(placement, clock_now()));
 	metrics_append(out, "owner_waiting", scheduler_waiting(placement_scheduler(placement)));
 	metrics_append(out, "owner_running", scheduler_running(placement_scheduler(placement)));
 	metrics_append(out, "owner_asked_total", scheduler_counters->slot_requests);
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -180,6 +180,13 @@
 	return version.era > row_cache_newest_version(this->row_cache, CACHED_ENDPOINTS).era;
 }
 
+static void note_endpoints_loaded(gateway_t *this)
+{
+	if (!this->endpoints_loaded)
+		this->endpoints_loaded_at = clock_now();
+	this->endpoints_loaded = true;
+}
+
 /* Applies all rows of the table as of `version`. */
 static void apply_endpoint_table(gateway_t *this, const GArray *rows, store_version_t version)
 {
@@ -188,7 +195,7 @@
 	on_endpoint_rows(this, rows);
 	row_cache_delete_missing(
 		this->row_cache, CACHED_ENDPOINTS, rows, version, on_endpoint_deleted, this);
-	this->endpoints_loaded = true;
+	note_endpoints_loaded(this);
 }
 
 static void on_endpoint_table(
@@ -247,7 +254,8 @@
 		apply_endpoint_table(this, rows, version);
 	else
 		on_endpoint_rows(this, rows);
-	this->endpoints_loaded |= table == CACHED_ENDPOINTS;
+	if (table == CACHED_ENDPOINTS)
+		note_endpoints_loaded(this);
 	if (this->reads_store && store_version_compare(version, known) > 0)
 		table_watch_refresh(
 			table == CACHED_CATALOG ? this->catalog_watch : this->endpoint_watch);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -150,6 +150,9 @@
 	if (!entry_writer_is_full(this->writer) &&
 		store_readers_next_entry(this->options.store_readers, slot, &entry, now))
 		entry_writer_add(this->writer, &entry, now);
+	while (!entry_writer_is_full(this->writer) &&
+		placement_next_engine_state(this->placement, slot, &entry, now))
+		entry_writer_add(this->writer, &entry, now);
 }
 
 static void send_message(
@@ -338,6 +341,7 @@
 		.seed = options->seed,
 		.scheduler = options->scheduler,
 		.on_rate_limit = options->on_rate_limit,
+		.on_warm_up = options->on_warm_up,
 		.ctx = options->ctx,
 	};
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -29,6 +29,7 @@
 	row_gossip_options_t gossip;
 	/* See placement_options_t. */
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	void (*on_warm_up)(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now);
 	void *ctx;
 	part_watch_t *part_watch;
 	origin_keeper_t *origin_keeper;
