--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -220,7 +220,7 @@
 	if (this->owned_view != this->members.view)
 		placement_assign_owners(this, now);
 	placement_update_rate_share(this);
-	placement_update_pace_share(this);
+	placement_update_pace_share(this, now);
 }
 
 /* The entries are due at the time of the next report, but go out with any earlier message. */
@@ -430,6 +430,7 @@
 	this->allocator = allocator;
 	this->random = options->seed;
 	this->next_report_at = now + REPORT_INTERVAL;
+	this->pace_share = 1;
 	CDS_INIT_LIST_HEAD(&this->pending);
 	CDS_INIT_LIST_HEAD(&this->running);
 	for (unsigned int i = 0; i < TICKET_BUCKETS; i++)
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -79,7 +79,8 @@
 	uint64_t random;
 	instant_t next_report_at;	 /* of all slots in use */
 	instant_t next_served_report_at; /* of the tokens served */
-	bool has_engines;		 /* engines were set before */
+	double pace_share; /* of the pace of cold engines that this router uses as an owner */
+	bool has_engines;  /* engines were set before */
 	bool stopping;
 	placement_stats_t stats;
 };
@@ -128,7 +129,7 @@
 /* The engine has a new owner; `former`: the one before, MEMBER_MAX: none. */
 void placement_hand_over_warm_up(
 	placement_t *this, engine_state_t *state, unsigned int former, instant_t now);
-void placement_update_pace_share(placement_t *this);
+void placement_update_pace_share(placement_t *this, instant_t now);
 /* Counts a start without a grant. */
 void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now);
 /* Whether a grant may have been read so late that it adds to later starts at a cold engine. */
--- a/src/core/placement_warm_up.c
+++ b/src/core/placement_warm_up.c
@@ -1,7 +1,13 @@
 #include "core/placement_internal.h"
 
-/* Part of its even share of the pace that a router uses without grants: owners use all of it. */
-#define WITHOUT_GRANT_PART 0.5
+/*
+ * Part of its even share of the pace that a router uses without grants.  Owners use all of it, and
+ * what others start comes at random beside.
+ */
+#define WITHOUT_GRANT_PART 0.25
+/* Part of its share that an owner on a small side uses: there, requests start without grants, too.
+ */
+#define MINORITY_PART 0.5
 /* How long a statement is told to other routers, once a second, as messages may be lost. */
 #define TELL_TIME (4 * USEC_PER_SEC)
 /* A router that reads a grant this late sends nothing to a cold engine: others were granted since.
@@ -25,13 +31,20 @@
 	return WITHOUT_GRANT_PART / (routers ? routers : 1);
 }
 
+/* Where this router's starts at the engine lie among those of all routers, 0 to 1. */
+static double phase_of(const placement_t *this, const engine_state_t *state)
+{
+	uint64_t mixed = ((uint64_t)this->options.self << 32 | state->engine.id) + 1;
+
+	mixed = (mixed ^ mixed >> 31) * 0x9e3779b97f4a7c15ULL;
+	mixed = (mixed ^ mixed >> 29) * 0xbf58476d1ce4e5b9ULL;
+	return (double)(mixed >> 32) / ((double)UINT32_MAX + 1);
+}
+
 /* Routers that learn of a cold engine together must not all start a request there at once. */
 static void spread_starts(const placement_t *this, engine_state_t *state, instant_t now)
 {
-	uint32_t mixed = (this->options.self ^ state->engine.id) * 0x9e3779b1U;
-
-	warm_up_spread(&state->warm_up, share_without_grant(this),
-		(double)(mixed >> 16) / (double)(UINT16_MAX + 1), now);
+	warm_up_spread(&state->warm_up, share_without_grant(this), phase_of(this, state), now);
 }
 
 static void tell_all(placement_t *this)
@@ -177,8 +190,10 @@
 	}
 	if (returned && owned)
 		warm_up_returned(owned, now);
-	if (engine->cold_source != WARM_UP_NONE)
-		observe(this, state, &statement, now);
+	if (engine->cold_source == WARM_UP_NONE || !observe(this, state, &statement, now))
+		return;
+	if (owned && warm_up_is_cold(owned, now))
+		scheduler_engine_registered(this->scheduler, engine->id);
 }
 
 void placement_keep_warm_up(placement_t *this, engine_state_t *state)
@@ -203,6 +218,8 @@
 		owned->pace.next_at = now;
 		if (former != MEMBER_MAX || state->since_start)
 			warm_up_assume_used(owned, now);
+		if (this->pace_share < 1)
+			warm_up_spread(owned, this->pace_share, phase_of(this, state), now);
 		log_change(this, state, now);
 	} else if (former == 0) {
 		state->heard_at = now;
@@ -210,16 +227,35 @@
 	tell_all(this);
 }
 
+/* Routers that lose each other at the same moment each become the owner of the same engines. */
+static void spread_owned(placement_t *this, double share, instant_t now)
+{
+	for (unsigned int i = 0; i < this->engine_count; i++) {
+		const engine_state_t *state = &this->engines[i];
+		warm_up_t *owned = scheduler_warm_up(this->scheduler, state->engine.id);
+
+		if (owned)
+			warm_up_spread(owned, share, phase_of(this, state), now);
+	}
+}
+
 /*
  * Each side of a partition has an owner for the engine, and views differ for a while: an owner
  * uses the pace in proportion to the routers that it sees.
  */
-void placement_update_pace_share(placement_t *this)
+void placement_update_pace_share(placement_t *this, instant_t now)
 {
 	double alive = members_alive(&this->members);
 	double expected = members_expected(&this->members);
+	double share = alive < expected ? alive / expected : 1;
+
+	if (2 * alive < expected)
+		share *= MINORITY_PART;
 
-	scheduler_set_pace_share(this->scheduler, alive < expected ? alive / expected : 1);
+	if (share < this->pace_share)
+		spread_owned(this, share, now);
+	this->pace_share = share;
+	scheduler_set_pace_share(this->scheduler, share);
 }
 
 void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now)
--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -80,6 +80,11 @@
 		warm_up_away(&this->warm_up, now);
 }
 
+void sched_engine_record_sign(sched_engine_t *this)
+{
+	this->down_until = 0;
+}
+
 void sched_engine_record_load(sched_engine_t *this, unsigned int load, instant_t now)
 {
 	unsigned int own = this->model.running;
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -49,6 +49,8 @@
 instant_t sched_engine_next_start(const sched_engine_t *this, instant_t now);
 /* Returns how many requests its rates let start until `until`; UINT32_MAX: any number. */
 uint32_t sched_engine_starts_until(const sched_engine_t *this, instant_t until, instant_t now);
+/* The engine has shown that it is there: requests may be sent to see whether it can be reached. */
+void sched_engine_record_sign(sched_engine_t *this);
 void sched_engine_record_failure(sched_engine_t *this, slot_result_t result, instant_t now);
 /* Records that the engine reported `load` requests running or queued, whoever sent them. */
 void sched_engine_record_load(sched_engine_t *this, unsigned int load, instant_t now);
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -582,6 +582,14 @@
 	return engine ? &engine->warm_up : NULL;
 }
 
+void scheduler_engine_registered(scheduler_t *this, id_t32 id)
+{
+	sched_engine_t *engine = find_engine(this, id);
+
+	if (engine)
+		sched_engine_record_sign(engine);
+}
+
 void scheduler_set_version(scheduler_t *this, id_t32 id, id_t32 version)
 {
 	sched_engine_t *engine = find_engine(this, id);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -82,6 +82,8 @@
 void scheduler_set_pace_share(scheduler_t *this, double share);
 /* What is known of the cold time of an engine that this router owns; else NULL. */
 warm_up_t *scheduler_warm_up(scheduler_t *this, id_t32 engine);
+/* Records that the engine has written its registration. */
+void scheduler_engine_registered(scheduler_t *this, id_t32 engine);
 /* Sets the version of the engine's software: requests that are bound to another do not run on it.
  */
 void scheduler_set_version(scheduler_t *this, id_t32 engine, id_t32 version);
--- a/src/core/warm_up.c
+++ b/src/core/warm_up.c
@@ -115,10 +115,12 @@
 
 void warm_up_spread(warm_up_t *this, double share, double phase, instant_t now)
 {
+	uint64_t wait;
+
 	if (!has_pace(this))
 		return;
-	this->pace.next_at = rate_limit_due_at(
-		now + (uint64_t)(phase * (double)rate_limit_interval(this->pace.rate) / share));
+	wait = (uint64_t)(phase * (double)rate_limit_interval(this->pace.rate) / share);
+	this->pace.next_at = instant_max(this->pace.next_at, rate_limit_due_at(now + wait));
 }
 
 instant_t warm_up_own_time(uint64_t age, bool is_new, uint64_t cold_time, instant_t seen_at)
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -16,7 +16,8 @@
 #define ANSWER_WEIGHT 2	   /* tokens that a generated token counts for */
 #define LARGEST_REQUESTS 3 /* of slack that the rule gives */
 #define ROUTER_ID_STEP 7919
-#define ATTEMPTS 2 /* of a caller */
+#define ATTEMPTS 2	    /* of a caller */
+#define LATE_MESSAGE_MS 400 /* most that a late message takes */
 
 typedef struct fleet_message {
 	unsigned int to;
@@ -52,6 +53,9 @@
 	bool due;	      /* has something to do before the next tick */
 	unsigned int turn_ms; /* duration of a turn of its loop, in which it reads no messages */
 	GQueue inbox;	      /* fleet_message_t */
+	uint64_t incarnation;
+	placement_engine_t *engines; /* as the router knows them */
+	instant_t *row_due;	     /* by engine: when its row is read; 0: never */
 } sim_router_t;
 
 typedef struct sim_engine {
@@ -59,6 +63,8 @@
 	GQueue prefilling; /* job_t */
 	GPtrArray *generating;
 	GHashTable *cached; /* hashes of shared parts */
+	instant_t cold_until;
+	GQueue arrivals; /* instant_t in microseconds, of the last second while cold */
 } sim_engine_t;
 
 typedef struct sim_offer {
@@ -81,6 +87,11 @@
 	fleet_count_t counts[FLEET_WORKSPACES][FLEET_SECONDS];
 	double largest[FLEET_WORKSPACES];
 	bool cut;
+	unsigned int split;	/* see fleet_sim_split() */
+	unsigned int disturbed; /* see fleet_sim_disturb() */
+	unsigned int overruns;
+	unsigned int cold_peak;
+	unsigned int cold_arrivals;
 	unsigned int without_grant; /* runs now */
 	unsigned int peak_without_grant;
 	uint64_t message_count;
@@ -119,18 +130,21 @@
 
 static void set_engines(fleet_sim_t *this, unsigned int router)
 {
-	placement_engine_t *engines = g_new0(placement_engine_t, this->options.engines);
+	placement_set_engines(this->routers[router].placement, this->routers[router].engines,
+		this->options.engines, this->now);
+}
 
+static void fill_engines(fleet_sim_t *this, sim_router_t *router)
+{
 	for (unsigned int i = 0; i < this->options.engines; i++)
-		engines[i] = (placement_engine_t){.id = engine_id(i),
+		router->engines[i] = (placement_engine_t){.id = engine_id(i),
 			.pool = FLEET_POOL,
 			.limits = {.slots = this->options.slots,
 				.token_memory = TOKEN_MEMORY,
 				.max_event_gap = MAX_EVENT_GAP},
+			.cold_pace = this->options.cold_per_s * RATE_PER_SECOND,
+			.cold_time = this->options.cold_ms * USEC_PER_MSEC,
 			.usable = true};
-	placement_set_engines(
-		this->routers[router].placement, engines, this->options.engines, this->now);
-	g_free(engines);
 }
 
 static void start_router(fleet_sim_t *this, unsigned int i)
@@ -138,7 +152,7 @@
 	placement_options_t options = {
 		.self = router_id(i),
 		.domain = 1 + i % 3,
-		.incarnation = 1,
+		.incarnation = ++this->routers[i].incarnation,
 		.seed = this->options.seed + i,
 		.scheduler = {.pool = {.late_wait = LATE_WAIT, .max_backlog = MAX_BACKLOG}},
 	};
@@ -170,8 +184,12 @@
 			g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	}
 	this->routers = g_new0(sim_router_t, options->routers);
-	for (unsigned int i = 0; i < options->routers; i++)
+	for (unsigned int i = 0; i < options->routers; i++) {
+		this->routers[i].engines = g_new0(placement_engine_t, options->engines);
+		this->routers[i].row_due = g_new0(instant_t, options->engines);
+		fill_engines(this, &this->routers[i]);
 		start_router(this, i);
+	}
 	return this;
 }
 
@@ -183,14 +201,22 @@
 	g_free(message);
 }
 
+static void fleet_router_clear(sim_router_t *this)
+{
+	g_queue_clear_full(&this->inbox, message_delete);
+	g_free(this->engines);
+	g_free(this->row_due);
+}
+
 void fleet_sim_delete(fleet_sim_t *this)
 {
 	for (unsigned int i = 0; i < this->options.routers; i++)
 		placement_delete(this->routers[i].placement);
 	for (unsigned int i = 0; i < this->options.routers; i++)
-		g_queue_clear_full(&this->routers[i].inbox, message_delete);
+		fleet_router_clear(&this->routers[i]);
 	for (unsigned int i = 0; i < this->options.engines; i++) {
 		g_queue_clear(&this->engines[i].prefilling);
+		g_queue_clear_full(&this->engines[i].arrivals, g_free);
 		g_ptr_array_unref(this->engines[i].generating);
 		g_hash_table_destroy(this->engines[i].cached);
 	}
@@ -316,6 +342,26 @@
 
 /* --- engines ------------------------------------------------------------ */
 
+/* Counts a request at a cold engine, which ends under too many of them. */
+static void count_arrival(fleet_sim_t *this, unsigned int index)
+{
+	sim_engine_t *engine = &this->engines[index];
+	instant_t *arrival;
+
+	if (this->now >= engine->cold_until)
+		return;
+	this->cold_arrivals++;
+	g_queue_push_tail(&engine->arrivals, g_memdup2(&this->now, sizeof(this->now)));
+	while ((arrival = g_queue_peek_head(&engine->arrivals)) &&
+		*arrival + USEC_PER_SEC <= this->now)
+		g_free(g_queue_pop_head(&engine->arrivals));
+	this->cold_peak = MAX(this->cold_peak, engine->arrivals.length);
+	if (engine->arrivals.length <= this->options.cold_per_s * 3 / 2 + 5)
+		return;
+	this->overruns++;
+	g_queue_clear_full(&engine->arrivals, g_free);
+}
+
 static void begin_run(fleet_sim_t *this, job_t *job, id_t32 id)
 {
 	sim_engine_t *engine = &this->engines[engine_index(id)];
@@ -329,6 +375,7 @@
 		placement_request(this->routers[job->router].placement, &job->request, this->now);
 		return;
 	}
+	count_arrival(this, engine_index(id));
 	this->run_count++;
 	this->without_grant += job->request.without_grant;
 	this->peak_without_grant = MAX(this->peak_without_grant, this->without_grant);
@@ -350,6 +397,9 @@
 	job->ends_at =
 		this->now + FIRST_TOKEN_US + (uint64_t)(job->request.work.answer * DECODE_STEP_US);
 	placement_first_token(this->routers[job->router].placement, &job->request, this->now);
+	if (this->options.tells_cold)
+		placement_warm_up_report(this->routers[job->router].placement, &job->request,
+			instant_left(engine->cold_until, this->now), this->now, this->now);
 	this->routers[job->router].due = true;
 	g_ptr_array_add(engine->generating, job);
 }
@@ -408,6 +458,52 @@
 	}
 }
 
+void fleet_sim_turn_cold(
+	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int row_ms)
+{
+	for (unsigned int i = first; i < first + count; i++) {
+		this->engines[i].is_down = false;
+		this->engines[i].cold_until = this->now + this->options.cold_ms * USEC_PER_MSEC;
+		g_queue_clear_full(&this->engines[i].arrivals, g_free);
+		for (unsigned int r = 0; row_ms && r < this->options.routers; r++)
+			this->routers[r].row_due[i] =
+				this->now + USEC_PER_MSEC * (uint64_t)g_rand_int_range(this->random,
+								    0, (gint32)row_ms);
+	}
+}
+
+static void end_jobs_of(fleet_sim_t *this, unsigned int router)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, this->jobs);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		job_t *job = key;
+		sim_engine_t *engine = &this->engines[job->engine];
+
+		if (job->router != router || job->request.state == PLACEMENT_NONE)
+			continue;
+		if (job->state == JOB_PREFILLING)
+			g_queue_remove(&engine->prefilling, job);
+		if (job->state == JOB_GENERATING)
+			g_ptr_array_remove_fast(engine->generating, job);
+		if (job->state != JOB_WAITING)
+			this->without_grant -= job->request.without_grant;
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+void fleet_sim_restart_routers(fleet_sim_t *this, unsigned int first, unsigned int count)
+{
+	for (unsigned int i = first; i < first + count; i++) {
+		end_jobs_of(this, i);
+		placement_delete(this->routers[i].placement);
+		g_queue_clear_full(&this->routers[i].inbox, message_delete);
+		start_router(this, i);
+	}
+}
+
 void fleet_sim_slow_routers(
 	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int ms)
 {
@@ -437,13 +533,57 @@
 	}
 }
 
+static unsigned int router_index(id_t32 id)
+{
+	return (id - router_id(0)) / ROUTER_ID_STEP;
+}
+
+static bool is_split(const fleet_sim_t *this, const placement_t *from, unsigned int to)
+{
+	unsigned int sender = router_index(placement_members(from)->list[0].id);
+
+	return this->split && (sender < this->split) != (to < this->split);
+}
+
+static bool is_disturbed(fleet_sim_t *this)
+{
+	return this->disturbed && g_rand_int_range(this->random, 0, 1000) < (gint32)this->disturbed;
+}
+
+static gint due_sooner(gconstpointer a, gconstpointer b, gpointer data)
+{
+	instant_t left = ((const fleet_message_t *)a)->due;
+	instant_t right = ((const fleet_message_t *)b)->due;
+
+	return left < right ? -1 : left > right;
+}
+
+/* Entries that are sent as durations count from the time of sending, also in a late message. */
+static void send_disturbed(fleet_sim_t *this, fleet_message_t *message)
+{
+	if (!this->disturbed) {
+		g_queue_push_tail(&this->messages, message);
+		return;
+	}
+	if (is_disturbed(this)) {
+		fleet_message_t *copy = g_memdup2(message, sizeof(*message));
+
+		g_array_ref(copy->entries);
+		g_queue_insert_sorted(&this->messages, copy, due_sooner, NULL);
+	}
+	if (is_disturbed(this))
+		message->due += (uint64_t)g_rand_int_range(this->random, 1, LATE_MESSAGE_MS) *
+				USEC_PER_MSEC;
+	g_queue_insert_sorted(&this->messages, message, due_sooner, NULL);
+}
+
 static void send_message(
 	fleet_sim_t *this, placement_t *from, unsigned int slot, const message_header_t *header)
 {
 	fleet_message_t *message = g_new0(fleet_message_t, 1);
 	message_entry_t entry;
 
-	message->to = (placement_members(from)->list[slot].id - router_id(0)) / ROUTER_ID_STEP;
+	message->to = router_index(placement_members(from)->list[slot].id);
 	message->due = this->now + MESSAGE_DELAY;
 	message->header = *header;
 	message->entries = g_array_new(FALSE, FALSE, sizeof(entry));
@@ -451,11 +591,13 @@
 		g_array_append_val(message->entries, entry);
 	if (placement_next_receipt(from, slot, &entry, this->now))
 		g_array_append_val(message->entries, entry);
+	while (placement_next_engine_state(from, slot, &entry, this->now))
+		g_array_append_val(message->entries, entry);
 	this->message_count++;
-	if (this->cut)
+	if (this->cut || is_split(this, from, message->to) || is_disturbed(this))
 		message_delete(message);
 	else
-		g_queue_push_tail(&this->messages, message);
+		send_disturbed(this, message);
 }
 
 static void read_messages(fleet_sim_t *this, sim_router_t *router)
@@ -476,6 +618,23 @@
 	}
 }
 
+static void read_rows(fleet_sim_t *this, sim_router_t *router)
+{
+	bool changed = false;
+
+	for (unsigned int i = 0; i < this->options.engines; i++) {
+		if (!router->row_due[i] || this->now < router->row_due[i])
+			continue;
+		router->row_due[i] = 0;
+		router->engines[i].cold_until = this->engines[i].cold_until;
+		router->engines[i].cold_stated_at = this->now;
+		router->engines[i].cold_source = WARM_UP_ROW;
+		changed = true;
+	}
+	if (changed)
+		set_engines(this, (unsigned int)(router - this->routers));
+}
+
 static void run_router(fleet_sim_t *this, sim_router_t *router)
 {
 	message_header_t header;
@@ -487,6 +646,7 @@
 		return;
 	router->due = false;
 	router->ticked_at = this->now;
+	read_rows(this, router);
 	read_messages(this, router);
 	placement_tick(router->placement, this->now);
 	handle_actions(this, router);
@@ -572,6 +732,31 @@
 	this->cut = cut;
 }
 
+void fleet_sim_split(fleet_sim_t *this, unsigned int routers)
+{
+	this->split = routers;
+}
+
+void fleet_sim_disturb(fleet_sim_t *this, unsigned int per_mille)
+{
+	this->disturbed = per_mille;
+}
+
+unsigned int fleet_sim_overruns(const fleet_sim_t *this)
+{
+	return this->overruns;
+}
+
+unsigned int fleet_sim_peak_while_cold(const fleet_sim_t *this)
+{
+	return this->cold_peak;
+}
+
+unsigned int fleet_sim_arrivals_while_cold(const fleet_sim_t *this)
+{
+	return this->cold_arrivals;
+}
+
 unsigned int fleet_sim_peak_without_grant(const fleet_sim_t *this)
 {
 	return this->peak_without_grant;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -26,6 +26,9 @@
 	unsigned int slots; /* of an engine */
 	uint32_t seed;
 	unsigned int prefill_tokens_per_ms; /* of an engine */
+	unsigned int cold_per_s;	    /* requests that a cold engine bears; 0: any number */
+	unsigned int cold_ms;		    /* for which an engine is cold */
+	bool tells_cold;		    /* engines say in responses how long they stay cold */
 } fleet_options_t;
 
 /* A kind of request; sizes are mean numbers of tokens. */
@@ -68,6 +71,23 @@
 /* Routers `first` to `first + count - 1` take `ms` for each turn of their loop; 0: no time. */
 void fleet_sim_slow_routers(
 	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int ms);
+/*
+ * Engines `first` to `first + count - 1` are cold from now on, and can be reached.  Each router
+ * reads that in their rows at a time of its own within `row_ms`; 0: no router does.
+ */
+void fleet_sim_turn_cold(
+	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int row_ms);
+/* Times that a cold engine got half as many requests again as it bears, and five, in a second. */
+unsigned int fleet_sim_overruns(const fleet_sim_t *this);
+/* Most requests that a cold engine got in a second; all that cold engines got. */
+unsigned int fleet_sim_peak_while_cold(const fleet_sim_t *this);
+unsigned int fleet_sim_arrivals_while_cold(const fleet_sim_t *this);
+/* Kills the routers with all their requests, and starts them again. */
+void fleet_sim_restart_routers(fleet_sim_t *this, unsigned int first, unsigned int count);
+/* Drops messages between the routers below number `routers` and the others; 0: none. */
+void fleet_sim_split(fleet_sim_t *this, unsigned int routers);
+/* Loses so many of a thousand messages, brings as many twice, and as many late. */
+void fleet_sim_disturb(fleet_sim_t *this, unsigned int per_mille);
 /* Drops all messages between routers, or stops dropping them. */
 void fleet_sim_cut(fleet_sim_t *this, bool cut);
 /* Most runs without a grant that there were at a time, at all engines together. */
