--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -28,7 +28,8 @@
 	char ready_address[32];	      /* where it serves /readiness and /metrics */
 	unsigned int config_version;  /* of the last configuration written */
 	unsigned int idle_timeout_ms; /* of the configurations written */
-	bool stopped;		      /* the gateway's thread has ended */
+	const char *service_fields; /* JSON that follows the last fixed one of the service; NULL */
+	bool stopped;		    /* the gateway's thread has ended */
 } fixture_t;
 
 /*
@@ -64,6 +65,10 @@
 /* The same for an endpoint whose software has another version. */
 void fixture_register_version(
 	fixture_t *this, unsigned int endpoint, const char *state, const char *version);
+/* The same with JSON that stands for the cold time, or "". */
+void fixture_register_cold(fixture_t *this, unsigned int endpoint, const char *cold);
+/* Like fixture_add_endpoint(), without the row. */
+raw_endpoint_t *fixture_start_endpoint(fixture_t *this, raw_handler_t handler, void *ctx);
 /*
  * Writes a new version of the configuration to the store; `extra_routes` is JSON that follows
  * the last fixed route, or "".
