--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -134,7 +134,7 @@
 void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now);
 /* Whether a grant may have been read so late that it adds to later starts at a cold engine. */
 bool placement_grant_is_too_old(
-	const placement_t *this, const engine_state_t *state, instant_t now);
+	const placement_t *this, unsigned int owner, const engine_state_t *state, instant_t now);
 
 /* placement_request.c: slot requests and the choice of their owner */
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -95,7 +95,7 @@
 	const engine_state_t *state = placement_find_engine(this, engine);
 
 	return state && placement_may_use(state, request, now) &&
-	       !placement_grant_is_too_old(this, state, now);
+	       !placement_grant_is_too_old(this, request->owner, state, now);
 }
 
 /* The owner may not know yet that the engine leaves, or that it wants nothing from us now. */
--- a/src/core/placement_warm_up.c
+++ b/src/core/placement_warm_up.c
@@ -263,11 +263,12 @@
 	warm_up_count(&state->warm_up, share_without_grant(this), now);
 }
 
-bool placement_grant_is_too_old(const placement_t *this, const engine_state_t *state, instant_t now)
+bool placement_grant_is_too_old(
+	const placement_t *this, unsigned int owner, const engine_state_t *state, instant_t now)
 {
 	uint64_t gap = this->ticked_at ? now - this->ticked_at : 0;
 
-	return instant_max(gap, this->own_delay) > MAX_GRANT_AGE &&
+	return owner && instant_max(gap, this->own_delay) > MAX_GRANT_AGE &&
 	       warm_up_is_cold(known(this, state), now);
 }
 
--- a/src/core/sched_engine.c
+++ b/src/core/sched_engine.c
@@ -76,8 +76,7 @@
 	if (result != SLOT_UNREACHABLE)
 		return;
 	this->down_until = now + (INITIAL_DOWN_TIME << doublings);
-	if (this->failures >= PROBE_FAILURES)
-		warm_up_away(&this->warm_up, now);
+	warm_up_unreached(&this->warm_up, now);
 }
 
 void sched_engine_record_sign(sched_engine_t *this)
--- a/src/core/warm_up.c
+++ b/src/core/warm_up.c
@@ -6,6 +6,11 @@
 
 /* Starts of this time count against the pace: an endpoint bears so many within a second. */
 #define PACE_WINDOW USEC_PER_SEC
+/*
+ * An endpoint that is out of reach for so long may start again meanwhile.  Less can be the fault of
+ * one router, which fails with all that it was granted before.
+ */
+#define AWAY_TIME (200 * USEC_PER_MSEC)
 #define MAX_COLD_MS 3600000.0
 
 void warm_up_init(warm_up_t *this)
@@ -25,35 +30,52 @@
 	rate_limit_set(&this->pace, pace ? pace : RATE_NONE, now);
 }
 
+static void set_reached(warm_up_t *this)
+{
+	this->unreached_since = 0;
+	this->unreached_at = 0;
+}
+
 bool warm_up_observe(warm_up_t *this, const warm_up_statement_t *statement)
 {
 	if (statement->source == WARM_UP_NONE || statement->stated_at <= this->newest.stated_at)
 		return false;
 	this->newest = *statement;
-	if (this->away_at < statement->stated_at)
-		this->away_at = 0;
+	if (this->unreached_at < statement->stated_at)
+		set_reached(this);
 	return true;
 }
 
 void warm_up_returned(warm_up_t *this, instant_t now)
 {
-	this->away_at = 0;
-	if (has_pace(this) && this->cold_time)
-		this->newest = (warm_up_statement_t){WARM_UP_RETURNED, now + this->cold_time, now};
+	instant_t until = now + this->cold_time;
+
+	set_reached(this);
+	if (!has_pace(this) || !this->cold_time)
+		return;
+	if (this->newest.source != WARM_UP_RETURNED)
+		until = instant_max(until, this->newest.cold_until);
+	this->newest = (warm_up_statement_t){WARM_UP_RETURNED, until, now};
 }
 
-void warm_up_away(warm_up_t *this, instant_t now)
+void warm_up_unreached(warm_up_t *this, instant_t now)
 {
 	if (!has_pace(this) || !this->cold_time)
 		return;
-	this->away_at = now;
-	this->newest = (warm_up_statement_t){WARM_UP_RETURNED, INSTANT_NEVER, now};
+	if (!this->unreached_since)
+		this->unreached_since = now;
+	this->unreached_at = now;
+	if (now >= this->unreached_since + AWAY_TIME)
+		this->newest = (warm_up_statement_t){WARM_UP_RETURNED, INSTANT_NEVER, now};
 }
 
 void warm_up_reached(warm_up_t *this, instant_t now)
 {
-	if (this->away_at)
+	instant_t away_at = this->unreached_at;
+
+	if (away_at && (now >= away_at + AWAY_TIME || away_at >= this->unreached_since + AWAY_TIME))
 		warm_up_returned(this, now);
+	set_reached(this);
 }
 
 bool warm_up_is_cold(const warm_up_t *this, instant_t now)
--- a/src/core/warm_up.h
+++ b/src/core/warm_up.h
@@ -31,7 +31,10 @@
 	rate_limit_t pace;  /* of starts while it is cold; RATE_NONE: as many as when warm */
 	uint64_t cold_time; /* microseconds for which it is cold after a start, 0: unknown */
 	warm_up_statement_t newest;
-	instant_t away_at; /* when it could not be reached for the last time; 0: it is reached */
+	/* When it could not be reached, first and last, since it was or said anything; 0: it can.
+	 */
+	instant_t unreached_since;
+	instant_t unreached_at;
 } warm_up_t;
 
 void warm_up_init(warm_up_t *this);
@@ -41,8 +44,11 @@
 bool warm_up_observe(warm_up_t *this, const warm_up_statement_t *statement);
 /* The endpoint is in use again, and may have started meanwhile. */
 void warm_up_returned(warm_up_t *this, instant_t now);
-/* The endpoint can't be reached: it is cold until it is reached again, and for a while then. */
-void warm_up_away(warm_up_t *this, instant_t now);
+/*
+ * A request did not reach the endpoint, or one did.  An endpoint that was out of reach for a while
+ * is cold until it is reached, and for its time then: it may have started again.
+ */
+void warm_up_unreached(warm_up_t *this, instant_t now);
 void warm_up_reached(warm_up_t *this, instant_t now);
 bool warm_up_is_cold(const warm_up_t *this, instant_t now);
 /* Microseconds until it is warm; UINT64_MAX: until told otherwise. */
