--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -272,6 +272,74 @@
 	}
 }
 
+typedef struct cold_case {
+	const char *text; /* that follows the other members */
+	bool stated;
+	uint64_t left; /* microseconds */
+} cold_case_t;
+
+static void test_cold_time_of_an_entry(void **state)
+{
+	static const cold_case_t cases[] = {
+		{"", false, 0},
+		{",\"coldRemainingMs\":0", true, 0},
+		{",\"coldRemainingMs\":2900", true, 2900000},
+		{",\"coldRemainingMs\":0.5", true, 500},
+		{",\"coldRemainingMs\":1e-9", true, 1},
+		{",\"coldRemainingMs\":1e30", true, UINT64_MAX},
+		{",\"coldRemainingMs\":99999999999999999999999999", true, UINT64_MAX},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf("{\"service\":\"m\",\"address\":\"10.0.0.1:80\","
+					     "\"slots\":8,\"state\":\"ready\"%s}",
+			cases[i].text);
+		endpoint_registration_t registration = {0};
+
+		assert_true(decode_endpoint("e", text, strlen(text), &registration));
+		assert_int_equal(registration.cold_stated, cases[i].stated);
+		assert_true(registration.cold_left == cases[i].left);
+		endpoint_registration_clear(&registration);
+		g_free(text);
+	}
+}
+
+typedef struct pace_case {
+	const char *text;
+	unsigned int cold_start_ms;
+	uint32_t pace;
+} pace_case_t;
+
+/* A configuration that was in force before these fields were read stays in force. */
+static void test_cold_time_and_pace_of_a_service(void **state)
+{
+	static const pace_case_t cases[] = {
+		{"", 0, RATE_NONE},
+		{",\"coldStartS\":3.0,\"coldPerS\":12.0", 3000, 12000},
+		{",\"coldStartS\":0.0015,\"coldPerS\":0.5", 2, 500},
+		{",\"coldStartS\":0.0,\"coldPerS\":0.0", 0, RATE_NONE},
+		{",\"coldStartS\":null,\"coldPerS\":null", 0, RATE_NONE},
+		{",\"coldStartS\":-3,\"coldPerS\":-12", 0, RATE_NONE},
+		{",\"coldStartS\":\"3\",\"coldPerS\":[12]", 0, RATE_NONE},
+		{",\"coldStartS\":1e30,\"coldPerS\":1e30", 3600000, RATE_MAX},
+		{",\"coldPerS\":1e-30", 0, 1},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf(CONFIG("1", "%s", "", "", ""), cases[i].text);
+		GString *problems = g_string_new(NULL);
+		catalog_t *catalog = decode(text, problems);
+
+		assert_non_null(catalog);
+		assert_int_equal(catalog->services[0].cold_start_ms, cases[i].cold_start_ms);
+		assert_int_equal(catalog->services[0].cold_pace, cases[i].pace);
+		assert_int_equal(catalog->services[1].cold_pace, RATE_NONE);
+		catalog_put(catalog);
+		g_string_free(problems, TRUE);
+		g_free(text);
+	}
+}
+
 static void test_entry_nested_very_deeply_names_no_endpoint(void **state)
 {
 	static const char *const brackets[] = {"[", "{\"a\":"};
@@ -293,6 +361,8 @@
 		cmocka_unit_test(test_numbers_of_the_configuration_at_their_edges),
 		cmocka_unit_test(test_weights_with_fractions_divide_the_requests),
 		cmocka_unit_test(test_entries_of_another_writer_name_no_endpoint),
+		cmocka_unit_test(test_cold_time_of_an_entry),
+		cmocka_unit_test(test_cold_time_and_pace_of_a_service),
 		cmocka_unit_test(test_entry_nested_very_deeply_names_no_endpoint),
 	};
 
--- a/tests/test_entry_codec.c
+++ b/tests/test_entry_codec.c
@@ -83,6 +83,42 @@
 	entry_writer_delete(writer);
 }
 
+static void test_state_of_an_engine_is_the_same_after_decoding(void **state)
+{
+	const engine_state_report_t reports[] = {
+		{.cold_left = 2900000, .cold_age = 1, .cold_pace = 12000},
+		{.cold_left = UINT64_MAX, .cold_age = UINT64_MAX / 4, .cold_pace = RATE_MAX},
+		{.prefill_token_ns = UINT32_MAX,
+			.decode_step_us = 3410,
+			.speed_samples = 7,
+			.speed_age = UINT64_MAX},
+	};
+	message_entry_t grant = {.kind = ENTRY_GRANT, .ticket = 3, .engine = 4};
+	entry_writer_t *writer = begin();
+	entry_reader_t *reader;
+	message_entry_t decoded;
+
+	for (unsigned int i = 0; i < ARRAY_LEN(reports); i++) {
+		message_entry_t entry = {.kind = ENTRY_ENGINE_STATE,
+			.engine = UINT32_MAX - i,
+			.engine_state = reports[i]};
+
+		entry_writer_add(writer, &entry, NOW);
+	}
+	entry_writer_add(writer, &grant, NOW);
+	reader = read_back(writer, 0);
+	for (unsigned int i = 0; i < ARRAY_LEN(reports); i++) {
+		assert_true(entry_reader_next(reader, &decoded, NOW));
+		assert_int_equal(decoded.kind, ENTRY_ENGINE_STATE);
+		assert_int_equal(decoded.engine, UINT32_MAX - i);
+		assert_memory_equal(&decoded.engine_state, &reports[i], sizeof(reports[i]));
+	}
+	assert_true(entry_reader_next(reader, &decoded, NOW));
+	assert_int_equal(decoded.engine, 4);
+	entry_reader_delete(reader);
+	entry_writer_delete(writer);
+}
+
 /* A router of a later build may send kinds that this one does not know. */
 static void test_entries_before_one_of_unknown_kind_are_read(void **state)
 {
@@ -107,6 +143,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_largest_report_of_streams_is_the_same_after_decoding),
 		cmocka_unit_test(test_report_that_is_cut_off_is_not_read),
+		cmocka_unit_test(test_state_of_an_engine_is_the_same_after_decoding),
 		cmocka_unit_test(test_entries_before_one_of_unknown_kind_are_read),
 	};
 
