--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -74,6 +74,7 @@
 
 struct fleet_sim {
 	fleet_options_t options;
+	fleet_cold_options_t cold;
 	instant_t began;
 	instant_t now;
 	GRand *random;
@@ -142,8 +143,8 @@
 			.limits = {.slots = this->options.slots,
 				.token_memory = TOKEN_MEMORY,
 				.max_event_gap = MAX_EVENT_GAP},
-			.cold_pace = this->options.cold_per_s * RATE_PER_SECOND,
-			.cold_time = this->options.cold_ms * USEC_PER_MSEC,
+			.cold_pace = this->cold.per_second * RATE_PER_SECOND,
+			.cold_time = this->cold.ms * USEC_PER_MSEC,
 			.usable = true};
 }
 
@@ -193,6 +194,15 @@
 	return this;
 }
 
+void fleet_sim_set_cold_options(fleet_sim_t *this, const fleet_cold_options_t *options)
+{
+	this->cold = *options;
+	for (unsigned int i = 0; i < this->options.routers; i++) {
+		fill_engines(this, &this->routers[i]);
+		set_engines(this, i);
+	}
+}
+
 static void message_delete(void *item)
 {
 	fleet_message_t *message = item;
@@ -356,7 +366,7 @@
 		*arrival + USEC_PER_SEC <= this->now)
 		g_free(g_queue_pop_head(&engine->arrivals));
 	this->cold_peak = MAX(this->cold_peak, engine->arrivals.length);
-	if (engine->arrivals.length <= this->options.cold_per_s * 3 / 2 + 5)
+	if (engine->arrivals.length <= this->cold.per_second * 3 / 2 + 5)
 		return;
 	this->overruns++;
 	g_queue_clear_full(&engine->arrivals, g_free);
@@ -397,7 +407,7 @@
 	job->ends_at =
 		this->now + FIRST_TOKEN_US + (uint64_t)(job->request.work.answer * DECODE_STEP_US);
 	placement_first_token(this->routers[job->router].placement, &job->request, this->now);
-	if (this->options.tells_cold)
+	if (this->cold.is_told)
 		placement_warm_up_report(this->routers[job->router].placement, &job->request,
 			instant_left(engine->cold_until, this->now), this->now, this->now);
 	this->routers[job->router].due = true;
@@ -463,7 +473,7 @@
 {
 	for (unsigned int i = first; i < first + count; i++) {
 		this->engines[i].is_down = false;
-		this->engines[i].cold_until = this->now + this->options.cold_ms * USEC_PER_MSEC;
+		this->engines[i].cold_until = this->now + this->cold.ms * USEC_PER_MSEC;
 		g_queue_clear_full(&this->engines[i].arrivals, g_free);
 		for (unsigned int r = 0; row_ms && r < this->options.routers; r++)
 			this->routers[r].row_due[i] =
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -26,11 +26,14 @@
 	unsigned int slots; /* of an engine */
 	uint32_t seed;
 	unsigned int prefill_tokens_per_ms; /* of an engine */
-	unsigned int cold_per_s;	    /* requests that a cold engine bears; 0: any number */
-	unsigned int cold_ms;		    /* for which an engine is cold */
-	bool tells_cold;		    /* engines say in responses how long they stay cold */
 } fleet_options_t;
 
+typedef struct fleet_cold_options {
+	unsigned int per_second; /* requests that a cold engine bears; 0: any number */
+	unsigned int ms;	 /* for which an engine is cold */
+	bool is_told;		 /* engines say in responses how long they stay cold */
+} fleet_cold_options_t;
+
 /* A kind of request; sizes are mean numbers of tokens. */
 typedef struct fleet_workload {
 	unsigned int prompt;
@@ -71,6 +74,8 @@
 /* Routers `first` to `first + count - 1` take `ms` for each turn of their loop; 0: no time. */
 void fleet_sim_slow_routers(
 	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int ms);
+/* Before the first fleet_sim_run(): what the engines' service says of cold ones. */
+void fleet_sim_set_cold_options(fleet_sim_t *this, const fleet_cold_options_t *options);
 /*
  * Engines `first` to `first + count - 1` are cold from now on, and can be reached.  Each router
  * reads that in their rows at a time of its own within `row_ms`; 0: no router does.
--- a/tests/test_cold_endpoints.c
+++ b/tests/test_cold_endpoints.c
@@ -29,12 +29,11 @@
 		.engines = ENGINES,
 		.slots = slots,
 		.seed = seed,
-		.prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS,
-		.cold_per_s = PACE,
-		.cold_ms = COLD_MS,
-		.tells_cold = tells_cold};
+		.prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS};
+	fleet_cold_options_t cold = {PACE, COLD_MS, tells_cold};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
+	fleet_sim_set_cold_options(sim, &cold);
 	for (unsigned int w = 0; w < 8; w++) {
 		fleet_offer_t offer = {.workspace = w,
 			.workload = &question,
--- a/tests/test_cold_gateways.c
+++ b/tests/test_cold_gateways.c
@@ -1,6 +1,4 @@
-/*
- * threaded: cold gateways - several routers together keep to the pace of an endpoint that ends when
- * it gets more while it is cold
+/* threaded: cold_gateways - several routers keep to the pace of a cold endpoint that ends above it
  */
 #include <setjmp.h>
 #include <stdarg.h>
