--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -132,6 +132,8 @@
 void placement_hand_over_warm_up(
 	placement_t *this, engine_state_t *state, unsigned int former, instant_t now);
 void placement_update_pace_share(placement_t *this, instant_t now);
+/* Returns whether a request may start at the engine without a grant, according to its pace. */
+bool placement_pace_allows(const placement_t *this, const engine_state_t *state, instant_t now);
 /* Counts a start without a grant. */
 void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now);
 /* Whether a grant may have been read so late that it adds to later starts at a cold engine. */
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -434,7 +434,7 @@
 
 		if (!placement_may_use(state, request, now) || state->engine.id == request->avoid ||
 			!rate_limit_allows(&state->rate_limit, now) ||
-			!warm_up_allows(&state->warm_up, now))
+			!placement_pace_allows(this, state, now))
 			continue;
 		if (!best || state->running_here < best->running_here)
 			best = state;
--- a/src/core/placement_warm_up.c
+++ b/src/core/placement_warm_up.c
@@ -251,13 +251,17 @@
 
 	if (2 * alive < expected)
 		share *= MINORITY_PART;
-
 	if (share < this->pace_share)
 		spread_owned(this, share, now);
 	this->pace_share = share;
 	scheduler_set_pace_share(this->scheduler, share);
 }
 
+bool placement_pace_allows(const placement_t *this, const engine_state_t *state, instant_t now)
+{
+	return warm_up_allows(&state->warm_up, now) && warm_up_allows(known(this, state), now);
+}
+
 void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now)
 {
 	warm_up_count(&state->warm_up, share_without_grant(this), now);
--- a/src/gateway/endpoint_warm_up.c
+++ b/src/gateway/endpoint_warm_up.c
@@ -76,3 +76,17 @@
 		placement_warm_up_report(peers_placement(call->gateway->peers),
 			&call->placement_request, response->cold_left, call->sent_at, clock_now());
 }
+
+void endpoint_warm_up_log(
+	const registered_endpoint_t *endpoint, const warm_up_t *warm_up, instant_t now)
+{
+	uint64_t left = warm_up_left(warm_up, now);
+
+	log_notice(left ? "endpoint-cold" : "endpoint-warm",
+		"endpoint=%s left_ms=%" G_GINT64_FORMAT " pace_milli=%" G_GINT64_FORMAT
+		" source=%s",
+		endpoint ? endpoint->name : "-",
+		left == UINT64_MAX ? -1 : (gint64)(left / USEC_PER_MSEC),
+		(gint64)rate_limit_signed(warm_up->pace.rate),
+		warm_up_source_name(warm_up->newest.source));
+}
--- a/src/gateway/endpoint_warm_up.h
+++ b/src/gateway/endpoint_warm_up.h
@@ -24,5 +24,8 @@
 	const catalog_service_t *service, instant_t loaded_at, placement_engine_t *engine);
 /* Reports what the response to a call says of the endpoint's cold time. */
 void endpoint_warm_up_report(call_t *call, const connection_response_t *response);
+/* Logs that the endpoint, NULL if it has left, is cold or warm from now on. */
+void endpoint_warm_up_log(
+	const registered_endpoint_t *endpoint, const warm_up_t *warm_up, instant_t now);
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -524,18 +524,9 @@
 
 static void on_warm_up(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now)
 {
-	gateway_t *this = ctx;
-	const registered_endpoint_t *endpoint =
-		endpoint_registry_find(this->endpoint_registry, engine);
-	uint64_t left = warm_up_left(warm_up, now);
-
-	log_notice(left ? "endpoint-cold" : "endpoint-warm",
-		"endpoint=%s left_ms=%" G_GINT64_FORMAT " pace_milli=%" G_GINT64_FORMAT
-		" source=%s",
-		endpoint ? endpoint->name : "-",
-		left == UINT64_MAX ? -1 : (gint64)(left / USEC_PER_MSEC),
-		(gint64)rate_limit_signed(warm_up->pace.rate),
-		warm_up_source_name(warm_up->newest.source));
+	const gateway_t *this = ctx;
+
+	endpoint_warm_up_log(endpoint_registry_find(this->endpoint_registry, engine), warm_up, now);
 }
 
 static bool start_peers(gateway_t *this)
