Evacuation of a failure domain: rows of the operators, by store and by peers

core/evacuation decides which domains are evacuated, by the rows' era and version; gateway/evacuation_rows takes them from the catalog's table and from peers (a third cached table, which routers of earlier builds ignore). An endpoint of an evacuated domain takes no new work and keeps no idle connection; a router is ready when it has seen a listing, its own or a peer's. A row whose value can't be read is kept by the adapter, since its key names the domain. row_gossip: requests for several tables are answered one after the other; the second one was dropped before and came again only after the retry delay.

--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -29,6 +29,7 @@
 	REASON_OVERLOADED,
 	REASON_DEADLINE,
 	REASON_NO_ENDPOINT,
+	REASON_EVACUATED, /* the endpoints that could run it are in evacuated failure domains */
 	REASON_DEPENDENCY,
 	REASON_STORE_DOWN,
 	REASON_STOPPING,
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -20,6 +20,8 @@
 	/* Where the store holds the operators' catalog and the endpoint registrations. */
 	const char *catalog_table;
 	const char *catalog_key;
+	/* Keys of rows of the catalog's table that evacuate the failure domain that follows it. */
+	const char *evacuation_prefix;
 	const char *endpoint_table;
 	/* Returns NULL on error, with every error added to `errors`. */
 	catalog_t *(*decode_catalog)(const char *text, gsize len, error_list_t *errors);
--- a/src/gateway/call_identify.c
+++ b/src/gateway/call_identify.c
@@ -27,7 +27,7 @@
 
 	call->id = g_strdup(caller_header(call->request, call->gateway->header_names->request_id));
 	call->catalog = catalog_get(call->gateway->catalog);
-	if (!call->catalog) {
+	if (!call->catalog || !evacuations_are_known(call->gateway->evacuations)) {
 		call->retry_after_s = NOT_READY_RETRY_S;
 		return fail(call, REASON_NOT_READY);
 	}
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -44,7 +44,7 @@
 	if (!record_decision(this))
 		return;
 	endpoint = endpoint_registry_find(this->gateway->endpoint_registry, id);
-	if (!endpoint || endpoint->state != ENDPOINT_READY) {
+	if (!endpoint || !registered_endpoint_takes_work(endpoint)) {
 		/* The registry has changed since the placement was told of the engines. */
 		log_info("grant-outdated", "id=%s endpoint=%s", this->id,
 			endpoint ? endpoint->name : "-");
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -338,7 +338,7 @@
 	void *user = this->user;
 
 	this->ops = NULL;
-	if (reusable && this->keep_alive && this->endpoint->state == ENDPOINT_READY)
+	if (reusable && this->keep_alive && registered_endpoint_takes_work(this->endpoint))
 		connection_make_idle(this);
 	else
 		connection_close(this);
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -38,6 +38,7 @@
 	g_free(this->service);
 	g_free(this->address);
 	g_free(this->version);
+	g_free(this->failure_domain);
 	g_free(this);
 }
 
@@ -47,6 +48,17 @@
 	g_free(this->service);
 	g_free(this->address);
 	g_free(this->version);
+	g_free(this->failure_domain);
+}
+
+bool registered_endpoint_takes_work(const registered_endpoint_t *this)
+{
+	return this->state == ENDPOINT_READY && !this->evacuated;
+}
+
+bool registered_endpoint_returns_cold(const registered_endpoint_t *this)
+{
+	return this->evacuation_ended_at && this->cold_stated_at <= this->evacuation_ended_at;
 }
 
 static void unref_endpoint(void *item)
@@ -150,6 +162,54 @@
 	g_hash_table_remove(this->by_name, endpoint->name);
 }
 
+/* Returns whether that changed anything. */
+static bool apply_evacuations(
+	const endpoint_registry_t *this, registered_endpoint_t *endpoint, instant_t now)
+{
+	bool evacuated = this->options.evacuations && endpoint->domain_id &&
+			 evacuations_contain(this->options.evacuations, endpoint->domain_id);
+
+	if (evacuated == endpoint->evacuated)
+		return false;
+	endpoint->evacuated = evacuated;
+	if (!evacuated)
+		endpoint->evacuation_ended_at = now;
+	return true;
+}
+
+unsigned int endpoint_registry_apply_evacuations(endpoint_registry_t *this, instant_t now)
+{
+	unsigned int changed = 0;
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		changed += apply_evacuations(this, item, now);
+	return changed;
+}
+
+static void set_domain(registered_endpoint_t *endpoint, const char *domain)
+{
+	g_free(endpoint->failure_domain);
+	endpoint->failure_domain = g_strdup(domain ? domain : "");
+	endpoint->domain_id = *endpoint->failure_domain ? name_id(endpoint->failure_domain) : 0;
+}
+
+/* Notes what the registration says beside its state; returns whether that changed anything. */
+static bool apply_registration(const endpoint_registry_t *this, registered_endpoint_t *endpoint,
+	const endpoint_registration_t *registration, instant_t now)
+{
+	id_t32 domain_before = endpoint->domain_id;
+	bool returned_cold = registered_endpoint_returns_cold(endpoint);
+
+	set_domain(endpoint, registration->failure_domain);
+	if (registration->cold_stated)
+		endpoint->cold_stated_at = now;
+	return apply_evacuations(this, endpoint, now) || endpoint->domain_id != domain_before ||
+	       registered_endpoint_returns_cold(endpoint) != returned_cold;
+}
+
 /* Returns whether it is another version than before. */
 static bool set_version(registered_endpoint_t *endpoint, const char *version)
 {
@@ -197,14 +257,18 @@
 {
 	registered_endpoint_t *endpoint = g_hash_table_lookup(this->by_name, registration->name);
 
-	if (endpoint && is_same_incarnation(endpoint, registration))
-		return update_endpoint(endpoint, registration);
+	if (endpoint && is_same_incarnation(endpoint, registration)) {
+		bool changed = apply_registration(this, endpoint, registration, now);
+
+		return update_endpoint(endpoint, registration) || changed;
+	}
 	if (endpoint && registration->era > endpoint->era &&
 		registration->incarnation < endpoint->incarnation)
 		return false;
 	if (endpoint)
 		remove_endpoint(this, endpoint, now);
 	endpoint = endpoint_new(registration);
+	apply_registration(this, endpoint, registration, now);
 	hold_if_departed(this, endpoint, now);
 	g_hash_table_insert(this->by_name, endpoint->name, endpoint);
 	g_hash_table_insert(this->by_id, GUINT_TO_POINTER(endpoint->id), endpoint);
@@ -288,3 +352,31 @@
 {
 	return g_hash_table_size(this->by_name);
 }
+
+unsigned int endpoint_registry_evacuated_count(const endpoint_registry_t *this)
+{
+	unsigned int count = 0;
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		count += ((const registered_endpoint_t *)item)->evacuated;
+	return count;
+}
+
+bool endpoint_registry_is_evacuated(const endpoint_registry_t *this, id_t32 service)
+{
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const registered_endpoint_t *endpoint = item;
+
+		if (endpoint->service_id == service && endpoint->evacuated &&
+			endpoint->state == ENDPOINT_READY)
+			return true;
+	}
+	return false;
+}
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -15,6 +15,7 @@
 #include <urcu/list.h>
 
 #include "core/buffer_pool.h"
+#include "core/evacuation.h"
 #include "core/types.h"
 
 typedef enum endpoint_state {
@@ -43,9 +44,11 @@
 	char *service;
 	char *address;
 	char *version;
+	char *failure_domain; /* empty: not stated */
 	id_t32 id;
 	id_t32 service_id;
 	id_t32 version_id;
+	id_t32 domain_id; /* of its failure domain, 0: not stated */
 	unsigned int slots;
 	endpoint_state_t state;
 	uint64_t incarnation;
@@ -53,6 +56,9 @@
 	bool said_it_leaves;  /* in a response: it stays draining, whatever its row says */
 	instant_t remove_at;  /* if its row is missing: when it is removed; else 0 */
 	instant_t hold_until; /* if it had left: when it may be used, draining until then; else 0 */
+	bool evacuated;	      /* its failure domain is */
+	instant_t evacuation_ended_at; /* when that was last lifted; 0: never */
+	instant_t cold_stated_at; /* when its registration last said how long it stays cold */
 	unsigned int ref_count;
 	buffer_group_t buffers;		       /* of the exchanges with it */
 	struct cds_list_head idle_connections; /* endpoint_connection_t, newest first */
@@ -66,6 +72,7 @@
 
 typedef struct endpoint_registry_options {
 	uint64_t returned_hold; /* microseconds for which an endpoint that had left is not used */
+	const evacuations_t *evacuations; /* NULL: none */
 	/* Called when an endpoint is removed, while the registry still holds it; may be NULL. */
 	void (*on_removed)(void *ctx, registered_endpoint_t *endpoint);
 	void *ctx;
@@ -82,6 +89,11 @@
  * whether that changed anything.
  */
 bool endpoint_registry_set_leaving(registered_endpoint_t *endpoint);
+/*
+ * Marks the endpoints whose failure domains are evacuated now, after a change of the options'
+ * evacuations; returns the number of endpoints that this changed.
+ */
+unsigned int endpoint_registry_apply_evacuations(endpoint_registry_t *this, instant_t now);
 typedef enum endpoint_removal {
 	ENDPOINT_UNKNOWN, /* not in the registry */
 	ENDPOINT_REMOVED,
@@ -105,7 +117,17 @@
 void endpoint_registry_for_each(endpoint_registry_t *this,
 	void (*callback)(void *ctx, registered_endpoint_t *endpoint), void *ctx);
 unsigned int endpoint_registry_count(const endpoint_registry_t *this);
+unsigned int endpoint_registry_evacuated_count(const endpoint_registry_t *this);
+/* Whether an endpoint of the service would take new work if its domain were not evacuated. */
+bool endpoint_registry_is_evacuated(const endpoint_registry_t *this, id_t32 service);
 
+/* Whether new work may be sent to the endpoint. */
+bool registered_endpoint_takes_work(const registered_endpoint_t *this);
+/*
+ * Whether the endpoint has to be taken for cold: its domain was evacuated, and the endpoint has not
+ * said since how long it stays cold.
+ */
+bool registered_endpoint_returns_cold(const registered_endpoint_t *this);
 /* Take and release a reference; put() accepts NULL. */
 registered_endpoint_t *registered_endpoint_get(registered_endpoint_t *this);
 void registered_endpoint_put(registered_endpoint_t *this);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -89,7 +89,8 @@
 
 bool gateway_is_ready(const gateway_t *this)
 {
-	return this->catalog && this->endpoints_loaded && !this->stopping &&
+	return this->catalog && this->endpoints_loaded &&
+	       evacuations_are_known(this->evacuations) && !this->stopping &&
 	       !overload_is_paused(&this->overload, clock_now());
 }
 
@@ -164,10 +165,12 @@
 
 /* --- placement -------------------------------------------------------- */
 
-static reason_t rejection_reason(const placement_action_t *action)
+static reason_t rejection_reason(const gateway_t *this, const placement_action_t *action)
 {
 	if (!action->no_engine)
 		return REASON_OVERLOADED;
+	if (endpoint_registry_is_evacuated(this->endpoint_registry, action->request->pool))
+		return REASON_EVACUATED;
 	return action->request->version ? REASON_STREAM_VERSION_GONE : REASON_NO_ENDPOINT;
 }
 
@@ -182,7 +185,7 @@
 			call_on_slot_granted(call, action.engine);
 		else
 			call_on_slot_rejected(
-				call, rejection_reason(&action), action.retry_after_ms / 1000.0);
+				call, rejection_reason(this, &action), action.retry_after_ms / 1000.0);
 	}
 }
 
@@ -200,6 +203,15 @@
 	return index < 0 ? NULL : &catalog->services[index];
 }
 
+/* What was warm before an evacuation need not be warm after it. */
+static void apply_cold_return(placement_engine_t *engine, const registered_endpoint_t *endpoint)
+{
+	if (!registered_endpoint_returns_cold(endpoint))
+		return;
+	engine->cold_until = INSTANT_NEVER;
+	engine->cold_stated_at = endpoint->evacuation_ended_at;
+}
+
 static void add_engine(void *ctx, registered_endpoint_t *endpoint)
 {
 	engine_list_t *list = ctx;
@@ -215,10 +227,11 @@
 					service ? service->max_event_gap_ms * USEC_PER_MSEC : 0,
 			},
 		.version = endpoint->version_id,
-		.usable = endpoint->state == ENDPOINT_READY,
+		.usable = registered_endpoint_takes_work(endpoint),
 	};
 	service_version_t version = {endpoint->service_id, endpoint->version_id};
 
+	apply_cold_return(&engine, endpoint);
 	g_array_append_val(list->engines, engine);
 	g_array_append_val(list->versions, version);
 }
@@ -241,7 +254,7 @@
 
 static void close_idle_if_unready(void *ctx, registered_endpoint_t *endpoint)
 {
-	if (endpoint->state != ENDPOINT_READY)
+	if (!registered_endpoint_takes_work(endpoint))
 		endpoint_connection_trim(endpoint, 0, true);
 }
 
@@ -595,6 +608,19 @@
 	return origin_lookup_new(&options);
 }
 
+static evacuation_rows_t *new_evacuation_rows(gateway_t *this)
+{
+	evacuation_rows_options_t options = {
+		.adapter = this->adapter,
+		.row_cache = this->row_cache,
+		.evacuations = this->evacuations,
+		.on_change = gateway_handle_evacuation,
+		.ctx = this,
+	};
+
+	return evacuation_rows_new(&options);
+}
+
 gateway_t *gateway_new(const gateway_settings_t *settings)
 {
 	gateway_t *this = g_new0(gateway_t, 1);
@@ -602,6 +628,7 @@
 		.on_event = on_part_event, .place = place_for_part, .ctx = this};
 	endpoint_registry_options_t registry_options = {
 		.returned_hold = settings->returned_hold_ms * USEC_PER_MSEC,
+		.evacuations = this->evacuations = evacuations_new(NULL),
 		.on_removed = on_endpoint_removed,
 	};
 
@@ -614,6 +641,7 @@
 	uv_loop_init(&this->loop);
 	this->endpoint_registry = endpoint_registry_new(&registry_options);
 	this->row_cache = row_cache_new();
+	this->evacuation_rows = new_evacuation_rows(this);
 	this->part_watch = part_watch_new(&part_options);
 	this->origin_lookup = new_origin_lookup(this);
 	this->store_readers = store_readers_new();
@@ -684,6 +712,8 @@
 	uv_run(&this->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&this->loop);
 	endpoint_registry_delete(this->endpoint_registry);
+	evacuation_rows_delete(this->evacuation_rows);
+	evacuations_delete(this->evacuations);
 	row_cache_delete(this->row_cache);
 	part_watch_delete(this->part_watch);
 	store_readers_delete(this->store_readers);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "core/overload.h"
 #include "gateway/adapter.h"
 #include "gateway/call.h"
+#include "gateway/evacuation_rows.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/lane_log.h"
 #include "gateway/listener.h"
@@ -72,6 +73,8 @@
 	catalog_t *catalog;
 	endpoint_registry_t *endpoint_registry;
 	row_cache_t *row_cache;
+	evacuations_t *evacuations;
+	evacuation_rows_t *evacuation_rows;
 	unsigned int applied_router_count; /* fleet size of the last gateway_apply_fleet_size() */
 	bool endpoints_loaded;	     /* a full listing was received, from the store or a peer */
 	instant_t lapse_grace_until; /* endpoints whose rows disappear are kept until then */
@@ -122,7 +125,7 @@
 /* Number of routers that share the fleet's work, this one included. */
 unsigned int gateway_router_count(const gateway_t *this);
 /*
- * True once the catalog and the endpoints are loaded, until a planned stop begins; false also
+ * True once the catalog, the endpoints and the evacuations are loaded, until a planned stop begins; false also
  * while an overloaded router asks for no new connections.
  */
 bool gateway_is_ready(const gateway_t *this);
@@ -143,6 +146,8 @@
  * share of the retry allowance and of the endpoints' connections.
  */
 void gateway_apply_fleet_size(gateway_t *this);
+/* Handles that a failure domain is evacuated, or is so no more; see evacuation_rows.h. */
+void gateway_handle_evacuation(void *ctx, const evacuation_event_t *event);
 /* Follows the store's tables itself or not, as the readers of its failure domain make needful. */
 void gateway_update_store_reading(gateway_t *this, instant_t now);
 /* Handles a listing of the endpoints' table at once. */
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -51,6 +51,9 @@
 	metrics_append(out, "overload_pause", overload_is_paused(&this->overload, clock_now()));
 	metrics_append(out, "catalog_version", this->catalog ? this->catalog->version : 0);
 	metrics_append(out, "endpoints", endpoint_registry_count(this->endpoint_registry));
+	metrics_append(out, "evacuated_domains", evacuations_count(this->evacuations));
+	metrics_append(out, "endpoints_evacuated",
+		endpoint_registry_evacuated_count(this->endpoint_registry));
 	metrics_append(out, "callers", listener_caller_count(this->callers));
 	metrics_append(out, "callers_examined_total", listener_callers_examined(this->callers));
 	metrics_append(out, "endpoint_connections", this->open_connections);
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -66,10 +66,18 @@
 	error_list_clear(&errors);
 }
 
-static void on_catalog_rows(void *ctx, const GArray *rows)
+static void apply_catalog_rows(gateway_t *this, const GArray *rows)
 {
 	for (unsigned int i = 0; i < rows->len; i++)
-		apply_catalog_row(ctx, &g_array_index(rows, store_row_t, i));
+		apply_catalog_row(this, &g_array_index(rows, store_row_t, i));
+}
+
+static void on_catalog_rows(void *ctx, const GArray *rows)
+{
+	gateway_t *this = ctx;
+
+	apply_catalog_rows(this, rows);
+	evacuation_rows_handle_changes(this->evacuation_rows, rows);
 }
 
 static void on_catalog_table(
@@ -79,7 +87,8 @@
 
 	this->store_era = version.era;
 	this->catalog_state = STORE_FOLLOWED;
-	on_catalog_rows(ctx, rows);
+	apply_catalog_rows(this, rows);
+	evacuation_rows_handle_table(this->evacuation_rows, rows, version);
 }
 
 static void on_catalog_unreachable(void *ctx)
@@ -100,6 +109,21 @@
 static const table_watch_ops_t catalog_ops = {
 	on_catalog_table, on_catalog_rows, on_catalog_unreachable, on_catalog_paused};
 
+void gateway_handle_evacuation(void *ctx, const evacuation_event_t *event)
+{
+	gateway_t *this = ctx;
+	unsigned int endpoints =
+		endpoint_registry_apply_evacuations(this->endpoint_registry, clock_now());
+
+	log_notice("evacuation",
+		"domain=%s state=%s row_version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
+		" source=%s endpoints=%u domains=%u",
+		event->domain, event->evacuated ? "set" : "lifted", (guint64)event->version.number,
+		(guint64)event->version.era, event->source, endpoints,
+		evacuations_count(this->evacuations));
+	this->engines_outdated |= endpoints > 0;
+}
+
 /* Returns whether the endpoint was removed at once. */
 static bool apply_deleted_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
 {
@@ -242,7 +266,9 @@
 		"table=%d rows=%u era=%" G_GUINT64_FORMAT " row_version=%" G_GUINT64_FORMAT,
 		(int)table, rows->len, (guint64)version.era, (guint64)version.number);
 	if (table == CACHED_CATALOG)
-		on_catalog_rows(this, rows);
+		apply_catalog_rows(this, rows);
+	else if (table == CACHED_EVACUATIONS)
+		evacuation_rows_handle_peer(this->evacuation_rows, rows);
 	else if (is_newer_era(this, version))
 		apply_endpoint_table(this, rows, version);
 	else
@@ -250,7 +276,7 @@
 	this->endpoints_loaded |= table == CACHED_ENDPOINTS;
 	if (this->reads_store && store_version_compare(version, known) > 0)
 		table_watch_refresh(
-			table == CACHED_CATALOG ? this->catalog_watch : this->endpoint_watch);
+			table == CACHED_ENDPOINTS ? this->endpoint_watch : this->catalog_watch);
 }
 
 static void on_endpoints_paused(void *ctx)
--- a/src/gateway/row_cache.h
+++ b/src/gateway/row_cache.h
@@ -14,6 +14,7 @@
 typedef enum cached_table {
 	CACHED_CATALOG,
 	CACHED_ENDPOINTS,
+	CACHED_EVACUATIONS, /* see evacuation_rows.h; routers of earlier builds ignore it */
 	CACHED_TABLE_COUNT,
 } cached_table_t;
 
--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -31,7 +31,10 @@
 	store_version_t
 		received_version[CACHED_TABLE_COUNT]; /* newest version that the peer sent */
 	instant_t request_at[CACHED_TABLE_COUNT]; /* when to request rows; 0: no request is due */
-	GQueue send_queue;			  /* transfer_t */
+	GQueue send_queue;			  /* transfer_t, of one request */
+	/* Requests that wait until the rows of the one before are sent. */
+	bool is_asked[CACHED_TABLE_COUNT];
+	store_version_t asked_after[CACHED_TABLE_COUNT];
 	transfer_t receiving;
 	cached_table_t received_table;
 	GArray *received_rows; /* complete rows of the request that is being answered */
@@ -172,18 +175,38 @@
 	g_queue_push_tail(&context->peer->send_queue, transfer);
 }
 
-static void handle_request(row_gossip_t *this, peer_gossip_t *peer, const message_entry_t *entry)
+static void queue_rows(row_gossip_t *this, peer_gossip_t *peer, cached_table_t table)
 {
-	queue_context_t context = {peer, entry->table};
+	queue_context_t context = {peer, table};
 
-	if (!g_queue_is_empty(&peer->send_queue))
-		return; /* the rows of its last request are still being sent */
-	row_cache_for_each_after(
-		this->options.row_cache, entry->table, entry_version(entry), queue_row, &context);
+	peer->is_asked[table] = false;
+	row_cache_for_each_after(this->options.row_cache, table, peer->asked_after[table],
+		queue_row, &context);
 	for (GList *link = peer->send_queue.head; link; link = link->next)
 		((transfer_t *)link->data)->row_count = peer->send_queue.length;
 }
 
+/* Queues the rows of the next request, unless those of the last one are still being sent. */
+static void queue_next_request(row_gossip_t *this, peer_gossip_t *peer)
+{
+	for (unsigned int i = 0;
+		i < CACHED_TABLE_COUNT && g_queue_is_empty(&peer->send_queue); i++) {
+		if (peer->is_asked[i])
+			queue_rows(this, peer, (cached_table_t)i);
+	}
+}
+
+static void handle_request(row_gossip_t *this, peer_gossip_t *peer, const message_entry_t *entry)
+{
+	const transfer_t *sending = g_queue_peek_head(&peer->send_queue);
+
+	if (sending && sending->table == entry->table)
+		return; /* the peer repeats its request */
+	peer->is_asked[entry->table] = true;
+	peer->asked_after[entry->table] = entry_version(entry);
+	queue_next_request(this, peer);
+}
+
 static void forget_received(peer_gossip_t *peer)
 {
 	g_array_set_size(peer->received_rows, 0);
@@ -357,6 +380,7 @@
 			return true;
 		if (write_chunk(transfer, peer->send_queue.length - 1, writer, now))
 			transfer_delete(g_queue_pop_head(&peer->send_queue));
+		queue_next_request(this, peer);
 	}
 	return false;
 }
