--- a/standin/row_store_standin.h
+++ b/standin/row_store_standin.h
@@ -30,6 +30,11 @@
 const char *row_store_standin_second_address(const row_store_standin_t *this);
 /* Whether requests to the second address get 503. */
 void row_store_standin_set_refusing(row_store_standin_t *this, bool refusing);
+/*
+ * Whether reads of all tables but this one get 503 at the second address; NULL: none do.  To be
+ * called while nobody reads there.
+ */
+void row_store_standin_show_only(row_store_standin_t *this, const char *table);
 
 /* Inserts or replaces a row; `value` is plain text, stored as base64. */
 void row_store_standin_put(
