Regions: a request runs only where its route and its workspace allow

allowedRegions of routes and tenants become region sets; the settings' `regions` give the region of each failure domain (none: nothing is restricted). The regions go with the slot request in the upper halves of fields that earlier builds read as 32 bits, so that the owner grants no engine elsewhere; the router checks each grant, and each source of a copy, itself. Refused with 503 no-endpoint-in-region and a Retry-After.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -38,7 +38,7 @@
 	request->prefill_done = false;
 	request->without_grant = false;
 	request->source = 0;
-	if (!placement_has_usable_engine(this, request->pool, request->version)) {
+	if (!placement_has_usable_engine(this, request)) {
 		placement_reject(this, request, NO_ENGINE_RETRY_MS);
 		return;
 	}
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -20,6 +20,7 @@
 #include "core/backlog.h"
 #include "core/member.h"
 #include "core/rate_limit.h"
+#include "core/region_set.h"
 #include "core/scheduler.h"
 
 typedef enum entry_kind {
@@ -139,9 +140,10 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
-	id_t32 version;	  /* of the engine's software that it is bound to, 0: any */
-	bool is_late;	  /* counts as unable to meet first_token_deadline */
-	bool was_started; /* an attempt has failed: never refused for the workspace's backlog */
+	id_t32 version;	      /* of the engine's software that it is bound to, 0: any */
+	region_set_t regions; /* where it may run */
+	bool is_late;	      /* counts as unable to meet first_token_deadline */
+	bool was_started;     /* an attempt has failed: never refused for the workspace's backlog */
 
 	/* Set by the placement. */
 	backlog_entry_t backlog_entry;
@@ -185,8 +187,8 @@
 	placement_request_t *request;
 	id_t32 engine;		 /* PLACEMENT_START */
 	uint32_t retry_after_ms; /* PLACEMENT_REJECT */
-	bool no_engine; /* PLACEMENT_REJECT: the pool has no usable engine of the request's version
-			 */
+	/* PLACEMENT_REJECT: the pool has no usable engine of the request's version and regions */
+	bool no_engine;
 } placement_action_t;
 
 /* The header of each message between routers. */
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -111,17 +111,24 @@
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
 double placement_utilization(placement_t *this, unsigned int slot, id_t32 pool, instant_t now);
-/* Returns whether the member in `slot` owns a usable engine of the pool, and of a version or 0. */
-bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool, id_t32 version);
+/* What an engine must have for a request. */
+typedef struct engine_need {
+	id_t32 pool;
+	id_t32 version;		     /* 0: any */
+	const region_set_t *regions; /* NULL: any */
+} engine_need_t;
+
+/* Returns whether the member in `slot` owns a usable engine that meets the need. */
+bool placement_owns(const placement_t *this, unsigned int slot, const engine_need_t *need);
 /*
  * Returns the engine that has probably cached the shared parts of the prompt; 0
  * when there is none or it is `engine` itself.
  */
 id_t32 placement_likely_source(
 	const placement_t *this, const placement_request_t *request, id_t32 engine);
-bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version);
-/* Returns whether the engine may run requests of the pool that are bound to the version or 0. */
-bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version);
+bool placement_has_usable_engine(const placement_t *this, const placement_request_t *request);
+/* Returns whether the engine accepts new requests and meets the need. */
+bool placement_engine_fits(const placement_engine_t *engine, const engine_need_t *need);
 /* Returns whether this router may send the request to the engine now. */
 bool placement_may_use(
 	const engine_state_t *state, const placement_request_t *request, instant_t now);
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -60,6 +60,7 @@
 	if (state->owner == 0) {
 		scheduler_add_engine(this->scheduler, engine->id, engine->pool, &engine->limits);
 		scheduler_set_version(this->scheduler, engine->id, engine->version);
+		scheduler_set_region(this->scheduler, engine->id, engine->region);
 		scheduler_set_usable(this->scheduler, engine->id, engine->usable);
 	} else {
 		scheduler_remove_engine(this->scheduler, engine->id);
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -25,12 +25,12 @@
 static bool should_redirect(placement_t *this, const slot_request_t *request, instant_t now)
 {
 	id_t32 pool = request->pool;
+	engine_need_t need = {pool, request->version, &request->regions};
 
 	if (placement_utilization(this, 0, pool, now) < 1)
 		return false;
 	for (unsigned int slot = 1; slot < this->members.count; slot++) {
-		if (placement_accepts_requests(this, slot) &&
-			placement_owns(this, slot, pool, request->version) &&
+		if (placement_accepts_requests(this, slot) && placement_owns(this, slot, &need) &&
 			placement_utilization(this, slot, pool, now) < UTILIZATION_FREE)
 			return true;
 	}
@@ -40,10 +40,11 @@
 static void handle_slot_request(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	message_entry_t reply = {.kind = ENTRY_NOT_OWNER, .ticket = entry->slot_request.ticket};
+	const slot_request_t *request = &entry->slot_request;
+	engine_need_t need = {request->pool, request->version, &request->regions};
+	message_entry_t reply = {.kind = ENTRY_NOT_OWNER, .ticket = request->ticket};
 
-	if (this->stopping ||
-		!placement_owns(this, 0, entry->slot_request.pool, entry->slot_request.version)) {
+	if (this->stopping || !placement_owns(this, 0, &need)) {
 		placement_queue_entry(this, slot, &reply, now);
 		return;
 	}
@@ -88,7 +89,7 @@
 	placement_send_request(this, request, now);
 }
 
-/* An owner of an earlier build does not know that a request is bound to a version. */
+/* An owner of an earlier build does not know that a request is bound to a version or to regions. */
 static bool is_usable(
 	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
 {
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -62,16 +62,29 @@
 	return usage.slots ? (double)usage.taken / usage.slots : UTILIZATION_NONE;
 }
 
-bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version)
+static engine_need_t need_of(const placement_request_t *request)
 {
-	return engine->pool == pool && engine->usable && (!version || engine->version == version);
+	return (engine_need_t){request->pool, request->version, &request->regions};
+}
+
+bool placement_engine_fits(const placement_engine_t *engine, const engine_need_t *need)
+{
+	return engine->pool == need->pool && engine->usable &&
+	       (!need->version || engine->version == need->version) &&
+	       (!need->regions || region_set_allows(need->regions, engine->region));
+}
+
+static bool fits(const placement_engine_t *engine, const placement_request_t *request)
+{
+	engine_need_t need = need_of(request);
+
+	return placement_engine_fits(engine, &need);
 }
 
 bool placement_may_use(
 	const engine_state_t *state, const placement_request_t *request, instant_t now)
 {
-	return placement_engine_fits(&state->engine, request->pool, request->version) &&
-	       state->paused_until <= now;
+	return fits(&state->engine, request) && state->paused_until <= now;
 }
 
 /* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
@@ -86,7 +99,7 @@
 		uint64_t score = mix(prefix, engine->id);
 		unsigned int rank;
 
-		if (!placement_engine_fits(engine, request->pool, request->version))
+		if (!fits(engine, request))
 			continue;
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
 			if (rank < MAX_CANDIDATES) {
@@ -103,11 +116,11 @@
 	return count;
 }
 
-bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool, id_t32 version)
+bool placement_owns(const placement_t *this, unsigned int slot, const engine_need_t *need)
 {
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		if (this->engines[i].owner == slot &&
-			placement_engine_fits(&this->engines[i].engine, pool, version))
+			placement_engine_fits(&this->engines[i].engine, need))
 			return true;
 	}
 	return false;
@@ -300,10 +313,10 @@
 	placement_push_action(this, &action);
 }
 
-bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version)
+bool placement_has_usable_engine(const placement_t *this, const placement_request_t *request)
 {
 	for (unsigned int i = 0; i < this->engine_count; i++) {
-		if (placement_engine_fits(&this->engines[i].engine, pool, version))
+		if (fits(&this->engines[i].engine, request))
 			return true;
 	}
 	return false;
@@ -317,7 +330,7 @@
 	if (request->state != PLACEMENT_NONE)
 		leave_list(request);
 	backlog_remove(&request->backlog_entry);
-	action.no_engine = !placement_has_usable_engine(this, request->pool, request->version);
+	action.no_engine = !placement_has_usable_engine(this, request);
 	placement_push_action(this, &action);
 }
 
@@ -331,7 +344,7 @@
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		const engine_state_t *state = &this->engines[i];
 
-		if (placement_engine_fits(&state->engine, request->pool, request->version))
+		if (fits(&state->engine, request))
 			until = instant_min(until, state->paused_until);
 	}
 	return until == INSTANT_NEVER ? 0 : (uint32_t)(instant_left(until, now) / USEC_PER_MSEC);
@@ -363,13 +376,14 @@
 /* Returns how many requests of the pool this router may run without a grant. */
 static unsigned int slots_without_grant(const placement_t *this, id_t32 pool, unsigned int routers)
 {
+	engine_need_t need = {.pool = pool};
 	unsigned int slots = 0;
 	unsigned int share;
 
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		const placement_engine_t *engine = &this->engines[i].engine;
 
-		if (placement_engine_fits(engine, pool, 0))
+		if (placement_engine_fits(engine, &need))
 			slots += engine->limits.slots;
 	}
 	share = slots / (WITHOUT_GRANT_SHARE_DIVISOR * routers);
@@ -442,6 +456,7 @@
 				.first_token_deadline = request->first_token_deadline,
 				.deadline = request->deadline,
 				.version = request->version,
+				.regions = request->regions,
 				.is_late = request->is_late,
 				.must_queue = request->owners_tried > MAX_REDIRECTS,
 			},
--- a/src/core/reason.h
+++ b/src/core/reason.h
@@ -30,6 +30,7 @@
 	REASON_DEADLINE,
 	REASON_NO_ENDPOINT,
 	REASON_EVACUATED, /* the endpoints that could run it are in evacuated failure domains */
+	REASON_NO_REGION, /* no endpoint is in a region where it may run */
 	REASON_DEPENDENCY,
 	REASON_STORE_DOWN,
 	REASON_STOPPING,
--- a/src/core/sched_engine.h
+++ b/src/core/sched_engine.h
@@ -27,6 +27,7 @@
 	sched_pool_t *pool;
 	engine_t model;
 	id_t32 version;		    /* of its software */
+	id_t32 region;		    /* 0: unknown */
 	bool usable;		    /* accepts new requests, according to its registration */
 	unsigned int failures;	    /* in a row */
 	double failure_ratio;	    /* moving average over requests, 0 to 1 */
--- a/src/core/sched_lane.h
+++ b/src/core/sched_lane.h
@@ -9,6 +9,7 @@
  * else wanted it does not count against it either: all levels start anew when the first lane begins
  * to get less than it asks for, and one that joins later starts near the levels of those that do.
  */
+#include "core/region_set.h"
 #include "core/sched_engine.h"
 
 /* A request for a slot, as a router sends it to an owner. */
@@ -21,9 +22,10 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
-	id_t32 version;	 /* of the engine's software that it is bound to, 0: any */
-	bool is_late;	 /* counts as unable to meet first_token_deadline */
-	bool must_queue; /* no other owner has room: queue the request, don't redirect it */
+	id_t32 version;	      /* of the engine's software that it is bound to, 0: any */
+	region_set_t regions; /* where it may run */
+	bool is_late;	      /* counts as unable to meet first_token_deadline */
+	bool must_queue;      /* no other owner has room: queue the request, don't redirect it */
 } slot_request_t;
 
 typedef struct sched_lane sched_lane_t;
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -63,10 +63,17 @@
 
 /* --- choice of the engine ----------------------------------------------- */
 
-/* Whether the engine's software has the version that the request is bound to. */
-static bool has_version(const sched_engine_t *engine, const slot_request_t *request)
+/* Whether the engine has the version that the request is bound to, and is where it may run. */
+static bool may_run(const sched_engine_t *engine, const slot_request_t *request)
 {
-	return !request->version || engine->version == request->version;
+	return (!request->version || engine->version == request->version) &&
+	       region_set_allows(&request->regions, engine->region);
+}
+
+/* Whether there may be engines with room that can't run the request. */
+static bool is_bound(const slot_request_t *request)
+{
+	return request->version || request->regions.restricted;
 }
 
 /* Returns the usable engine that has most of the prompt cached, even if it has no room, or NULL. */
@@ -80,7 +87,8 @@
 	cds_list_for_each_entry (engine, &this->engines, link) {
 		uint32_t prefill = engine_prefill_tokens(&engine->model, &request->work);
 
-		if (!engine->usable || (best && prefill >= least))
+		if (!engine->usable || (best && prefill >= least) ||
+			!region_set_allows(&request->regions, engine->region))
 			continue;
 		best = engine;
 		least = prefill;
@@ -146,7 +154,7 @@
 		instant_t expected_at;
 		instant_t rank;
 
-		if (!has_version(engine, request) || !engine_has_room(model, &request->work) ||
+		if (!may_run(engine, request) || !engine_has_room(model, &request->work) ||
 			!can_take_prompt(this, engine, reserved, now))
 			continue;
 		if (filter->max_prefill != UINT32_MAX &&
@@ -174,7 +182,7 @@
 	cds_list_for_each_entry (engine, &this->engines, link) {
 		uint64_t delay = engine_idle_first_token_delay(&engine->model, &request->work);
 
-		if (engine->usable && has_version(engine, request) && delay < least)
+		if (engine->usable && may_run(engine, request) && delay < least)
 			least = delay;
 	}
 	return least;
@@ -284,7 +292,7 @@
 		engine_filter_t filter;
 		instant_t first_token_at;
 
-		if (!record->request.version)
+		if (!is_bound(&record->request))
 			return record;
 		filter = filter_for(this, &record->request, 0);
 		if (best_engine(this, &record->request, &filter, now, &first_token_at))
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -573,6 +573,14 @@
 		engine->version = version;
 }
 
+void scheduler_set_region(scheduler_t *this, id_t32 id, id_t32 region)
+{
+	sched_engine_t *engine = find_engine(this, id);
+
+	if (engine)
+		engine->region = region;
+}
+
 void scheduler_set_usable(scheduler_t *this, id_t32 id, bool usable)
 {
 	sched_engine_t *engine = find_engine(this, id);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -81,6 +81,8 @@
 /* Sets the version of the engine's software: requests that are bound to another do not run on it.
  */
 void scheduler_set_version(scheduler_t *this, id_t32 engine, id_t32 version);
+/* Sets the region of the engine: requests that may not run there do not.  0: unknown. */
+void scheduler_set_region(scheduler_t *this, id_t32 engine, id_t32 region);
 /* Sets whether the engine accepts new requests; running ones continue. */
 void scheduler_set_usable(scheduler_t *this, id_t32 engine, bool usable);
 
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -88,6 +88,40 @@
 	return at == INSTANT_NEVER ? NEVER_US : (int64_t)instant_left(at, now);
 }
 
+/*
+ * The fields of a slot request that have 32 bits at most carry a region each in their upper half,
+ * which routers of earlier builds do not read.  The last of them is the version, after the parts.
+ */
+static const unsigned int region_fields[] = {2, 3, 4, 5, 8, 9, 10};
+
+_Static_assert(REGION_SET_MAX == ARRAY_LEN(region_fields) + 1, "a field for each region");
+
+#define FLAG_LATE 1
+#define FLAG_MUST_QUEUE 2
+#define FLAG_RESTRICTED 4 /* to the regions that the request names */
+#define REGION_SHIFT 32
+
+static int64_t request_flags(const slot_request_t *request)
+{
+	return (request->is_late ? FLAG_LATE : 0) | (request->must_queue ? FLAG_MUST_QUEUE : 0) |
+	       (request->regions.restricted ? FLAG_RESTRICTED : 0);
+}
+
+static int64_t with_region(int64_t field, id_t32 region)
+{
+	return (int64_t)((uint64_t)field | (uint64_t)region << REGION_SHIFT);
+}
+
+static void put_regions(fields_t *fields, const region_set_t *regions)
+{
+	for (unsigned int i = 0; i < regions->count; i++) {
+		unsigned int at =
+			i < ARRAY_LEN(region_fields) ? region_fields[i] : fields->count - 1;
+
+		fields->value[at] = with_region(fields->value[at], regions->regions[i]);
+	}
+}
+
 static void put_slot_request(fields_t *fields, const slot_request_t *request, instant_t now)
 {
 	put_field(fields, (int64_t)request->ticket);
@@ -97,7 +131,7 @@
 	put_field(fields, request->request_fingerprint);
 	put_field(fields, time_left(request->first_token_deadline, now));
 	put_field(fields, time_left(request->deadline, now));
-	put_field(fields, request->is_late + 2 * request->must_queue);
+	put_field(fields, request_flags(request));
 	put_field(fields, request->work.prompt);
 	put_field(fields, request->work.answer);
 	for (unsigned int i = 0; i < request->work.chain.count; i++) {
@@ -105,8 +139,9 @@
 		put_field(fields, request->work.chain.tokens[i]);
 	}
 	/* One field more than pairs: routers of earlier builds do not read it. */
-	if (request->version)
+	if (request->version || request->regions.restricted)
 		put_field(fields, request->version);
+	put_regions(fields, &request->regions);
 }
 
 static void put_held_slot(fields_t *fields, const held_slot_t *slot)
@@ -309,6 +344,22 @@
 	return now + (left > 0 ? (uint64_t)left : 0);
 }
 
+static void add_region(region_set_t *regions, int64_t field)
+{
+	id_t32 region = (id_t32)((uint64_t)field >> REGION_SHIFT);
+
+	if (region)
+		region_set_add(regions, region);
+}
+
+static void get_regions(const fields_t *fields, region_set_t *regions)
+{
+	*regions = (region_set_t){.restricted = true};
+	for (unsigned int i = 0; i < ARRAY_LEN(region_fields); i++)
+		add_region(regions, fields->value[region_fields[i]]);
+	add_region(regions, fields->value[fields->count - 1]);
+}
+
 static bool get_slot_request(fields_t *fields, slot_request_t *request, instant_t now)
 {
 	unsigned int parts;
@@ -322,8 +373,8 @@
 	request->first_token_deadline = instant_from_time_left(get_field(fields), now);
 	request->deadline = instant_from_time_left(get_field(fields), now);
 	flags = get_field(fields);
-	request->is_late = flags & 1;
-	request->must_queue = flags & 2;
+	request->is_late = flags & FLAG_LATE;
+	request->must_queue = flags & FLAG_MUST_QUEUE;
 	request->work.prompt = (uint32_t)get_field(fields);
 	request->work.answer = (uint32_t)get_field(fields);
 	parts = (fields->count - fields->next) / 2;
@@ -335,6 +386,8 @@
 		request->work.chain.tokens[i] = (uint32_t)get_field(fields);
 	}
 	request->version = (id_t32)get_field(fields);
+	if (flags & FLAG_RESTRICTED)
+		get_regions(fields, &request->regions);
 	return true;
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -141,6 +141,8 @@
 part_verdict_t call_check_parts(call_t *this, instant_t now);
 
 /* call_resume.c */
+/* Whether the call may run at the endpoint, and its prompt be copied from it. */
+bool call_may_use(const call_t *this, const registered_endpoint_t *endpoint);
 /* Whether the caller takes up a stream that has broken off. */
 bool call_takes_up_stream(const call_t *this);
 /*
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -61,7 +61,7 @@
 		return NULL;
 	source = endpoint_registry_find(
 		call->gateway->endpoint_registry, call->placement_request.source);
-	if (!source || source == call->endpoint || !registered_endpoint_takes_work(source))
+	if (!source || source == call->endpoint || !call_may_use(call, source))
 		return NULL;
 	return source->address;
 }
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -8,12 +8,34 @@
 	return peers_placement(call->gateway->peers);
 }
 
+/* Route and workspace both bind.  Where no regions are known, neither does. */
+static region_set_t allowed_regions(const call_t *call)
+{
+	region_set_t regions = {0};
+
+	if (!g_hash_table_size(call->gateway->settings->regions))
+		return regions;
+	regions = call->route->regions;
+	if (call->workspace)
+		region_set_intersect(&regions, &call->workspace->regions);
+	return regions;
+}
+
+bool call_may_use(const call_t *this, const registered_endpoint_t *endpoint)
+{
+	id_t32 region = gateway_settings_region(this->gateway->settings, endpoint->failure_domain);
+
+	return registered_endpoint_takes_work(endpoint) &&
+	       region_set_allows(&this->placement_request.regions, region);
+}
+
 /* Requests a slot from the owners of the service's endpoints. */
 static call_step_t run(call_t *call)
 {
 	placement_request_t *request = &call->placement_request;
 
 	request->pool = call->service->id;
+	request->regions = allowed_regions(call);
 	request->workspace = call->workspace ? call->workspace->id : PUBLIC_WORKSPACE;
 	request->deadline = call->deadline;
 	request->was_started = call->sends > 0 || call_takes_up_stream(call);
@@ -44,7 +66,7 @@
 	if (!record_decision(this))
 		return;
 	endpoint = endpoint_registry_find(this->gateway->endpoint_registry, id);
-	if (!endpoint || !registered_endpoint_takes_work(endpoint)) {
+	if (!endpoint || !call_may_use(this, endpoint)) {
 		/* The registry has changed since the placement was told of the engines. */
 		log_info("grant-outdated", "id=%s endpoint=%s", this->id,
 			endpoint ? endpoint->name : "-");
--- a/src/gateway/evacuation_rows.c
+++ b/src/gateway/evacuation_rows.c
@@ -34,8 +34,7 @@
 	return !strncmp(key, prefix, len) && key[len] ? key + len : NULL;
 }
 
-static void append_row(
-	GArray *rows, const char *domain, store_version_t version, bool is_deleted)
+static void append_row(GArray *rows, const char *domain, store_version_t version, bool is_deleted)
 {
 	store_row_t row = {
 		.key = g_strdup(domain),
@@ -77,8 +76,8 @@
 	};
 }
 
-static void report(const evacuation_rows_t *this, const char *domain,
-	const evacuation_statement_t *statement)
+static void report(
+	const evacuation_rows_t *this, const char *domain, const evacuation_statement_t *statement)
 {
 	evacuation_event_t event = {
 		.domain = domain,
@@ -138,8 +137,8 @@
 			g_array_append_val(listed, statement);
 	}
 	cache_rows(this, rows);
-	row_cache_delete_missing(this->options.row_cache, CACHED_EVACUATIONS, rows, version,
-		ignore_row, NULL);
+	row_cache_delete_missing(
+		this->options.row_cache, CACHED_EVACUATIONS, rows, version, ignore_row, NULL);
 	evacuations_apply_listing(this->options.evacuations,
 		(const evacuation_statement_t *)(void *)listed->data, listed->len, version.era,
 		version.number, on_listing_change, this);
@@ -153,9 +152,8 @@
 		const store_row_t *row = &g_array_index(rows, store_row_t, i);
 		evacuation_statement_t statement = statement_of(row);
 
-		if (!stands_for_listing(row) &&
-			evacuations_apply(this->options.evacuations, &statement) ==
-				EVACUATION_CHANGED)
+		if (!stands_for_listing(row) && evacuations_apply(this->options.evacuations,
+							&statement) == EVACUATION_CHANGED)
 			report(this, row->key, &statement);
 	}
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -171,6 +171,8 @@
 		return REASON_OVERLOADED;
 	if (endpoint_registry_is_evacuated(this->endpoint_registry, action->request->pool))
 		return REASON_EVACUATED;
+	if (action->request->regions.restricted)
+		return REASON_NO_REGION;
 	return action->request->version ? REASON_STREAM_VERSION_GONE : REASON_NO_ENDPOINT;
 }
 
@@ -184,12 +186,13 @@
 		if (action.kind == PLACEMENT_START)
 			call_on_slot_granted(call, action.engine);
 		else
-			call_on_slot_rejected(
-				call, rejection_reason(this, &action), action.retry_after_ms / 1000.0);
+			call_on_slot_rejected(call, rejection_reason(this, &action),
+				action.retry_after_ms / 1000.0);
 	}
 }
 
 typedef struct engine_list {
+	const gateway_settings_t *settings;
 	const catalog_t *catalog;
 	GArray *engines;
 	GArray *versions; /* service_version_t of each endpoint */
@@ -227,6 +230,7 @@
 					service ? service->max_event_gap_ms * USEC_PER_MSEC : 0,
 			},
 		.version = endpoint->version_id,
+		.region = gateway_settings_region(list->settings, endpoint->failure_domain),
 		.usable = registered_endpoint_takes_work(endpoint),
 	};
 	service_version_t version = {endpoint->service_id, endpoint->version_id};
@@ -260,7 +264,7 @@
 
 void gateway_update_engines(gateway_t *this)
 {
-	engine_list_t list = {.catalog = this->catalog};
+	engine_list_t list = {.settings = this->settings, .catalog = this->catalog};
 
 	if (!this->engines_outdated || !this->catalog)
 		return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -125,8 +125,8 @@
 /* Number of routers that share the fleet's work, this one included. */
 unsigned int gateway_router_count(const gateway_t *this);
 /*
- * True once the catalog, the endpoints and the evacuations are loaded, until a planned stop begins; false also
- * while an overloaded router asks for no new connections.
+ * True once the catalog, the endpoints and the evacuations are loaded, until a planned stop begins;
+ * false also while an overloaded router asks for no new connections.
  */
 bool gateway_is_ready(const gateway_t *this);
 void gateway_add_call(gateway_t *this, call_t *call);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -5,6 +5,7 @@
 
 #include "core/types.h"
 #include "settings/address.h"
+#include "settings/fleet_config.h"
 
 typedef enum setting_kind {
 	SETTING_TEXT,
@@ -98,6 +99,22 @@
 			(int64_t)setting->max);
 }
 
+static void load_regions(gateway_settings_t *this, error_list_t *errors, json_value_t *root)
+{
+	json_value_t *domains = json_get(root, "regions");
+
+	this->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (domains && domains->type != JSON_OBJECT) {
+		error_list_add(errors, domains->line,
+			"regions: not an object; give the region of each failure domain");
+		return;
+	}
+	for (json_value_t *domain = domains ? domains->first : NULL; domain; domain = domain->next)
+		g_hash_table_replace(this->regions, g_strdup(domain->key),
+			g_strdup(json_read_string(
+				errors, domains, domain->key, JSON_REQUIRED_STRING)));
+}
+
 gateway_settings_t *gateway_settings_load(const char *path, error_list_t *errors)
 {
 	jsondoc_t *doc = json_load_object(errors, path);
@@ -112,6 +129,7 @@
 		else
 			load_number(this, errors, doc->root, &settings_table[i]);
 	}
+	load_regions(this, errors, doc->root);
 	error_list_add_unknown_keys(errors, doc->root);
 	jsondoc_delete(doc);
 	if (!errors->count)
@@ -120,10 +138,18 @@
 	return NULL;
 }
 
+id_t32 gateway_settings_region(const gateway_settings_t *this, const char *failure_domain)
+{
+	const char *region = g_hash_table_lookup(this->regions, failure_domain);
+
+	return region ? name_id(region) : 0;
+}
+
 void gateway_settings_delete(gateway_settings_t *this)
 {
 	if (!this)
 		return;
+	g_hash_table_destroy(this->regions);
 	for (size_t i = 0; i < ARRAY_LEN(settings_table); i++) {
 		if (settings_table[i].kind <= SETTING_ADDRESS)
 			g_free(*(char **)((char *)this + settings_table[i].offset));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
  * are numeric IP:PORT.  Each field is read from the key of the same name, and
  * durations are in the unit at the end of the name.
  */
+#include "core/types.h"
 #include "settings/error_list.h"
 
 typedef struct gateway_settings {
@@ -40,10 +41,13 @@
 	unsigned int store_pause_ms;	 /* after a read with changes, to batch the next ones */
 	unsigned int connect_timeout_ms; /* for connecting to an endpoint */
 	unsigned int silence_timeout_ms; /* until a silent endpoint's connection is closed */
+	GHashTable *regions; /* failure domain -> its region; empty: regions bind no request */
 } gateway_settings_t;
 
 /* Reads and checks the file at `path`.  Returns NULL on error, with all errors in `errors`. */
 gateway_settings_t *gateway_settings_load(const char *path, error_list_t *errors);
+/* The region that the failure domain is in; 0: not stated. */
+id_t32 gateway_settings_region(const gateway_settings_t *this, const char *failure_domain);
 void gateway_settings_delete(gateway_settings_t *this);
 
 #endif
--- a/src/gateway/row_gossip.c
+++ b/src/gateway/row_gossip.c
@@ -180,8 +180,8 @@
 	queue_context_t context = {peer, table};
 
 	peer->is_asked[table] = false;
-	row_cache_for_each_after(this->options.row_cache, table, peer->asked_after[table],
-		queue_row, &context);
+	row_cache_for_each_after(
+		this->options.row_cache, table, peer->asked_after[table], queue_row, &context);
 	for (GList *link = peer->send_queue.head; link; link = link->next)
 		((transfer_t *)link->data)->row_count = peer->send_queue.length;
 }
@@ -189,8 +189,8 @@
 /* Queues the rows of the next request, unless those of the last one are still being sent. */
 static void queue_next_request(row_gossip_t *this, peer_gossip_t *peer)
 {
-	for (unsigned int i = 0;
-		i < CACHED_TABLE_COUNT && g_queue_is_empty(&peer->send_queue); i++) {
+	for (unsigned int i = 0; i < CACHED_TABLE_COUNT && g_queue_is_empty(&peer->send_queue);
+		i++) {
 		if (peer->is_asked[i])
 			queue_rows(this, peer, (cached_table_t)i);
 	}
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -1,4 +1,5 @@
-/* threaded: evacuation - failure domains whose endpoints are sent nothing, on the operators' word */
+/* threaded: evacuation - failure domains whose endpoints are sent nothing, on the operators' word
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -21,7 +22,8 @@
 #define AT_ONCE 12 /* requests, while an endpoint has 8 slots */
 #define SERVICE_MS 40
 #define GET_ANY                                                                                    \
-	"GET /any/ HTTP/1.1\r\nHost: " FIXTURE_HOST "\r\nRequest-Id: i\r\nConnection: close\r\n\r\n"
+	"GET /any/ HTTP/1.1\r\nHost: " FIXTURE_HOST "\r\nRequest-Id: i\r\nConnection: "            \
+						    "close\r\n\r\n"
 #define EAST name_id("east")
 #define WEST name_id("west")
 
