--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -13,6 +13,7 @@
 
 #define WAIT_TIMEOUT_MS 10000
 #define POLL_INTERVAL_MS 5
+#define MAX_AT_ONCE 64 /* of fixture_send_at_once() */
 #define FIRST_PORT 10000
 #define PORT_COUNT 9000 /* those of other tests begin at 19800 */
 #define PORTS_PER_PROCESS 211
@@ -64,20 +65,31 @@
 	g_free(text);
 }
 
-void fixture_register_version(
-	fixture_t *this, unsigned int endpoint, const char *state, const char *version)
+static void register_endpoint(fixture_t *this, unsigned int endpoint, const char *state,
+	const char *version, const char *failure_domain)
 {
 	char *key = g_strdup_printf("i-%u", endpoint);
 	char *text = g_strdup_printf(
-		"{\"service\":\"shop\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"%s\","
+		"{\"service\":\"shop\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\","
 		"\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1}",
-		raw_endpoint_address(this->endpoints[endpoint]), version, state);
+		raw_endpoint_address(this->endpoints[endpoint]), failure_domain, version, state);
 
 	row_store_standin_put(this->store, "servers", key, text);
 	g_free(text);
 	g_free(key);
 }
 
+void fixture_register_version(
+	fixture_t *this, unsigned int endpoint, const char *state, const char *version)
+{
+	register_endpoint(this, endpoint, state, version, "z");
+}
+
+void fixture_register_in(fixture_t *this, unsigned int endpoint, const char *failure_domain)
+{
+	register_endpoint(this, endpoint, "ready", "v1", failure_domain);
+}
+
 void fixture_register_endpoint(fixture_t *this, unsigned int endpoint, const char *state)
 {
 	fixture_register_version(this, endpoint, state, "v1");
@@ -333,6 +345,25 @@
 	return served;
 }
 
+unsigned int fixture_send_at_once(fixture_t *this, const char *text, unsigned int count)
+{
+	int fds[MAX_AT_ONCE];
+	unsigned int served = 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		fds[i] = fixture_connect(this->caller_address);
+		raw_write(fds[i], text);
+	}
+	for (unsigned int i = 0; i < count; i++) {
+		char *response = read_until(fds[i], NULL, WAIT_TIMEOUT_MS);
+
+		served += strstr(response, "hello") != NULL;
+		g_free(response);
+		close(fds[i]);
+	}
+	return served;
+}
+
 bool fixture_wait_served(fixture_t *this, const char *name, bool served)
 {
 	instant_t deadline = clock_now() + WAIT_TIMEOUT_MS * USEC_PER_MSEC;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -64,6 +64,8 @@
 /* The same for an endpoint whose software has another version. */
 void fixture_register_version(
 	fixture_t *this, unsigned int endpoint, const char *state, const char *version);
+/* The same for an endpoint that is ready, in another failure domain than "z". */
+void fixture_register_in(fixture_t *this, unsigned int endpoint, const char *failure_domain);
 /*
  * Writes a new version of the configuration to the store; `extra_routes` is JSON that follows
  * the last fixed route, or "".
@@ -78,6 +80,9 @@
 bool fixture_is_served(fixture_t *this, const char *name);
 /* Repeats it until it is served, or is not, as `served` says; false after 10 seconds. */
 bool fixture_wait_served(fixture_t *this, const char *name, bool served);
+/* Sends a request `count` times at once, at most 64, and returns how many responses have "hello".
+ */
+unsigned int fixture_send_at_once(fixture_t *this, const char *text, unsigned int count);
 /* A handler for fixture_add_endpoint() that responds with "hello". */
 bool fixture_respond_hello(void *ctx, int fd, const raw_request_t *request);
 /* Waits until the metric has this value; false after 10 seconds. */
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "platform/decode.h"
+#include "settings/fleet_config.h"
 
 #define CONFIG(version, service, backend, route, limits)                                           \
 	"{\"version\":" version ",\n\"services\":[{\"name\":\"m\"" service                         \
@@ -184,6 +185,45 @@
 	}
 }
 
+typedef struct regions_case {
+	const char *text;
+	bool valid;
+	bool restricted;
+} regions_case_t;
+
+static void test_regions_of_routes_are_a_list_of_names(void **state)
+{
+#define REGIONS(list) CONFIG("1", "", "", ",\"allowedRegions\":" list, "")
+	static const regions_case_t cases[] = {
+		{CONFIG("1", "", "", "", ""), true, false},
+		{REGIONS("null"), true, false},
+		{REGIONS("[]"), true, false},
+		{REGIONS("[\"r\"]"), true, true},
+		{REGIONS("[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"r\"]"), true, true},
+		{REGIONS("[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"r\",\"9\"]"), false, false},
+		{REGIONS("\"r\""), false, false},
+		{REGIONS("{\"r\":1}"), false, false},
+		{REGIONS("[1]"), false, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *problems = g_string_new(NULL);
+		catalog_t *catalog = decode(cases[i].text, problems);
+		const catalog_route_t *route = catalog ? catalog->routes->pdata[0] : NULL;
+
+		if (cases[i].valid != (catalog != NULL))
+			fail_msg("%s gave \"%s\"", cases[i].text, problems->str);
+		if (route) {
+			assert_int_equal(route->regions.restricted, cases[i].restricted);
+			assert_true(region_set_allows(&route->regions, name_id("r")));
+			assert_int_equal(region_set_allows(&route->regions, name_id("s")),
+				!cases[i].restricted);
+		}
+		catalog_put(catalog);
+		g_string_free(problems, TRUE);
+	}
+}
+
 typedef struct entry_case {
 	const char *name;
 	const char *text;
@@ -292,6 +332,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_numbers_of_the_configuration_at_their_edges),
 		cmocka_unit_test(test_weights_with_fractions_divide_the_requests),
+		cmocka_unit_test(test_regions_of_routes_are_a_list_of_names),
 		cmocka_unit_test(test_entries_of_another_writer_name_no_endpoint),
 		cmocka_unit_test(test_entry_nested_very_deeply_names_no_endpoint),
 	};
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -23,7 +23,7 @@
 #define SERVICE_MS 40
 #define GET_ANY                                                                                    \
 	"GET /any/ HTTP/1.1\r\nHost: " FIXTURE_HOST "\r\nRequest-Id: i\r\nConnection: "            \
-						    "close\r\n\r\n"
+	"close\r\n\r\n"
 #define EAST name_id("east")
 #define WEST name_id("west")
 
@@ -157,19 +157,6 @@
 	raw_endpoint_t *west;
 } two_domains_t;
 
-static void register_in(fixture_t *f, unsigned int endpoint, const char *domain)
-{
-	char *key = g_strdup_printf("i-%u", endpoint);
-	char *text = g_strdup_printf(
-		"{\"service\":\"shop\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-		"\"slots\":8,\"state\":\"ready\"}",
-		raw_endpoint_address(f->endpoints[endpoint]), domain);
-
-	row_store_standin_put(f->store, "servers", key, text);
-	g_free(text);
-	g_free(key);
-}
-
 static bool respond_late(void *ctx, int fd, const raw_request_t *request)
 {
 	sleep_ms(SERVICE_MS);
@@ -183,8 +170,8 @@
 	this->router = fixture_new_router("r", NULL);
 	this->east = fixture_add_endpoint(this->router, handler, this);
 	this->west = fixture_add_endpoint(this->router, handler, this);
-	register_in(this->router, 0, "east");
-	register_in(this->router, 1, "west");
+	fixture_register_in(this->router, 0, "east");
+	fixture_register_in(this->router, 1, "west");
 	fixture_put_config(this->router, FIXTURE_PUBLIC_ROUTE("any"));
 	fixture_wait_ready(this->router, 2);
 	assert_true(fixture_wait_served(this->router, "any", true));
@@ -236,19 +223,8 @@
 static void expect_used(fixture_t *router, raw_endpoint_t *endpoint)
 {
 	unsigned int before = raw_endpoint_request_count(endpoint);
-	int fds[AT_ONCE];
-
-	for (unsigned int i = 0; i < AT_ONCE; i++) {
-		fds[i] = fixture_connect(router->caller_address);
-		raw_write(fds[i], GET_ANY);
-	}
-	for (unsigned int i = 0; i < AT_ONCE; i++) {
-		char *response = fixture_read_until(fds[i], "hello", WAIT_MS);
 
-		assert_non_null(strstr(response, "hello"));
-		g_free(response);
-		close(fds[i]);
-	}
+	assert_int_equal(fixture_send_at_once(router, GET_ANY, AT_ONCE), AT_ONCE);
 	assert_true(raw_endpoint_request_count(endpoint) > before);
 }
 
@@ -316,7 +292,7 @@
 	assert_true(fixture_wait_metric(d->router, "evacuated_domains", 1));
 	late = raw_endpoint_new(fixture_respond_hello, NULL);
 	d->router->endpoints[2] = late;
-	register_in(d->router, 2, "north");
+	fixture_register_in(d->router, 2, "north");
 	expect_evacuated(d->router, 1);
 	expect_unused(d->router, late);
 	two_domains_delete(d);
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -14,6 +14,7 @@
 
 #include "core/types.h"
 #include "gateway/gateway_settings.h"
+#include "settings/fleet_config.h"
 
 /* Valid settings without the closing brace; a test adds line 5. */
 #define GOOD_SETTINGS                                                                              \
@@ -171,6 +172,27 @@
 	}
 }
 
+static void test_regions_are_names_by_failure_domain(void **state)
+{
+	static const char *const lines[] = {
+		"\"regions\":{\"a\":\"r\",\"b\":\"s\"}", "\"regions\":{}", "\"memory_mb\":64"};
+
+	for (size_t i = 0; i < ARRAY_LEN(lines); i++) {
+		GString *errors = g_string_new(NULL);
+		gateway_settings_t *settings = load(lines[i], errors);
+
+		assert_string_equal(errors->str, "");
+		assert_int_equal(gateway_settings_region(settings, "a"), i ? 0 : name_id("r"));
+		assert_int_equal(gateway_settings_region(settings, "b"), i ? 0 : name_id("s"));
+		assert_int_equal(gateway_settings_region(settings, ""), 0);
+		gateway_settings_delete(settings);
+		g_string_free(errors, TRUE);
+	}
+	assert_refused("regions", "[\"r\"]", "not an object");
+	assert_refused("regions", "\"r\"", "not an object");
+	assert_refused("regions", "null", "not an object");
+}
+
 static void test_unknown_setting_is_refused(void **state)
 {
 	assert_refused("retry_alowance", "1", "unknown key");
@@ -183,6 +205,7 @@
 		cmocka_unit_test(test_whole_number_may_be_written_with_exponent_or_zero_fraction),
 		cmocka_unit_test(test_fraction_is_accepted_where_the_setting_is_no_count),
 		cmocka_unit_test(test_value_of_another_type_is_refused),
+		cmocka_unit_test(test_regions_are_names_by_failure_domain),
 		cmocka_unit_test(test_unknown_setting_is_refused),
 	};
 
