--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -10,6 +10,8 @@
  * the store may be away for a while before it is read again.
  */
 #define DEPARTURE_MEMORY (60 * USEC_PER_SEC)
+/* A registration reaches this router up to this long after it was written. */
+#define ROW_DELAY (1 * USEC_PER_SEC)
 
 /* One start of an endpoint that has left. */
 typedef struct departure {
@@ -58,7 +60,7 @@
 
 bool registered_endpoint_returns_cold(const registered_endpoint_t *this)
 {
-	return this->evacuation_ended_at && this->cold_stated_at <= this->evacuation_ended_at;
+	return this->evacuation_ended_at && this->cold_heard_at <= this->evacuation_ended_at;
 }
 
 static void unref_endpoint(void *item)
@@ -196,6 +198,16 @@
 	endpoint->domain_id = *endpoint->failure_domain ? name_id(endpoint->failure_domain) : 0;
 }
 
+/* A row that says that the endpoint is warm may have been written before the evacuation's end. */
+static void hear_cold_time(
+	registered_endpoint_t *endpoint, const endpoint_registration_t *registration, instant_t now)
+{
+	if (!registration->cold_stated || !registered_endpoint_returns_cold(endpoint))
+		return;
+	if (registration->cold_left || now >= endpoint->evacuation_ended_at + ROW_DELAY)
+		endpoint->cold_heard_at = now;
+}
+
 /* Notes what the registration says beside its state; returns whether that changed anything. */
 static bool apply_registration(const endpoint_registry_t *this, registered_endpoint_t *endpoint,
 	const endpoint_registration_t *registration, instant_t now)
@@ -204,8 +216,7 @@
 	bool returned_cold = registered_endpoint_returns_cold(endpoint);
 
 	set_domain(endpoint, registration->failure_domain);
-	if (registration->cold_stated)
-		endpoint->cold_stated_at = now;
+	hear_cold_time(endpoint, registration, now);
 	return apply_evacuations(this, endpoint, now) || endpoint->domain_id != domain_before ||
 	       registered_endpoint_returns_cold(endpoint) != returned_cold;
 }
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -58,7 +58,8 @@
 	instant_t hold_until; /* if it had left: when it may be used, draining until then; else 0 */
 	bool evacuated;	      /* its failure domain is */
 	instant_t evacuation_ended_at; /* when that was last lifted; 0: never */
-	instant_t cold_stated_at;      /* when its registration last said how long it stays cold */
+	/* When its registration first said after that how long it stays cold; earlier: not yet. */
+	instant_t cold_heard_at;
 	unsigned int ref_count;
 	buffer_group_t buffers;		       /* of the exchanges with it */
 	struct cds_list_head idle_connections; /* endpoint_connection_t, newest first */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -206,13 +206,19 @@
 	return index < 0 ? NULL : &catalog->services[index];
 }
 
-/* What was warm before an evacuation need not be warm after it. */
+/*
+ * What was warm before an evacuation need not be warm after it: what its registration says counts
+ * from when it was heard after that.
+ */
 static void apply_cold_return(placement_engine_t *engine, const registered_endpoint_t *endpoint)
 {
-	if (!registered_endpoint_returns_cold(endpoint))
-		return;
-	engine->cold_until = INSTANT_NEVER;
-	engine->cold_stated_at = endpoint->evacuation_ended_at;
+	if (registered_endpoint_returns_cold(endpoint)) {
+		engine->cold_until = INSTANT_NEVER;
+		engine->cold_stated_at = endpoint->evacuation_ended_at;
+	} else if (endpoint->evacuation_ended_at) {
+		engine->cold_stated_at =
+			instant_max(engine->cold_stated_at, endpoint->cold_heard_at);
+	}
 }
 
 static void add_engine(void *ctx, registered_endpoint_t *endpoint)
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -148,6 +148,63 @@
 	}
 }
 
+/* --- return ------------------------------------------------------------- */
+
+static bool register_cold(endpoint_registry_t *registry, uint64_t left, instant_t now)
+{
+	endpoint_registration_t registration = {
+		.name = "i-0",
+		.service = "shop",
+		.address = "127.0.0.1:9",
+		.version = "v1",
+		.failure_domain = "east",
+		.cold_stated = true,
+		.cold_left = left,
+		.slots = 8,
+		.state = ENDPOINT_READY,
+	};
+
+	return endpoint_registry_put(registry, &registration, now);
+}
+
+static void keep_endpoint(void *ctx, registered_endpoint_t *endpoint)
+{
+	*(registered_endpoint_t **)ctx = endpoint;
+}
+
+/* A row that was written before the end of the evacuation and arrives after it proves nothing. */
+static void test_endpoint_returns_cold_until_its_registration_says_otherwise(void **state_)
+{
+	for (uint64_t left = 0; left <= USEC_PER_SEC; left += USEC_PER_SEC) {
+		evacuations_t *this = evacuations_new(NULL);
+		endpoint_registry_options_t options = {.evacuations = this};
+		endpoint_registry_t *registry = endpoint_registry_new(&options);
+		registered_endpoint_t *endpoint = NULL;
+		instant_t now = 100 * USEC_PER_SEC;
+
+		register_cold(registry, 0, now);
+		endpoint_registry_for_each(registry, keep_endpoint, &endpoint);
+		assert_false(registered_endpoint_returns_cold(endpoint));
+		state(this, EAST, true, 1, 6);
+		assert_int_equal(endpoint_registry_apply_evacuations(registry, now), 1);
+		assert_false(registered_endpoint_takes_work(endpoint));
+		state(this, EAST, false, 1, 7);
+		assert_int_equal(endpoint_registry_apply_evacuations(registry, now), 1);
+		assert_true(registered_endpoint_takes_work(endpoint));
+		assert_true(registered_endpoint_returns_cold(endpoint));
+		assert_false(register_cold(registry, 0, now + 500 * USEC_PER_MSEC));
+		assert_true(registered_endpoint_returns_cold(endpoint));
+		now += left ? 600 * USEC_PER_MSEC : 1100 * USEC_PER_MSEC;
+		assert_true(register_cold(registry, left, now));
+		assert_false(registered_endpoint_returns_cold(endpoint));
+		assert_int_equal(endpoint->cold_heard_at, now);
+		register_cold(registry, left, now + USEC_PER_SEC);
+		assert_int_equal(endpoint->cold_heard_at, now);
+		endpoint_registry_delete(registry);
+		evacuations_delete(this);
+	}
+}
+
 /* --- real gateways ------------------------------------------------------ */
 
 /* One endpoint in each of two domains. */
@@ -565,6 +622,7 @@
 		cmocka_unit_test(test_listing_without_the_row_lifts_it_unless_the_row_is_newer),
 		cmocka_unit_test(test_listing_of_a_newer_era_replaces_what_is_known),
 		cmocka_unit_test(test_statements_in_any_order_end_the_same),
+		cmocka_unit_test(test_endpoint_returns_cold_until_its_registration_says_otherwise),
 		cmocka_unit_test(test_evacuated_domain_gets_no_requests),
 		cmocka_unit_test(test_idle_connections_to_an_evacuated_domain_are_closed),
 		cmocka_unit_test(test_unreadable_row_names_its_domain_by_its_key),
--- a/tests/test_row_gossip.c
+++ b/tests/test_row_gossip.c
@@ -240,6 +240,57 @@
 	return row_gossip_is_due(f->gossip, slot, false, now);
 }
 
+/* Notes the rows of each table in the next message to the peer. */
+static void count_rows(gossip_fixture_t *f, unsigned int slot,
+	unsigned int rows[CACHED_TABLE_COUNT], instant_t now)
+{
+	message_header_t header = {.from = 1, .incarnation = 1, .seq = 1};
+	message_entry_t entry;
+	entry_reader_t *reader;
+	const char *bytes;
+	size_t size;
+
+	memset(rows, 0, CACHED_TABLE_COUNT * sizeof(*rows));
+	entry_writer_begin(f->writer, &header);
+	row_gossip_write(f->gossip, slot, f->writer, now);
+	bytes = entry_writer_data(f->writer, &size);
+	reader = entry_reader_new(bytes, size, &header);
+	while (entry_reader_next(reader, &entry, now)) {
+		if (entry.kind != ENTRY_ROW_CHUNK)
+			continue;
+		rows[entry.table]++;
+		assert_int_equal(entry.row_count, 2);
+	}
+	entry_reader_delete(reader);
+}
+
+/* A router that starts without the store asks for all tables at once; none may wait for a retry. */
+static void test_requests_for_several_tables_are_all_answered(void **state)
+{
+	gossip_fixture_t *f = gossip_fixture_new();
+	unsigned int rows[CACHED_TABLE_COUNT];
+
+	for (unsigned int table = 0; table < CACHED_TABLE_COUNT; table++) {
+		message_entry_t request = {.kind = ENTRY_ROW_REQUEST, .table = table};
+
+		for (unsigned int i = 1; i <= 2; i++) {
+			store_row_t row = {.key = i == 1 ? "a" : "b",
+				.value = "",
+				.version = {.number = 10 * i + table}};
+
+			row_cache_put(f->cache, (cached_table_t)table, &row);
+		}
+		row_gossip_handle_entry(f->gossip, 1, &request, SECOND);
+		row_gossip_handle_entry(f->gossip, 1, &request, SECOND);
+	}
+	assert_true(row_gossip_is_due(f->gossip, 1, false, SECOND));
+	count_rows(f, 1, rows, SECOND);
+	for (unsigned int table = 0; table < CACHED_TABLE_COUNT; table++)
+		assert_int_equal(rows[table], 2);
+	assert_false(row_gossip_is_due(f->gossip, 1, false, SECOND));
+	gossip_fixture_delete(f);
+}
+
 /* The store delivers them in most cases. */
 static void test_router_that_reads_the_store_waits_before_it_asks(void **state)
 {
@@ -321,6 +372,7 @@
 		cmocka_unit_test(test_router_that_reads_the_store_waits_before_it_asks),
 		cmocka_unit_test(test_router_that_does_not_read_the_store_asks_soon),
 		cmocka_unit_test(test_requests_of_routers_that_do_not_read_are_spread),
+		cmocka_unit_test(test_requests_for_several_tables_are_all_answered),
 		cmocka_unit_test(test_version_goes_out_with_the_next_message),
 	};
 
