--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,7 +1,6 @@
 #include "gateway/gateway.h"
 
 #include <signal.h>
-#include <string.h>
 
 #include "edge/clock.h"
 #include "edge/log.h"
@@ -94,32 +93,6 @@
 	       !overload_is_paused(&this->overload, clock_now());
 }
 
-static void send_metrics(const gateway_t *this, caller_t *caller)
-{
-	GString *text = g_string_new(NULL);
-
-	gateway_write_metrics(this, text);
-	caller_send_response(
-		caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
-	g_string_free(text, TRUE);
-}
-
-/* Answers /metrics with the metrics and every other path with the readiness. */
-static void on_status_request(void *ctx, caller_t *caller, const caller_request_t *request)
-{
-	if (!strcmp(request->target->str, "/metrics"))
-		send_metrics(ctx, caller);
-	else
-		caller_send_response(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
-}
-
-static void ignore_caller_event(void *exchange)
-{
-}
-
-static const caller_ops_t status_ops = {
-	on_status_request, ignore_caller_event, ignore_caller_event};
-
 /* --- calls ------------------------------------------------------------ */
 
 void gateway_add_call(gateway_t *this, call_t *call)
@@ -495,9 +468,9 @@
 	const gateway_settings_t *settings = this->settings;
 
 	this->callers = listen_on(this, settings->caller_address, &call_ops, max_callers(this));
-	this->ready = listen_on(this, settings->ready_address, &status_ops, 64);
+	this->ready = listen_on(this, settings->ready_address, &gateway_status_ops, 64);
 	if (*settings->metrics_address)
-		this->metrics = listen_on(this, settings->metrics_address, &status_ops, 16);
+		this->metrics = listen_on(this, settings->metrics_address, &gateway_status_ops, 16);
 	return this->callers && this->ready && (this->metrics || !*settings->metrics_address);
 }
 
@@ -618,19 +591,6 @@
 	return origin_lookup_new(&options);
 }
 
-static evacuation_rows_t *new_evacuation_rows(gateway_t *this)
-{
-	evacuation_rows_options_t options = {
-		.adapter = this->adapter,
-		.row_cache = this->row_cache,
-		.evacuations = this->evacuations,
-		.on_change = gateway_handle_evacuation,
-		.ctx = this,
-	};
-
-	return evacuation_rows_new(&options);
-}
-
 gateway_t *gateway_new(const gateway_settings_t *settings)
 {
 	gateway_t *this = g_new0(gateway_t, 1);
@@ -651,7 +611,7 @@
 	uv_loop_init(&this->loop);
 	this->endpoint_registry = endpoint_registry_new(&registry_options);
 	this->row_cache = row_cache_new();
-	this->evacuation_rows = new_evacuation_rows(this);
+	this->evacuation_rows = gateway_new_evacuation_rows(this);
 	this->part_watch = part_watch_new(&part_options);
 	this->origin_lookup = new_origin_lookup(this);
 	this->store_readers = store_readers_new();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -146,8 +146,9 @@
  * share of the retry allowance and of the endpoints' connections.
  */
 void gateway_apply_fleet_size(gateway_t *this);
-/* Handles that a failure domain is evacuated, or is so no more; see evacuation_rows.h. */
-void gateway_handle_evacuation(void *ctx, const evacuation_event_t *event);
+/* gateway_evacuation.c: logs the evacuations of failure domains and applies them to the endpoints.
+ */
+evacuation_rows_t *gateway_new_evacuation_rows(gateway_t *this);
 /* Follows the store's tables itself or not, as the readers of its failure domain make needful. */
 void gateway_update_store_reading(gateway_t *this, instant_t now);
 /* Handles a listing of the endpoints' table at once. */
@@ -160,6 +161,8 @@
 /* Handles rows that were requested from a peer as if they came from the store. */
 void gateway_handle_peer_rows(void *ctx, cached_table_t table, const GArray *rows);
 const char *response_bound_name(response_bound_t bound);
+/* Answers /metrics with the metrics and every other path with the readiness. */
+extern const caller_ops_t gateway_status_ops;
 /* Appends metrics in the text exposition format. */
 void gateway_write_metrics(const gateway_t *this, GString *out);
 
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "edge/metrics.h"
@@ -95,3 +97,29 @@
 			"amaranthwall_calls_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
 			reason_info((reason_t)i)->name, (guint64)this->outcomes[i]);
 }
+
+static void send_metrics(const gateway_t *this, caller_t *caller)
+{
+	GString *text = g_string_new(NULL);
+
+	gateway_write_metrics(this, text);
+	caller_send_response(
+		caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+/* Answers /metrics with the metrics and every other path with the readiness. */
+static void on_status_request(void *ctx, caller_t *caller, const caller_request_t *request)
+{
+	if (!strcmp(request->target->str, "/metrics"))
+		send_metrics(ctx, caller);
+	else
+		caller_send_response(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
+}
+
+static void ignore_caller_event(void *exchange)
+{
+}
+
+const caller_ops_t gateway_status_ops = {
+	on_status_request, ignore_caller_event, ignore_caller_event};
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -109,21 +109,6 @@
 static const table_watch_ops_t catalog_ops = {
 	on_catalog_table, on_catalog_rows, on_catalog_unreachable, on_catalog_paused};
 
-void gateway_handle_evacuation(void *ctx, const evacuation_event_t *event)
-{
-	gateway_t *this = ctx;
-	unsigned int endpoints =
-		endpoint_registry_apply_evacuations(this->endpoint_registry, clock_now());
-
-	log_notice("evacuation",
-		"domain=%s state=%s row_version=%" G_GUINT64_FORMAT " era=%" G_GUINT64_FORMAT
-		" source=%s endpoints=%u domains=%u",
-		event->domain, event->evacuated ? "set" : "lifted", (guint64)event->version.number,
-		(guint64)event->version.era, event->source, endpoints,
-		evacuations_count(this->evacuations));
-	this->engines_outdated |= endpoints > 0;
-}
-
 /* Returns whether the endpoint was removed at once. */
 static bool apply_deleted_endpoint(gateway_t *this, const store_row_t *row, instant_t now)
 {
