--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -96,6 +96,7 @@
 	assert_true(evacuations_contain(this, WEST));
 	/* A peer that has not heard of the restore. */
 	assert_int_equal(state(this, EAST, true, 1, 60), EVACUATION_OUTDATED);
+	assert_int_equal(state(this, name_id("north"), true, 1, 60), EVACUATION_OUTDATED);
 	assert_false(list(this, EAST, 40, 1, 70));
 	assert_false(evacuations_contain(this, EAST));
 	assert_true(evacuations_contain(this, WEST));
