--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "core/overload.h"
 #include "gateway/adapter.h"
 #include "gateway/call.h"
+#include "gateway/evacuation_rows.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/lane_log.h"
 #include "gateway/listener.h"
@@ -75,6 +76,8 @@
 	catalog_t *catalog;
 	endpoint_registry_t *endpoint_registry;
 	row_cache_t *row_cache;
+	evacuations_t *evacuations;
+	evacuation_rows_t *evacuation_rows;
 	unsigned int applied_router_count; /* fleet size of the last gateway_apply_fleet_size() */
 	instant_t endpoints_loaded_at;	   /* the time of the first one, 0: none yet */
 	bool endpoints_loaded;	     /* a full listing was received, from the store or a peer */
@@ -126,8 +129,8 @@
 /* Number of routers that share the fleet's work, this one included. */
 unsigned int gateway_router_count(const gateway_t *this);
 /*
- * True once the catalog and the endpoints are loaded, until a planned stop begins; false also
- * while an overloaded router asks for no new connections.
+ * True once the catalog, the endpoints and the evacuations are loaded, until a planned stop begins;
+ * false also while an overloaded router asks for no new connections.
  */
 bool gateway_is_ready(const gateway_t *this);
 void gateway_add_call(gateway_t *this, call_t *call);
@@ -157,6 +160,9 @@
  * share of the retry allowance and of the endpoints' connections.
  */
 void gateway_apply_fleet_size(gateway_t *this);
+/* gateway_evacuation.c: logs the evacuations of failure domains and applies them to the endpoints.
+ */
+evacuation_rows_t *gateway_new_evacuation_rows(gateway_t *this);
 /* Follows the store's tables itself or not, as the readers of its failure domain make needful. */
 void gateway_update_store_reading(gateway_t *this, instant_t now);
 /* Handles a listing of the endpoints' table at once. */
@@ -169,6 +175,8 @@
 /* Handles rows that were requested from a peer as if they came from the store. */
 void gateway_handle_peer_rows(void *ctx, cached_table_t table, const GArray *rows);
 const char *response_bound_name(response_bound_t bound);
+/* Answers /metrics with the metrics and every other path with the readiness. */
+extern const caller_ops_t gateway_status_ops;
 /* Appends metrics in the text exposition format. */
 void gateway_write_metrics(const gateway_t *this, GString *out);
 
--- a/src/gateway/row_cache.h
+++ b/src/gateway/row_cache.h
@@ -15,6 +15,7 @@
 	CACHED_CATALOG,
 	CACHED_ENDPOINTS,
 	CACHED_ROUTERS,
+	CACHED_EVACUATIONS, /* see evacuation_rows.h; earlier builds ignore it */
 	CACHED_TABLE_COUNT,
 } cached_table_t;
 
