Merge speed of engines

Both parts tell of an engine by ENTRY_ENGINE_STATE: placement_next_engine_state() gives what the warm-up has to say, then the speeds; each handles what it knows.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -37,6 +37,8 @@
 	request->owners_tried = 0;
 	request->prefill_done = false;
 	request->without_grant = false;
+	request->longest_pause = 0;
+	request->was_held_up = false;
 	request->source = 0;
 	if (!placement_has_usable_engine(this, request)) {
 		placement_reject(this, request, NO_ENGINE_RETRY_MS);
@@ -92,6 +94,14 @@
 		placement_handle_entry(this, 0, entry, now);
 }
 
+/* Microseconds, as much as an entry can hold. */
+static uint32_t duration_entry(instant_t since, instant_t now)
+{
+	uint64_t duration = instant_left(now, since);
+
+	return duration < UINT32_MAX ? (uint32_t)duration : UINT32_MAX;
+}
+
 void placement_first_token(placement_t *this, placement_request_t *request, instant_t now)
 {
 	message_entry_t entry = {.kind = ENTRY_FIRST_TOKEN, .ticket = request->ticket};
@@ -99,13 +109,22 @@
 	if (request->state != PLACEMENT_GRANTED || request->prefill_done)
 		return;
 	request->prefill_done = true;
+	request->first_token_at = now;
+	entry.source = duration_entry(request->started_at, now);
 	send_entry(this, request->owner, &entry, now);
 }
 
 void placement_load_report(
 	placement_t *this, placement_request_t *request, unsigned int load, instant_t now)
 {
-	message_entry_t entry = {.kind = ENTRY_LOAD, .ticket = request->ticket, .value = load};
+	placement_slowness_report(this, request, load, 0, now);
+}
+
+void placement_slowness_report(placement_t *this, placement_request_t *request, unsigned int load,
+	unsigned int percent, instant_t now)
+{
+	message_entry_t entry = {
+		.kind = ENTRY_LOAD, .ticket = request->ticket, .value = load, .source = percent};
 
 	if (request->state == PLACEMENT_GRANTED)
 		send_entry(this, request->owner, &entry, now);
@@ -138,6 +157,11 @@
 
 	if (request->state != PLACEMENT_GRANTED)
 		return;
+	/* What an earlier engine has answered tells nothing of this one. */
+	if (request->prefill_done && !request->was_started && !request->was_held_up) {
+		entry.source = duration_entry(request->first_token_at, now);
+		entry.pause_ms = (uint32_t)(request->longest_pause / USEC_PER_MSEC);
+	}
 	send_entry(this, request->owner, &entry, now);
 	placement_release_slot(this, request);
 }
@@ -302,6 +326,7 @@
 		placement_report_all_slots(this, now);
 		placement_announce_rates(this, now);
 		placement_tick_warm_up(this, now);
+		placement_update_speeds(this, now);
 	}
 	next = check_pending(this, now);
 	next = instant_min(next, scheduler_run(this->scheduler, now));
@@ -381,6 +406,13 @@
 	return true;
 }
 
+bool placement_next_engine_state(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
+{
+	return placement_next_warm_up(this, slot, entry, now) ||
+	       placement_next_speed(this, slot, entry, now);
+}
+
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
 {
@@ -415,6 +447,7 @@
 {
 	peer_state_t *peer = &this->peers[slot];
 
+	peer->speed_serial = 0;
 	for (unsigned int i = 0; i < peer->usage_count; i++)
 		peer->usages[i].sent = (slot_usage_t){.slots = UINT_MAX};
 }
@@ -517,7 +550,7 @@
 		this->engine_capacity = capacity;
 	}
 	state = &this->engines[this->engine_count++];
-	*state = (engine_state_t){.owner = MEMBER_MAX};
+	*state = (engine_state_t){.owner = MEMBER_MAX, .weight = 1};
 	rate_limit_init(&state->rate_limit);
 	warm_up_init(&state->warm_up);
 	return state;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -84,7 +84,9 @@
 	/*
 	 * ENTRY_GRANT: engine to copy the shared parts from, 0: none; ENTRY_PART_END: time since
 	 * the prompt was sent, ms; ENTRY_RATE_LIMIT: time since the request was sent whose response
-	 * named the limit, ms.
+	 * named the limit, ms; ENTRY_FIRST_TOKEN: time since the start, us; ENTRY_END: time since
+	 * the first token, us; ENTRY_LOAD: how long work takes, percent of its usual time.  0 is
+	 * unknown: earlier builds send nothing else with the last three.
 	 */
 	id_t32 source;
 	id_t32 pool;	  /* ENTRY_SLOT_USAGE, ENTRY_SERVED_TOKENS */
@@ -92,6 +94,8 @@
 	int32_t tokens;	  /* ENTRY_SERVED_TOKENS */
 	/* ENTRY_PART_END: as the sender counts the occasions, 0: unknown; see part_watch.c */
 	uint32_t occasions;
+	/* ENTRY_END: longest pause of the stream, ms; routers of earlier builds send none. */
+	uint32_t pause_ms;
 	bool is_whole; /* ENTRY_PART_END: the part stands for a request as a whole */
 	/*
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
@@ -161,7 +165,11 @@
 	unsigned int owners_tried; /* owners that the slot request was sent to */
 	bool prefill_done;	   /* the first token has arrived */
 	bool without_grant;	   /* no owner granted the slot */
-	instant_t started_at;	   /* of a request without a grant */
+	instant_t started_at;	   /* at the engine */
+	instant_t first_token_at;
+	/* Of the stream, set by the embedder before placement_end(). */
+	uint64_t longest_pause;
+	bool was_held_up; /* its caller did not read: its times tell nothing of the engine */
 } placement_request_t;
 
 typedef struct placement_engine {
@@ -212,6 +220,8 @@
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
 	/* Called when an engine that this router owns turns cold or warm; may be NULL. */
 	void (*on_warm_up)(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now);
+	/* Called when the speed of an engine that this router owns changes; may be NULL. */
+	void (*on_speed)(void *ctx, id_t32 engine, const engine_speed_report_t *speed);
 	void *ctx;
 	const allocator_t *allocator; /* NULL: allocator_default */
 } placement_options_t;
@@ -258,6 +268,9 @@
 /* Reports that the engine has `load` requests running or queued. */
 void placement_load_report(
 	placement_t *this, placement_request_t *request, unsigned int load, instant_t now);
+/* Like it, and reports that work takes `percent` of its usual time on the engine's machine. */
+void placement_slowness_report(placement_t *this, placement_request_t *request, unsigned int load,
+	unsigned int percent, instant_t now);
 /*
  * Reports the rate limit that the engine named in the response to a request sent at `sent_at`;
  * RATE_NONE: it named none.
@@ -323,6 +336,8 @@
 void placement_report_lanes(placement_t *this, instant_t now,
 	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
 
+/* Number of engines whose speed differs from that of their pool's median. */
+unsigned int placement_unequal_engines(const placement_t *this);
 /* Number of engines that are known to have a rate limit. */
 unsigned int placement_rate_limited(const placement_t *this);
 /* Number of engines that are known to be cold. */
--- a/src/core/placement_owners.c
+++ b/src/core/placement_owners.c
@@ -137,6 +137,7 @@
 		if (moved) {
 			placement_hand_over_rate(this, state, former == 0, now);
 			placement_hand_over_warm_up(this, state, former, now);
+			placement_take_over_speed(this, state, former == 0, now);
 		}
 		changed |= moved;
 	}
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -165,12 +165,15 @@
 static void handle_first_token(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	scheduler_record_first_token(this->scheduler, slot, entry->ticket, entry->source);
 	scheduler_first_token(this->scheduler, slot, entry->ticket, now);
 }
 
 static void handle_load(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	if (entry->source)
+		scheduler_record_slowness(this->scheduler, slot, entry->ticket, entry->source, now);
 	scheduler_load_report(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -183,6 +186,8 @@
 static void handle_end(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	scheduler_record_stream(this->scheduler, slot, entry->ticket, entry->value, entry->source,
+		entry->pause_ms * USEC_PER_MSEC, now);
 	scheduler_end(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -221,6 +226,13 @@
 		link_watch_confirmed(&this->peers[slot].link, entry->ticket);
 }
 
+static void handle_engine_state(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
+{
+	placement_handle_warm_up(this, slot, entry, now);
+	placement_handle_speed(this, slot, entry, now);
+}
+
 static void (*const handlers[ENTRY_KINDS])(
 	placement_t *, unsigned int, const message_entry_t *, instant_t) = {
 	[ENTRY_SLOT_REQUEST] = handle_slot_request,
@@ -240,7 +252,7 @@
 	[ENTRY_SLOT_USAGE] = handle_slot_usage,
 	[ENTRY_RECEIPT] = handle_receipt,
 	[ENTRY_RATE_LIMIT] = placement_handle_rate_limit,
-	[ENTRY_ENGINE_STATE] = placement_handle_engine_state,
+	[ENTRY_ENGINE_STATE] = handle_engine_state,
 };
 
 void placement_handle_entry(
@@ -265,6 +277,8 @@
 		return false;
 	if (result == MESSAGE_STATUS_RESTARTED)
 		scheduler_forget_router(this->scheduler, *slot, now);
+	if (result == MESSAGE_STATUS_RESTARTED)
+		this->peers[*slot].speed_serial = 0;
 	members_set_stopping(&this->members, *slot, header->stopping);
 	this->peers[*slot].unresponsive = false;
 	return true;
--- a/src/gateway/call_queue.c
+++ b/src/gateway/call_queue.c
@@ -101,6 +101,7 @@
 	if (!this->in_placement || (this->decision_pending && is_placement_decided(this)))
 		return;
 	this->in_placement = false;
+	this->placement_request.longest_pause = this->max_event_gap;
 	if (result == SLOT_DONE && this->placement_request.state == PLACEMENT_GRANTED)
 		placement_end(placement_of(this), &this->placement_request, this->cost, now);
 	else if (result == SLOT_UNUSED || this->placement_request.state != PLACEMENT_GRANTED)
@@ -109,11 +110,11 @@
 		placement_fail(placement_of(this), &this->placement_request, result, now);
 }
 
-void call_report_load(call_t *this, unsigned int load)
+void call_report_load(call_t *this, unsigned int load, unsigned int slowness)
 {
 	if (this->in_placement)
-		placement_load_report(
-			placement_of(this), &this->placement_request, load, clock_now());
+		placement_slowness_report(
+			placement_of(this), &this->placement_request, load, slowness, clock_now());
 }
 
 void call_report_rate_limit(call_t *this, uint32_t rate)
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -342,6 +342,7 @@
 		.scheduler = options->scheduler,
 		.on_rate_limit = options->on_rate_limit,
 		.on_warm_up = options->on_warm_up,
+		.on_speed = options->on_speed,
 		.ctx = options->ctx,
 	};
 
