--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -40,7 +40,7 @@
 	request->longest_pause = 0;
 	request->was_held_up = false;
 	request->source = 0;
-	if (!placement_has_usable_engine(this, request->pool, request->version)) {
+	if (!placement_has_usable_engine(this, request)) {
 		placement_reject(this, request, NO_ENGINE_RETRY_MS);
 		return;
 	}
@@ -244,6 +244,7 @@
 	if (this->owned_view != this->members.view)
 		placement_assign_owners(this, now);
 	placement_update_rate_share(this);
+	placement_update_pace_share(this, now);
 }
 
 /* The entries are due at the time of the next report, but go out with any earlier message. */
@@ -324,6 +325,7 @@
 		this->next_report_at = now + REPORT_INTERVAL;
 		placement_report_all_slots(this, now);
 		placement_announce_rates(this, now);
+		placement_tick_warm_up(this, now);
 		placement_update_speeds(this, now);
 	}
 	next = check_pending(this, now);
@@ -404,6 +406,13 @@
 	return true;
 }
 
+bool placement_next_engine_state(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
+{
+	return placement_next_warm_up(this, slot, entry, now) ||
+	       placement_next_speed(this, slot, entry, now);
+}
+
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
 {
@@ -454,6 +463,7 @@
 	this->allocator = allocator;
 	this->random = options->seed;
 	this->next_report_at = now + REPORT_INTERVAL;
+	this->pace_share = 1;
 	CDS_INIT_LIST_HEAD(&this->pending);
 	CDS_INIT_LIST_HEAD(&this->running);
 	for (unsigned int i = 0; i < TICKET_BUCKETS; i++)
@@ -542,6 +552,7 @@
 	state = &this->engines[this->engine_count++];
 	*state = (engine_state_t){.owner = MEMBER_MAX, .weight = 1};
 	rate_limit_init(&state->rate_limit);
+	warm_up_init(&state->warm_up);
 	return state;
 }
 
@@ -555,6 +566,17 @@
 	return false;
 }
 
+static void set_engine(placement_t *this, const placement_engine_t *engine, instant_t now)
+{
+	bool is_known = placement_find_engine(this, engine->id) != NULL;
+	engine_state_t *state = get_engine(this, engine);
+
+	placement_set_warm_up(this, state, engine, is_known, now);
+	state->engine = *engine;
+	if (!is_known)
+		state->since_start = !this->has_engines;
+}
+
 void placement_set_engines(
 	placement_t *this, const placement_engine_t *engines, unsigned int count, instant_t now)
 {
@@ -568,9 +590,10 @@
 		this->engines[i] = this->engines[--this->engine_count];
 	}
 	for (unsigned int i = 0; i < count; i++) {
-		get_engine(this, &engines[i])->engine = engines[i];
+		set_engine(this, &engines[i], now);
 		placement_pool_usage(&this->peers[0], engines[i].pool);
 	}
+	this->has_engines |= count > 0;
 	placement_assign_owners(this, now);
 }
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -20,7 +20,9 @@
 #include "core/backlog.h"
 #include "core/member.h"
 #include "core/rate_limit.h"
+#include "core/region_set.h"
 #include "core/scheduler.h"
+#include "core/warm_up.h"
 
 typedef enum entry_kind {
 	ENTRY_SLOT_REQUEST,
@@ -143,9 +145,10 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
-	id_t32 version;	  /* of the engine's software that it is bound to, 0: any */
-	bool is_late;	  /* counts as unable to meet first_token_deadline */
-	bool was_started; /* an attempt has failed: never refused for the workspace's backlog */
+	id_t32 version;	      /* of the engine's software that it is bound to, 0: any */
+	region_set_t regions; /* where it may run */
+	bool is_late;	      /* counts as unable to meet first_token_deadline */
+	bool was_started;     /* an attempt has failed: never refused for the workspace's backlog */
 
 	/* Set by the placement. */
 	backlog_entry_t backlog_entry;
@@ -179,8 +182,10 @@
 	/* Starts that it bears while it is cold, see rate_limit.h; RATE_NONE: as many as when warm.
 	 */
 	uint32_t cold_pace;
-	instant_t cold_until;	  /* according to its registration, 0: warm */
-	instant_t cold_stated_at; /* when the registration was known to say so */
+	uint64_t cold_time;	  /* microseconds for which it is cold after a start, 0: unknown */
+	instant_t cold_until;	  /* according to its registration or its start, 0: warm */
+	instant_t cold_stated_at; /* when that was known */
+	warm_up_source_t cold_source; /* WARM_UP_NONE: nothing says so */
 } placement_engine_t;
 
 typedef enum placement_action_kind {
@@ -193,8 +198,8 @@
 	placement_request_t *request;
 	id_t32 engine;		 /* PLACEMENT_START */
 	uint32_t retry_after_ms; /* PLACEMENT_REJECT */
-	bool no_engine; /* PLACEMENT_REJECT: the pool has no usable engine of the request's version
-			 */
+	/* PLACEMENT_REJECT: the pool has no usable engine of the request's version and regions */
+	bool no_engine;
 } placement_action_t;
 
 /* The header of each message between routers. */
@@ -213,6 +218,8 @@
 	scheduler_options_t scheduler;
 	/* Called when the limit of an engine that this router owns changes; may be NULL. */
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	/* Called when an engine that this router owns turns cold or warm; may be NULL. */
+	void (*on_warm_up)(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now);
 	/* Called when the speed of an engine that this router owns changes; may be NULL. */
 	void (*on_speed)(void *ctx, id_t32 engine, const engine_speed_report_t *speed);
 	void *ctx;
@@ -270,6 +277,12 @@
  */
 void placement_rate_report(placement_t *this, const placement_request_t *request, uint32_t rate,
 	instant_t sent_at, instant_t now);
+/*
+ * Reports how long the engine stays cold, in microseconds, according to the response to a request
+ * sent at `sent_at`; UINT64_MAX: until told otherwise.
+ */
+void placement_warm_up_report(placement_t *this, const placement_request_t *request,
+	uint64_t cold_left, instant_t sent_at, instant_t now);
 /*
  * The engine has asked this router to send it nothing until then; other routers may.  Grants for it
  * are declined.
@@ -313,8 +326,8 @@
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
 /*
- * Gives the next report of an engine's speed to the router; false when there is none.  It comes
- * after all other entries of a message.
+ * Gives the next of the engines' states that are to be told to the router; false when there is
+ * none.  They come last in a message, as routers of earlier builds do not read on after them.
  */
 bool placement_next_engine_state(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
@@ -327,6 +340,8 @@
 unsigned int placement_unequal_engines(const placement_t *this);
 /* Number of engines that are known to have a rate limit. */
 unsigned int placement_rate_limited(const placement_t *this);
+/* Number of engines that are known to be cold. */
+unsigned int placement_cold(const placement_t *this, instant_t now);
 const members_t *placement_members(const placement_t *this);
 const scheduler_t *placement_scheduler(const placement_t *this);
 const placement_stats_t *placement_stats(const placement_t *this);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -21,8 +21,13 @@
 	unsigned int running_here; /* requests of this router that run on the engine */
 	/* As known here; its starts are those without a grant. */
 	rate_limit_t rate_limit;
-	instant_t rate_told_at;	     /* when the owner was last told of the limit; 0: not yet */
-	instant_t paused_until;	     /* this router sends it nothing before */
+	/* Cold time as known here; the starts at its pace are those without a grant. */
+	warm_up_t warm_up;
+	instant_t heard_at;	/* when this router itself learnt of the cold time, for its owner */
+	bool logged_cold;	/* as this router, its owner, has last logged */
+	bool since_start;	/* it was there when this router started */
+	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
+	instant_t paused_until; /* this router sends it nothing before */
 	engine_speed_report_t speed; /* as its owner has told, so that all routers agree on it */
 	instant_t speed_at;	     /* when it did, 0: not yet */
 	uint64_t speed_serial;	     /* of our report of it to the others, 0: none */
@@ -49,10 +54,11 @@
 	uint64_t seq;	   /* of the last message sent */
 	instant_t send_at; /* when the next message is due */
 	instant_t sent_at;
-	link_watch_t link;     /* whether our messages arrive */
-	uint64_t receipt_seq;  /* newest message of the peer that we have confirmed */
-	instant_t receipt_at;  /* when the next confirmation may be sent */
-	uint64_t speed_serial; /* newest report of an engine's speed that the peer was sent */
+	link_watch_t link;	  /* whether our messages arrive */
+	uint64_t receipt_seq;	  /* newest message of the peer that we have confirmed */
+	instant_t receipt_at;	  /* when the next confirmation may be sent */
+	unsigned int engine_told; /* engines whose state was told in this round of reports */
+	uint64_t speed_serial;	  /* newest report of an engine's speed that the peer was sent */
 } peer_state_t;
 
 struct placement {
@@ -81,8 +87,10 @@
 	part_places_t places;		 /* of the prompt parts of this router's requests */
 	instant_t next_report_at;	 /* of all slots in use */
 	instant_t next_served_report_at; /* of the tokens served */
-	uint64_t speed_serial;		 /* of the newest report of a speed */
-	bool speeds_differ;		 /* engine_state_t.weight is not 1 everywhere */
+	double pace_share;     /* of the pace of cold engines that this router uses as an owner */
+	bool has_engines;      /* engines were set before */
+	uint64_t speed_serial; /* of the newest report of a speed */
+	bool speeds_differ;    /* engine_state_t.weight is not 1 everywhere */
 	bool stopping;
 	placement_stats_t stats;
 };
@@ -117,10 +125,39 @@
 /* Counts a start without a grant, of which a router uses a part of its even share of the rate. */
 void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
 
+/* placement_warm_up.c: engines that are cold */
+/* Handles an ENTRY_ENGINE_STATE, of the engine's owner or for it, as far as it states that. */
+void placement_handle_warm_up(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* See placement_next_engine_state(). */
+bool placement_next_warm_up(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
+/* Begins a round of reports to the other routers. */
+void placement_tick_warm_up(placement_t *this, instant_t now);
+/* Takes up what a registration says, before it replaces `state->engine`. */
+void placement_set_warm_up(placement_t *this, engine_state_t *state,
+	const placement_engine_t *engine, bool is_known, instant_t now);
+/* Keeps what the scheduler knows of an engine that this router owns no longer. */
+void placement_keep_warm_up(placement_t *this, engine_state_t *state);
+/* The engine has a new owner; `former`: the one before, MEMBER_MAX: none. */
+void placement_hand_over_warm_up(
+	placement_t *this, engine_state_t *state, unsigned int former, instant_t now);
+void placement_update_pace_share(placement_t *this, instant_t now);
+/* Returns whether a request may start at the engine without a grant, according to its pace. */
+bool placement_pace_allows(const placement_t *this, const engine_state_t *state, instant_t now);
+/* Counts a start without a grant. */
+void placement_count_warm_up(placement_t *this, engine_state_t *state, instant_t now);
+/* Whether a grant may have been read so late that it adds to later starts at a cold engine. */
+bool placement_grant_is_too_old(
+	const placement_t *this, unsigned int owner, const engine_state_t *state, instant_t now);
+
 /* placement_speed.c: speeds of engines */
 /* Handles an ENTRY_ENGINE_STATE, as far as it states a speed. */
-void placement_handle_engine_state(
+void placement_handle_speed(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* See placement_next_engine_state(). */
+bool placement_next_speed(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 /* Notes what this router's engines need; recomputes the medians and the engines' weights. */
 void placement_update_speeds(placement_t *this, instant_t now);
 /* Gives the engine's new owner its speed; `was_owner`: this router was the owner. */
@@ -131,17 +168,24 @@
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
 double placement_utilization(placement_t *this, unsigned int slot, id_t32 pool, instant_t now);
-/* Returns whether the member in `slot` owns a usable engine of the pool, and of a version or 0. */
-bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool, id_t32 version);
+/* What an engine must have for a request. */
+typedef struct engine_need {
+	id_t32 pool;
+	id_t32 version;		     /* 0: any */
+	const region_set_t *regions; /* NULL: any */
+} engine_need_t;
+
+/* Returns whether the member in `slot` owns a usable engine that meets the need. */
+bool placement_owns(const placement_t *this, unsigned int slot, const engine_need_t *need);
 /*
  * Returns the engine that has probably cached the shared parts of the prompt; 0
  * when there is none or it is `engine` itself.
  */
 id_t32 placement_likely_source(
 	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now);
-bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version);
-/* Returns whether the engine may run requests of the pool that are bound to the version or 0. */
-bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version);
+bool placement_has_usable_engine(const placement_t *this, const placement_request_t *request);
+/* Returns whether the engine accepts new requests and meets the need. */
+bool placement_engine_fits(const placement_engine_t *engine, const engine_need_t *need);
 /* Returns whether this router may send the request to the engine now. */
 bool placement_may_use(
 	const engine_state_t *state, const placement_request_t *request, instant_t now);
--- a/src/core/placement_speed.c
+++ b/src/core/placement_speed.c
@@ -76,7 +76,7 @@
 		tell_all(this, state);
 }
 
-bool placement_next_engine_state(
+bool placement_next_speed(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
 {
 	peer_state_t *peer = &this->peers[slot];
@@ -110,7 +110,7 @@
 	return true;
 }
 
-void placement_handle_engine_state(
+void placement_handle_speed(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
 	const engine_state_report_t *report = &entry->engine_state;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,10 +1,10 @@
 #include "gateway/gateway.h"
 
 #include <signal.h>
-#include <string.h>
 
 #include "edge/clock.h"
 #include "edge/log.h"
+#include "gateway/endpoint_warm_up.h"
 #include "settings/fleet_config.h"
 
 #define ROUTERS_PER_KEEPER 64 /* routers of a failure domain whose streams one router saves */
@@ -89,36 +89,11 @@
 
 bool gateway_is_ready(const gateway_t *this)
 {
-	return this->catalog && this->endpoints_loaded && !this->stopping &&
+	return this->catalog && this->endpoints_loaded &&
+	       evacuations_are_known(this->evacuations) && !this->stopping &&
 	       !overload_is_paused(&this->overload, clock_now());
 }
 
-static void send_metrics(const gateway_t *this, caller_t *caller)
-{
-	GString *text = g_string_new(NULL);
-
-	gateway_write_metrics(this, text);
-	caller_send_response(
-		caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
-	g_string_free(text, TRUE);
-}
-
-/* Answers /metrics with the metrics and every other path with the readiness. */
-static void on_status_request(void *ctx, caller_t *caller, const caller_request_t *request)
-{
-	if (!strcmp(request->target->str, "/metrics"))
-		send_metrics(ctx, caller);
-	else
-		caller_send_response(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
-}
-
-static void ignore_caller_event(void *exchange)
-{
-}
-
-static const caller_ops_t status_ops = {
-	on_status_request, ignore_caller_event, ignore_caller_event};
-
 /* --- calls ------------------------------------------------------------ */
 
 void gateway_add_call(gateway_t *this, call_t *call)
@@ -164,10 +139,14 @@
 
 /* --- placement -------------------------------------------------------- */
 
-static reason_t rejection_reason(const placement_action_t *action)
+static reason_t rejection_reason(const gateway_t *this, const placement_action_t *action)
 {
 	if (!action->no_engine)
 		return REASON_OVERLOADED;
+	if (endpoint_registry_is_evacuated(this->endpoint_registry, action->request->pool))
+		return REASON_EVACUATED;
+	if (action->request->regions.restricted)
+		return REASON_NO_REGION;
 	return action->request->version ? REASON_STREAM_VERSION_GONE : REASON_NO_ENDPOINT;
 }
 
@@ -181,15 +160,17 @@
 		if (action.kind == PLACEMENT_START)
 			call_on_slot_granted(call, action.engine);
 		else
-			call_on_slot_rejected(
-				call, rejection_reason(&action), action.retry_after_ms / 1000.0);
+			call_on_slot_rejected(call, rejection_reason(this, &action),
+				action.retry_after_ms / 1000.0);
 	}
 }
 
 typedef struct engine_list {
+	const gateway_settings_t *settings;
 	const catalog_t *catalog;
 	GArray *engines;
 	GArray *versions; /* service_version_t of each endpoint */
+	instant_t loaded_at;
 } engine_list_t;
 
 static const catalog_service_t *find_service(
@@ -215,10 +196,12 @@
 					service ? service->max_event_gap_ms * USEC_PER_MSEC : 0,
 			},
 		.version = endpoint->version_id,
-		.usable = endpoint->state == ENDPOINT_READY,
+		.region = gateway_settings_region(list->settings, endpoint->failure_domain),
+		.usable = registered_endpoint_takes_work(endpoint),
 	};
 	service_version_t version = {endpoint->service_id, endpoint->version_id};
 
+	endpoint_warm_up_describe(endpoint, service, list->loaded_at, &engine);
 	g_array_append_val(list->engines, engine);
 	g_array_append_val(list->versions, version);
 }
@@ -241,13 +224,17 @@
 
 static void close_idle_if_unready(void *ctx, registered_endpoint_t *endpoint)
 {
-	if (endpoint->state != ENDPOINT_READY)
+	if (!registered_endpoint_takes_work(endpoint))
 		endpoint_connection_trim(endpoint, 0, true);
 }
 
 void gateway_update_engines(gateway_t *this)
 {
-	engine_list_t list = {.catalog = this->catalog};
+	engine_list_t list = {
+		.settings = this->settings,
+		.catalog = this->catalog,
+		.loaded_at = this->endpoints_loaded_at,
+	};
 
 	if (!this->engines_outdated || !this->catalog)
 		return;
@@ -470,9 +457,9 @@
 	const gateway_settings_t *settings = this->settings;
 
 	this->callers = listen_on(this, settings->caller_address, &call_ops, max_callers(this));
-	this->ready = listen_on(this, settings->ready_address, &status_ops, 64);
+	this->ready = listen_on(this, settings->ready_address, &gateway_status_ops, 64);
 	if (*settings->metrics_address)
-		this->metrics = listen_on(this, settings->metrics_address, &status_ops, 16);
+		this->metrics = listen_on(this, settings->metrics_address, &gateway_status_ops, 16);
 	return this->callers && this->ready && (this->metrics || !*settings->metrics_address);
 }
 
@@ -531,6 +518,13 @@
 		(gint64)rate_limit_signed(before));
 }
 
+static void on_warm_up(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now)
+{
+	const gateway_t *this = ctx;
+
+	endpoint_warm_up_log(endpoint_registry_find(this->endpoint_registry, engine), warm_up, now);
+}
+
 static bool start_peers(gateway_t *this)
 {
 	const gateway_settings_t *settings = this->settings;
@@ -549,6 +543,7 @@
 		.origin_keeper = origin_lookup_keeper(this->origin_lookup),
 		.store_readers = this->store_readers,
 		.on_rate_limit = on_rate_limit,
+		.on_warm_up = on_warm_up,
 		.on_speed = on_speed,
 		.ctx = this,
 		.gossip = {.row_cache = this->row_cache,
@@ -613,6 +608,7 @@
 		.on_event = on_part_event, .place = place_for_part, .ctx = this};
 	endpoint_registry_options_t registry_options = {
 		.returned_hold = settings->returned_hold_ms * USEC_PER_MSEC,
+		.evacuations = this->evacuations = evacuations_new(NULL),
 		.on_removed = on_endpoint_removed,
 	};
 
@@ -625,6 +621,7 @@
 	uv_loop_init(&this->loop);
 	this->endpoint_registry = endpoint_registry_new(&registry_options);
 	this->row_cache = row_cache_new();
+	this->evacuation_rows = gateway_new_evacuation_rows(this);
 	this->part_watch = part_watch_new(&part_options);
 	this->origin_lookup = new_origin_lookup(this);
 	this->store_readers = store_readers_new();
@@ -695,6 +692,8 @@
 	uv_run(&this->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&this->loop);
 	endpoint_registry_delete(this->endpoint_registry);
+	evacuation_rows_delete(this->evacuation_rows);
+	evacuations_delete(this->evacuations);
 	row_cache_delete(this->row_cache);
 	part_watch_delete(this->part_watch);
 	store_readers_delete(this->store_readers);
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -66,10 +66,18 @@
 	error_list_clear(&errors);
 }
 
-static void on_catalog_rows(void *ctx, const GArray *rows)
+static void apply_catalog_rows(gateway_t *this, const GArray *rows)
 {
 	for (unsigned int i = 0; i < rows->len; i++)
-		apply_catalog_row(ctx, &g_array_index(rows, store_row_t, i));
+		apply_catalog_row(this, &g_array_index(rows, store_row_t, i));
+}
+
+static void on_catalog_rows(void *ctx, const GArray *rows)
+{
+	gateway_t *this = ctx;
+
+	apply_catalog_rows(this, rows);
+	evacuation_rows_handle_changes(this->evacuation_rows, rows);
 }
 
 static void on_catalog_table(
@@ -79,7 +87,8 @@
 
 	this->store_era = version.era;
 	this->catalog_state = STORE_FOLLOWED;
-	on_catalog_rows(ctx, rows);
+	apply_catalog_rows(this, rows);
+	evacuation_rows_handle_table(this->evacuation_rows, rows, version);
 }
 
 static void on_catalog_unreachable(void *ctx)
@@ -180,6 +189,13 @@
 	return version.era > row_cache_newest_version(this->row_cache, table).era;
 }
 
+static void note_endpoints_loaded(gateway_t *this)
+{
+	if (!this->endpoints_loaded)
+		this->endpoints_loaded_at = clock_now();
+	this->endpoints_loaded = true;
+}
+
 /* Applies all rows of the table as of `version`. */
 static void apply_endpoint_table(gateway_t *this, const GArray *rows, store_version_t version)
 {
@@ -188,7 +204,7 @@
 	on_endpoint_rows(this, rows);
 	row_cache_delete_missing(
 		this->row_cache, CACHED_ENDPOINTS, rows, version, on_endpoint_deleted, this);
-	this->endpoints_loaded = true;
+	note_endpoints_loaded(this);
 }
 
 static void on_endpoint_table(
@@ -237,7 +253,7 @@
 		apply_endpoint_table(this, rows, version);
 	else
 		on_endpoint_rows(this, rows);
-	this->endpoints_loaded = true;
+	note_endpoints_loaded(this);
 }
 
 /* --- peers -------------------------------------------------------------- */
@@ -253,16 +269,18 @@
 		"table=%d rows=%u era=%" G_GUINT64_FORMAT " row_version=%" G_GUINT64_FORMAT,
 		(int)table, rows->len, (guint64)version.era, (guint64)version.number);
 	if (table == CACHED_CATALOG)
-		on_catalog_rows(this, rows);
+		apply_catalog_rows(this, rows);
 	else if (table == CACHED_ENDPOINTS)
 		handle_peer_endpoints(this, rows, version);
+	else if (table == CACHED_EVACUATIONS)
+		evacuation_rows_handle_peer(this->evacuation_rows, rows);
 	else
 		gateway_handle_peer_roster(this, rows, version);
 	/* A watch that the store has left waiting lists its table anew.  The roster can wait. */
 	if (table != CACHED_ROUTERS && this->reads_store &&
 		store_version_compare(version, known) > 0)
 		table_watch_refresh(
-			table == CACHED_CATALOG ? this->catalog_watch : this->endpoint_watch);
+			table == CACHED_ENDPOINTS ? this->endpoint_watch : this->catalog_watch);
 }
 
 static void on_endpoints_paused(void *ctx)
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -341,6 +341,7 @@
 		.seed = options->seed,
 		.scheduler = options->scheduler,
 		.on_rate_limit = options->on_rate_limit,
+		.on_warm_up = options->on_warm_up,
 		.on_speed = options->on_speed,
 		.ctx = options->ctx,
 	};
