Fields of a trailer decide nothing

The parser hands the fields after a chunked body to the same callbacks as those of the head, so they were added to a request's headers: Authorization in the trailer authenticated, any other field reached the endpoint, Connection ended the connection, and head and trailer shared one bound. A response's Request-Id in the trailer made a whole response one of another request, which then timed out (504).

Trailer fields are now dropped for requests and for responses of endpoints; their bytes are bounded as those of the head, for themselves. Whether a connection is kept is read from the head.

The router program asks libmicrohttpd for headers, which it keeps apart from footers by its manual (not tested here), and reads both fields of a response that it uses before the body.

--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -29,7 +29,7 @@
 	caller_state_t state;
 	caller_wait_t wait;
 	caller_request_t request;
-	size_t head_bytes;
+	size_t head_bytes; /* names and values; counted anew for the trailer */
 	bool request_complete;
 	unsigned int error_status; /* status for a rejected request; 0: 400 */
 	GString *pipelined;	   /* bytes received after the current request */
@@ -401,11 +401,19 @@
 	list->pdata[list->len - 1] = extended;
 }
 
+/* Fields after the body are bounded and dropped: what decides has to stand in the head. */
+static bool is_in_trailer(const http_parser *parser)
+{
+	return parser->flags & F_TRAILING;
+}
+
 static int on_header_field(http_parser *parser, const char *at, size_t len)
 {
 	caller_t *this = parser->data;
 	caller_request_t *request = &this->request;
 
+	if (is_in_trailer(parser))
+		return count_head_bytes(this, len);
 	if (memchr(at, 0, len))
 		return -1;
 	if (request->names->len == request->values->len)
@@ -420,6 +428,8 @@
 	caller_t *this = parser->data;
 	caller_request_t *request = &this->request;
 
+	if (is_in_trailer(parser))
+		return count_head_bytes(this, len);
 	if (memchr(at, 0, len) || memchr(at, '\r', len) || memchr(at, '\n', len))
 		return -1;
 	if (request->values->len < request->names->len)
@@ -438,6 +448,8 @@
 		g_ptr_array_add(this->request.values, g_strdup(""));
 	this->request.method = http_method_str((enum http_method)parser->method);
 	this->request.is_head = parser->method == HTTP_HEAD;
+	this->close_after_response = !http_should_keep_alive(parser);
+	this->head_bytes = 0;
 	set_wait(this, CALLER_WAIT_BODY);
 	if (parser->upgrade || parser->method == HTTP_CONNECT) {
 		this->error_status = 400;
@@ -471,7 +483,6 @@
 	caller_t *this = parser->data;
 
 	this->request_complete = true;
-	this->close_after_response = !http_should_keep_alive(parser);
 	http_parser_pause(parser, 1); /* one request at a time; the rest is buffered */
 	return 0;
 }
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -44,6 +44,7 @@
 	GString *outgoing; /* the request, until it is completely written */
 	/* the response being read */
 	connection_response_t response;
+	size_t trailer_bytes;
 	size_t overhead; /* bytes received that are not part of the response's body */
 	buffer_holder_t buffered;
 	GString *header_name;
@@ -237,14 +238,29 @@
 	g_string_truncate(this->header_name, 0);
 	g_string_truncate(this->header_value, 0);
 	this->in_header_value = false;
+	this->trailer_bytes = 0;
 	this->id_mismatch = false;
 	return 0;
 }
 
+/* Fields after the body are bounded as those of the head, and dropped. */
+static int drop_trailer(endpoint_connection_t *this, size_t len)
+{
+	this->trailer_bytes += len;
+	return this->trailer_bytes > MAX_RESPONSE_HEAD;
+}
+
+static bool is_in_trailer(const http_parser *parser)
+{
+	return parser->flags & F_TRAILING;
+}
+
 static int on_header_field(http_parser *parser, const char *at, size_t len)
 {
 	endpoint_connection_t *this = parser->data;
 
+	if (is_in_trailer(parser))
+		return drop_trailer(this, len);
 	if (this->in_header_value)
 		process_header(this);
 	this->in_header_value = false;
@@ -256,6 +272,8 @@
 {
 	endpoint_connection_t *this = parser->data;
 
+	if (is_in_trailer(parser))
+		return drop_trailer(this, len);
 	this->in_header_value = true;
 	g_string_append_len(this->header_value, at, (gssize)len);
 	return 0;
@@ -271,6 +289,7 @@
 	endpoint_connection_t *this = parser->data;
 
 	process_header(this);
+	this->keep_alive = http_should_keep_alive(parser) != 0;
 	this->response.status = parser->status_code;
 	if (parser->content_length != UINT64_MAX && !(parser->flags & F_CHUNKED))
 		this->response.content_length = (int64_t)parser->content_length;
@@ -302,7 +321,8 @@
 	if (this->id_mismatch || is_interim(parser))
 		return 0;
 	this->response_complete = true;
-	this->keep_alive = http_should_keep_alive(parser) != 0;
+	if (!is_in_trailer(parser))
+		this->keep_alive = http_should_keep_alive(parser) != 0;
 	return 0;
 }
 
@@ -351,7 +371,8 @@
 
 	if (this->overhead > MAX_OVERHEAD)
 		return CONNECTION_FAILURE_OVERHEAD;
-	if (error == HPE_HEADER_OVERFLOW || error == HPE_CB_header_field)
+	if (error == HPE_HEADER_OVERFLOW || error == HPE_CB_header_field ||
+		error == HPE_CB_header_value)
 		return CONNECTION_FAILURE_HEAD;
 	return CONNECTION_FAILURE_MALFORMED;
 }
