--- a/tests/test_endless_bytes.c
+++ b/tests/test_endless_bytes.c
@@ -6,22 +6,18 @@
 #include <cmocka.h>
 
 #include <poll.h>
-#include <signal.h>
-#include <spawn.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include "edge/clock.h"
-#include "edge/http_call.h"
 #include "edge/log.h"
 #include "tests/gateway_fixture.h"
+#include "tests/program.h"
 
-#define PROGRAM "build/amaranthwall" /* without the sanitizers, whose memory would count */
-#define MEMORY_MB 110		     /* of the smallest routers */
-#define SLOTS 128		     /* of each endpoint */
+#define MEMORY_MB 110 /* of the smallest routers */
+#define SLOTS 128     /* of each endpoint */
 #define CALLERS 120
 #define FAULTY_ENDPOINTS 3
 #define WAIT_MS 15000
@@ -33,8 +29,6 @@
 #define EVENTS OK "Content-Type: text/event-stream\r\n\r\n"
 #define CHUNKS OK "Transfer-Encoding: chunked\r\n\r\n"
 
-extern char **environ;
-
 /* What a faulty endpoint sends: the start, then the piece again and again, then the end. */
 typedef struct form {
 	const char *name;
@@ -52,19 +46,11 @@
 
 /* The program with a store, faulty endpoints of one service and a sound one of another. */
 typedef struct rig {
-	row_store_standin_t *store;
+	program_t *program;
 	faulty_endpoint_t faulty;
-	raw_endpoint_t *endpoints[FAULTY_ENDPOINTS + 1];
-	char caller_address[32];
-	char ready_address[32];
-	char *settings_path;
-	pid_t pid;
 	unsigned int sound_requests;
 } rig_t;
 
-/* Of the program that runs now; 0: none.  A test that fails leaves it running. */
-static pid_t running;
-
 /* --- endpoints ------------------------------------------------------------ */
 
 static bool send_all(int fd, const char *bytes, size_t size)
@@ -109,7 +95,7 @@
 
 /* --- the program ---------------------------------------------------------- */
 
-static void put_config(rig_t *this)
+static char *format_config(void)
 {
 	static const char *const kinds[][2] = {{"status", "\"kind\":\"idempotent\""},
 		{"order", "\"kind\":\"non_idempotent\""},
@@ -129,151 +115,28 @@
 		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":65536,"
 		"\"headerTimeoutMs\":1000,\"idleTimeoutMs\":1000},"
 		"\"tenants\":[{\"name\":\"w1\",\"apiKeys\":[\"k1\"]}]}");
-	row_store_standin_put(this->store, "op", "config", text->str);
-	g_string_free(text, TRUE);
-}
-
-static void add_endpoint(
-	rig_t *this, unsigned int index, const char *service, raw_handler_t handler, void *ctx)
-{
-	char *key = g_strdup_printf("i-%u", index);
-	char *text;
-
-	this->endpoints[index] = raw_endpoint_new(handler, ctx);
-	text = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
-			       "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
-			       "\"coldRemainingMs\":0,\"sequence\":1}",
-		service, raw_endpoint_address(this->endpoints[index]), SLOTS);
-	row_store_standin_put(this->store, "servers", key, text);
-	g_free(text);
-	g_free(key);
-}
-
-static void write_settings(rig_t *this)
-{
-	char peer[32];
-	char *text;
-	int fd = g_file_open_tmp(NULL, &this->settings_path, NULL);
-
-	fixture_free_address(this->caller_address, sizeof(this->caller_address));
-	fixture_free_address(this->ready_address, sizeof(this->ready_address));
-	fixture_free_address(peer, sizeof(peer));
-	text = g_strdup_printf("{\"name\":\"r\",\"failure_domain\":\"z\",\"adapter\":\"rows\","
-			       "\"caller_address\":\"%s\",\"ready_address\":\"%s\","
-			       "\"peer_address\":\"%s\",\"store_address\":\"%s\","
-			       "\"memory_mb\":%d,\"expected_routers\":1,\"retry_allowance\":100}",
-		this->caller_address, this->ready_address, peer,
-		row_store_standin_address(this->store), MEMORY_MB);
-	g_file_set_contents(this->settings_path, text, -1, NULL);
-	close(fd);
-	g_free(text);
-}
-
-static char *get_metrics(const rig_t *this)
-{
-	int fd = fixture_connect(this->ready_address);
-	char *response;
-
-	if (fd < 0)
-		return g_strdup("");
-	raw_write(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-	response = fixture_read_until(fd, NULL, SOUND_WAIT_MS);
-	close(fd);
-	return response;
-}
-
-static bool has_metrics(const rig_t *this, const char *first, const char *second)
-{
-	char *metrics = get_metrics(this);
-	bool found = strstr(metrics, first) && strstr(metrics, second);
-
-	g_free(metrics);
-	return found;
-}
-
-static uint64_t metric_of(const rig_t *this, const char *name)
-{
-	char *line = g_strdup_printf("amaranthwall_%s ", name);
-	char *metrics = get_metrics(this);
-	const char *at = strstr(metrics, line);
-	uint64_t value = at ? g_ascii_strtoull(at + strlen(line), NULL, 10) : 0;
-
-	g_free(metrics);
-	g_free(line);
-	return value;
-}
-
-static void start_program(rig_t *this)
-{
-	char *const args[] = {(char *)PROGRAM, (char *)"gateway", (char *)"--settings",
-		this->settings_path, NULL};
-	instant_t until = clock_now() + WAIT_MS * USEC_PER_MSEC;
-
-	assert_int_equal(posix_spawn(&this->pid, PROGRAM, NULL, NULL, args, environ), 0);
-	running = this->pid;
-	while (!has_metrics(this, "amaranthwall_endpoints 4\n", "amaranthwall_ready 1\n")) {
-		assert_true(clock_now() < until);
-		sleep_ms(20);
-	}
+	return g_string_free(text, FALSE);
 }
 
 static rig_t *rig_new(const form_t *forms)
 {
 	rig_t *this = g_new0(rig_t, 1);
+	char *config = format_config();
 
-	http_init();
 	this->faulty.forms = forms;
-	this->store = row_store_standin_new("127.0.0.1:0");
-	put_config(this);
+	this->program = program_new(config);
 	for (unsigned int i = 0; i < FAULTY_ENDPOINTS; i++)
-		add_endpoint(this, i, "faulty", send_form, &this->faulty);
-	add_endpoint(this, FAULTY_ENDPOINTS, "sound", fixture_respond_hello, NULL);
-	write_settings(this);
-	start_program(this);
+		program_add_endpoint(this->program, "faulty", SLOTS, send_form, &this->faulty);
+	program_add_endpoint(this->program, "sound", SLOTS, fixture_respond_hello, NULL);
+	program_start(this->program, MEMORY_MB, ",\"retry_allowance\":100");
+	g_free(config);
 	return this;
 }
 
-/* Peak of the program's resident memory so far, in kB. */
-static unsigned long peak_memory_kb(const rig_t *this)
-{
-	char *path = g_strdup_printf("/proc/%d/status", (int)this->pid);
-	char *text = NULL;
-	const char *line;
-	unsigned long peak = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		line = strstr(text, "VmHWM:");
-		peak = line ? strtoul(line + strlen("VmHWM:"), NULL, 10) : 0;
-	}
-	g_free(text);
-	g_free(path);
-	return peak;
-}
-
-static int end_program(void **state)
-{
-	int status;
-
-	if (!running)
-		return 0;
-	kill(running, SIGKILL);
-	waitpid(running, &status, 0);
-	running = 0;
-	return 0;
-}
-
 /* Checks that the program has not ended, and ends it. */
 static void rig_delete(rig_t *this)
 {
-	int status;
-
-	assert_int_equal(waitpid(this->pid, &status, WNOHANG), 0);
-	end_program(NULL);
-	for (unsigned int i = 0; i <= FAULTY_ENDPOINTS; i++)
-		raw_endpoint_delete(this->endpoints[i]);
-	row_store_standin_delete(this->store);
-	unlink(this->settings_path);
-	g_free(this->settings_path);
+	program_delete(this->program);
 	g_free(this);
 }
 
@@ -290,7 +153,7 @@
 {
 	char *path = g_strdup_printf("/%s/%u", route, form);
 	char *text = fixture_format_request("POST", path, ID, "", "");
-	int fd = fixture_connect(this->caller_address);
+	int fd = fixture_connect(this->program->caller_address);
 	int size = BLOCK;
 
 	assert_true(fd >= 0);
@@ -330,7 +193,7 @@
 static void check_sound_request(rig_t *this)
 {
 	char *text = fixture_format_request("POST", "/sound/", "s", "Connection: close\r\n", "");
-	int fd = fixture_connect(this->caller_address);
+	int fd = fixture_connect(this->program->caller_address);
 	char *response;
 
 	assert_true(fd >= 0);
@@ -360,7 +223,7 @@
 		else if (mode == MODE_LEAVES && now >= began + LEAVE_AFTER_MS * USEC_PER_MSEC)
 			close_all(fds, count);
 		done = now >= began + 2 * LEAVE_AFTER_MS * USEC_PER_MSEC &&
-		       has_metrics(this, "amaranthwall_calls_in_progress 0\n",
+		       program_has_metrics(this->program, "amaranthwall_calls_in_progress 0\n",
 			       "amaranthwall_response_buffer_bytes 0\n");
 	}
 	close_all(fds, count);
@@ -368,7 +231,7 @@
 
 static void check_memory(const rig_t *this, const char *name)
 {
-	unsigned long peak = peak_memory_kb(this);
+	unsigned long peak = program_peak_kb(this->program);
 
 	print_message(
 		"%s: peak %lu kB, %u sound requests served\n", name, peak, this->sound_requests);
@@ -418,7 +281,7 @@
 	for (unsigned int i = 0; i < ARRAY_LEN(bounds); i++) {
 		char *name = g_strdup_printf("responses_too_large_total{bound=\"%s\"}", bounds[i]);
 
-		if (!metric_of(this, name))
+		if (!program_metric(this->program, name))
 			fail_msg("%s is 0", name);
 		g_free(name);
 	}
@@ -505,9 +368,9 @@
 			fds[k] = send_request(rig, crowds[i].route, 0);
 		run_callers(rig, fds, CALLERS, crowds[i].mode);
 		check_memory(rig, crowds[i].form.name);
-		assert_true(metric_of(rig, "response_buffer_peak_bytes") > 0);
+		assert_true(program_metric(rig->program, "response_buffer_peak_bytes") > 0);
 		if (crowds[i].counter)
-			assert_true(metric_of(rig, crowds[i].counter) > 0);
+			assert_true(program_metric(rig->program, crowds[i].counter) > 0);
 		rig_delete(rig);
 	}
 }
@@ -516,9 +379,10 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_teardown(
-			test_endless_bytes_end_in_every_place_and_before_every_caller, end_program),
+			test_endless_bytes_end_in_every_place_and_before_every_caller,
+			program_end_left),
 		cmocka_unit_test_teardown(
-			test_many_exchanges_together_stay_within_the_memory, end_program),
+			test_many_exchanges_together_stay_within_the_memory, program_end_left),
 	};
 
 	log_init("test", FALSE);
