--- a/tests/program.c
+++ b/tests/program.c
@@ -116,6 +116,7 @@
 void program_start(program_t *this, unsigned int memory_mb, const char *settings)
 {
 	instant_t until = clock_now() + PROGRAM_WAIT_MS * USEC_PER_MSEC;
+	posix_spawn_file_actions_t actions;
 	char endpoints[64];
 
 	write_settings(this, memory_mb, settings);
@@ -124,7 +125,11 @@
 
 	g_snprintf(
 		endpoints, sizeof(endpoints), "amaranthwall_endpoints %u\n", this->endpoint_count);
-	assert_int_equal(posix_spawn(&this->pid, PROGRAM, NULL, NULL, args, environ), 0);
+	/* The test's own descriptors would count as the program's. */
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+	assert_int_equal(posix_spawn(&this->pid, PROGRAM, &actions, NULL, args, environ), 0);
+	posix_spawn_file_actions_destroy(&actions);
 	running = this->pid;
 	while (!program_has_metrics(this, endpoints, "amaranthwall_ready 1\n")) {
 		assert_true(clock_now() < until);
