What all requests hold is bounded by the memory

core/request_room shares out a part of memory_mb: one third for what every request needs (head, first 32 KiB of body, what is pipelined), the rest for long bodies, which get the room of their whole length before they are read on. A caller without room is not read; room goes to the workspace that holds least; senders that make least progress for their bytes are ended (408); who waits longer than body_wait_ms is refused (503, Retry-After). A body is held once: the connection to the endpoint shares it. Pipelined requests are taken one after the other, without recursion and without copies. Reading starts again once what was pipelined has been taken. One read counts as one piece of progress, however many chunks it has. body_pace is the least pace of a body. Callers whose request stands still make room when all places are taken.

--- a/src/cmd/gateway.c
+++ b/src/cmd/gateway.c
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -13,11 +14,16 @@
 			"environment variable names",
 };
 
+#define LARGE_ALLOCATION (128 << 10) /* bytes from which memory goes back to the system at once */
+
 static int serve(const gateway_settings_t *settings)
 {
 	gateway_t *gateway;
 	unsigned int left;
 
+	/* By default, the allocator raises it as large blocks are freed, and keeps those that
+	 * follow. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_ALLOCATION);
 	http_init();
 	log_enable_buffer();
 	gateway = gateway_new(settings);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -136,6 +136,11 @@
 /* Frees a call that is over and that the placement no longer refers to; logs its outcome. */
 void call_delete(call_t *this);
 
+/* call_identify.c */
+/* The workspace whose key the request has, or NULL. */
+const catalog_workspace_t *call_find_workspace(
+	const catalog_t *catalog, const caller_request_t *request);
+
 /* call_admit.c */
 /* Whether the call may be sent; sets its reason and its retry delay if it is blocked. */
 part_verdict_t call_check_parts(call_t *this, instant_t now);
--- a/src/gateway/call_dispatch.c
+++ b/src/gateway/call_dispatch.c
@@ -66,12 +66,12 @@
 	return source->address;
 }
 
-static GString *build_request(const call_t *call, instant_t now)
+static GString *build_head(const call_t *call, instant_t now)
 {
 	const header_names_t *names = call->gateway->header_names;
 	const caller_request_t *request = call->request;
 	const char *source = copy_source(call);
-	GString *out = g_string_sized_new(1024 + request->body->len);
+	GString *out = g_string_sized_new(1024);
 
 	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", request->method, request->target->str);
 	add_headers(call, out);
@@ -89,7 +89,6 @@
 	if (request->body->len || (strcmp(request->method, "GET") && !request->is_head))
 		g_string_append_printf(out, "Content-Length: %zu\r\n", (size_t)request->body->len);
 	g_string_append(out, "\r\n");
-	g_string_append_len(out, request->body->str, (gssize)request->body->len);
 	return out;
 }
 
@@ -124,7 +123,8 @@
 		caller_disconnect(call->caller); /* frees the call */
 		return STEP_WAIT;
 	}
-	request.bytes = build_request(call, now);
+	request.body = call->request->body;
+	request.head = build_head(call, now);
 	call->state = CALL_SENT;
 	call->sends++;
 	call_reset_response(call);
--- a/src/gateway/call_identify.c
+++ b/src/gateway/call_identify.c
@@ -11,13 +11,14 @@
 	return STEP_FAIL;
 }
 
-static const catalog_workspace_t *find_workspace(const call_t *call)
+const catalog_workspace_t *call_find_workspace(
+	const catalog_t *catalog, const caller_request_t *request)
 {
-	const char *authorization = caller_header(call->request, "Authorization");
+	const char *authorization = caller_header(request, "Authorization");
 
 	if (!authorization || g_ascii_strncasecmp(authorization, BEARER, strlen(BEARER)))
 		return NULL;
-	return catalog_find_workspace(call->catalog, authorization + strlen(BEARER));
+	return catalog_find_workspace(catalog, authorization + strlen(BEARER));
 }
 
 /* Finds the route and workspace in the current catalog, which the call keeps to its end. */
@@ -37,7 +38,7 @@
 	if (!call->route)
 		return fail(call, REASON_NO_ROUTE);
 	if (call->catalog->requires_keys && !call->route->is_public) {
-		call->workspace = find_workspace(call);
+		call->workspace = call_find_workspace(call->catalog, call->request);
 		if (!call->workspace)
 			return fail(call, REASON_UNAUTHORIZED);
 	}
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -1,73 +1,36 @@
-#include "gateway/caller.h"
+#include "gateway/caller_internal.h"
 
 #include <errno.h>
-#include <http_parser.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include "edge/clock.h"
 #include "edge/log.h"
 
-#define READ_SIZE 16384
-#define MAX_PIPELINED_BYTES 65536 /* buffered during a response before reading stops */
-#define WRITE_HIGH_WATER 131072	  /* pending bytes above which reading the endpoint stops */
+#define WRITE_HIGH_WATER 131072 /* pending bytes above which reading the endpoint stops */
 #define CHUNK_HEAD_SIZE 16
 
-typedef enum caller_state {
-	CALLER_READING,
-	CALLER_RESPONDING, /* a complete request awaits its response */
-	CALLER_CLOSING,	   /* our side is shut down; waits for the caller to close */
-	CALLER_CLOSED,
-} caller_state_t;
-
-struct caller {
-	uv_tcp_t tcp;
-	caller_group_t *group;
-	struct cds_list_head link; /* in its group's list */
-	http_parser parser;
-	caller_state_t state;
-	caller_wait_t wait;
-	caller_request_t request;
-	size_t head_bytes; /* names and values; counted anew for the trailer */
-	bool request_complete;
-	unsigned int error_status; /* status for a rejected request; 0: 400 */
-	GString *pipelined;	   /* bytes received after the current request */
-	void *exchange;		   /* the user's object for the current request */
-	bool close_after_response;
-	bool chunked;
-	bool head_sent;
-	bool no_body;
-	unsigned int pending_writes;
-	buffer_holder_t unwritten; /* memory of the pending writes */
-	size_t unwritten_bytes;	   /* the same; counted without a pool too */
-	bool is_reading;
-};
-
-static _Thread_local char read_buffer[READ_SIZE];
-
-static void caller_parse(caller_t *this, const char *data, size_t len);
-
-static void set_wait(caller_t *this, caller_wait_kind_t kind)
+void caller_set_wait(caller_t *this, caller_wait_kind_t kind)
 {
 	caller_group_set_wait(this->group, &this->wait, kind, clock_now());
 }
 
 /* --- closing ---------------------------------------------------------- */
 
-static void request_clear(caller_t *this)
+void caller_request_clear(caller_t *this)
 {
 	caller_request_t *request = &this->request;
 
 	if (request->target)
 		g_string_free(request->target, TRUE);
-	if (request->body)
-		g_string_free(request->body, TRUE);
+	request_body_put(request->body);
 	if (request->names)
 		g_ptr_array_unref(request->names);
 	if (request->values)
 		g_ptr_array_unref(request->values);
 	memset(request, 0, sizeof(*request));
+	this->head_memory = 0;
+	this->body_begun = false;
 }
 
 static void on_closed(uv_handle_t *handle)
@@ -75,7 +38,7 @@
 	caller_t *this = handle->data;
 	caller_group_t *group = this->group;
 
-	request_clear(this);
+	caller_request_clear(this);
 	if (this->pipelined)
 		g_string_free(this->pipelined, TRUE);
 	g_free(this);
@@ -96,10 +59,13 @@
 	if (this->state == CALLER_CLOSED)
 		return false;
 	update_unwritten(this, 0);
+	if (this->group->room)
+		request_room_leave(this->group->room, &this->room);
+	caller_pace_stop(&this->pace);
 	this->state = CALLER_CLOSED;
 	this->group->connected--;
 	cds_list_del(&this->link);
-	set_wait(this, CALLER_WAIT_NONE);
+	caller_set_wait(this, CALLER_WAIT_NONE);
 	return true;
 }
 
@@ -174,7 +140,9 @@
 	uv_shutdown_t *shutdown = g_new0(uv_shutdown_t, 1);
 
 	this->state = CALLER_CLOSING;
-	set_wait(this, CALLER_WAIT_CLOSE);
+	caller_set_wait(this, CALLER_WAIT_CLOSE);
+	if (!this->is_reading)
+		caller_start_reading(this); /* what comes is dropped, up to the caller's close */
 	if (uv_shutdown(shutdown, (uv_stream_t *)&this->tcp, on_shutdown)) {
 		g_free(shutdown);
 		caller_close(this);
@@ -197,10 +165,12 @@
 		caller_disconnect(this);
 	else if (this->exchange && this->head_sent && !caller_is_write_blocked(this))
 		this->group->ops->on_drained(this->exchange);
+	else if (!caller_is_write_blocked(this))
+		caller_feed_pipelined(this);
 }
 
 /* Takes ownership of `bytes`. */
-static void caller_write(caller_t *this, GString *bytes)
+void caller_write(caller_t *this, GString *bytes)
 {
 	uv_buf_t buffer = uv_buf_init(bytes->str, (unsigned int)bytes->len);
 	pending_write_t *pending;
@@ -256,11 +226,15 @@
 	return head;
 }
 
-/* Returns to reading; parse_pipelined() has to follow. */
+/* Returns to reading; caller_feed_pipelined() has to follow. */
 static void finish_exchange(caller_t *this)
 {
 	this->exchange = NULL;
-	request_clear(this);
+	caller_request_clear(this);
+	if (this->group->room)
+		request_room_leave(this->group->room, &this->room);
+	caller_update_room(this);
+	caller_pace_stop(&this->pace);
 	this->request_complete = false;
 	this->head_sent = false;
 	if (this->close_after_response) {
@@ -268,18 +242,7 @@
 		return;
 	}
 	this->state = CALLER_READING;
-	set_wait(this, CALLER_WAIT_IDLE);
-}
-
-static void parse_pipelined(caller_t *this)
-{
-	GString *pipelined = this->pipelined;
-
-	if (this->state != CALLER_READING || !pipelined)
-		return;
-	this->pipelined = NULL;
-	caller_parse(this, pipelined->str, pipelined->len);
-	g_string_free(pipelined, TRUE);
+	caller_set_wait(this, CALLER_WAIT_IDLE);
 }
 
 void caller_send_response(
@@ -294,7 +257,7 @@
 	if (this->state == CALLER_CLOSED)
 		return;
 	finish_exchange(this);
-	parse_pipelined(this);
+	caller_feed_pipelined(this);
 }
 
 static bool has_no_body(unsigned int status)
@@ -344,251 +307,7 @@
 	if (this->state == CALLER_CLOSED)
 		return;
 	finish_exchange(this);
-	parse_pipelined(this);
-}
-
-/* --- reading ---------------------------------------------------------- */
-
-static const catalog_limits_t *limits_of(const caller_t *this)
-{
-	return this->group->limits(this->group->ctx);
-}
-
-static int on_message_begin(http_parser *parser)
-{
-	caller_t *this = parser->data;
-
-	request_clear(this);
-	this->request.target = g_string_new(NULL);
-	this->request.names = g_ptr_array_new_with_free_func(g_free);
-	this->request.values = g_ptr_array_new_with_free_func(g_free);
-	this->request.body = g_string_new(NULL);
-	this->request.began = clock_now();
-	set_wait(this, CALLER_WAIT_HEAD);
-	this->request_complete = false;
-	this->error_status = 0;
-	this->head_bytes = 0;
-	return 0;
-}
-
-/* Adds to the head's size; a non-zero result stops the parser. */
-static int count_head_bytes(caller_t *this, size_t len)
-{
-	this->head_bytes += len;
-	if (this->head_bytes <= limits_of(this)->header_bytes)
-		return 0;
-	this->error_status = 431;
-	return -1;
-}
-
-static int on_url(http_parser *parser, const char *at, size_t len)
-{
-	caller_t *this = parser->data;
-
-	g_string_append_len(this->request.target, at, (gssize)len);
-	return count_head_bytes(this, len);
-}
-
-/* Appends to the last string of the list. */
-static void append_to_last(GPtrArray *list, const char *at, size_t len)
-{
-	char *old = list->pdata[list->len - 1];
-	size_t old_len = strlen(old);
-	char *extended = g_realloc(old, old_len + len + 1);
-
-	memcpy(extended + old_len, at, len);
-	extended[old_len + len] = '\0';
-	list->pdata[list->len - 1] = extended;
-}
-
-/* Fields after the body are bounded and dropped: what decides has to stand in the head. */
-static bool is_in_trailer(const http_parser *parser)
-{
-	return parser->flags & F_TRAILING;
-}
-
-static int on_header_field(http_parser *parser, const char *at, size_t len)
-{
-	caller_t *this = parser->data;
-	caller_request_t *request = &this->request;
-
-	if (is_in_trailer(parser))
-		return count_head_bytes(this, len);
-	if (memchr(at, 0, len))
-		return -1;
-	if (request->names->len == request->values->len)
-		g_ptr_array_add(request->names, g_strndup(at, len));
-	else
-		append_to_last(request->names, at, len);
-	return count_head_bytes(this, len);
-}
-
-static int on_header_value(http_parser *parser, const char *at, size_t len)
-{
-	caller_t *this = parser->data;
-	caller_request_t *request = &this->request;
-
-	if (is_in_trailer(parser))
-		return count_head_bytes(this, len);
-	if (memchr(at, 0, len) || memchr(at, '\r', len) || memchr(at, '\n', len))
-		return -1;
-	if (request->values->len < request->names->len)
-		g_ptr_array_add(request->values, g_strndup(at, len));
-	else
-		append_to_last(request->values, at, len);
-	return count_head_bytes(this, len);
-}
-
-static int on_headers_complete(http_parser *parser)
-{
-	caller_t *this = parser->data;
-	const char *expect = caller_header(&this->request, "Expect");
-
-	if (this->request.values->len < this->request.names->len)
-		g_ptr_array_add(this->request.values, g_strdup(""));
-	this->request.method = http_method_str((enum http_method)parser->method);
-	this->request.is_head = parser->method == HTTP_HEAD;
-	this->close_after_response = !http_should_keep_alive(parser);
-	this->head_bytes = 0;
-	set_wait(this, CALLER_WAIT_BODY);
-	if (parser->upgrade || parser->method == HTTP_CONNECT) {
-		this->error_status = 400;
-		return -1;
-	}
-	if (parser->content_length != UINT64_MAX &&
-		parser->content_length > limits_of(this)->body_bytes) {
-		this->error_status = 413;
-		return -1;
-	}
-	if (expect && !strcasecmp(expect, "100-continue"))
-		caller_write(this, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"));
-	return 0;
-}
-
-static int on_body(http_parser *parser, const char *at, size_t len)
-{
-	caller_t *this = parser->data;
-
-	if (this->request.body->len + len > limits_of(this)->body_bytes) {
-		this->error_status = 413;
-		return -1;
-	}
-	g_string_append_len(this->request.body, at, (gssize)len);
-	set_wait(this, CALLER_WAIT_BODY); /* a slow body is allowed while it makes progress */
-	return 0;
-}
-
-static int on_message_complete(http_parser *parser)
-{
-	caller_t *this = parser->data;
-
-	this->request_complete = true;
-	http_parser_pause(parser, 1); /* one request at a time; the rest is buffered */
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_message_begin = on_message_begin,
-	.on_url = on_url,
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
-
-const char *caller_header(const caller_request_t *request, const char *name)
-{
-	for (unsigned int i = 0; i < request->values->len; i++) {
-		if (!strcasecmp(request->names->pdata[i], name))
-			return request->values->pdata[i];
-	}
-	return NULL;
-}
-
-void caller_set_exchange(caller_t *this, void *exchange)
-{
-	this->exchange = exchange;
-}
-
-static void reject_request(caller_t *this)
-{
-	unsigned int status = this->error_status ? this->error_status : 400;
-
-	log_info("http-request-rejected", "status=%u parser=%s", status,
-		http_errno_name(HTTP_PARSER_ERRNO(&this->parser)));
-	this->close_after_response = true;
-	caller_send_response(this, status, "", "", 0);
-}
-
-static void buffer_pipelined(caller_t *this, const char *data, size_t len)
-{
-	if (!len)
-		return;
-	if (!this->pipelined)
-		this->pipelined = g_string_new(NULL);
-	g_string_append_len(this->pipelined, data, (gssize)len);
-	if (this->pipelined->len <= MAX_PIPELINED_BYTES)
-		return;
-	uv_read_stop((uv_stream_t *)&this->tcp);
-	this->is_reading = false;
-}
-
-static void start_reading(caller_t *this);
-
-static void start_exchange(caller_t *this)
-{
-	const caller_group_t *group = this->group;
-
-	this->state = CALLER_RESPONDING;
-	set_wait(this, CALLER_WAIT_NONE);
-	group->ops->on_request(group->ctx, this, &this->request);
-}
-
-static void caller_parse(caller_t *this, const char *data, size_t len)
-{
-	size_t used;
-
-	http_parser_pause(&this->parser, 0);
-	used = http_parser_execute(&this->parser, &parser_settings, data, len);
-	if (this->state == CALLER_CLOSED)
-		return;
-	if (this->request_complete) {
-		buffer_pipelined(this, data + used, len - used);
-		start_exchange(this);
-		return;
-	}
-	if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
-		reject_request(this);
-	else if (!this->is_reading)
-		start_reading(this);
-}
-
-static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buffer)
-{
-	caller_t *this = stream->data;
-
-	if (n < 0) {
-		caller_disconnect(this);
-		return;
-	}
-	if (n == 0)
-		return; /* no data; the parser would take it as end of file */
-	if (this->state == CALLER_READING)
-		caller_parse(this, buffer->base, (size_t)n);
-	else if (this->state == CALLER_RESPONDING)
-		buffer_pipelined(this, buffer->base, (size_t)n);
-}
-
-static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
-{
-	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
-}
-
-static void start_reading(caller_t *this)
-{
-	this->is_reading = true;
-	uv_read_start((uv_stream_t *)&this->tcp, on_alloc, on_read);
+	caller_feed_pipelined(this);
 }
 
 /* --- connection management ---------------------------------------------- */
@@ -603,19 +322,19 @@
 	this->wait.kind = CALLER_WAIT_NONE;
 	uv_tcp_init(group->loop, &this->tcp);
 	this->tcp.data = this;
-	http_parser_init(&this->parser, HTTP_REQUEST);
-	this->parser.data = this;
+	caller_parser_init(this);
+	room_sender_init(&this->room);
 	group->allocated++;
 	group->connected++;
 	cds_list_add_tail(&this->link, &group->callers);
-	set_wait(this, CALLER_WAIT_IDLE);
+	caller_set_wait(this, CALLER_WAIT_IDLE);
 	if (uv_accept(listen_stream, (uv_stream_t *)&this->tcp) ||
 		group->connected > group->max_callers) {
 		caller_close(this);
 		return NULL;
 	}
 	uv_tcp_nodelay(&this->tcp, 1);
-	start_reading(this);
+	caller_start_reading(this);
 	return this;
 }
 
@@ -629,12 +348,43 @@
 	return caa_container_of(wait, caller_t, wait);
 }
 
+caller_t *caller_of_room(room_sender_t *room)
+{
+	return caa_container_of(room, caller_t, room);
+}
+
+caller_t *caller_of_pace(caller_pace_t *pace)
+{
+	return caa_container_of(pace, caller_t, pace);
+}
+
+void caller_resume(caller_t *this)
+{
+	if (this->state != CALLER_READING)
+		return;
+	if (this->body_begun)
+		caller_set_wait(this, CALLER_WAIT_BODY);
+	else if (this->request.body)
+		caller_set_wait(this, CALLER_WAIT_HEAD);
+	else
+		caller_set_wait(this, CALLER_WAIT_IDLE);
+	caller_feed_pipelined(this);
+}
+
+/* What was read has not run, and says so: it waited for room, or did not come to its end. */
 void caller_time_out(caller_t *this)
 {
-	if (this->wait.kind == CALLER_WAIT_HEAD || this->wait.kind == CALLER_WAIT_BODY) {
+	switch (this->wait.kind) {
+	case CALLER_WAIT_ROOM:
+		this->error_status = 503;
+		caller_reject_request(this);
+		break;
+	case CALLER_WAIT_HEAD:
+	case CALLER_WAIT_BODY:
 		this->error_status = 408;
-		reject_request(this);
-	} else {
+		caller_reject_request(this);
+		break;
+	default:
 		caller_disconnect(this);
 	}
 }
--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -4,21 +4,23 @@
  * caller - one caller's HTTP connection: reads requests one by one, writes responses
  *
  * Pipelined bytes are buffered up to a limit until the current response is
- * complete.  A disconnect is detected in every state.  caller_ops_t notifies the
+ * complete.  Reading stops while there is no room for more of the request, see request_room.  A
+ * disconnect is detected in every state.  caller_ops_t notifies the
  * user of the connection about each exchange, a request with its response.
  */
 #include "gateway/caller_group.h"
+#include "gateway/request_body.h"
 
 /* A parsed request; its strings are valid until the exchange ends. */
-typedef struct caller_request {
+struct caller_request {
 	const char *method;
 	bool is_head;
 	GString *target;  /* request target as sent */
 	GPtrArray *names; /* header names as sent; `values` holds the value of each */
 	GPtrArray *values;
-	GString *body;
+	request_body_t *body;
 	instant_t began; /* arrival of the first byte */
-} caller_request_t;
+};
 
 struct caller_ops {
 	/*
@@ -36,9 +38,17 @@
 caller_t *caller_new(caller_group_t *group, uv_stream_t *listen_stream);
 /* The caller with this node of its group's list of callers. */
 caller_t *caller_of_link(struct cds_list_head *link);
+/* The caller with this part of the room for requests. */
+caller_t *caller_of_room(room_sender_t *room);
+caller_t *caller_of_pace(caller_pace_t *pace);
+/* Reads on, as there is room again. */
+void caller_resume(caller_t *this);
 /* The caller with this wait. */
 caller_t *caller_of_wait(caller_wait_t *wait);
-/* Closes the connection as its wait took too long; an incomplete request gets status 408. */
+/*
+ * Closes the connection as its wait took too long; an incomplete request gets status 408, or 503 if
+ * it waited for room.
+ */
 void caller_time_out(caller_t *this);
 /* Closes the connection, and calls on_gone for its exchange, if any. */
 void caller_disconnect(caller_t *this);
--- a/src/gateway/caller_group.c
+++ b/src/gateway/caller_group.c
@@ -1,12 +1,15 @@
 #include "gateway/caller_group.h"
 
 #define CLOSE_TIMEOUT (2 * USEC_PER_SEC) /* to read the last response and close */
+#define STALLED_AFTER USEC_PER_SEC
+#define PACE_WINDOW (30 * USEC_PER_SEC)
 #define CROWDED_NUMERATOR 2 /* crowded: over two thirds of the permitted callers are connected */
 #define CROWDED_DENOMINATOR 3
 
 void caller_group_init(caller_group_t *this)
 {
 	CDS_INIT_LIST_HEAD(&this->callers);
+	CDS_INIT_LIST_HEAD(&this->paces);
 	buffer_group_init(&this->unwritten);
 	for (unsigned int i = 0; i < CALLER_WAIT_KINDS; i++)
 		CDS_INIT_LIST_HEAD(&this->waits[i]);
@@ -42,6 +45,8 @@
 		return wait->since + limits->header_timeout_ms * USEC_PER_MSEC;
 	case CALLER_WAIT_BODY:
 		return idle_until;
+	case CALLER_WAIT_ROOM:
+		return wait->since + this->room_wait;
 	default:
 		return wait->since + CLOSE_TIMEOUT;
 	}
@@ -68,6 +73,61 @@
 	return wait;
 }
 
+caller_wait_t *caller_group_least_active(caller_group_t *this, instant_t now)
+{
+	static const caller_wait_kind_t kinds[] = {
+		CALLER_WAIT_ROOM, CALLER_WAIT_BODY, CALLER_WAIT_HEAD};
+
+	for (size_t i = 0; i < ARRAY_LEN(kinds); i++) {
+		caller_wait_t *wait = first_wait(this, kinds[i]);
+
+		if (wait && now >= wait->since + STALLED_AFTER)
+			return wait;
+	}
+	return NULL;
+}
+
+static void start_pace(caller_group_t *this, caller_pace_t *pace, instant_t now)
+{
+	pace->check_at = now + PACE_WINDOW;
+	pace->bytes = 0;
+	cds_list_add_tail(&pace->link, &this->paces);
+}
+
+void caller_group_count_body(caller_group_t *this, caller_pace_t *pace, size_t bytes, instant_t now)
+{
+	if (!this->body_pace)
+		return;
+	if (!pace->check_at)
+		start_pace(this, pace, now);
+	pace->bytes += bytes;
+}
+
+void caller_pace_stop(caller_pace_t *pace)
+{
+	if (pace->check_at)
+		cds_list_del(&pace->link);
+	pace->check_at = 0;
+}
+
+caller_pace_t *caller_group_next_slow(caller_group_t *this, instant_t now)
+{
+	size_t least = this->body_pace * (PACE_WINDOW / USEC_PER_SEC);
+
+	while (!cds_list_empty(&this->paces)) {
+		caller_pace_t *pace = cds_list_first_entry(&this->paces, caller_pace_t, link);
+		bool is_slow = pace->bytes < least;
+
+		if (now < pace->check_at)
+			return NULL;
+		caller_pace_stop(pace);
+		if (is_slow)
+			return pace;
+		start_pace(this, pace, now);
+	}
+	return NULL;
+}
+
 bool caller_group_is_crowded(const caller_group_t *this)
 {
 	return this->connected * CROWDED_DENOMINATOR > this->max_callers * CROWDED_NUMERATOR;
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -41,7 +41,8 @@
 	void *user;
 	char *id;
 	bool is_head;
-	GString *outgoing; /* the request, until it is completely written */
+	GString *outgoing;	       /* the request's head, until all of it is written */
+	request_body_t *outgoing_body; /* NULL: none, or written */
 	/* the response being read */
 	connection_response_t response;
 	size_t trailer_bytes;
@@ -63,6 +64,15 @@
 
 /* --- closing ---------------------------------------------------------- */
 
+static void drop_outgoing(endpoint_connection_t *this)
+{
+	if (this->outgoing)
+		g_string_free(this->outgoing, TRUE);
+	this->outgoing = NULL;
+	request_body_put(this->outgoing_body);
+	this->outgoing_body = NULL;
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	endpoint_connection_t *this = handle->data;
@@ -73,8 +83,7 @@
 	g_string_free(this->response.headers, TRUE);
 	g_string_free(this->header_name, TRUE);
 	g_string_free(this->header_value, TRUE);
-	if (this->outgoing)
-		g_string_free(this->outgoing, TRUE);
+	drop_outgoing(this);
 	g_free(this->id);
 	g_free(this);
 }
@@ -454,30 +463,46 @@
 	endpoint_connection_t *this = write->data;
 
 	/* A write error is ignored: the read side reports it too, after any early response. */
-	if (this->outgoing)
-		g_string_free(this->outgoing, TRUE);
-	this->outgoing = NULL;
+	drop_outgoing(this);
+}
+
+/* Removes `written` bytes from the start of the buffers; returns how many bytes are left. */
+static size_t skip_written(uv_buf_t *buffers, unsigned int count, size_t written)
+{
+	size_t left = 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		size_t skipped = written < buffers[i].len ? written : buffers[i].len;
+
+		buffers[i].base += skipped;
+		buffers[i].len -= skipped;
+		written -= skipped;
+		left += buffers[i].len;
+	}
+	return left;
 }
 
 static void connection_write(endpoint_connection_t *this)
 {
-	uv_buf_t buffer = uv_buf_init(this->outgoing->str, (unsigned int)this->outgoing->len);
+	const request_body_t *body = this->outgoing_body;
+	uv_buf_t buffers[] = {uv_buf_init(this->outgoing->str, (unsigned int)this->outgoing->len),
+		uv_buf_init(body ? body->str : NULL, body ? (unsigned int)body->len : 0)};
+	unsigned int count = body ? 2 : 1;
+	uv_stream_t *stream = (uv_stream_t *)&this->tcp;
 	int written;
 
 	this->state = CONNECTION_BUSY;
 	this->ops->on_sent(this->user);
-	written = uv_try_write((uv_stream_t *)&this->tcp, &buffer, 1);
-	if (written == (int)this->outgoing->len) {
-		g_string_free(this->outgoing, TRUE);
-		this->outgoing = NULL;
+	written = uv_try_write(stream, buffers, count);
+	if (!skip_written(buffers, count, written > 0 ? (size_t)written : 0)) {
+		drop_outgoing(this);
 		return;
 	}
-	if (written > 0) {
-		buffer.base += written;
-		buffer.len -= (size_t)written;
-	}
 	this->write.data = this;
-	uv_write(&this->write, (uv_stream_t *)&this->tcp, &buffer, 1, on_written);
+	if (!buffers[0].len)
+		uv_write(&this->write, stream, &buffers[1], 1, on_written);
+	else
+		uv_write(&this->write, stream, buffers, count, on_written);
 }
 
 static void set_silence_timeout(endpoint_connection_t *this)
@@ -528,7 +553,9 @@
 	g_free(this->id);
 	this->id = g_strdup(request->id);
 	this->is_head = request->is_head;
-	this->outgoing = request->bytes;
+	this->outgoing = request->head;
+	if (request->body && request->body->len)
+		this->outgoing_body = request_body_get(request->body);
 	this->overhead = 0;
 	this->response_complete = false;
 	this->keep_alive = false;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -17,6 +17,7 @@
 #include "core/rate_limit.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/header_names.h"
+#include "gateway/request_body.h"
 
 typedef enum connection_failure {
 	CONNECTION_FAILURE_NOT_CONNECTED, /* no byte of the request was sent */
@@ -74,8 +75,9 @@
 typedef struct connection_request {
 	const char *id; /* id that the response must carry */
 	bool is_head;
-	GString *bytes;	     /* the complete request; ownership passes */
-	bool new_connection; /* don't reuse an idle connection */
+	GString *head;	      /* of the request; ownership passes */
+	request_body_t *body; /* the connection holds a reference until it is written */
+	bool new_connection;  /* don't reuse an idle connection */
 	instant_t now;
 } connection_request_t;
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -27,6 +27,10 @@
 #define CALLER_MEMORY_KB 24		/* least memory per caller, kernel buffers included */
 /* Part of the process's memory for responses that are held; callers may take half of it. */
 #define RESPONSE_MEMORY_DIVISOR 4
+/* Of what the process does not need for itself, half is for requests. */
+#define OWN_MEMORY_MB 24
+#define REQUEST_MEMORY_DIVISOR 2
+#define LEAST_REQUEST_MEMORY_DIVISOR 8 /* of all the memory */
 
 /* Apply until the first catalog is loaded. */
 static const catalog_limits_t default_limits = {
@@ -46,6 +50,37 @@
 	call_run(call_new(this, caller, request));
 }
 
+/* The workspace whose key the request has, 0: none. */
+static uint32_t workspace_of(void *ctx, const caller_request_t *request)
+{
+	const gateway_t *this = ctx;
+	const catalog_workspace_t *workspace =
+		this->catalog ? call_find_workspace(this->catalog, request) : NULL;
+
+	return workspace ? workspace->id : 0;
+}
+
+static void resume_sender(room_sender_t *sender)
+{
+	caller_resume(caller_of_room(sender));
+}
+
+static void end_sender(room_sender_t *sender)
+{
+	caller_time_out(caller_of_room(sender));
+}
+
+static const room_ops_t room_ops = {resume_sender, end_sender};
+
+/* Memory for the requests of all callers, in bytes. */
+static size_t request_memory(const gateway_settings_t *settings)
+{
+	double least = settings->memory_mb / LEAST_REQUEST_MEMORY_DIVISOR;
+	double free_mb = (settings->memory_mb - OWN_MEMORY_MB) / REQUEST_MEMORY_DIVISOR;
+
+	return (size_t)((free_mb > least ? free_mb : least) * 1024 * 1024);
+}
+
 static void on_caller_gone(void *exchange)
 {
 	call_t *call = exchange;
@@ -282,6 +317,7 @@
 
 	begin_turn(this);
 	buffer_pool_reclaim(&this->buffers);
+	request_room_step(&this->room, now);
 	gateway_update_engines(this);
 	peers_receive(this->peers, now);
 	peers_step(this->peers, now);
@@ -464,6 +500,12 @@
 		.buffers = &this->buffers,
 	};
 
+	if (ops == &call_ops) {
+		options.room = &this->room;
+		options.workspace_of = workspace_of;
+		options.room_wait_ms = this->settings->body_wait_ms;
+		options.body_pace = this->settings->body_pace;
+	}
 	return listener_new(&options);
 }
 
@@ -634,6 +676,7 @@
 	};
 	buffer_pool_init(&this->buffers,
 		(size_t)(settings->memory_mb * 1024 * 1024 / RESPONSE_MEMORY_DIVISOR));
+	request_room_init(&this->room, &room_ops, request_memory(settings));
 	this->typical_times_left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (!start_peers(this) || !open_listeners(this)) {
 		gateway_delete(this);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,7 @@
 	endpoint_connection_options_t connection_options;
 	unsigned int open_connections; /* to endpoints */
 	buffer_pool_t buffers;	       /* parts of responses that are held, of all exchanges */
+	request_room_t room;	       /* what the requests of all callers hold */
 	uint64_t bounds_exceeded[BOUND_COUNT];
 	retry_budget_options_t budget_options;
 	GHashTable *retry_budgets; /* service id -> retry_budget_t */
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -32,6 +32,16 @@
 	metrics_append(out, "response_buffer_peak_bytes", this->buffers.peak);
 	metrics_append(out, "response_buffer_limit_bytes", this->buffers.limit);
 	metrics_append(out, "callers_too_slow_total", listener_callers_reclaimed(this->callers));
+	metrics_append(out, "request_room_bytes", this->room.small_held + this->room.long_held);
+	metrics_append(out, "request_room_peak_bytes", this->room.peak);
+	metrics_append(
+		out, "request_room_limit_bytes", this->room.small_limit + this->room.long_limit);
+	metrics_append(out, "request_room_waits_total", this->room.waits);
+	metrics_append(
+		out, "requests_without_room_total", listener_requests_refused(this->callers));
+	metrics_append(out, "bodies_ended_for_room_total", this->room.ended);
+	metrics_append(out, "bodies_too_slow_total", listener_bodies_too_slow(this->callers));
+	metrics_append(out, "callers_stalled_total", listener_callers_stalled(this->callers));
 	for (int i = 0; i < BOUND_COUNT; i++)
 		g_string_append_printf(out,
 			"amaranthwall_responses_too_large_total{bound=\"%s\"} %" G_GUINT64_FORMAT
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -54,6 +54,8 @@
 	NUMBER(memory_mb, 256, 16, 1 << 20),
 	COUNT(descriptors, 4096, 128, 1 << 20),
 	COUNT(max_response_bytes, 16 << 20, 1024, 1 << 30),
+	COUNT(body_wait_ms, 2000, 10, 60000),
+	COUNT(body_pace, 64, 0, 1 << 30),
 	NUMBER(stop_grace_s, 8, 0.1, 600),
 	COUNT(lapse_grace_ms, 2200, 0, 60000),
 	NUMBER(retry_ratio, 0.1, 0, 10),
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -21,6 +21,8 @@
 	double memory_mb;
 	unsigned int descriptors;
 	unsigned int max_response_bytes; /* body of one response; a longer one is cut off */
+	unsigned int body_wait_ms;	 /* longest wait of a request for room, then a refusal */
+	unsigned int body_pace;		 /* least bytes a second of a request's body; 0: any */
 	double stop_grace_s;		 /* from a planned stop until the process is killed */
 	unsigned int lapse_grace_ms; /* for lapsed registrations to return after a store outage */
 	/* for registrations of endpoints that had left to lapse after a restore of the store */
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -32,6 +32,18 @@
 	free_if_unused(caa_container_of(group, listener_t, group));
 }
 
+/* Ends a request that makes no progress; the caller has not been answered, and reads no reply. */
+static bool end_stalled(listener_t *this)
+{
+	caller_wait_t *wait = caller_group_least_active(&this->group, clock_now());
+
+	if (!wait)
+		return false;
+	this->group.stalled++;
+	caller_disconnect(caller_of_wait(wait));
+	return true;
+}
+
 /* Closes the callers that are needed least; more than one if the bound has become lower. */
 static void make_room(listener_t *this)
 {
@@ -41,9 +53,10 @@
 		if (this->group.connected < this->group.max_callers)
 			return;
 		wait = caller_group_least_needed(&this->group);
-		if (!wait)
+		if (wait)
+			caller_disconnect(caller_of_wait(wait));
+		else if (!end_stalled(this))
 			return;
-		caller_disconnect(caller_of_wait(wait));
 	}
 }
 
@@ -100,6 +113,10 @@
 		.ctx = options->ctx,
 		.limits = options->limits,
 		.max_callers = options->max_callers,
+		.room = options->room,
+		.workspace_of = options->workspace_of,
+		.room_wait = options->room_wait_ms * USEC_PER_MSEC,
+		.body_pace = options->body_pace,
 		.buffers = options->buffers,
 		.on_closed = on_caller_closed,
 	};
@@ -140,12 +157,32 @@
 	return this->group.reclaimed;
 }
 
+uint64_t listener_requests_refused(const listener_t *this)
+{
+	return this->group.refused;
+}
+
+uint64_t listener_bodies_too_slow(const listener_t *this)
+{
+	return this->group.too_slow;
+}
+
+uint64_t listener_callers_stalled(const listener_t *this)
+{
+	return this->group.stalled;
+}
+
 void listener_check_timeouts(listener_t *this, instant_t now)
 {
 	caller_wait_t *wait;
+	caller_pace_t *pace;
 
 	while ((wait = caller_group_next_expired(&this->group, now)))
 		caller_time_out(caller_of_wait(wait));
+	while ((pace = caller_group_next_slow(&this->group, now))) {
+		this->group.too_slow++;
+		caller_time_out(caller_of_pace(pace));
+	}
 }
 
 static void on_closed(uv_handle_t *handle)
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -15,7 +15,11 @@
 	/* Called for each connection, with the time in microseconds that accepting it took. */
 	void (*on_accepted)(void *ctx, uint64_t time_taken);
 	unsigned int max_callers;
-	buffer_pool_t *buffers; /* for what is still to be written; NULL: not bounded */
+	request_room_t *room; /* for requests; NULL: not bounded */
+	uint32_t (*workspace_of)(void *ctx, const caller_request_t *request);
+	unsigned int room_wait_ms; /* longest wait for room */
+	unsigned int body_pace;	   /* least bytes a second of a body; 0: any */
+	buffer_pool_t *buffers;	   /* for what is still to be written; NULL: not bounded */
 } listener_options_t;
 
 /* Returns NULL, with the error logged, if the address can't be bound. */
@@ -30,6 +34,11 @@
 uint64_t listener_callers_examined(const listener_t *this);
 /* Number of callers closed so far to keep the process within its memory. */
 uint64_t listener_callers_reclaimed(const listener_t *this);
+/* Number of requests refused for lack of room, and of bodies ended for their pace. */
+uint64_t listener_requests_refused(const listener_t *this);
+uint64_t listener_bodies_too_slow(const listener_t *this);
+/* Number of callers closed to make room for others while their request made no progress. */
+uint64_t listener_callers_stalled(const listener_t *this);
 /* Closes the callers whose time is up. */
 void listener_check_timeouts(listener_t *this, instant_t now);
 unsigned int listener_caller_count(const listener_t *this);
