--- a/src/gateway/caller_group.h
+++ b/src/gateway/caller_group.h
@@ -62,6 +62,8 @@
 	uint64_t room_wait;	    /* longest wait for room, microseconds */
 	unsigned int body_pace;	    /* least bytes a second of a body; 0: any */
 	struct cds_list_head paces; /* caller_pace_t, by `check_at` */
+	instant_t log_from;	    /* when an ended request is logged again */
+	unsigned int unlogged;	    /* ended requests since the last log line */
 	uint64_t refused;	    /* requests for which there was no room */
 	uint64_t stalled;	    /* callers closed for others, as their request stood still */
 	uint64_t too_slow;	    /* bodies below the least pace */
--- a/src/gateway/caller_parse.c
+++ b/src/gateway/caller_parse.c
@@ -6,6 +6,7 @@
 #include "gateway/caller_internal.h"
 
 #define FIELD_MEMORY 96 /* of a header's name and value beside their bytes, in both lists */
+#define LOG_INTERVAL USEC_PER_SEC
 #define REFUSED_RETRY "Retry-After: 1\r\n"
 
 static const catalog_limits_t *limits_of(const caller_t *this)
@@ -216,12 +217,32 @@
 	this->parser.data = this;
 }
 
+/* One line a second at most, however many end. */
+static void log_ended(caller_t *this, unsigned int status)
+{
+	caller_group_t *group = this->group;
+	instant_t now = clock_now();
+
+	group->unlogged++;
+	if (now < group->log_from)
+		return;
+	log_notice("body-ended",
+		"reason=%s workspace=%08x received=%zu head=%zu room_held=%zu count=%u",
+		status == 503 ? "no-room" : "too-slow", this->room.workspace,
+		this->request.body ? this->request.body->len : 0, this->head_memory,
+		group->room->small_held + group->room->long_held, group->unlogged);
+	group->unlogged = 0;
+	group->log_from = now + LOG_INTERVAL;
+}
+
 void caller_reject_request(caller_t *this)
 {
 	unsigned int status = this->error_status ? this->error_status : 400;
 
 	log_info("http-request-rejected", "status=%u parser=%s", status,
 		http_errno_name(HTTP_PARSER_ERRNO(&this->parser)));
+	if (this->group->room && (status == 503 || status == 408))
+		log_ended(this, status);
 	if (status == 503)
 		this->group->refused++;
 	this->close_after_response = true;
