--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,9 @@
 $(BUILD)/summary: $(BUILD)/obj/bench/summary.o $(BUILD)/libinternal.a
 	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ $(LIBS)
 
+$(BUILD)/bodies: $(BUILD)/obj/bench/bodies.o $(BUILD)/obj/tests/program.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
+	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lcmocka $(LIBS)
+
 $(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/program.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/obj/tests/fleet_sim.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
 	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lcmocka $(LIBS)
 
