A caller that leaves while it is not read is noticed

While more than 64 KiB were pipelined behind an unanswered request (or, since the bound on requests, while there is no room to read ahead), reading stops, and the loop does not tell that the caller has closed: its call, its endpoint's slot and two descriptors stayed until the route's timeout. Callers that are not read are now looked at once a second. An end that lies behind more than the sockets take does not reach the router; then it stays as it was.

test_gone_callers fails on the code before, and passes.

--- a/src/gateway/caller.h
+++ b/src/gateway/caller.h
@@ -50,6 +50,8 @@
  * it waited for room.
  */
 void caller_time_out(caller_t *this);
+/* Disconnects a caller that has closed its side behind bytes that are not read for now. */
+void caller_check_unread(caller_t *this);
 /* Closes the connection, and calls on_gone for its exchange, if any. */
 void caller_disconnect(caller_t *this);
 /* Returns whether the caller has closed the connection, which the loop may not have noticed yet. */
--- a/src/gateway/caller_read.c
+++ b/src/gateway/caller_read.c
@@ -1,3 +1,4 @@
+#include <poll.h>
 #include <string.h>
 
 #include "edge/clock.h"
@@ -161,3 +162,14 @@
 	this->is_reading = false;
 	uv_read_stop((uv_stream_t *)&this->tcp);
 }
+
+void caller_check_unread(caller_t *this)
+{
+	struct pollfd state = {.events = POLLRDHUP};
+
+	if (this->is_reading || this->state != CALLER_RESPONDING ||
+		uv_fileno((const uv_handle_t *)&this->tcp, &state.fd))
+		return;
+	if (poll(&state, 1, 0) > 0)
+		caller_disconnect(this);
+}
--- a/src/gateway/listener.c
+++ b/src/gateway/listener.c
@@ -11,13 +11,15 @@
  */
 #define MAX_ACCEPTED_PER_TURN 64
 #define MAX_CLOSED_PER_ACCEPT 2
+#define UNREAD_INTERVAL USEC_PER_SEC
 
 struct listener {
 	caller_group_t group;
 	uv_tcp_t tcp;
 	void (*on_accepted)(void *ctx, uint64_t time_taken);
-	unsigned int accepted; /* in the current turn of the loop */
-	bool accept_pending;   /* a connection is held back until the next turn */
+	unsigned int accepted;	/* in the current turn of the loop */
+	bool accept_pending;	/* a connection is held back until the next turn */
+	instant_t unread_check; /* when callers that are not read are looked at again */
 	bool handle_closed;
 };
 
@@ -172,6 +174,19 @@
 	return this->group.stalled;
 }
 
+/* Those that are not read are looked at one by one, as the loop does not tell that they leave. */
+static void check_unread(listener_t *this, instant_t now)
+{
+	struct cds_list_head *link;
+	struct cds_list_head *next;
+
+	if (now < this->unread_check)
+		return;
+	this->unread_check = now + UNREAD_INTERVAL;
+	cds_list_for_each_safe (link, next, &this->group.callers)
+		caller_check_unread(caller_of_link(link));
+}
+
 void listener_check_timeouts(listener_t *this, instant_t now)
 {
 	caller_wait_t *wait;
@@ -179,6 +194,7 @@
 
 	while ((wait = caller_group_next_expired(&this->group, now)))
 		caller_time_out(caller_of_wait(wait));
+	check_unread(this, now);
 	while ((pace = caller_group_next_slow(&this->group, now))) {
 		this->group.too_slow++;
 		caller_time_out(caller_of_pace(pace));
