--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -20,7 +20,9 @@
 #include "core/backlog.h"
 #include "core/member.h"
 #include "core/rate_limit.h"
+#include "core/region_set.h"
 #include "core/scheduler.h"
+#include "core/warm_up.h"
 
 typedef enum entry_kind {
 	ENTRY_SLOT_REQUEST,
@@ -82,7 +84,9 @@
 	/*
 	 * ENTRY_GRANT: engine to copy the shared parts from, 0: none; ENTRY_PART_END: time since
 	 * the prompt was sent, ms; ENTRY_RATE_LIMIT: time since the request was sent whose response
-	 * named the limit, ms.
+	 * named the limit, ms; ENTRY_FIRST_TOKEN: time since the start, us; ENTRY_END: time since
+	 * the first token, us; ENTRY_LOAD: how long work takes, percent of its usual time.  0 is
+	 * unknown: earlier builds send nothing else with the last three.
 	 */
 	id_t32 source;
 	id_t32 pool;	  /* ENTRY_SLOT_USAGE, ENTRY_SERVED_TOKENS */
@@ -90,6 +94,8 @@
 	int32_t tokens;	  /* ENTRY_SERVED_TOKENS */
 	/* ENTRY_PART_END: as the sender counts the occasions, 0: unknown; see part_watch.c */
 	uint32_t occasions;
+	/* ENTRY_END: longest pause of the stream, ms; routers of earlier builds send none. */
+	uint32_t pause_ms;
 	bool is_whole; /* ENTRY_PART_END: the part stands for a request as a whole */
 	/*
 	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
@@ -139,9 +145,10 @@
 	engine_work_t work;
 	instant_t first_token_deadline; /* latest time for the first token */
 	instant_t deadline;
-	id_t32 version;	  /* of the engine's software that it is bound to, 0: any */
-	bool is_late;	  /* counts as unable to meet first_token_deadline */
-	bool was_started; /* an attempt has failed: never refused for the workspace's backlog */
+	id_t32 version;	      /* of the engine's software that it is bound to, 0: any */
+	region_set_t regions; /* where it may run */
+	bool is_late;	      /* counts as unable to meet first_token_deadline */
+	bool was_started;     /* an attempt has failed: never refused for the workspace's backlog */
 
 	/* Set by the placement. */
 	backlog_entry_t backlog_entry;
@@ -158,7 +165,11 @@
 	unsigned int owners_tried; /* owners that the slot request was sent to */
 	bool prefill_done;	   /* the first token has arrived */
 	bool without_grant;	   /* no owner granted the slot */
-	instant_t started_at;	   /* of a request without a grant */
+	instant_t started_at;	   /* at the engine */
+	instant_t first_token_at;
+	/* Of the stream, set by the embedder before placement_end(). */
+	uint64_t longest_pause;
+	bool was_held_up; /* its caller did not read: its times tell nothing of the engine */
 } placement_request_t;
 
 typedef struct placement_engine {
@@ -171,8 +182,10 @@
 	/* Starts that it bears while it is cold, see rate_limit.h; RATE_NONE: as many as when warm.
 	 */
 	uint32_t cold_pace;
-	instant_t cold_until;	  /* according to its registration, 0: warm */
-	instant_t cold_stated_at; /* when the registration was known to say so */
+	uint64_t cold_time;	  /* microseconds for which it is cold after a start, 0: unknown */
+	instant_t cold_until;	  /* according to its registration or its start, 0: warm */
+	instant_t cold_stated_at; /* when that was known */
+	warm_up_source_t cold_source; /* WARM_UP_NONE: nothing says so */
 } placement_engine_t;
 
 typedef enum placement_action_kind {
@@ -185,8 +198,8 @@
 	placement_request_t *request;
 	id_t32 engine;		 /* PLACEMENT_START */
 	uint32_t retry_after_ms; /* PLACEMENT_REJECT */
-	bool no_engine; /* PLACEMENT_REJECT: the pool has no usable engine of the request's version
-			 */
+	/* PLACEMENT_REJECT: the pool has no usable engine of the request's version and regions */
+	bool no_engine;
 } placement_action_t;
 
 /* The header of each message between routers. */
@@ -205,6 +218,10 @@
 	scheduler_options_t scheduler;
 	/* Called when the limit of an engine that this router owns changes; may be NULL. */
 	void (*on_rate_limit)(void *ctx, id_t32 engine, uint32_t rate, uint32_t before);
+	/* Called when an engine that this router owns turns cold or warm; may be NULL. */
+	void (*on_warm_up)(void *ctx, id_t32 engine, const warm_up_t *warm_up, instant_t now);
+	/* Called when the speed of an engine that this router owns changes; may be NULL. */
+	void (*on_speed)(void *ctx, id_t32 engine, const engine_speed_report_t *speed);
 	void *ctx;
 	const allocator_t *allocator; /* NULL: allocator_default */
 } placement_options_t;
@@ -251,12 +268,21 @@
 /* Reports that the engine has `load` requests running or queued. */
 void placement_load_report(
 	placement_t *this, placement_request_t *request, unsigned int load, instant_t now);
+/* Like it, and reports that work takes `percent` of its usual time on the engine's machine. */
+void placement_slowness_report(placement_t *this, placement_request_t *request, unsigned int load,
+	unsigned int percent, instant_t now);
 /*
  * Reports the rate limit that the engine named in the response to a request sent at `sent_at`;
  * RATE_NONE: it named none.
  */
 void placement_rate_report(placement_t *this, const placement_request_t *request, uint32_t rate,
 	instant_t sent_at, instant_t now);
+/*
+ * Reports how long the engine stays cold, in microseconds, according to the response to a request
+ * sent at `sent_at`; UINT64_MAX: until told otherwise.
+ */
+void placement_warm_up_report(placement_t *this, const placement_request_t *request,
+	uint64_t cold_left, instant_t sent_at, instant_t now);
 /*
  * The engine has asked this router to send it nothing until then; other routers may.  Grants for it
  * are declined.
@@ -299,12 +325,23 @@
 bool placement_next_receipt(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 
+/*
+ * Gives the next of the engines' states that are to be told to the router; false when there is
+ * none.  They come last in a message, as routers of earlier builds do not read on after them.
+ */
+bool placement_next_engine_state(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
+
 /* See scheduler_report_lanes(). */
 void placement_report_lanes(placement_t *this, instant_t now,
 	void (*each)(void *ctx, const lane_report_t *report), void *ctx);
 
+/* Number of engines whose speed differs from that of their pool's median. */
+unsigned int placement_unequal_engines(const placement_t *this);
 /* Number of engines that are known to have a rate limit. */
 unsigned int placement_rate_limited(const placement_t *this);
+/* Number of engines that are known to be cold. */
+unsigned int placement_cold(const placement_t *this, instant_t now);
 const members_t *placement_members(const placement_t *this);
 const scheduler_t *placement_scheduler(const placement_t *this);
 const placement_stats_t *placement_stats(const placement_t *this);
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -1,5 +1,7 @@
 #include "core/placement_internal.h"
 
+#include <math.h>
+
 #define REPLY_TIMEOUT (25 * USEC_PER_MSEC)    /* ten times a typical round trip */
 #define MAX_OWN_DELAY (500 * USEC_PER_MSEC)   /* most that our own slowness adds to it */
 #define MAX_REPLY_DELAY (200 * USEC_PER_MSEC) /* most that an owner's slowness adds to it */
@@ -19,6 +21,8 @@
 /* Without grants, a router's share of an engine's slots is its even share divided by this. */
 #define WITHOUT_GRANT_SHARE_DIVISOR 2
 
+#define HASH_RANGE 18446744073709551616.0 /* 2^64 */
+
 static uint64_t mix(uint64_t a, uint64_t b)
 {
 	uint64_t h = a * 0x9e3779b97f4a7c15ULL + b;
@@ -62,32 +66,58 @@
 	return usage.slots ? (double)usage.taken / usage.slots : UTILIZATION_NONE;
 }
 
-bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version)
+static engine_need_t need_of(const placement_request_t *request)
+{
+	return (engine_need_t){request->pool, request->version, &request->regions};
+}
+
+bool placement_engine_fits(const placement_engine_t *engine, const engine_need_t *need)
 {
-	return engine->pool == pool && engine->usable && (!version || engine->version == version);
+	return engine->pool == need->pool && engine->usable &&
+	       (!need->version || engine->version == need->version) &&
+	       (!need->regions || region_set_allows(need->regions, engine->region));
+}
+
+static bool fits(const placement_engine_t *engine, const placement_request_t *request)
+{
+	engine_need_t need = need_of(request);
+
+	return placement_engine_fits(engine, &need);
 }
 
 bool placement_may_use(
 	const engine_state_t *state, const placement_request_t *request, instant_t now)
 {
-	return placement_engine_fits(&state->engine, request->pool, request->version) &&
-	       state->paused_until <= now;
+	return fits(&state->engine, request) && state->paused_until <= now;
+}
+
+/*
+ * The engine's score for the prefix.  A faster engine wins as many more prefixes as its weight
+ * says, and when a weight changes, only prefixes of that engine move.
+ */
+static double score_of(const placement_t *this, const engine_state_t *state, uint64_t prefix)
+{
+	uint64_t hash = mix(prefix, state->engine.id);
+
+	return this->speeds_differ ? -state->weight / log(((double)hash + 0.5) / HASH_RANGE)
+				   : (double)hash;
 }
 
 /* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
 static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
 	uint64_t prefix, unsigned int *best)
 {
-	uint64_t scores[MAX_CANDIDATES];
+	double scores[MAX_CANDIDATES];
 	unsigned int count = 0;
 
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		const placement_engine_t *engine = &this->engines[i].engine;
-		uint64_t score = mix(prefix, engine->id);
+		double score;
 		unsigned int rank;
 
-		if (!placement_engine_fits(engine, request->pool, request->version))
+		if (!fits(engine, request))
 			continue;
+		score = score_of(this, &this->engines[i], prefix);
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
 			if (rank < MAX_CANDIDATES) {
 				scores[rank] = scores[rank - 1];
@@ -103,11 +133,11 @@
 	return count;
 }
 
-bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool, id_t32 version)
+bool placement_owns(const placement_t *this, unsigned int slot, const engine_need_t *need)
 {
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		if (this->engines[i].owner == slot &&
-			placement_engine_fits(&this->engines[i].engine, pool, version))
+			placement_engine_fits(&this->engines[i].engine, need))
 			return true;
 	}
 	return false;
@@ -157,18 +187,47 @@
 	return best;
 }
 
+static uint32_t shared_tokens(const prompt_chain_t *chain)
+{
+	uint32_t tokens = 0;
+
+	for (unsigned int i = 0; i < chain->count; i++)
+		tokens += chain->tokens[i];
+	return tokens;
+}
+
+/* The engine on which this router last ran a prompt with all the shared parts, if it still may. */
+static id_t32 known_place(
+	const placement_t *this, const placement_request_t *request, instant_t now)
+{
+	const prompt_chain_t *chain = &request->work.chain;
+	id_t32 id = part_places_find(&this->places, chain->hash[chain->count - 1], now);
+	const engine_state_t *state = id ? placement_find_engine(this, id) : NULL;
+
+	return state && fits(&state->engine, request) ? id : 0;
+}
+
 id_t32 placement_likely_source(
-	const placement_t *this, const placement_request_t *request, id_t32 engine)
+	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
 {
 	const prompt_chain_t *chain = &request->work.chain;
 	unsigned int ranked[MAX_CANDIDATES];
+	id_t32 source;
 
-	if (!chain->count || chain->tokens[chain->count - 1] < ENGINE_COPY_MIN_TOKENS)
+	if (!chain->count || shared_tokens(chain) < ENGINE_COPY_MIN_TOKENS)
 		return 0;
-	if (!rank_engines(this, request, chain->hash[chain->count - 1], ranked) ||
-		this->engines[ranked[0]].engine.id == engine)
-		return 0;
-	return this->engines[ranked[0]].engine.id;
+	source = known_place(this, request, now);
+	if (!source && rank_engines(this, request, chain->hash[chain->count - 1], ranked))
+		source = this->engines[ranked[0]].engine.id;
+	return source == engine ? 0 : source;
+}
+
+static void record_places(placement_t *this, const placement_request_t *request, instant_t now)
+{
+	const prompt_chain_t *chain = &request->work.chain;
+
+	for (unsigned int i = 0; i < chain->count; i++)
+		part_places_record(&this->places, chain->hash[i], request->engine, now);
 }
 
 /*
@@ -295,15 +354,17 @@
 	request->state = PLACEMENT_GRANTED;
 	request->engine = engine;
 	request->owner = owner;
+	request->started_at = now;
+	record_places(this, request, now);
 	if (state)
 		state->running_here++;
 	placement_push_action(this, &action);
 }
 
-bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version)
+bool placement_has_usable_engine(const placement_t *this, const placement_request_t *request)
 {
 	for (unsigned int i = 0; i < this->engine_count; i++) {
-		if (placement_engine_fits(&this->engines[i].engine, pool, version))
+		if (fits(&this->engines[i].engine, request))
 			return true;
 	}
 	return false;
@@ -317,7 +378,7 @@
 	if (request->state != PLACEMENT_NONE)
 		leave_list(request);
 	backlog_remove(&request->backlog_entry);
-	action.no_engine = !placement_has_usable_engine(this, request->pool, request->version);
+	action.no_engine = !placement_has_usable_engine(this, request);
 	placement_push_action(this, &action);
 }
 
@@ -331,7 +392,7 @@
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		const engine_state_t *state = &this->engines[i];
 
-		if (placement_engine_fits(&state->engine, request->pool, request->version))
+		if (fits(&state->engine, request))
 			until = instant_min(until, state->paused_until);
 	}
 	return until == INSTANT_NEVER ? 0 : (uint32_t)(instant_left(until, now) / USEC_PER_MSEC);
@@ -363,13 +424,14 @@
 /* Returns how many requests of the pool this router may run without a grant. */
 static unsigned int slots_without_grant(const placement_t *this, id_t32 pool, unsigned int routers)
 {
+	engine_need_t need = {.pool = pool};
 	unsigned int slots = 0;
 	unsigned int share;
 
 	for (unsigned int i = 0; i < this->engine_count; i++) {
 		const placement_engine_t *engine = &this->engines[i].engine;
 
-		if (placement_engine_fits(engine, pool, 0))
+		if (placement_engine_fits(engine, &need))
 			slots += engine->limits.slots;
 	}
 	share = slots / (WITHOUT_GRANT_SHARE_DIVISOR * routers);
@@ -402,7 +464,8 @@
 		engine_state_t *state = &this->engines[i];
 
 		if (!placement_may_use(state, request, now) || state->engine.id == request->avoid ||
-			!rate_limit_allows(&state->rate_limit, now))
+			!rate_limit_allows(&state->rate_limit, now) ||
+			!placement_pace_allows(this, state, now))
 			continue;
 		if (!best || state->running_here < best->running_here)
 			best = state;
@@ -415,9 +478,9 @@
 		return;
 	}
 	placement_count_rate(this, best, now);
+	placement_count_warm_up(this, best, now);
 	this->stats.without_grant++;
 	request->without_grant = true;
-	request->started_at = now;
 	scheduler_charge(this->scheduler, request->pool, request->workspace,
 		engine_work_cost(&request->work), now);
 	request->ticket = ++this->next_ticket;
@@ -442,6 +505,7 @@
 				.first_token_deadline = request->first_token_deadline,
 				.deadline = request->deadline,
 				.version = request->version,
+				.regions = request->regions,
 				.is_late = request->is_late,
 				.must_queue = request->owners_tried > MAX_REDIRECTS,
 			},
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -3,6 +3,7 @@
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "gateway/call.h"
+#include "gateway/endpoint_warm_up.h"
 #include "gateway/gateway.h"
 
 #define MAX_BUFFERED_BODY 262144 /* bytes; a larger response is forwarded before it is complete */
@@ -32,7 +33,8 @@
 static void report_load(call_t *call, const connection_response_t *response)
 {
 	if (response->has_load)
-		call_report_load(call, response->load_running + response->load_waiting);
+		call_report_load(
+			call, response->load_running + response->load_waiting, response->slowness);
 }
 
 static void note_malformed_limit(call_t *call)
@@ -126,6 +128,7 @@
 
 	report_load(call, response);
 	report_limit(call, response);
+	endpoint_warm_up_report(call, response);
 	report_leaving(call, response);
 	report_pause(call, response);
 	part_watch_record_response(call->gateway->part_watch, call->endpoint->id, clock_now());
@@ -223,8 +226,10 @@
 {
 	start_response(call);
 	caller_send_body(call->caller, data, len);
-	if (caller_is_write_blocked(call->caller) && call->connection)
-		endpoint_connection_pause(call->connection, true);
+	if (!caller_is_write_blocked(call->caller) || !call->connection)
+		return;
+	call->placement_request.was_held_up = true;
+	endpoint_connection_pause(call->connection, true);
 }
 
 static void record_event_gap(call_t *call)
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "core/warm_up.h"
 #include "settings/address.h"
 
 #define READ_SIZE 16384
@@ -15,6 +16,7 @@
 #define DEFAULT_IDLE_TIMEOUT (4 * USEC_PER_SEC) /* if the endpoint announces none */
 #define IDLE_MARGIN (1 * USEC_PER_SEC)		/* closes this long before the endpoint would */
 #define MAX_RETRY_AFTER_S 3600			/* a longer one is taken for an error */
+#define MAX_SLOWNESS 10000			/* percent; a higher one is taken for an error */
 #define KEEPALIVE_PROBES 2
 #define MAX_IDLE_BUFFER 1024 /* bytes of each string that an idle connection keeps */
 
@@ -168,12 +170,14 @@
 	unsigned int running;
 	unsigned int waiting;
 	unsigned int slots;
+	unsigned int slowness = 0;
 
-	if (sscanf(value, "%u,%u,%u", &running, &waiting, &slots) != 3)
+	if (sscanf(value, "%u,%u,%u,%u", &running, &waiting, &slots, &slowness) < 3)
 		return;
 	response->has_load = true;
 	response->load_running = running;
 	response->load_waiting = waiting;
+	response->slowness = slowness <= MAX_SLOWNESS ? slowness : 0;
 }
 
 static void parse_rate_limit(connection_response_t *response, const char *value)
@@ -186,6 +190,12 @@
 		response->rate_limit = rate;
 }
 
+static void parse_cold_left(connection_response_t *response, const char *value)
+{
+	response->has_cold = true;
+	response->cold_malformed |= !warm_up_parse_ms(value, &response->cold_left);
+}
+
 /* Seconds, with a fraction or without; 0 for a date or anything else. */
 static double parse_retry_after(const char *value)
 {
@@ -217,6 +227,8 @@
 		parse_load(response, value);
 	} else if (!strcasecmp(name, names->rate_limit)) {
 		parse_rate_limit(response, value);
+	} else if (!strcasecmp(name, names->cold_left_ms)) {
+		parse_cold_left(response, value);
 	} else if (!strcasecmp(name, "Content-Encoding")) {
 		response->is_encoded = strcasecmp(value, "identity") != 0;
 	} else if (!strcasecmp(name, "Retry-After")) {
@@ -367,7 +379,7 @@
 	void *user = this->user;
 
 	this->ops = NULL;
-	if (reusable && this->keep_alive && this->endpoint->state == ENDPOINT_READY)
+	if (reusable && this->keep_alive && registered_endpoint_takes_work(this->endpoint))
 		connection_make_idle(this);
 	else
 		connection_close(this);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "core/overload.h"
 #include "gateway/adapter.h"
 #include "gateway/call.h"
+#include "gateway/evacuation_rows.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/lane_log.h"
 #include "gateway/listener.h"
@@ -68,11 +69,17 @@
 	bool reads_store;	       /* follows the tables itself, see store_readers.h */
 	store_state_t catalog_state;   /* of the table, by this router's own reads */
 	store_state_t endpoints_state; /* likewise */
-	instant_t store_reading_due;   /* when it is looked at again */
+	store_state_t roster_state;    /* likewise */
+	instant_t roster_refresh_at; /* when the roster is listed if unknown peers remain; else 0 */
+	bool saw_unknown_peer;	     /* one tried to connect shortly before then */
+	instant_t store_reading_due; /* when it is looked at again */
 	catalog_t *catalog;
 	endpoint_registry_t *endpoint_registry;
 	row_cache_t *row_cache;
+	evacuations_t *evacuations;
+	evacuation_rows_t *evacuation_rows;
 	unsigned int applied_router_count; /* fleet size of the last gateway_apply_fleet_size() */
+	instant_t endpoints_loaded_at;	   /* the time of the first one, 0: none yet */
 	bool endpoints_loaded;	     /* a full listing was received, from the store or a peer */
 	instant_t lapse_grace_until; /* endpoints whose rows disappear are kept until then */
 	part_watch_t *part_watch;
@@ -123,8 +130,8 @@
 /* Number of routers that share the fleet's work, this one included. */
 unsigned int gateway_router_count(const gateway_t *this);
 /*
- * True once the catalog and the endpoints are loaded, until a planned stop begins; false also
- * while an overloaded router asks for no new connections.
+ * True once the catalog, the endpoints and the evacuations are loaded, until a planned stop begins;
+ * false also while an overloaded router asks for no new connections.
  */
 bool gateway_is_ready(const gateway_t *this);
 void gateway_add_call(gateway_t *this, call_t *call);
@@ -137,6 +144,16 @@
  */
 double *gateway_typical_time_left(gateway_t *this, const catalog_route_t *route);
 void gateway_count_outcome(gateway_t *this, reason_t reason);
+/* gateway_roster.c: the rows of the other routers, from the store or from a peer. */
+extern const table_watch_ops_t gateway_roster_ops;
+void gateway_handle_peer_roster(gateway_t *this, const GArray *rows, store_version_t version);
+/*
+ * A router that is not in the roster yet may have tried to connect.  Its row arrives in a moment,
+ * from the store or from a reader; lists the table only if it does not.
+ */
+void gateway_update_roster_refresh(gateway_t *this, instant_t now);
+/* Whether the version is of a newer era than the table's rows. */
+bool gateway_is_newer_era(const gateway_t *this, cached_table_t table, store_version_t version);
 /* gateway_store.c: starts to watch the store's tables and adds this router to the roster. */
 void gateway_watch_store(gateway_t *this);
 /*
@@ -144,6 +161,9 @@
  * share of the retry allowance and of the endpoints' connections.
  */
 void gateway_apply_fleet_size(gateway_t *this);
+/* gateway_evacuation.c: logs the evacuations of failure domains and applies them to the endpoints.
+ */
+evacuation_rows_t *gateway_new_evacuation_rows(gateway_t *this);
 /* Follows the store's tables itself or not, as the readers of its failure domain make needful. */
 void gateway_update_store_reading(gateway_t *this, instant_t now);
 /* Handles a listing of the endpoints' table at once. */
@@ -156,6 +176,8 @@
 /* Handles rows that were requested from a peer as if they came from the store. */
 void gateway_handle_peer_rows(void *ctx, cached_table_t table, const GArray *rows);
 const char *response_bound_name(response_bound_t bound);
+/* Answers /metrics with the metrics and every other path with the readiness. */
+extern const caller_ops_t gateway_status_ops;
 /* Appends metrics in the text exposition format. */
 void gateway_write_metrics(const gateway_t *this, GString *out);
 
--- a/src/gateway/gateway_store.c
+++ b/src/gateway/gateway_store.c
@@ -66,10 +66,18 @@
 	error_list_clear(&errors);
 }
 
-static void on_catalog_rows(void *ctx, const GArray *rows)
+static void apply_catalog_rows(gateway_t *this, const GArray *rows)
 {
 	for (unsigned int i = 0; i < rows->len; i++)
-		apply_catalog_row(ctx, &g_array_index(rows, store_row_t, i));
+		apply_catalog_row(this, &g_array_index(rows, store_row_t, i));
+}
+
+static void on_catalog_rows(void *ctx, const GArray *rows)
+{
+	gateway_t *this = ctx;
+
+	apply_catalog_rows(this, rows);
+	evacuation_rows_handle_changes(this->evacuation_rows, rows);
 }
 
 static void on_catalog_table(
@@ -79,7 +87,8 @@
 
 	this->store_era = version.era;
 	this->catalog_state = STORE_FOLLOWED;
-	on_catalog_rows(ctx, rows);
+	apply_catalog_rows(this, rows);
+	evacuation_rows_handle_table(this->evacuation_rows, rows, version);
 }
 
 static void on_catalog_unreachable(void *ctx)
@@ -175,20 +184,27 @@
 			clock_now() + this->settings->lapse_grace_ms * USEC_PER_MSEC;
 }
 
-static bool is_newer_era(const gateway_t *this, store_version_t version)
+bool gateway_is_newer_era(const gateway_t *this, cached_table_t table, store_version_t version)
+{
+	return version.era > row_cache_newest_version(this->row_cache, table).era;
+}
+
+static void note_endpoints_loaded(gateway_t *this)
 {
-	return version.era > row_cache_newest_version(this->row_cache, CACHED_ENDPOINTS).era;
+	if (!this->endpoints_loaded)
+		this->endpoints_loaded_at = clock_now();
+	this->endpoints_loaded = true;
 }
 
 /* Applies all rows of the table as of `version`. */
 static void apply_endpoint_table(gateway_t *this, const GArray *rows, store_version_t version)
 {
-	if (is_newer_era(this, version))
+	if (gateway_is_newer_era(this, CACHED_ENDPOINTS, version))
 		begin_lapse_grace(this);
 	on_endpoint_rows(this, rows);
 	row_cache_delete_missing(
 		this->row_cache, CACHED_ENDPOINTS, rows, version, on_endpoint_deleted, this);
-	this->endpoints_loaded = true;
+	note_endpoints_loaded(this);
 }
 
 static void on_endpoint_table(
@@ -231,6 +247,17 @@
 	return highest;
 }
 
+static void handle_peer_endpoints(gateway_t *this, const GArray *rows, store_version_t version)
+{
+	if (gateway_is_newer_era(this, CACHED_ENDPOINTS, version))
+		apply_endpoint_table(this, rows, version);
+	else
+		on_endpoint_rows(this, rows);
+	note_endpoints_loaded(this);
+}
+
+/* --- peers -------------------------------------------------------------- */
+
 /* Rows from peers carry the store's version, so they are applied like rows from the store. */
 void gateway_handle_peer_rows(void *ctx, cached_table_t table, const GArray *rows)
 {
@@ -242,15 +269,18 @@
 		"table=%d rows=%u era=%" G_GUINT64_FORMAT " row_version=%" G_GUINT64_FORMAT,
 		(int)table, rows->len, (guint64)version.era, (guint64)version.number);
 	if (table == CACHED_CATALOG)
-		on_catalog_rows(this, rows);
-	else if (is_newer_era(this, version))
-		apply_endpoint_table(this, rows, version);
+		apply_catalog_rows(this, rows);
+	else if (table == CACHED_ENDPOINTS)
+		handle_peer_endpoints(this, rows, version);
+	else if (table == CACHED_EVACUATIONS)
+		evacuation_rows_handle_peer(this->evacuation_rows, rows);
 	else
-		on_endpoint_rows(this, rows);
-	this->endpoints_loaded |= table == CACHED_ENDPOINTS;
-	if (this->reads_store && store_version_compare(version, known) > 0)
+		gateway_handle_peer_roster(this, rows, version);
+	/* A watch that the store has left waiting lists its table anew.  The roster can wait. */
+	if (table != CACHED_ROUTERS && this->reads_store &&
+		store_version_compare(version, known) > 0)
 		table_watch_refresh(
-			table == CACHED_CATALOG ? this->catalog_watch : this->endpoint_watch);
+			table == CACHED_ENDPOINTS ? this->endpoint_watch : this->catalog_watch);
 }
 
 static void on_endpoints_paused(void *ctx)
@@ -263,47 +293,6 @@
 static const table_watch_ops_t endpoint_ops = {
 	on_endpoint_table, on_endpoint_rows, on_endpoints_unreachable, on_endpoints_paused};
 
-/* True if this router's own row is among them. */
-static bool apply_roster_rows(gateway_t *this, const GArray *rows)
-{
-	bool has_own = false;
-
-	for (unsigned int i = 0; i < rows->len; i++) {
-		const store_row_t *row = &g_array_index(rows, store_row_t, i);
-
-		if (strcmp(row->key, this->settings->name)) {
-			peers_handle_row(this->peers, row);
-			continue;
-		}
-		has_own = true;
-		roster_check_own_row(this->roster, row);
-	}
-	return has_own;
-}
-
-static void on_roster_rows(void *ctx, const GArray *rows)
-{
-	apply_roster_rows(ctx, rows);
-}
-
-static void on_roster_table(void *ctx, const GArray *rows, store_version_t version, uint64_t outage)
-{
-	gateway_t *this = ctx;
-
-	if (!apply_roster_rows(this, rows))
-		roster_check_own_row(this->roster, NULL);
-}
-
-static void on_roster_unreachable(void *ctx)
-{
-	gateway_t *this = ctx;
-
-	this->store_losses++;
-}
-
-static const table_watch_ops_t roster_ops = {
-	on_roster_table, on_roster_rows, on_roster_unreachable, NULL};
-
 static table_watch_t *watch_table(
 	gateway_t *this, const char *table, unsigned int wait_ms, const table_watch_ops_t *ops)
 {
@@ -351,9 +340,17 @@
 
 static store_state_t store_state(const gateway_t *this)
 {
-	if (this->catalog_state == STORE_LOST || this->endpoints_state == STORE_LOST)
-		return STORE_LOST;
-	return this->catalog_state == STORE_FOLLOWED ? this->endpoints_state : STORE_UNREAD;
+	const store_state_t states[] = {
+		this->catalog_state, this->endpoints_state, this->roster_state};
+	store_state_t state = STORE_FOLLOWED;
+
+	for (size_t i = 0; i < ARRAY_LEN(states); i++) {
+		if (states[i] == STORE_LOST)
+			return STORE_LOST;
+		if (states[i] == STORE_UNREAD)
+			state = STORE_UNREAD;
+	}
+	return state;
 }
 
 static void set_reads_store(gateway_t *this, bool reads)
@@ -362,6 +359,7 @@
 	this->reads_store = reads;
 	table_watch_set_paused(this->catalog_watch, !reads);
 	table_watch_set_paused(this->endpoint_watch, !reads);
+	table_watch_set_paused(this->roster_watch, !reads);
 	peers_set_only_source(this->peers, !reads);
 }
 
@@ -369,6 +367,7 @@
 {
 	bool reads;
 
+	gateway_update_roster_refresh(this, now);
 	if (now < this->store_reading_due)
 		return;
 	this->store_reading_due = now + READING_CHECK_INTERVAL;
@@ -393,7 +392,8 @@
 
 	this->reads_store = true;
 	this->roster = roster_new(&options);
-	this->roster_watch = watch_table(this, ROSTER_TABLE, settings->roster_wait_ms, &roster_ops);
+	this->roster_watch =
+		watch_table(this, ROSTER_TABLE, settings->roster_wait_ms, &gateway_roster_ops);
 	this->catalog_watch =
 		watch_table(this, adapter->catalog_table, settings->store_wait_ms, &catalog_ops);
 	this->endpoint_watch =
--- a/standin/row_store_standin.h
+++ b/standin/row_store_standin.h
@@ -30,6 +30,11 @@
 const char *row_store_standin_second_address(const row_store_standin_t *this);
 /* Whether requests to the second address get 503. */
 void row_store_standin_set_refusing(row_store_standin_t *this, bool refusing);
+/*
+ * Whether reads of all tables but this one get 503 at the second address; NULL: none do.  To be
+ * called while nobody reads there.
+ */
+void row_store_standin_show_only(row_store_standin_t *this, const char *table);
 
 /* Inserts or replaces a row; `value` is plain text, stored as base64. */
 void row_store_standin_put(
@@ -49,6 +54,8 @@
  * rises.  Connections that wait for rows are closed.
  */
 void row_store_standin_restore(row_store_standin_t *this, uint64_t version);
+/* Number of reads that wait for a change of the table now. */
+unsigned int row_store_standin_follower_count(row_store_standin_t *this, const char *table);
 /* Number of HTTP requests received so far. */
 unsigned int row_store_standin_request_count(row_store_standin_t *this);
 
