--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -92,7 +92,8 @@
 	uint32_t occasions;
 	bool is_whole; /* ENTRY_PART_END: the part stands for a request as a whole */
 	/*
-	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_LOAD: requests at the engine;
+	 * ENTRY_REFUSAL: retry delay in ms; ENTRY_FULL: time that the owner's engines read other
+	 * prompts, in ms, 0: they have no free slot; ENTRY_LOAD: requests at the engine;
 	 * ENTRY_FAILURE: slot_result_t; ENTRY_END: generated tokens; ENTRY_ROW_CHUNK:
 	 * rows still to come; ENTRY_PART_END: time since the end, ms; ENTRY_RATE_LIMIT: the
 	 * rate, see rate_limit.h; ENTRY_STORE_STATE: store_state_t.
@@ -214,6 +215,11 @@
 	uint64_t unanswered;	/* slot requests without a reply in time */
 	uint64_t without_grant; /* requests started without a grant */
 	uint64_t redirected;	/* slot requests answered by ENTRY_NOT_OWNER or ENTRY_FULL */
+	uint64_t redirected_reading; /* those of them for the prompts that the owner's engines read
+				      */
+	uint64_t steered_short; /* slot requests for which an owner was left out that reads others
+				 */
+	uint64_t steered_long; /* those that left out owners whose streams would pause too long */
 	uint64_t refused;	/* requests refused for their workspace's backlog */
 	uint64_t declined;	/* grants for engines that accept no requests any more */
 } placement_stats_t;
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -27,6 +27,7 @@
 typedef struct pool_usage {
 	id_t32 pool;
 	slot_usage_t received; /* as last received, plus the requests sent to the member since */
+	instant_t reading_until; /* according to `received` or a reply */
 	slot_usage_t sent;     /* of our own engines, as last sent to the member */
 } pool_usage_t;
 
@@ -107,6 +108,23 @@
 /* Counts a start without a grant, of which a router uses a part of its even share of the rate. */
 void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
 
+/* placement_steer.c: owners by what they read, and how fast */
+/* Returns the shortest prefill of the prompt at an owner that accepts requests. */
+uint64_t placement_fastest_prefill(
+	placement_t *this, const placement_request_t *request, instant_t now);
+/*
+ * Returns `load`, the owner's, or more if it should be asked only when no other owner has a free
+ * slot: it reads for much longer than the prompt takes, or its streams would pause too long.
+ */
+double placement_steered_load(placement_t *this, unsigned int slot,
+	const placement_request_t *request, uint64_t fastest, double load, instant_t now);
+/* Returns whether the engine's owner has it read the prompt without too long pauses of others. */
+bool placement_bears_prompt(placement_t *this, unsigned int slot,
+	const placement_request_t *request, uint64_t fastest, instant_t now);
+/* Returns how long, in ms, the prompt would wait for others that our engines read, 0: not much. */
+uint32_t placement_reading_wait_ms(
+	placement_t *this, const slot_request_t *request, instant_t now);
+
 /* placement_request.c: slot requests and the choice of their owner */
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
@@ -118,7 +136,7 @@
  * when there is none or it is `engine` itself.
  */
 id_t32 placement_likely_source(
-	const placement_t *this, const placement_request_t *request, id_t32 engine);
+	placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now);
 bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version);
 /* Returns whether the engine may run requests of the pool that are bound to the version or 0. */
 bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version);
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -21,13 +21,11 @@
 	return request;
 }
 
-/* Returns whether our engines of the pool are full while another owner probably has a free slot. */
-static bool should_redirect(placement_t *this, const slot_request_t *request, instant_t now)
+/* Returns whether another owner of engines of the pool probably has a free slot. */
+static bool has_free_owner(placement_t *this, const slot_request_t *request, instant_t now)
 {
 	id_t32 pool = request->pool;
 
-	if (placement_utilization(this, 0, pool, now) < 1)
-		return false;
 	for (unsigned int slot = 1; slot < this->members.count; slot++) {
 		if (placement_accepts_requests(this, slot) &&
 			placement_owns(this, slot, pool, request->version) &&
@@ -37,18 +35,37 @@
 	return false;
 }
 
+/*
+ * Returns whether another owner should be asked: our engines of the pool are full, or read other
+ * prompts for `wait_ms`, which is set.
+ */
+static bool should_redirect(
+	placement_t *this, const slot_request_t *request, uint32_t *wait_ms, instant_t now)
+{
+	if (request->must_queue)
+		return false;
+	*wait_ms = placement_utilization(this, 0, request->pool, now) < 1
+			   ? placement_reading_wait_ms(this, request, now)
+			   : 0;
+	if (!*wait_ms && placement_utilization(this, 0, request->pool, now) < 1)
+		return false;
+	return has_free_owner(this, request, now);
+}
+
 static void handle_slot_request(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
 	message_entry_t reply = {.kind = ENTRY_NOT_OWNER, .ticket = entry->slot_request.ticket};
+	uint32_t wait_ms = 0;
 
 	if (this->stopping ||
 		!placement_owns(this, 0, entry->slot_request.pool, entry->slot_request.version)) {
 		placement_queue_entry(this, slot, &reply, now);
 		return;
 	}
-	if (!entry->slot_request.must_queue && should_redirect(this, &entry->slot_request, now)) {
+	if (should_redirect(this, &entry->slot_request, &wait_ms, now)) {
 		reply.kind = ENTRY_FULL;
+		reply.value = wait_ms;
 		placement_queue_entry(this, slot, &reply, now);
 		return;
 	}
@@ -74,14 +91,20 @@
 	return request && request->state == PLACEMENT_GRANTED;
 }
 
-/* Sends the request to another owner: its present one has no free slot, or no usable engine. */
-static void try_next_owner(
-	placement_t *this, placement_request_t *request, bool owns_engines, instant_t now)
+/*
+ * Sends the request to another owner: its present one has no free slot, or no usable engine, or
+ * reads other prompts for `reading_ms`.
+ */
+static void try_next_owner(placement_t *this, placement_request_t *request, bool owns_engines,
+	uint32_t reading_ms, instant_t now)
 {
 	pool_usage_t *usage = placement_pool_usage(&this->peers[request->owner], request->pool);
 
 	this->stats.redirected++;
-	if (usage && owns_engines)
+	this->stats.redirected_reading += reading_ms > 0;
+	if (usage && reading_ms)
+		usage->reading_until = now + reading_ms * USEC_PER_MSEC;
+	else if (usage && owns_engines)
 		usage->received.taken = usage->received.slots + 1;
 	else if (usage)
 		usage->received = (slot_usage_t){0};
@@ -104,7 +127,7 @@
 	this->stats.declined++;
 	placement_withdraw(this, request->owner, request->ticket, now);
 	request->avoid = engine;
-	try_next_owner(this, request, true, now);
+	try_next_owner(this, request, true, 0, now);
 }
 
 static void handle_grant(
@@ -115,7 +138,8 @@
 	if (request && is_usable(this, request, entry->engine, now)) {
 		request->source = entry->source;
 		if (!request->source)
-			request->source = placement_likely_source(this, request, entry->engine);
+			request->source =
+				placement_likely_source(this, request, entry->engine, now);
 		placement_start(this, request, entry->engine, slot, now);
 	} else if (request) {
 		decline_grant(this, request, entry->engine, now);
@@ -141,7 +165,7 @@
 	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (request)
-		try_next_owner(this, request, false, now);
+		try_next_owner(this, request, false, 0, now);
 }
 
 static void handle_full(
@@ -150,7 +174,7 @@
 	placement_request_t *request = find_replied(this, slot, entry->ticket, now);
 
 	if (request)
-		try_next_owner(this, request, true, now);
+		try_next_owner(this, request, true, entry->value, now);
 }
 
 static void handle_withdrawal(
@@ -206,8 +230,10 @@
 {
 	pool_usage_t *usage = placement_pool_usage(&this->peers[slot], entry->pool);
 
-	if (usage)
-		usage->received = entry->usage;
+	if (!usage)
+		return;
+	usage->received = entry->usage;
+	usage->reading_until = now + entry->usage.reading_ms * USEC_PER_MSEC;
 }
 
 static void handle_receipt(
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -75,8 +75,8 @@
 }
 
 /* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
-static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
-	uint64_t prefix, unsigned int *best)
+static unsigned int rank_engines(placement_t *this, const placement_request_t *request,
+	uint64_t prefix, uint64_t fastest, instant_t now, unsigned int *best)
 {
 	uint64_t scores[MAX_CANDIDATES];
 	unsigned int count = 0;
@@ -86,7 +86,9 @@
 		uint64_t score = mix(prefix, engine->id);
 		unsigned int rank;
 
-		if (!placement_engine_fits(engine, request->pool, request->version))
+		if (!placement_engine_fits(engine, request->pool, request->version) ||
+			(fastest && !placement_bears_prompt(this, this->engines[i].owner, request,
+					    fastest, now)))
 			continue;
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
 			if (rank < MAX_CANDIDATES) {
@@ -134,8 +136,17 @@
 	return delay > REPLY_TIMEOUT ? load + (double)delay / DELAY_OF_FULL_OWNER : load;
 }
 
+/* The owner's load for this request: more where its prompt would wait or make others wait. */
+static double request_load(placement_t *this, unsigned int slot, const placement_request_t *request,
+	uint64_t fastest, instant_t now)
+{
+	return placement_steered_load(this, slot, request, fastest,
+		owner_load(this, slot, request->pool, now), now);
+}
+
 /* Returns the owner with the lowest load, a random one among equals; -1: none. */
-static int least_loaded_owner(placement_t *this, const placement_request_t *request, instant_t now)
+static int least_loaded_owner(
+	placement_t *this, const placement_request_t *request, uint64_t fastest, instant_t now)
 {
 	unsigned int start = (unsigned int)(next_random(this) % this->members.count);
 	int best = -1;
@@ -148,7 +159,7 @@
 		if (!placement_accepts_requests(this, slot) ||
 			!owns_engine_for(this, slot, request, now))
 			continue;
-		load = owner_load(this, slot, request->pool, now);
+		load = request_load(this, slot, request, fastest, now);
 		if (best >= 0 && load >= best_load)
 			continue;
 		best = (int)slot;
@@ -158,14 +169,14 @@
 }
 
 id_t32 placement_likely_source(
-	const placement_t *this, const placement_request_t *request, id_t32 engine)
+	placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
 {
 	const prompt_chain_t *chain = &request->work.chain;
 	unsigned int ranked[MAX_CANDIDATES];
 
 	if (!chain->count || chain->tokens[chain->count - 1] < ENGINE_COPY_MIN_TOKENS)
 		return 0;
-	if (!rank_engines(this, request, chain->hash[chain->count - 1], ranked) ||
+	if (!rank_engines(this, request, chain->hash[chain->count - 1], 0, now, ranked) ||
 		this->engines[ranked[0]].engine.id == engine)
 		return 0;
 	return this->engines[ranked[0]].engine.id;
@@ -181,9 +192,12 @@
 	const prompt_chain_t *chain = &request->work.chain;
 	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
 	unsigned int ranked[MAX_CANDIDATES];
-	unsigned int count = prefix ? rank_engines(this, request, prefix, ranked) : 0;
-	int best = least_loaded_owner(this, request, now);
-	double lowest = best < 0 ? 0 : owner_load(this, (unsigned int)best, request->pool, now);
+	uint64_t fastest = placement_fastest_prefill(this, request, now);
+	unsigned int count =
+		prefix ? rank_engines(this, request, prefix, fastest, now, ranked) : 0;
+	int best = least_loaded_owner(this, request, fastest, now);
+	double lowest =
+		best < 0 ? 0 : request_load(this, (unsigned int)best, request, fastest, now);
 	double bound = (lowest < UTILIZATION_LOW ? UTILIZATION_LOW : lowest) + UTILIZATION_MARGIN;
 
 	if (lowest < UTILIZATION_FREE && bound > UTILIZATION_FREE)
@@ -193,7 +207,7 @@
 
 		if (placement_accepts_requests(this, owner) &&
 			placement_may_use(&this->engines[ranked[i]], request, now) &&
-			owner_load(this, owner, request->pool, now) <=
+			request_load(this, owner, request, fastest, now) <=
 				bound - i * UTILIZATION_RANK_STEP)
 			return (int)owner;
 	}
--- /dev/null
+++ b/src/core/prefill_plan.c
@@ -0,0 +1,71 @@
+#include "core/prefill_plan.h"
+
+#define NSEC_PER_USEC 1000
+/* Waits up to this long cost less than to ask another owner. */
+#define MIN_WAIT (10 * USEC_PER_MSEC)
+/* A prompt goes elsewhere rather than wait for more than this many times its own prefill. */
+#define WAIT_FACTOR 2
+/* Longest prefill that a stream bears, as a fraction of its longest pause; the rest is for its own
+ * steps. */
+#define BEARABLE_SHARE 0.75
+/* Engines count as the fastest that take up to this many times as long. */
+#define FASTEST_MARGIN 1.25
+/* An overdue first token is waited for up to this many times the predicted prefill. */
+#define MAX_OVERDUE_FACTOR 3
+/* Copying a token from another engine takes this fraction of the time to read it. */
+#define COPY_DIVISOR 4
+
+/* The predicted prefill of the requests that wait for their first token. */
+static uint64_t pending_duration(const engine_t *engine)
+{
+	const engine_request_t *request;
+	uint64_t tokens = 0;
+
+	cds_list_for_each_entry (request, &engine->requests, link)
+		tokens += request->prefill_done ? 0 : request->prefill_tokens;
+	return (uint64_t)(engine->prefill_token_us * (double)tokens);
+}
+
+uint64_t prefill_plan_backlog(const engine_t *engine, instant_t now)
+{
+	instant_t due = engine->prefill_until + (uint64_t)engine->first_token_us;
+
+	if (!engine->prefilling || now <= due)
+		return engine_prefill_backlog(engine, now);
+	if (now - due > MAX_OVERDUE_FACTOR * pending_duration(engine))
+		return 0;
+	return now - due;
+}
+
+uint32_t prefill_plan_token_ns(const engine_t *engine)
+{
+	return (uint32_t)(engine->prefill_token_us + 0.5) * NSEC_PER_USEC;
+}
+
+uint32_t prefill_plan_tokens(const engine_work_t *work)
+{
+	uint32_t shared = 0;
+
+	for (unsigned int i = 0; i < work->chain.count; i++)
+		shared += work->chain.tokens[i];
+	if (shared > work->prompt)
+		shared = work->prompt;
+	return work->prompt - shared +
+	       (shared < ENGINE_COPY_MIN_TOKENS ? shared : shared / COPY_DIVISOR);
+}
+
+uint64_t prefill_plan_duration(uint32_t tokens, uint32_t token_ns)
+{
+	return (uint64_t)tokens * token_ns / NSEC_PER_USEC;
+}
+
+bool prefill_plan_goes_elsewhere(uint64_t own, uint64_t wait)
+{
+	return wait > MIN_WAIT && wait > WAIT_FACTOR * own;
+}
+
+bool prefill_plan_is_bearable(uint64_t own, uint64_t fastest, uint64_t max_event_gap)
+{
+	return !max_event_gap || (double)own <= BEARABLE_SHARE * (double)max_event_gap ||
+	       (double)own <= FASTEST_MARGIN * (double)fastest;
+}
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "core/prefill_plan.h"
+
 #define MAX_CANDIDATES 6       /* newest requests of a lane that are tried for a free slot */
 #define LATE_RESERVE_DIVISOR 8 /* late requests leave 1/8 of an engine's slots free */
 /* An engine counts as preferred with up to this many prefill tokens more than the best one. */
@@ -107,7 +109,7 @@
 {
 	return engine->model.running + reserved < sched_engine_usable_slots(engine, now) &&
 	       rate_limit_allows(&engine->rate_limit, now) &&
-	       engine_prefill_backlog(&engine->model, now) <= this->options->max_backlog &&
+	       prefill_plan_backlog(&engine->model, now) <= this->options->max_backlog &&
 	       engine_can_prefill(&engine->model, now);
 }
 
--- a/src/core/scheduler.c
+++ b/src/core/scheduler.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "core/prefill_plan.h"
 #include "core/refusal_cache.h"
 
 #define BUCKETS 1024
@@ -633,6 +634,21 @@
 
 /* --- status ------------------------------------------------------------- */
 
+/* Adds what the engine reads, and its speed, to the usage; it has usable slots. */
+static void add_prefill(
+	slot_usage_t *usage, const sched_engine_t *engine, uint64_t max_backlog, instant_t now)
+{
+	uint64_t backlog = prefill_plan_backlog(&engine->model, now);
+	unsigned int reading_ms =
+		backlog > max_backlog ? (unsigned int)((backlog - max_backlog) / USEC_PER_MSEC) : 0;
+	uint32_t token_ns = prefill_plan_token_ns(&engine->model);
+
+	if (!usage->prefill_token_ns || reading_ms < usage->reading_ms)
+		usage->reading_ms = reading_ms;
+	if (!usage->prefill_token_ns || token_ns < usage->prefill_token_ns)
+		usage->prefill_token_ns = token_ns;
+}
+
 slot_usage_t scheduler_usage(const scheduler_t *this, id_t32 id, instant_t now)
 {
 	const sched_pool_t *pool = find_pool(this, id);
@@ -650,6 +666,8 @@
 			slots = engine->model.running + starts;
 		usage.slots += slots;
 		usage.taken += engine->model.running < slots ? engine->model.running : slots;
+		if (slots)
+			add_prefill(&usage, engine, pool->options->max_backlog, now);
 	}
 	usage.taken += pool->timely;
 	return usage;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -146,6 +146,9 @@
 typedef struct slot_usage {
 	unsigned int slots; /* that may be used now */
 	unsigned int taken; /* in use, or requested by waiting requests that can be in time */
+	/* Until the first of them has read the prompts sent to it; 0: it may begin another. */
+	unsigned int reading_ms;
+	uint32_t prefill_token_ns; /* of the fastest of them, 0: unknown */
 } slot_usage_t;
 
 slot_usage_t scheduler_usage(const scheduler_t *this, id_t32 pool, instant_t now);
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -166,6 +166,8 @@
 		put_field(&fields, entry->pool);
 		put_field(&fields, entry->usage.slots);
 		put_field(&fields, entry->usage.taken);
+		put_field(&fields, entry->usage.reading_ms);
+		put_field(&fields, entry->usage.prefill_token_ns);
 		break;
 	case ENTRY_RECEIPT:
 	case ENTRY_STREAMS_SAVED:
@@ -408,6 +410,8 @@
 		entry->pool = (id_t32)get_field(&fields);
 		entry->usage.slots = (unsigned int)get_field(&fields);
 		entry->usage.taken = (unsigned int)get_field(&fields);
+		entry->usage.reading_ms = (unsigned int)get_field(&fields);
+		entry->usage.prefill_token_ns = (uint32_t)get_field(&fields);
 		return true;
 	case ENTRY_RECEIPT:
 	case ENTRY_STREAMS_SAVED:
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -17,6 +17,7 @@
 #define LARGEST_REQUESTS 3 /* of slack that the rule gives */
 #define ROUTER_ID_STEP 7919
 #define ATTEMPTS 2 /* of a caller */
+#define EVENT_TOKENS 8
 
 typedef struct fleet_message {
 	unsigned int to;
@@ -44,6 +45,12 @@
 	unsigned int engine; /* index, of one that runs */
 	uint32_t prefill_left;
 	instant_t ends_at; /* of JOB_GENERATING */
+	/* The rest with engines that read in chunks. */
+	double tokens_left;
+	double event_tokens; /* since the latest event */
+	instant_t event_at;
+	bool read_in_vain; /* another engine could read the prompt in shorter pauses */
+	fleet_result_t result;
 } job_t;
 
 typedef struct sim_router {
@@ -59,6 +66,7 @@
 	GQueue prefilling; /* job_t */
 	GPtrArray *generating;
 	GHashTable *cached; /* hashes of shared parts */
+	double chunk_left;  /* fraction of a token */
 } sim_engine_t;
 
 typedef struct sim_offer {
@@ -117,6 +125,12 @@
 
 /* --- setup -------------------------------------------------------------- */
 
+static uint64_t max_event_gap(const fleet_sim_t *this)
+{
+	return this->options.max_event_gap_ms ? this->options.max_event_gap_ms * USEC_PER_MSEC
+					      : MAX_EVENT_GAP;
+}
+
 static void set_engines(fleet_sim_t *this, unsigned int router)
 {
 	placement_engine_t *engines = g_new0(placement_engine_t, this->options.engines);
@@ -126,7 +140,7 @@
 			.pool = FLEET_POOL,
 			.limits = {.slots = this->options.slots,
 				.token_memory = TOKEN_MEMORY,
-				.max_event_gap = MAX_EVENT_GAP},
+				.max_event_gap = max_event_gap(this)},
 			.usable = true};
 	placement_set_engines(
 		this->routers[router].placement, engines, this->options.engines, this->now);
@@ -218,6 +232,7 @@
 	job->attempts++;
 	job->state = JOB_WAITING;
 	job->past_target = false;
+	job->result = (fleet_result_t){0};
 	job->target = this->now + job->workload->target_ms * USEC_PER_MSEC;
 	job->request.first_token_deadline = job->target - 15 * USEC_PER_MSEC;
 	job->request.deadline = job->deadline;
@@ -280,6 +295,16 @@
 	}
 }
 
+static void report_result(fleet_sim_t *this, const job_t *job)
+{
+	fleet_result_t result = job->result;
+
+	result.workload = job->workload;
+	result.prompt = job->request.work.prompt;
+	if (this->options.on_result)
+		this->options.on_result(this->options.ctx, &result);
+}
+
 static gint sooner(gconstpointer a, gconstpointer b, gpointer data)
 {
 	instant_t left = ((const job_t *)a)->ends_at;
@@ -292,6 +317,8 @@
 static void refuse_job(fleet_sim_t *this, job_t *job, uint32_t retry_after_ms)
 {
 	count_now(this, job->workspace)->refused++;
+	job->result.is_refused = true;
+	report_result(this, job);
 	job->ends_at = this->now + retry_after_ms * USEC_PER_MSEC;
 	if (job->attempts < ATTEMPTS && job->ends_at < job->deadline)
 		g_sequence_insert_sorted(this->returning, job, sooner, NULL);
@@ -316,6 +343,61 @@
 
 /* --- engines ------------------------------------------------------------ */
 
+/* Tokens that the engine reads in a microsecond. */
+static double reading_speed(const fleet_sim_t *this, const sim_engine_t *engine)
+{
+	const double *speeds = this->options.speeds;
+	double speed = speeds ? speeds[engine - this->engines] : 1;
+
+	return speed * this->options.prefill_tokens_per_ms / (double)USEC_PER_MSEC;
+}
+
+/* Duration of one step of the engine's streams. */
+static double step_us(const fleet_sim_t *this, const sim_engine_t *engine)
+{
+	const double *speeds = this->options.speeds;
+
+	return DECODE_STEP_US / (speeds ? speeds[engine - this->engines] : 1);
+}
+
+/* Pause of a stream while the engine reads that many tokens. */
+static double pause_for(const fleet_sim_t *this, const sim_engine_t *engine, uint32_t tokens)
+{
+	return tokens / reading_speed(this, engine) + EVENT_TOKENS * step_us(this, engine);
+}
+
+static bool reads_long_prompt(const fleet_sim_t *this, const sim_engine_t *engine)
+{
+	for (const GList *i = engine->prefilling.head; i; i = i->next) {
+		const job_t *job = i->data;
+
+		if (job->request.work.prompt >= this->options.long_prompt)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether streams of the job's engine pause too long for its prompt alone, while another engine
+ * that has half of its slots free and reads nothing reads all of it in half of that pause.
+ */
+static bool is_read_in_vain(const fleet_sim_t *this, const job_t *job)
+{
+	double limit = (double)max_event_gap(this);
+
+	if (pause_for(this, &this->engines[job->engine], job->prefill_left) <= limit)
+		return false;
+	for (unsigned int i = 0; i < this->options.engines; i++) {
+		const sim_engine_t *other = &this->engines[i];
+
+		if (!other->prefilling.length &&
+			other->generating->len <= this->options.slots / 2 &&
+			pause_for(this, other, job->request.work.prompt) <= limit / 2)
+			return true;
+	}
+	return false;
+}
+
 static void begin_run(fleet_sim_t *this, job_t *job, id_t32 id)
 {
 	sim_engine_t *engine = &this->engines[engine_index(id)];
@@ -341,6 +423,8 @@
 	if (chain->count)
 		g_hash_table_add(
 			engine->cached, g_memdup2(&chain->hash[0], sizeof(chain->hash[0])));
+	job->result.beside_long = reads_long_prompt(this, engine);
+	job->read_in_vain = is_read_in_vain(this, job);
 	g_queue_push_tail(&engine->prefilling, job);
 }
 
@@ -349,11 +433,76 @@
 	job->state = JOB_GENERATING;
 	job->ends_at =
 		this->now + FIRST_TOKEN_US + (uint64_t)(job->request.work.answer * DECODE_STEP_US);
+	job->tokens_left = job->request.work.answer;
+	job->event_at = this->now;
+	job->event_tokens = 0;
+	job->result.is_in_time = this->now <= job->target;
 	placement_first_token(this->routers[job->router].placement, &job->request, this->now);
 	this->routers[job->router].due = true;
 	g_ptr_array_add(engine->generating, job);
 }
 
+static void end_job(fleet_sim_t *this, job_t *job)
+{
+	this->without_grant -= job->request.without_grant;
+	report_result(this, job);
+	placement_end(this->routers[job->router].placement, &job->request, job->request.work.answer,
+		this->now);
+	this->routers[job->router].due = true;
+	g_hash_table_remove(this->jobs, job);
+}
+
+static void generate(fleet_sim_t *this, const sim_engine_t *engine, job_t *job, double steps)
+{
+	const job_t *reading = g_queue_peek_head((GQueue *)&engine->prefilling);
+	uint64_t pause = this->now - job->event_at;
+
+	job->result.longest_pause = MAX(job->result.longest_pause, pause);
+	if (pause > max_event_gap(this) && reading && reading->read_in_vain)
+		job->result.paused_in_vain = true;
+	job->tokens_left -= steps;
+	job->event_tokens += steps;
+	if (job->event_tokens < EVENT_TOKENS)
+		return;
+	job->event_tokens -= EVENT_TOKENS;
+	job->event_at = this->now;
+}
+
+/* An engine that reads a chunk between two steps of its streams. */
+static void run_chunked_engine(fleet_sim_t *this, sim_engine_t *engine)
+{
+	double step = step_us(this, engine);
+	double speed = reading_speed(this, engine);
+	double chunk = engine->prefilling.length ? this->options.chunk_tokens / speed : 0;
+	double steps = (double)STEP_US / (step + chunk);
+	double budget = engine->chunk_left;
+	job_t *job;
+
+	if (engine->prefilling.length)
+		budget += engine->generating->len ? steps * this->options.chunk_tokens
+						  : speed * (double)STEP_US;
+	for (unsigned int i = 0; i < engine->generating->len;) {
+		job = engine->generating->pdata[i];
+		generate(this, engine, job, steps);
+		if (job->tokens_left > 0) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index_fast(engine->generating, i);
+		end_job(this, job);
+	}
+	while ((job = g_queue_peek_head(&engine->prefilling)) && budget >= job->prefill_left) {
+		budget -= job->prefill_left;
+		g_queue_pop_head(&engine->prefilling);
+		finish_prefill(this, engine, job);
+	}
+	if (job) {
+		job->prefill_left -= (uint32_t)budget;
+		budget -= (uint32_t)budget;
+	}
+	engine->chunk_left = job ? budget : 0;
+}
+
 static void run_engine(fleet_sim_t *this, sim_engine_t *engine)
 {
 	unsigned int budget = this->options.prefill_tokens_per_ms;
@@ -376,11 +525,7 @@
 			continue;
 		}
 		g_ptr_array_remove_index_fast(engine->generating, i);
-		this->without_grant -= job->request.without_grant;
-		placement_end(this->routers[job->router].placement, &job->request,
-			job->request.work.answer, this->now);
-		this->routers[job->router].due = true;
-		g_hash_table_remove(this->jobs, job);
+		end_job(this, job);
 	}
 }
 
@@ -530,7 +675,10 @@
 		this->now += STEP_US;
 		deliver_messages(this);
 		for (unsigned int i = 0; i < this->options.engines; i++)
-			run_engine(this, &this->engines[i]);
+			if (this->options.chunk_tokens)
+				run_chunked_engine(this, &this->engines[i]);
+			else
+				run_engine(this, &this->engines[i]);
 		send_returning(this);
 		offer_requests(this);
 		for (unsigned int i = 0; i < this->options.routers; i++)
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -20,14 +20,6 @@
 #define FLEET_SECONDS 40
 #define FLEET_FAIR_WINDOW 6 /* seconds in which a workspace must get half of its share */
 
-typedef struct fleet_options {
-	unsigned int routers;
-	unsigned int engines;
-	unsigned int slots; /* of an engine */
-	uint32_t seed;
-	unsigned int prefill_tokens_per_ms; /* of an engine */
-} fleet_options_t;
-
 /* A kind of request; sizes are mean numbers of tokens. */
 typedef struct fleet_workload {
 	unsigned int prompt;
@@ -38,6 +30,35 @@
 	unsigned int deadline_ms;
 } fleet_workload_t;
 
+/* How an attempt of a request ended. */
+typedef struct fleet_result {
+	const fleet_workload_t *workload;
+	unsigned int prompt; /* tokens */
+	bool is_refused;
+	bool is_in_time;	/* its first token came within the objective */
+	bool beside_long;	/* a long prompt was being read at its engine when it was sent there */
+	uint64_t longest_pause; /* between two events of its stream, microseconds */
+	bool paused_in_vain;	/* by a prompt that another engine could have read in shorter pauses */
+} fleet_result_t;
+
+typedef struct fleet_options {
+	unsigned int routers;
+	unsigned int engines;
+	unsigned int slots; /* of an engine */
+	uint32_t seed;
+	unsigned int prefill_tokens_per_ms; /* of an engine */
+	/*
+	 * The rest may be 0.  Speed of each engine, 1: as above; the tokens that an engine reads
+	 * between two steps of its streams, 0: streams go on beside; the longest pause.
+	 */
+	const double *speeds;
+	unsigned int chunk_tokens;
+	unsigned int max_event_gap_ms;
+	unsigned int long_prompt; /* tokens; see fleet_result_t */
+	void (*on_result)(void *ctx, const fleet_result_t *result);
+	void *ctx;
+} fleet_options_t;
+
 /* Requests of a workspace that arrive at `routers` routers, from number `first_router` on. */
 typedef struct fleet_offer {
 	unsigned int workspace;
