--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -7,7 +7,7 @@
 #define WAIT_FACTOR 2
 /* Longest prefill that a stream bears, as a fraction of its longest pause; the rest is for its own
  * steps. */
-#define BEARABLE_SHARE 0.75
+#define BEARABLE_SHARE 0.5
 /* Engines count as the fastest that take up to this many times as long. */
 #define FASTEST_MARGIN 1.25
 /* An overdue first token is waited for up to this many times the predicted prefill. */
@@ -69,3 +69,17 @@
 	return !max_event_gap || (double)own <= BEARABLE_SHARE * (double)max_event_gap ||
 	       (double)own <= FASTEST_MARGIN * (double)fastest;
 }
+
+uint64_t prefill_plan_at(const engine_t *engine, const engine_work_t *work, uint32_t source_prefill)
+{
+	return (uint64_t)(engine->prefill_token_us *
+			  engine_prefill_tokens_with_copy(engine, work, source_prefill));
+}
+
+bool prefill_plan_suits(const engine_t *engine, const engine_work_t *work, uint32_t source_prefill,
+	uint64_t fastest)
+{
+	return engine->running == engine->prefilling ||
+	       prefill_plan_is_bearable(prefill_plan_at(engine, work, source_prefill), fastest,
+		       engine->limits.max_event_gap);
+}
--- a/src/core/prefill_plan.h
+++ b/src/core/prefill_plan.h
@@ -34,5 +34,11 @@
  * no other engine would read the prompt much faster; `fastest`: the shortest prefill of all.
  */
 bool prefill_plan_is_bearable(uint64_t own, uint64_t fastest, uint64_t max_event_gap);
+/* Returns the time that the engine takes to read the prompt, see engine.h for `source_prefill`. */
+uint64_t prefill_plan_at(
+	const engine_t *engine, const engine_work_t *work, uint32_t source_prefill);
+/* Returns whether the engine has no running streams, or they bear that it reads the prompt. */
+bool prefill_plan_suits(const engine_t *engine, const engine_work_t *work, uint32_t source_prefill,
+	uint64_t fastest);
 
 #endif
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -118,19 +118,32 @@
 	unsigned int reserve_divisor; /* leaves this fraction of the slots free, 0: none */
 	uint32_t max_prefill;	      /* most prefill tokens, UINT32_MAX: any */
 	uint32_t source_prefill;      /* prefill tokens at the preferred engine */
+	uint64_t fastest;	      /* shortest prefill at an engine that may be used */
 } engine_filter_t;
 
-static engine_filter_t filter_for(
-	const sched_pool_t *this, const slot_request_t *request, unsigned int reserve_divisor)
+static engine_filter_t filter_for(const sched_pool_t *this, const slot_request_t *request,
+	unsigned int reserve_divisor, instant_t now)
 {
 	const sched_engine_t *best = preferred_engine(this, request);
 
-	return (engine_filter_t){
+	engine_filter_t filter = {
 		.reserve_divisor = reserve_divisor,
 		.max_prefill = UINT32_MAX,
 		.source_prefill =
 			best ? engine_prefill_tokens(&best->model, &request->work) : UINT32_MAX,
+		.fastest = UINT64_MAX,
 	};
+	const sched_engine_t *engine;
+
+	cds_list_for_each_entry (engine, &this->engines, link) {
+		uint64_t prefill = prefill_plan_at(
+			&engine->model, &request->work, filter.source_prefill);
+
+		if (prefill < filter.fastest && has_version(engine, request) &&
+			sched_engine_usable_slots(engine, now))
+			filter.fastest = prefill;
+	}
+	return filter;
 }
 
 /* Returns the engine where the first token is expected soonest; NULL when none has room. */
@@ -149,7 +162,9 @@
 		instant_t rank;
 
 		if (!has_version(engine, request) || !engine_has_room(model, &request->work) ||
-			!can_take_prompt(this, engine, reserved, now))
+			!can_take_prompt(this, engine, reserved, now) ||
+			!prefill_plan_suits(model, &request->work, filter->source_prefill,
+				filter->fastest))
 			continue;
 		if (filter->max_prefill != UINT32_MAX &&
 			engine_prefill_tokens(model, &request->work) > filter->max_prefill)
@@ -207,7 +222,7 @@
 	sched_record_t *record;
 
 	cds_list_for_each_entry_reverse (record, &lane->timely, link) {
-		engine_filter_t filter = filter_for(this, &record->request, 0);
+		engine_filter_t filter = filter_for(this, &record->request, 0, now);
 		instant_t first_token_at;
 
 		if (preferred_only)
@@ -288,7 +303,7 @@
 
 		if (!record->request.version)
 			return record;
-		filter = filter_for(this, &record->request, 0);
+		filter = filter_for(this, &record->request, 0, now);
 		if (best_engine(this, &record->request, &filter, now, &first_token_at))
 			return record;
 	}
@@ -318,7 +333,8 @@
 	}
 	if (!best.record)
 		return best;
-	filter = filter_for(this, &best.record->request, this->timely ? 0 : LATE_RESERVE_DIVISOR);
+	filter = filter_for(
+		this, &best.record->request, this->timely ? 0 : LATE_RESERVE_DIVISOR, now);
 	best.engine = best_engine(this, &best.record->request, &filter, now, &first_token_at);
 	if (!best.engine)
 		best.record = NULL;
@@ -338,7 +354,7 @@
 		if (!is_started(record) || !*left)
 			continue;
 		(*left)--;
-		filter = filter_for(this, &record->request, 0);
+		filter = filter_for(this, &record->request, 0, now);
 		*engine = best_engine(this, &record->request, &filter, now, &first_token_at);
 		if (*engine)
 			return record;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -18,6 +18,7 @@
 #define ROUTER_ID_STEP 7919
 #define ATTEMPTS 2 /* of a caller */
 #define EVENT_TOKENS 8
+#define COPY_SPEEDUP 4 /* as fast as reading */
 
 typedef struct fleet_message {
 	unsigned int to;
@@ -398,6 +399,16 @@
 	return false;
 }
 
+/* Whether the engine that the shared part is to be copied from has it. */
+static bool can_copy(const fleet_sim_t *this, const job_t *job)
+{
+	const engine_work_t *work = &job->request.work;
+
+	return job->request.source &&
+	       g_hash_table_contains(this->engines[engine_index(job->request.source)].cached,
+		       &work->chain.hash[0]);
+}
+
 static void begin_run(fleet_sim_t *this, job_t *job, id_t32 id)
 {
 	sim_engine_t *engine = &this->engines[engine_index(id)];
@@ -420,6 +431,8 @@
 	job->prefill_left = job->request.work.prompt;
 	if (chain->count && g_hash_table_contains(engine->cached, &chain->hash[0]))
 		job->prefill_left -= chain->tokens[0];
+	else if (chain->count && this->options.chunk_tokens && can_copy(this, job))
+		job->prefill_left -= chain->tokens[0] - chain->tokens[0] / COPY_SPEEDUP;
 	if (chain->count)
 		g_hash_table_add(
 			engine->cached, g_memdup2(&chain->hash[0], sizeof(chain->hash[0])));
