--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -215,11 +215,11 @@
 	uint64_t unanswered;	/* slot requests without a reply in time */
 	uint64_t without_grant; /* requests started without a grant */
 	uint64_t redirected;	/* slot requests answered by ENTRY_NOT_OWNER or ENTRY_FULL */
-	uint64_t redirected_reading; /* those of them for the prompts that the owner's engines read
-				      */
-	uint64_t steered_short; /* slot requests for which an owner was left out that reads others
-				 */
-	uint64_t steered_long; /* those that left out owners whose streams would pause too long */
+	/* Those of them for the prompts that the owner's engines read. */
+	uint64_t redirected_reading;
+	/* Choices of an owner that avoided others with free slots for their streams' pauses, ... */
+	uint64_t steered_pauses;
+	uint64_t steered_reading; /* ... or for the prompts that they read */
 	uint64_t refused;	/* requests refused for their workspace's backlog */
 	uint64_t declined;	/* grants for engines that accept no requests any more */
 } placement_stats_t;
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -49,6 +49,16 @@
 	instant_t receipt_at; /* when the next confirmation may be sent */
 } peer_state_t;
 
+/* A prompt as the choice of its owner sees it; see prefill_plan.h. */
+typedef struct steering {
+	id_t32 pool;
+	uint32_t tokens;	/* to be read */
+	uint64_t fastest;	/* shortest prefill at an owner that accepts requests, 0: unknown */
+	uint64_t max_event_gap; /* of the pool's streams, 0: any */
+	bool avoids_pauses;	/* an owner with a free slot was avoided for its streams, ... */
+	bool avoids_reading;	/* ... or for the prompts that it reads */
+} steering_t;
+
 struct placement {
 	placement_options_t options;
 	const allocator_t *allocator;
@@ -109,19 +119,19 @@
 void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
 
 /* placement_steer.c: owners by what they read, and how fast */
-/* Returns the shortest prefill of the prompt at an owner that accepts requests. */
-uint64_t placement_fastest_prefill(
+steering_t placement_steering(
 	placement_t *this, const placement_request_t *request, instant_t now);
 /*
  * Returns `load`, the owner's, or more if it should be asked only when no other owner has a free
  * slot: it reads for much longer than the prompt takes, or its streams would pause too long.
  */
-double placement_steered_load(placement_t *this, unsigned int slot,
-	const placement_request_t *request, uint64_t fastest, double load, instant_t now);
-/* Returns whether the engine's owner has it read the prompt without too long pauses of others. */
-bool placement_bears_prompt(placement_t *this, unsigned int slot,
-	const placement_request_t *request, uint64_t fastest, instant_t now);
-/* Returns how long, in ms, the prompt would wait for others that our engines read, 0: not much. */
+double placement_steered_load(
+	placement_t *this, unsigned int slot, steering_t *steering, double load, instant_t now);
+/* Returns whether the owner's engines read the prompt without too long pauses of their streams. */
+bool placement_bears_prompt(
+	placement_t *this, unsigned int slot, const steering_t *steering, instant_t now);
+void placement_count_steered(placement_t *this, const steering_t *steering);
+/* Returns how long, in ms, the prompt would wait for others that our engines read; 0: not much. */
 uint32_t placement_reading_wait_ms(
 	placement_t *this, const slot_request_t *request, instant_t now);
 
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -74,9 +74,12 @@
 	       state->paused_until <= now;
 }
 
-/* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
+/*
+ * Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing; with
+ * `steering` only of those whose streams bear the prompt.
+ */
 static unsigned int rank_engines(placement_t *this, const placement_request_t *request,
-	uint64_t prefix, uint64_t fastest, instant_t now, unsigned int *best)
+	uint64_t prefix, const steering_t *steering, instant_t now, unsigned int *best)
 {
 	uint64_t scores[MAX_CANDIDATES];
 	unsigned int count = 0;
@@ -87,8 +90,8 @@
 		unsigned int rank;
 
 		if (!placement_engine_fits(engine, request->pool, request->version) ||
-			(fastest && !placement_bears_prompt(this, this->engines[i].owner, request,
-					    fastest, now)))
+			(steering && !placement_bears_prompt(
+					     this, this->engines[i].owner, steering, now)))
 			continue;
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
 			if (rank < MAX_CANDIDATES) {
@@ -137,16 +140,16 @@
 }
 
 /* The owner's load for this request: more where its prompt would wait or make others wait. */
-static double request_load(placement_t *this, unsigned int slot, const placement_request_t *request,
-	uint64_t fastest, instant_t now)
+static double steered_load(
+	placement_t *this, unsigned int slot, steering_t *steering, instant_t now)
 {
-	return placement_steered_load(this, slot, request, fastest,
-		owner_load(this, slot, request->pool, now), now);
+	return placement_steered_load(
+		this, slot, steering, owner_load(this, slot, steering->pool, now), now);
 }
 
 /* Returns the owner with the lowest load, a random one among equals; -1: none. */
 static int least_loaded_owner(
-	placement_t *this, const placement_request_t *request, uint64_t fastest, instant_t now)
+	placement_t *this, const placement_request_t *request, steering_t *steering, instant_t now)
 {
 	unsigned int start = (unsigned int)(next_random(this) % this->members.count);
 	int best = -1;
@@ -159,7 +162,7 @@
 		if (!placement_accepts_requests(this, slot) ||
 			!owns_engine_for(this, slot, request, now))
 			continue;
-		load = request_load(this, slot, request, fastest, now);
+		load = steered_load(this, slot, steering, now);
 		if (best >= 0 && load >= best_load)
 			continue;
 		best = (int)slot;
@@ -176,7 +179,7 @@
 
 	if (!chain->count || chain->tokens[chain->count - 1] < ENGINE_COPY_MIN_TOKENS)
 		return 0;
-	if (!rank_engines(this, request, chain->hash[chain->count - 1], 0, now, ranked) ||
+	if (!rank_engines(this, request, chain->hash[chain->count - 1], NULL, now, ranked) ||
 		this->engines[ranked[0]].engine.id == engine)
 		return 0;
 	return this->engines[ranked[0]].engine.id;
@@ -192,14 +195,14 @@
 	const prompt_chain_t *chain = &request->work.chain;
 	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
 	unsigned int ranked[MAX_CANDIDATES];
-	uint64_t fastest = placement_fastest_prefill(this, request, now);
+	steering_t steering = placement_steering(this, request, now);
 	unsigned int count =
-		prefix ? rank_engines(this, request, prefix, fastest, now, ranked) : 0;
-	int best = least_loaded_owner(this, request, fastest, now);
-	double lowest =
-		best < 0 ? 0 : request_load(this, (unsigned int)best, request, fastest, now);
+		prefix ? rank_engines(this, request, prefix, &steering, now, ranked) : 0;
+	int best = least_loaded_owner(this, request, &steering, now);
+	double lowest = best < 0 ? 0 : steered_load(this, (unsigned int)best, &steering, now);
 	double bound = (lowest < UTILIZATION_LOW ? UTILIZATION_LOW : lowest) + UTILIZATION_MARGIN;
 
+	placement_count_steered(this, &steering);
 	if (lowest < UTILIZATION_FREE && bound > UTILIZATION_FREE)
 		bound = UTILIZATION_FREE;
 	for (unsigned int i = 0; i < count; i++) {
@@ -207,7 +210,7 @@
 
 		if (placement_accepts_requests(this, owner) &&
 			placement_may_use(&this->engines[ranked[i]], request, now) &&
-			request_load(this, owner, request, fastest, now) <=
+			steered_load(this, owner, &steering, now) <=
 				bound - i * UTILIZATION_RANK_STEP)
 			return (int)owner;
 	}
--- a/src/core/placement_steer.c
+++ b/src/core/placement_steer.c
@@ -6,8 +6,8 @@
  * free slot, less than that of one that is full.
  */
 #define LOAD_AVOIDED (UTILIZATION_FREE + 0.01)
-#define LOAD_FULL 1.0
-#define LONGEST_PREFILL (20.0 * USEC_PER_SEC) /* longer ones count like this one */
+#define LOAD_AVOIDED_MOST 0.99
+#define LONGEST_COST (20.0 * USEC_PER_SEC) /* higher costs count like this one */
 
 /* What the owner last told; of this router's own engines, what is so now. */
 static slot_usage_t usage_of(placement_t *this, unsigned int slot, id_t32 pool, instant_t now)
@@ -25,9 +25,9 @@
 	return usage;
 }
 
-static uint64_t prefill_at(const slot_usage_t *usage, const engine_work_t *work)
+static uint64_t prefill_at(const slot_usage_t *usage, const steering_t *steering)
 {
-	return prefill_plan_duration(prefill_plan_tokens(work), usage->prefill_token_ns);
+	return prefill_plan_duration(steering->tokens, usage->prefill_token_ns);
 }
 
 static uint64_t max_event_gap(const placement_t *this, id_t32 pool)
@@ -39,64 +39,79 @@
 	return 0;
 }
 
-static bool is_bearable(placement_t *this, const slot_usage_t *usage,
-	const placement_request_t *request, uint64_t fastest)
+steering_t placement_steering(
+	placement_t *this, const placement_request_t *request, instant_t now)
 {
-	return !usage->taken ||
-	       prefill_plan_is_bearable(prefill_at(usage, &request->work), fastest,
-		       max_event_gap(this, request->pool));
-}
+	steering_t steering = {
+		.pool = request->pool,
+		.tokens = prefill_plan_tokens(&request->work),
+		.max_event_gap = max_event_gap(this, request->pool),
+	};
 
-bool placement_bears_prompt(placement_t *this, unsigned int slot,
-	const placement_request_t *request, uint64_t fastest, instant_t now)
-{
-	slot_usage_t usage = usage_of(this, slot, request->pool, now);
+	for (unsigned int slot = 0; slot < this->members.count; slot++) {
+		slot_usage_t usage;
+		uint64_t prefill;
 
-	return is_bearable(this, &usage, request, fastest);
+		if (!placement_accepts_requests(this, slot))
+			continue;
+		usage = usage_of(this, slot, request->pool, now);
+		prefill = prefill_at(&usage, &steering);
+		if (prefill && (!steering.fastest || prefill < steering.fastest))
+			steering.fastest = prefill;
+	}
+	return steering;
 }
 
-uint64_t placement_fastest_prefill(
-	placement_t *this, const placement_request_t *request, instant_t now)
+static bool is_bearable(const slot_usage_t *usage, const steering_t *steering)
 {
-	uint64_t fastest = 0;
+	return !usage->taken || prefill_plan_is_bearable(prefill_at(usage, steering),
+					steering->fastest, steering->max_event_gap);
+}
 
-	for (unsigned int slot = 0; slot < this->members.count; slot++) {
-		slot_usage_t usage = usage_of(this, slot, request->pool, now);
-		uint64_t prefill = prefill_at(&usage, &request->work);
+bool placement_bears_prompt(
+	placement_t *this, unsigned int slot, const steering_t *steering, instant_t now)
+{
+	slot_usage_t usage = usage_of(this, slot, steering->pool, now);
 
-		if (prefill && (!fastest || prefill < fastest) &&
-			placement_accepts_requests(this, slot))
-			fastest = prefill;
-	}
-	return fastest;
+	return is_bearable(&usage, steering);
 }
 
-double placement_steered_load(placement_t *this, unsigned int slot,
-	const placement_request_t *request, uint64_t fastest, double load, instant_t now)
+double placement_steered_load(
+	placement_t *this, unsigned int slot, steering_t *steering, double load, instant_t now)
 {
-	slot_usage_t usage = usage_of(this, slot, request->pool, now);
-	uint64_t prefill = prefill_at(&usage, &request->work);
-	double excess = 0;
+	slot_usage_t usage = usage_of(this, slot, steering->pool, now);
+	uint64_t prefill = prefill_at(&usage, steering);
+	uint64_t wait = usage.reading_ms * USEC_PER_MSEC;
+	double cost;
 
-	if (!fastest || load >= LOAD_AVOIDED)
+	if (!steering->fastest || load >= LOAD_AVOIDED)
 		return load;
-	if (!is_bearable(this, &usage, request, fastest))
-		excess = (double)prefill;
-	else if (prefill_plan_goes_elsewhere(prefill, usage.reading_ms * USEC_PER_MSEC))
-		excess = usage.reading_ms * (double)USEC_PER_MSEC;
-	if (excess <= 0)
+	if (!is_bearable(&usage, steering)) {
+		steering->avoids_pauses = true;
+		cost = (double)prefill;
+	} else if (prefill_plan_goes_elsewhere(prefill, wait)) {
+		steering->avoids_reading = true;
+		cost = (double)wait;
+	} else {
 		return load;
-	if (excess > LONGEST_PREFILL)
-		excess = LONGEST_PREFILL;
-	return LOAD_AVOIDED + (LOAD_FULL - LOAD_AVOIDED) * excess / (2 * LONGEST_PREFILL);
+	}
+	if (cost > LONGEST_COST)
+		cost = LONGEST_COST;
+	return LOAD_AVOIDED + (LOAD_AVOIDED_MOST - LOAD_AVOIDED) * cost / LONGEST_COST;
+}
+
+void placement_count_steered(placement_t *this, const steering_t *steering)
+{
+	this->stats.steered_pauses += steering->avoids_pauses;
+	this->stats.steered_reading += steering->avoids_reading;
 }
 
 uint32_t placement_reading_wait_ms(placement_t *this, const slot_request_t *request, instant_t now)
 {
 	slot_usage_t usage = scheduler_usage(this->scheduler, request->pool, now);
+	uint64_t own = prefill_plan_duration(
+		prefill_plan_tokens(&request->work), usage.prefill_token_ns);
 
-	return prefill_plan_goes_elsewhere(prefill_at(&usage, &request->work),
-		       usage.reading_ms * USEC_PER_MSEC)
-		       ? usage.reading_ms
-		       : 0;
+	return prefill_plan_goes_elsewhere(own, usage.reading_ms * USEC_PER_MSEC) ? usage.reading_ms
+										  : 0;
 }
--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -5,12 +5,9 @@
 #define MIN_WAIT (10 * USEC_PER_MSEC)
 /* A prompt goes elsewhere rather than wait for more than this many times its own prefill. */
 #define WAIT_FACTOR 2
-/*
- * Longest prefill that streams bear, as a fraction of their longest pause; the rest is for their
- * own steps.  Routers leave room for a second prompt, as their news is older than an owner's.
- */
+/* Longest prefill that streams bear, as a fraction of their longest pause; the rest is for their
+ * own steps. */
 #define BEARABLE_SHARE 0.75
-#define STEERED_SHARE 0.5
 /* Engines count as the fastest that take up to this many times as long. */
 #define FASTEST_MARGIN 1.25
 /* An overdue first token is waited for up to this many times the predicted prefill. */
@@ -67,15 +64,10 @@
 	return wait > MIN_WAIT && wait > WAIT_FACTOR * own;
 }
 
-static bool is_bearable(uint64_t own, uint64_t fastest, double limit)
-{
-	return limit <= 0 || (double)own <= limit ||
-	       (double)own <= FASTEST_MARGIN * (double)fastest;
-}
-
 bool prefill_plan_is_bearable(uint64_t own, uint64_t fastest, uint64_t max_event_gap)
 {
-	return is_bearable(own, fastest, STEERED_SHARE * (double)max_event_gap);
+	return !max_event_gap || (double)own <= BEARABLE_SHARE * (double)max_event_gap ||
+	       (double)own <= FASTEST_MARGIN * (double)fastest;
 }
 
 uint64_t prefill_plan_at(const engine_t *engine, const engine_work_t *work, uint32_t source_prefill)
@@ -88,6 +80,6 @@
 	uint64_t fastest)
 {
 	return engine->running == engine->prefilling ||
-	       is_bearable(prefill_plan_at(engine, work, source_prefill), fastest,
-		       BEARABLE_SHARE * (double)engine->limits.max_event_gap);
+	       prefill_plan_is_bearable(prefill_plan_at(engine, work, source_prefill), fastest,
+		       engine->limits.max_event_gap);
 }
--- a/src/gateway/call_account.c
+++ b/src/gateway/call_account.c
@@ -10,6 +10,9 @@
 	uint64_t first_byte_delay = call->first_byte ? call->first_byte - call->arrived : 0;
 
 	gateway_count_outcome(call->gateway, call->reason);
+	if (call->first_byte && call->placement_request.work.prompt)
+		first_token_histogram_add(&call->gateway->first_tokens,
+			call->placement_request.work.prompt, first_byte_delay);
 	log_info("request",
 		"id=%s workspace=%s route=%s endpoint=%s outcome=%s reason=%s status=%u sends=%u "
 		"runs=%u asks=%u on_own=%d queued_ms=%" G_GUINT64_FORMAT
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -414,6 +414,7 @@
 	this->engines_outdated |= endpoint_registry_expire(this->endpoint_registry, now);
 	gateway_apply_fleet_size(this);
 	lane_log_tick(&this->lane_log, peers_placement(this->peers), this->catalog, now);
+	steer_log_tick(&this->steer_log, placement_stats(peers_placement(this->peers)), now);
 	if (peers_saw_unknown_peer(this->peers))
 		table_watch_refresh(this->roster_watch);
 	check_stop(this, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "core/overload.h"
 #include "gateway/adapter.h"
 #include "gateway/call.h"
+#include "gateway/first_token_histogram.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/lane_log.h"
 #include "gateway/listener.h"
@@ -20,6 +21,7 @@
 #include "gateway/peers.h"
 #include "gateway/retry_budget.h"
 #include "gateway/roster.h"
+#include "gateway/steer_log.h"
 #include "gateway/table_watch.h"
 
 #define NOT_READY_RETRY_S 0.5 /* a router that has just started has loaded its catalog by then */
@@ -79,6 +81,8 @@
 	origin_lookup_t *origin_lookup;
 	origin_fleet_t origin_fleet;
 	lane_log_t lane_log;
+	steer_log_t steer_log;
+	first_token_histogram_t first_tokens;
 	instant_t origin_fleet_due; /* when it is looked at again */
 	peers_t *peers;
 	roster_t *roster;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -40,6 +40,14 @@
 			(guint64)this->bounds_exceeded[i]);
 }
 
+static void write_steering_metrics(const placement_stats_t *stats, GString *out)
+{
+	metrics_append(out, "prompts_steered_total{reason=\"pauses\"}", stats->steered_pauses);
+	metrics_append(out, "prompts_steered_total{reason=\"reading\"}", stats->steered_reading);
+	metrics_append(
+		out, "prompts_steered_total{reason=\"redirected\"}", stats->redirected_reading);
+}
+
 void gateway_write_metrics(const gateway_t *this, GString *out)
 {
 	const placement_t *placement = peers_placement(this->peers);
@@ -86,6 +94,8 @@
 	metrics_append(out, "store_reader", this->reads_store);
 	metrics_append(out, "log_lines_dropped_total", log_dropped_lines());
 	write_buffer_metrics(this, out);
+	write_steering_metrics(placement_counters, out);
+	first_token_histogram_write_metrics(&this->first_tokens, out);
 	loop_watch_write_metrics(this->loop_watch, out);
 	for (int i = 0; i < REASON_COUNT; i++)
 		g_string_append_printf(out,
