--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -12,6 +12,10 @@
 #define FASTEST_MARGIN 1.25
 /* An overdue first token is waited for up to this many times the predicted prefill. */
 #define MAX_OVERDUE_FACTOR 3
+/* Grants given within this time of each other may reach the engine in another order ... */
+#define CROSSING_TIME (10 * USEC_PER_MSEC)
+/* ... which matters if the later one is for a prompt that takes longer than this. */
+#define CROSSING_MIN_PREFILL (10 * CROSSING_TIME)
 /* Copying a token from another engine takes this fraction of the time to read it. */
 #define COPY_DIVISOR 4
 
@@ -76,10 +80,24 @@
 			  engine_prefill_tokens_with_copy(engine, work, source_prefill));
 }
 
+/* Whether a prompt sent now may reach the engine before one that was sent there a moment ago. */
+static bool may_overtake(const engine_t *engine, instant_t now)
+{
+	const engine_request_t *latest;
+
+	if (!engine->running)
+		return false;
+	latest = cds_list_entry(engine->requests.prev, engine_request_t, link);
+	return !latest->prefill_done && now < latest->began_at + CROSSING_TIME;
+}
+
 bool prefill_plan_suits(const engine_t *engine, const engine_work_t *work, uint32_t source_prefill,
-	uint64_t fastest)
+	uint64_t fastest, instant_t now)
 {
+	uint64_t own = prefill_plan_at(engine, work, source_prefill);
+
+	if (own > CROSSING_MIN_PREFILL && may_overtake(engine, now))
+		return false;
 	return engine->running == engine->prefilling ||
-	       prefill_plan_is_bearable(prefill_plan_at(engine, work, source_prefill), fastest,
-		       engine->limits.max_event_gap);
+	       prefill_plan_is_bearable(own, fastest, engine->limits.max_event_gap);
 }
--- a/src/core/prefill_plan.h
+++ b/src/core/prefill_plan.h
@@ -37,8 +37,11 @@
 /* Returns the time that the engine takes to read the prompt, see engine.h for `source_prefill`. */
 uint64_t prefill_plan_at(
 	const engine_t *engine, const engine_work_t *work, uint32_t source_prefill);
-/* Returns whether the engine has no running streams, or they bear that it reads the prompt. */
+/*
+ * Returns whether the engine may read the prompt now: it has no running streams or they bear it,
+ * and a long prompt can't overtake one that was sent there a moment ago.
+ */
 bool prefill_plan_suits(const engine_t *engine, const engine_work_t *work, uint32_t source_prefill,
-	uint64_t fastest);
+	uint64_t fastest, instant_t now);
 
 #endif
