--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -7,7 +7,7 @@
 #define WAIT_FACTOR 2
 /* Longest prefill that streams bear, as a fraction of their longest pause; the rest is for their
  * own steps. */
-#define BEARABLE_SHARE 0.75
+#define BEARABLE_SHARE 0.6
 /* Engines count as the fastest that take up to this many times as long. */
 #define FASTEST_MARGIN 1.25
 /* An overdue first token is waited for up to this many times the predicted prefill. */
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -379,14 +379,14 @@
 }
 
 /*
- * Whether streams of the job's engine pause too long for its prompt alone, while another engine
- * that has half of its slots free and reads nothing reads all of it in half of that pause.
+ * Whether the job's engine takes longer for its prompt alone than streams may pause, while another
+ * engine that has half of its slots free and reads nothing reads all of it in half of that time.
  */
 static bool is_read_in_vain(const fleet_sim_t *this, const job_t *job)
 {
 	double limit = (double)max_event_gap(this);
 
-	if (pause_for(this, &this->engines[job->engine], job->prefill_left) <= limit)
+	if (job->prefill_left / reading_speed(this, &this->engines[job->engine]) <= limit)
 		return false;
 	for (unsigned int i = 0; i < this->options.engines; i++) {
 		const sim_engine_t *other = &this->engines[i];
