--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 $(BUILD)/summary: $(BUILD)/obj/bench/summary.o $(BUILD)/libinternal.a
 	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ $(LIBS)
 
-$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/obj/tests/fleet_sim.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
+$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/obj/tests/fleet_sim.o $(BUILD)/obj/tests/mixed_load.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
 	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lcmocka $(LIBS)
 
 test-programs: $(patsubst tests/%.c,$(BUILD)/%,$(TESTS))
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -130,7 +130,8 @@
 /* Returns whether the owner's engines read the prompt without too long pauses of their streams. */
 bool placement_bears_prompt(
 	placement_t *this, unsigned int slot, const steering_t *steering, instant_t now);
-void placement_count_steered(placement_t *this, const steering_t *steering);
+/* Counts the choice of an owner if others were avoided; `lowest`: the least load of all. */
+void placement_count_steered(placement_t *this, const steering_t *steering, double lowest);
 /* Returns how long, in ms, the prompt would wait for others that our engines read; 0: not much. */
 uint32_t placement_reading_wait_ms(
 	placement_t *this, const slot_request_t *request, instant_t now);
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -202,7 +202,7 @@
 	double lowest = best < 0 ? 0 : steered_load(this, (unsigned int)best, &steering, now);
 	double bound = (lowest < UTILIZATION_LOW ? UTILIZATION_LOW : lowest) + UTILIZATION_MARGIN;
 
-	placement_count_steered(this, &steering);
+	placement_count_steered(this, &steering, lowest);
 	if (lowest < UTILIZATION_FREE && bound > UTILIZATION_FREE)
 		bound = UTILIZATION_FREE;
 	for (unsigned int i = 0; i < count; i++) {
--- a/src/core/placement_steer.c
+++ b/src/core/placement_steer.c
@@ -100,8 +100,10 @@
 	return LOAD_AVOIDED + (LOAD_AVOIDED_MOST - LOAD_AVOIDED) * cost / LONGEST_COST;
 }
 
-void placement_count_steered(placement_t *this, const steering_t *steering)
+void placement_count_steered(placement_t *this, const steering_t *steering, double lowest)
 {
+	if (lowest >= LOAD_AVOIDED)
+		return;
 	this->stats.steered_pauses += steering->avoids_pauses;
 	this->stats.steered_reading += steering->avoids_reading;
 }
--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -33,12 +33,14 @@
 uint64_t prefill_plan_backlog(const engine_t *engine, instant_t now)
 {
 	instant_t due = engine->prefill_until + (uint64_t)engine->first_token_us;
+	uint64_t pending;
 
 	if (!engine->prefilling || now <= due)
 		return engine_prefill_backlog(engine, now);
-	if (now - due > MAX_OVERDUE_FACTOR * pending_duration(engine))
+	pending = pending_duration(engine);
+	if (now - due > MAX_OVERDUE_FACTOR * pending)
 		return 0;
-	return now - due;
+	return now - due < pending ? now - due : pending;
 }
 
 uint32_t prefill_plan_token_ns(const engine_t *engine)
--- a/src/core/prefill_plan.h
+++ b/src/core/prefill_plan.h
@@ -7,7 +7,8 @@
  * streams pause while a long one is read.  A short prompt goes elsewhere while an engine reads for
  * much longer than the prompt itself takes; longer ones wait there, so that they gather at the
  * engines that read long prompts anyway.  A prompt that would break the pauses of running streams
- * goes to engines that read it fast enough, or else to about the fastest.
+ * goes to engines that read it fast enough, or else to about the fastest, and waits for one until
+ * it counts as late.
  *
  * Answers: mixed prompts with a heavy tail, floods of long or of short ones, engines of unequal
  * speed.  With prompts or engines all alike, with one engine or without running streams the answer
@@ -15,6 +16,9 @@
  */
 #include "core/engine.h"
 
+/* Stands for the shortest prefill of all if a prompt is read at once wherever there is room. */
+#define PREFILL_PLAN_ANY (UINT64_MAX / 2)
+
 /*
  * Returns the time that the engine needs for the prompts sent to it.  Unlike
  * engine_prefill_backlog(), not 0 while a first token is overdue: what was predicted too short may
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -164,7 +164,7 @@
 		if (!has_version(engine, request) || !engine_has_room(model, &request->work) ||
 			!can_take_prompt(this, engine, reserved, now) ||
 			!prefill_plan_suits(model, &request->work, filter->source_prefill,
-				filter->fastest, now))
+				request->is_late ? PREFILL_PLAN_ANY : filter->fastest, now))
 			continue;
 		if (filter->max_prefill != UINT32_MAX &&
 			engine_prefill_tokens(model, &request->work) > filter->max_prefill)
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -265,8 +265,13 @@
 	job->request.pool = FLEET_POOL;
 	job->request.workspace = 1 + offer->workspace;
 	job->request.request_fingerprint = g_rand_int(this->random) | 1U;
-	work->prompt = workload->shared + draw_size(this, workload->prompt - workload->shared);
-	work->answer = draw_size(this, workload->answer);
+	work->prompt = workload->prompt;
+	work->answer = workload->answer;
+	if (!workload->is_fixed) {
+		work->prompt =
+			workload->shared + draw_size(this, workload->prompt - workload->shared);
+		work->answer = draw_size(this, workload->answer);
+	}
 	if (workload->shared) {
 		work->chain.count = 1;
 		work->chain.tokens[0] = workload->shared;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -28,6 +28,7 @@
 	unsigned int answer;
 	unsigned int target_ms; /* objective for the first token */
 	unsigned int deadline_ms;
+	bool is_fixed; /* all have the mean size */
 } fleet_workload_t;
 
 /* How an attempt of a request ended. */
