--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -9,7 +9,9 @@
  * own steps. */
 #define BEARABLE_SHARE 0.6
 /* Engines count as the fastest that take up to this many times as long. */
-#define FASTEST_MARGIN 1.25
+#define FASTEST_MARGIN 1.5
+/* A predicted prefill may be too short by this part of it. */
+#define ERROR_DIVISOR 8
 /* An overdue first token is waited for up to this many times the predicted prefill. */
 #define MAX_OVERDUE_FACTOR 3
 /* Grants given within this time of each other may reach the engine in another order ... */
@@ -32,15 +34,19 @@
 
 uint64_t prefill_plan_backlog(const engine_t *engine, instant_t now)
 {
+	uint64_t left = engine_prefill_backlog(engine, now);
 	instant_t due = engine->prefill_until + (uint64_t)engine->first_token_us;
-	uint64_t pending;
+	uint64_t overdue = now > due ? now - due : 0;
+	uint64_t predicted;
 
-	if (!engine->prefilling || now <= due)
-		return engine_prefill_backlog(engine, now);
-	pending = pending_duration(engine);
-	if (now - due > MAX_OVERDUE_FACTOR * pending)
+	if (!engine->prefilling)
 		return 0;
-	return now - due < pending ? now - due : pending;
+	predicted = pending_duration(engine);
+	if (overdue > MAX_OVERDUE_FACTOR * predicted)
+		return 0;
+	if (overdue > predicted)
+		overdue = predicted;
+	return instant_max(instant_max(left, overdue), predicted / ERROR_DIVISOR);
 }
 
 uint32_t prefill_plan_token_ns(const engine_t *engine)
--- a/src/core/prefill_plan.h
+++ b/src/core/prefill_plan.h
@@ -20,9 +20,9 @@
 #define PREFILL_PLAN_ANY (UINT64_MAX / 2)
 
 /*
- * Returns the time that the engine needs for the prompts sent to it.  Unlike
- * engine_prefill_backlog(), not 0 while a first token is overdue: what was predicted too short may
- * take as long again as it is overdue.
+ * Returns the time that the engine needs for the prompts sent to it.  Unlike with
+ * engine_prefill_backlog(), a long prompt is taken to be read until its first token has come: its
+ * prefill may have been predicted too short.
  */
 uint64_t prefill_plan_backlog(const engine_t *engine, instant_t now);
 /* Returns the engine's speed as its owner tells it to others: rounded, so that it changes rarely. */
