--- a/tests/test_entry_codec.c
+++ b/tests/test_entry_codec.c
@@ -102,9 +102,55 @@
 	entry_writer_delete(writer);
 }
 
+static void test_usage_tells_what_is_read_and_how_fast(void **state)
+{
+	message_entry_t entry = {.kind = ENTRY_SLOT_USAGE,
+		.pool = 7,
+		.usage = {.slots = 16, .taken = 9, .reading_ms = 640, .prefill_token_ns = 15000}};
+	entry_writer_t *writer = begin();
+	entry_reader_t *reader;
+	message_entry_t decoded;
+
+	entry_writer_add(writer, &entry, NOW);
+	reader = read_back(writer, 0);
+	assert_true(entry_reader_next(reader, &decoded, NOW));
+	assert_memory_equal(&decoded.usage, &entry.usage, sizeof(entry.usage));
+	entry_reader_delete(reader);
+	entry_writer_delete(writer);
+}
+
+/* An owner of an earlier build reads nothing, as far as others know, at an unknown speed. */
+static void test_usage_of_an_earlier_build_is_read(void **state)
+{
+	const char usage[] = {(char)0x94, ENTRY_SLOT_USAGE, 7, 16, 9};
+	message_header_t decoded_header;
+	entry_writer_t *writer = begin();
+	char bytes[256];
+	size_t size;
+	const char *head = entry_writer_data(writer, &size);
+	entry_reader_t *reader;
+	message_entry_t decoded;
+
+	assert_true(size + sizeof(usage) <= sizeof(bytes));
+	memcpy(bytes, head, size);
+	memcpy(bytes + size, usage, sizeof(usage));
+	reader = entry_reader_new(bytes, size + sizeof(usage), &decoded_header);
+	assert_non_null(reader);
+	assert_true(entry_reader_next(reader, &decoded, NOW));
+	assert_int_equal(decoded.pool, 7);
+	assert_int_equal(decoded.usage.slots, 16);
+	assert_int_equal(decoded.usage.taken, 9);
+	assert_int_equal(decoded.usage.reading_ms, 0);
+	assert_int_equal(decoded.usage.prefill_token_ns, 0);
+	entry_reader_delete(reader);
+	entry_writer_delete(writer);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_usage_tells_what_is_read_and_how_fast),
+		cmocka_unit_test(test_usage_of_an_earlier_build_is_read),
 		cmocka_unit_test(test_largest_report_of_streams_is_the_same_after_decoding),
 		cmocka_unit_test(test_report_that_is_cut_off_is_not_read),
 		cmocka_unit_test(test_entries_before_one_of_unknown_kind_are_read),
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -20,9 +20,24 @@
 #define OTHERS 24 /* that ask for little, at three routers each */
 #define UNTIL 24  /* seconds */
 
-static const fleet_workload_t plan = {6600, 5000, 60, 378, 400, 12000};
-static const fleet_workload_t answer = {630, 200, 60, 290, 250, 10000};
-static const fleet_workload_t label = {1800, 400, 100, 27, 300, 2500};
+static const fleet_workload_t plan = {.prompt = 6600,
+	.shared = 5000,
+	.shared_parts = 60,
+	.answer = 378,
+	.target_ms = 400,
+	.deadline_ms = 12000};
+static const fleet_workload_t answer = {.prompt = 630,
+	.shared = 200,
+	.shared_parts = 60,
+	.answer = 290,
+	.target_ms = 250,
+	.deadline_ms = 10000};
+static const fleet_workload_t label = {.prompt = 1800,
+	.shared = 400,
+	.shared_parts = 100,
+	.answer = 27,
+	.target_ms = 300,
+	.deadline_ms = 2500};
 
 /* Offers the workspace's mix of requests from second `from` on. */
 static void offer_mix(fleet_sim_t *sim, unsigned int workspace, double per_second,
@@ -47,7 +62,13 @@
 
 static fleet_sim_t *flooded_fleet(uint32_t seed)
 {
-	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, seed, PREFILL_TOKENS_PER_MS};
+	fleet_options_t options = {
+		.routers = ROUTERS,
+		.engines = ENGINES,
+		.slots = SLOTS,
+		.seed = seed,
+		.prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS,
+	};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
 	offer_mix(sim, FLOOD, 100, 0, ROUTERS, 1);
@@ -102,7 +123,13 @@
 /* Routers that reach no owner use half of the slots at most, all of them together. */
 static void test_starts_without_a_grant_take_half_of_the_slots_at_most(void **state)
 {
-	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1, PREFILL_TOKENS_PER_MS};
+	fleet_options_t options = {
+		.routers = ROUTERS,
+		.engines = ENGINES,
+		.slots = SLOTS,
+		.seed = 1,
+		.prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS,
+	};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
 	offer_mix(sim, FLOOD, 2000, 0, ROUTERS, 1);
@@ -120,7 +147,13 @@
  */
 static fleet_sim_t *surged_fleet(uint32_t seed)
 {
-	fleet_options_t options = {8, 9, 128, seed, 60};
+	fleet_options_t options = {
+		.routers = 8,
+		.engines = 9,
+		.slots = 128,
+		.seed = seed,
+		.prefill_tokens_per_ms = 60,
+	};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 
 	offer_mix(sim, 0, 270, 3, 1, 1);
@@ -158,8 +191,19 @@
  */
 static void test_owners_that_were_slow_are_asked_again(void **state)
 {
-	static const fleet_workload_t plain = {600, 0, 0, 290, 250, 10000};
-	fleet_options_t options = {ROUTERS, ENGINES, SLOTS, 1, PREFILL_TOKENS_PER_MS};
+	static const fleet_workload_t plain = {.prompt = 600,
+		.shared = 0,
+		.shared_parts = 0,
+		.answer = 290,
+		.target_ms = 250,
+		.deadline_ms = 10000};
+	fleet_options_t options = {
+		.routers = ROUTERS,
+		.engines = ENGINES,
+		.slots = SLOTS,
+		.seed = 1,
+		.prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS,
+	};
 	fleet_offer_t offer = {0, &plain, 300, 0, ROUTERS, 0, UNTIL * 1000};
 	fleet_sim_t *sim = fleet_sim_new(&options);
 	uint64_t first[ROUTERS];
