--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -78,7 +78,7 @@
  * Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing; with
  * `steering` only of those whose streams bear the prompt.
  */
-static unsigned int rank_engines(placement_t *this, const placement_request_t *request,
+static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
 	uint64_t prefix, const steering_t *steering, instant_t now, unsigned int *best)
 {
 	uint64_t scores[MAX_CANDIDATES];
@@ -171,18 +171,49 @@
 	return best;
 }
 
+static uint32_t shared_tokens(const prompt_chain_t *chain)
+{
+	uint32_t tokens = 0;
+
+	for (unsigned int i = 0; i < chain->count; i++)
+		tokens += chain->tokens[i];
+	return tokens;
+}
+
+/* The engine on which this router last ran a prompt with all the shared parts, if it still may. */
+static id_t32 known_place(
+	const placement_t *this, const placement_request_t *request, instant_t now)
+{
+	const prompt_chain_t *chain = &request->work.chain;
+	id_t32 id = part_places_find(&this->places, chain->hash[chain->count - 1], now);
+	const engine_state_t *state = id ? placement_find_engine(this, id) : NULL;
+
+	return state && placement_engine_fits(&state->engine, request->pool, request->version) ? id
+											       : 0;
+}
+
 id_t32 placement_likely_source(
-	placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
+	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
 {
 	const prompt_chain_t *chain = &request->work.chain;
 	unsigned int ranked[MAX_CANDIDATES];
+	id_t32 source;
 
-	if (!chain->count || chain->tokens[chain->count - 1] < ENGINE_COPY_MIN_TOKENS)
+	if (!chain->count || shared_tokens(chain) < ENGINE_COPY_MIN_TOKENS)
 		return 0;
-	if (!rank_engines(this, request, chain->hash[chain->count - 1], NULL, now, ranked) ||
-		this->engines[ranked[0]].engine.id == engine)
-		return 0;
-	return this->engines[ranked[0]].engine.id;
+	source = known_place(this, request, now);
+	if (!source &&
+		rank_engines(this, request, chain->hash[chain->count - 1], NULL, now, ranked))
+		source = this->engines[ranked[0]].engine.id;
+	return source == engine ? 0 : source;
+}
+
+static void record_places(placement_t *this, const placement_request_t *request, instant_t now)
+{
+	const prompt_chain_t *chain = &request->work.chain;
+
+	for (unsigned int i = 0; i < chain->count; i++)
+		part_places_record(&this->places, chain->hash[i], request->engine, now);
 }
 
 /*
@@ -312,6 +343,7 @@
 	request->state = PLACEMENT_GRANTED;
 	request->engine = engine;
 	request->owner = owner;
+	record_places(this, request, now);
 	if (state)
 		state->running_here++;
 	placement_push_action(this, &action);
@@ -419,7 +451,8 @@
 		engine_state_t *state = &this->engines[i];
 
 		if (!placement_may_use(state, request, now) || state->engine.id == request->avoid ||
-			!rate_limit_allows(&state->rate_limit, now))
+			!rate_limit_allows(&state->rate_limit, now) ||
+			!placement_pace_allows(this, state, now))
 			continue;
 		if (!best || state->running_here < best->running_here)
 			best = state;
@@ -432,6 +465,7 @@
 		return;
 	}
 	placement_count_rate(this, best, now);
+	placement_count_warm_up(this, best, now);
 	this->stats.without_grant++;
 	request->without_grant = true;
 	request->started_at = now;
--- a/src/core/placement_steer.c
+++ b/src/core/placement_steer.c
@@ -10,19 +10,22 @@
 #define LONGEST_COST (20.0 * USEC_PER_SEC) /* higher costs count like this one */
 
 /* What the owner last told; of this router's own engines, what is so now. */
-static slot_usage_t usage_of(placement_t *this, unsigned int slot, id_t32 pool, instant_t now)
+static slot_usage_t usage_of(const placement_t *this, unsigned int slot, id_t32 pool, instant_t now)
 {
-	const pool_usage_t *known;
-	slot_usage_t usage;
+	const peer_state_t *peer = &this->peers[slot];
 
 	if (slot == 0)
 		return scheduler_usage(this->scheduler, pool, now);
-	known = placement_pool_usage(&this->peers[slot], pool);
-	if (!known)
-		return (slot_usage_t){0};
-	usage = known->received;
-	usage.reading_ms = (unsigned int)(instant_left(known->reading_until, now) / USEC_PER_MSEC);
-	return usage;
+	for (unsigned int i = 0; i < peer->usage_count; i++) {
+		slot_usage_t usage = peer->usages[i].received;
+
+		if (peer->usages[i].pool != pool)
+			continue;
+		usage.reading_ms = (unsigned int)(instant_left(peer->usages[i].reading_until, now) /
+						  USEC_PER_MSEC);
+		return usage;
+	}
+	return (slot_usage_t){0};
 }
 
 static uint64_t prefill_at(const slot_usage_t *usage, const steering_t *steering)
@@ -39,7 +42,8 @@
 	return 0;
 }
 
-steering_t placement_steering(placement_t *this, const placement_request_t *request, instant_t now)
+steering_t placement_steering(
+	const placement_t *this, const placement_request_t *request, instant_t now)
 {
 	steering_t steering = {
 		.pool = request->pool,
@@ -68,15 +72,15 @@
 }
 
 bool placement_bears_prompt(
-	placement_t *this, unsigned int slot, const steering_t *steering, instant_t now)
+	const placement_t *this, unsigned int slot, const steering_t *steering, instant_t now)
 {
 	slot_usage_t usage = usage_of(this, slot, steering->pool, now);
 
 	return is_bearable(&usage, steering);
 }
 
-double placement_steered_load(
-	placement_t *this, unsigned int slot, steering_t *steering, double load, instant_t now)
+double placement_steered_load(const placement_t *this, unsigned int slot, steering_t *steering,
+	double load, instant_t now)
 {
 	slot_usage_t usage = usage_of(this, slot, steering->pool, now);
 	uint64_t prefill = prefill_at(&usage, steering);
@@ -107,7 +111,8 @@
 	this->stats.steered_reading += steering->avoids_reading;
 }
 
-uint32_t placement_reading_wait_ms(placement_t *this, const slot_request_t *request, instant_t now)
+uint32_t placement_reading_wait_ms(
+	const placement_t *this, const slot_request_t *request, instant_t now)
 {
 	slot_usage_t usage = scheduler_usage(this->scheduler, request->pool, now);
 	uint64_t own =
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -20,6 +20,12 @@
 #define FLEET_SECONDS 40
 #define FLEET_FAIR_WINDOW 6 /* seconds in which a workspace must get half of its share */
 
+typedef struct fleet_cold_options {
+	unsigned int per_second; /* requests that a cold engine bears; 0: any number */
+	unsigned int ms;	 /* for which an engine is cold */
+	bool is_told;		 /* engines say in responses how long they stay cold */
+} fleet_cold_options_t;
+
 /* A kind of request; sizes are mean numbers of tokens. */
 typedef struct fleet_workload {
 	unsigned int prompt;
@@ -28,7 +34,6 @@
 	unsigned int answer;
 	unsigned int target_ms; /* objective for the first token */
 	unsigned int deadline_ms;
-	bool is_fixed; /* all have the mean size */
 } fleet_workload_t;
 
 /* How an attempt of a request ended. */
@@ -56,6 +61,7 @@
 	unsigned int chunk_tokens;
 	unsigned int max_event_gap_ms;
 	unsigned int long_prompt; /* tokens; see fleet_result_t */
+	bool fixed_sizes;	  /* all requests of a workload have its mean sizes */
 	void (*on_result)(void *ctx, const fleet_result_t *result);
 	void *ctx;
 } fleet_options_t;
@@ -90,6 +96,25 @@
 /* Routers `first` to `first + count - 1` take `ms` for each turn of their loop; 0: no time. */
 void fleet_sim_slow_routers(
 	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int ms);
+/* Before the first fleet_sim_run(): what the engines' service says of cold ones. */
+void fleet_sim_set_cold_options(fleet_sim_t *this, const fleet_cold_options_t *options);
+/*
+ * Engines `first` to `first + count - 1` are cold from now on, and can be reached.  Each router
+ * reads that in their rows at a time of its own within `row_ms`; 0: no router does.
+ */
+void fleet_sim_turn_cold(
+	fleet_sim_t *this, unsigned int first, unsigned int count, unsigned int row_ms);
+/* Times that a cold engine got half as many requests again as it bears, and five, in a second. */
+unsigned int fleet_sim_overruns(const fleet_sim_t *this);
+/* Most requests that a cold engine got in a second; all that cold engines got. */
+unsigned int fleet_sim_peak_while_cold(const fleet_sim_t *this);
+unsigned int fleet_sim_arrivals_while_cold(const fleet_sim_t *this);
+/* Kills the routers with all their requests, and starts them again. */
+void fleet_sim_restart_routers(fleet_sim_t *this, unsigned int first, unsigned int count);
+/* Drops messages between the routers below number `routers` and the others; 0: none. */
+void fleet_sim_split(fleet_sim_t *this, unsigned int routers);
+/* Loses so many of a thousand messages, brings as many twice, and as many late. */
+void fleet_sim_disturb(fleet_sim_t *this, unsigned int per_mille);
 /* Drops all messages between routers, or stops dropping them. */
 void fleet_sim_cut(fleet_sim_t *this, bool cut);
 /* Most runs without a grant that there were at a time, at all engines together. */
--- a/tests/mixed_load.c
+++ b/tests/mixed_load.c
@@ -15,11 +15,11 @@
 #define UNTIL_MS 19000
 #define DRAIN_MS 3000
 
-static const fleet_workload_t digest = {12000, 5382, 60, 384, 800, 15000, false};
-static const fleet_workload_t chat = {826, 198, 60, 288, 400, 12000, false};
-static const fleet_workload_t tag = {2368, 568, 60, 24, 400, 3000, false};
+static const fleet_workload_t digest = {12000, 5382, 60, 384, 800, 15000};
+static const fleet_workload_t chat = {826, 198, 60, 288, 400, 12000};
+static const fleet_workload_t tag = {2368, 568, 60, 24, 400, 3000};
 static const fleet_workload_t alike = {
-	.prompt = 1600, .answer = 100, .target_ms = 400, .deadline_ms = 3000, .is_fixed = true};
+	.prompt = 1600, .answer = 100, .target_ms = 400, .deadline_ms = 3000};
 
 static bool is_in_aim(const fleet_result_t *result)
 {
@@ -126,6 +126,7 @@
 		.chunk_tokens = CHUNK_TOKENS,
 		.max_event_gap_ms = MAX_EVENT_GAP_MS,
 		.long_prompt = MIXED_LONG_PROMPT,
+		.fixed_sizes = load->all_alike > 0,
 		.on_result = on_result,
 		.ctx = tally,
 	};
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -20,24 +20,9 @@
 #define OTHERS 24 /* that ask for little, at three routers each */
 #define UNTIL 24  /* seconds */
 
-static const fleet_workload_t plan = {.prompt = 6600,
-	.shared = 5000,
-	.shared_parts = 60,
-	.answer = 378,
-	.target_ms = 400,
-	.deadline_ms = 12000};
-static const fleet_workload_t answer = {.prompt = 630,
-	.shared = 200,
-	.shared_parts = 60,
-	.answer = 290,
-	.target_ms = 250,
-	.deadline_ms = 10000};
-static const fleet_workload_t label = {.prompt = 1800,
-	.shared = 400,
-	.shared_parts = 100,
-	.answer = 27,
-	.target_ms = 300,
-	.deadline_ms = 2500};
+static const fleet_workload_t plan = {6600, 5000, 60, 378, 400, 12000};
+static const fleet_workload_t answer = {630, 200, 60, 290, 250, 10000};
+static const fleet_workload_t label = {1800, 400, 100, 27, 300, 2500};
 
 /* Offers the workspace's mix of requests from second `from` on. */
 static void offer_mix(fleet_sim_t *sim, unsigned int workspace, double per_second,
@@ -191,12 +176,7 @@
  */
 static void test_owners_that_were_slow_are_asked_again(void **state)
 {
-	static const fleet_workload_t plain = {.prompt = 600,
-		.shared = 0,
-		.shared_parts = 0,
-		.answer = 290,
-		.target_ms = 250,
-		.deadline_ms = 10000};
+	static const fleet_workload_t plain = {600, 0, 0, 290, 250, 10000};
 	fleet_options_t options = {
 		.routers = ROUTERS,
 		.engines = ENGINES,
