--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -10,6 +10,13 @@
 /* Weights of a new sample in the moving averages. */
 #define PREFILL_WEIGHT 0.15
 #define FIRST_TOKEN_WEIGHT 0.05
+/* Streams with at least this many tokens tell the time of a decode step. */
+#define STEP_SAMPLE_MIN_TOKENS 32
+/* Samples of fewer tokens than these count less. */
+#define STEP_SAMPLE_FULL_TOKENS 256.0
+#define PREFILL_SAMPLE_FULL_TOKENS 16384.0
+/* Decoding takes at least this part of the stream's time; the rest is prefill beside it. */
+#define STEP_SAMPLE_MIN_PART 0.25
 /* Samples with at least this many prefill tokens update the time per prompt token, ... */
 #define PREFILL_SAMPLE_MIN_TOKENS 1500
 /* ... and samples with at most this many update the rest of the time to the first token. */
@@ -19,6 +26,12 @@
 #define PRIVATE_HASH_STEP 0x9e3779b97f4a7c16ULL
 /* Share of the longest pause for prefill; the rest is for decode steps and one more prompt. */
 #define PREFILL_SHARE 0.44
+/* Where engines differ in speed, each has a share of its own within these bounds. */
+#define MIN_PREFILL_SHARE 0.15
+#define MAX_PREFILL_SHARE 1.0
+/* With each stream that kept its pauses, and with a longer pause: balanced at 3 in 100 streams. */
+#define SHARE_GROWTH 1.005
+#define SHARE_CUT 0.84
 #define MEMORY_RESERVE_DIVISOR 16 /* 1/16 of the memory is left for the engine's own blocks */
 
 void engine_init(engine_t *this, id_t32 id, const engine_limits_t *limits)
@@ -26,6 +39,10 @@
 	memset(this, 0, sizeof(*this));
 	this->id = id;
 	this->limits = *limits;
+	this->prefill_share = PREFILL_SHARE;
+	engine_speed_init(&this->speed,
+		&(engine_speed_prior_t){.time[ENGINE_SPEED_PREFILL] = INITIAL_PREFILL_TOKEN_US});
+	this->prefill_mean_us = INITIAL_PREFILL_TOKEN_US;
 	this->prefill_token_us = INITIAL_PREFILL_TOKEN_US;
 	this->first_token_us = INITIAL_FIRST_TOKEN_US;
 	CDS_INIT_LIST_HEAD(&this->requests);
@@ -137,6 +154,12 @@
 
 /* --- prediction --------------------------------------------------------- */
 
+/* How much longer work takes now than usually, as far as the engine's speed is looked at. */
+static double load_now(const engine_t *this, instant_t now)
+{
+	return this->speed.prior.differ ? engine_speed_load(&this->speed, now) : 1;
+}
+
 uint64_t engine_prefill_backlog(const engine_t *this, instant_t now)
 {
 	return this->prefilling ? instant_left(this->prefill_until, now) : 0;
@@ -148,13 +171,26 @@
 			  this->prefill_token_us * engine_prefill_tokens(this, work));
 }
 
+/* Beyond prefill; a plain request has no more than that. */
+static double first_token_us(const engine_t *this, const engine_work_t *work, instant_t now)
+{
+	double plain;
+
+	if (work->prompt)
+		return this->first_token_us;
+	plain = engine_speed_time(&this->speed, ENGINE_SPEED_PLAIN, now);
+	return plain > 0 ? plain : this->first_token_us;
+}
+
 instant_t engine_first_token_at(
 	const engine_t *this, const engine_work_t *work, uint32_t source_prefill, instant_t now)
 {
 	uint32_t prefill = engine_prefill_tokens_with_copy(this, work, source_prefill);
+	double load = work->prompt ? load_now(this, now) : engine_speed_load(&this->speed, now);
 
 	return now + engine_prefill_backlog(this, now) +
-	       (uint64_t)(this->first_token_us + this->prefill_token_us * prefill);
+	       (uint64_t)(load *
+			  (first_token_us(this, work, now) + this->prefill_token_us * prefill));
 }
 
 static uint32_t total_tokens(const engine_work_t *work)
@@ -173,7 +209,7 @@
 		if (now < this->prefills[i].start + window)
 			busy += this->prefills[i].duration;
 	}
-	return (double)busy <= PREFILL_SHARE * (double)window;
+	return load_now(this, now) * (double)busy <= this->prefill_share * (double)window;
 }
 
 bool engine_has_room(const engine_t *this, const engine_work_t *work)
@@ -205,13 +241,15 @@
 	request->memory_tokens = total_tokens(work);
 	request->private_tokens = request->memory_tokens;
 	request->began_at = now;
+	request->reported_delay = 0;
 	request->prefill_done = false;
 	cds_list_add_tail(&request->link, &this->requests);
 	this->running++;
 	this->prefilling++;
 	this->memory_tokens += request->memory_tokens;
 	duration = (uint64_t)(this->prefill_token_us * request->prefill_tokens);
-	this->prefill_until = start + duration;
+	this->prefill_until = start + (uint64_t)(load_now(this, now) * (double)duration);
+	this->prefill_total += duration;
 	record_prefill(this, start, duration);
 	for (unsigned int i = 0; i < work->chain.count; i++) {
 		cache_prefix(this, work->chain.hash[i], work->chain.tokens[i], now);
@@ -227,27 +265,125 @@
 }
 
 /*
- * Updates the estimates from the time between the earliest possible start of
- * the prefill and the first token.  Prefill starts when the request begins, or
- * at the previous first token if that is later, as the engine processes prompts
- * one after another.
+ * Takes over the estimates.  Those of `speed` tell engines of one pool apart; without the delays
+ * elsewhere they are lower than the moving average, which serves where the engines do not differ.
+ */
+static void update_speed(engine_t *this, instant_t now)
+{
+	double time = this->speed.prior.differ
+			      ? engine_speed_time(&this->speed, ENGINE_SPEED_PREFILL, now)
+			      : this->prefill_mean_us;
+
+	this->degraded = engine_speed_is_degraded(&this->speed, now);
+	if (time < MIN_PREFILL_TOKEN_US)
+		time = MIN_PREFILL_TOKEN_US;
+	this->prefill_token_us = time < MAX_PREFILL_TOKEN_US ? time : MAX_PREFILL_TOKEN_US;
+}
+
+/*
+ * Returns the time between the earliest possible start of the prefill and the first token.
+ * Prefill starts when the request begins, or at the previous first token if that is later, as the
+ * engine processes prompts one after another.
  */
-static void update_estimates(engine_t *this, const engine_request_t *request, instant_t now)
+static double time_to_first_token(const engine_t *this, instant_t began_at, instant_t now)
+{
+	return (double)(now - instant_max(began_at, this->last_first_token_at));
+}
+
+static void update_means(engine_t *this, const engine_request_t *request, instant_t now)
 {
-	instant_t start = request->began_at > this->last_first_token_at ? request->began_at
-									: this->last_first_token_at;
-	double duration = (double)(now - start);
+	double duration = time_to_first_token(this, request->began_at, now);
 
 	if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS && duration > this->first_token_us)
-		update_mean(&this->prefill_token_us,
+		update_mean(&this->prefill_mean_us,
 			(duration - this->first_token_us) / request->prefill_tokens,
 			PREFILL_WEIGHT);
 	else if (request->prefill_tokens <= FIRST_TOKEN_SAMPLE_MAX_TOKENS && this->prefilling == 1)
 		update_mean(&this->first_token_us, duration, FIRST_TOKEN_WEIGHT);
-	if (this->prefill_token_us < MIN_PREFILL_TOKEN_US)
-		this->prefill_token_us = MIN_PREFILL_TOKEN_US;
-	if (this->prefill_token_us > MAX_PREFILL_TOKEN_US)
-		this->prefill_token_us = MAX_PREFILL_TOKEN_US;
+	if (this->prefill_mean_us < MIN_PREFILL_TOKEN_US)
+		this->prefill_mean_us = MIN_PREFILL_TOKEN_US;
+	if (this->prefill_mean_us > MAX_PREFILL_TOKEN_US)
+		this->prefill_mean_us = MAX_PREFILL_TOKEN_US;
+}
+
+/* Of a long request more is known than of a short one, whose delays elsewhere weigh more. */
+static double sample_weight(uint32_t tokens, double full)
+{
+	return tokens < full ? tokens / full : 1;
+}
+
+/* Records what the request's router measured, on a machine as loaded as usual. */
+static void record_first_token(engine_t *this, const engine_request_t *request, instant_t now)
+{
+	instant_t began_at = request->reported_delay && request->reported_delay < now
+				     ? now - request->reported_delay
+				     : request->began_at;
+	double duration = time_to_first_token(this, instant_min(began_at, now), now) /
+			  engine_speed_load(&this->speed, now);
+	double prefill = duration - this->first_token_us;
+
+	if (!request->memory_tokens)
+		engine_speed_record(&this->speed, ENGINE_SPEED_PLAIN, duration, 1, now);
+	else if (request->prefill_tokens >= PREFILL_SAMPLE_MIN_TOKENS && prefill > 0)
+		engine_speed_record(&this->speed, ENGINE_SPEED_PREFILL,
+			prefill / request->prefill_tokens,
+			sample_weight(request->prefill_tokens, PREFILL_SAMPLE_FULL_TOKENS), now);
+}
+
+/*
+ * An engine that is fast may prefill for longer beside its streams than one that is slow, before
+ * their pauses become too long: the share grows while they do not, and falls when one did.
+ */
+static void adapt_share(engine_t *this, uint64_t pause, instant_t now)
+{
+	if (!this->speed.prior.differ) {
+		this->prefill_share = PREFILL_SHARE;
+		return;
+	}
+	if (pause <= this->limits.max_event_gap) {
+		this->prefill_share *= SHARE_GROWTH;
+	} else if (now >= this->pause_counts_at) {
+		this->prefill_share *= SHARE_CUT;
+		this->pause_counts_at = now + this->limits.max_event_gap;
+	}
+	if (this->prefill_share > MAX_PREFILL_SHARE)
+		this->prefill_share = MAX_PREFILL_SHARE;
+	if (this->prefill_share < MIN_PREFILL_SHARE)
+		this->prefill_share = MIN_PREFILL_SHARE;
+}
+
+void engine_record_stream(engine_t *this, const engine_request_t *request, uint32_t answer,
+	uint64_t duration, uint64_t pause, instant_t now)
+{
+	double beside = (double)(this->prefill_total - request->prefill_before);
+	double decoding = (double)duration - beside;
+
+	if (this->limits.max_event_gap && answer && duration)
+		adapt_share(this, pause, now);
+	if (!request->prefill_done || answer < STEP_SAMPLE_MIN_TOKENS || !duration)
+		return;
+	if (decoding < STEP_SAMPLE_MIN_PART * (double)duration)
+		decoding = STEP_SAMPLE_MIN_PART * (double)duration;
+	engine_speed_record(&this->speed, ENGINE_SPEED_STEP, decoding / answer,
+		sample_weight(answer, STEP_SAMPLE_FULL_TOKENS), now);
+	update_speed(this, now);
+}
+
+void engine_record_load(engine_t *this, unsigned int percent, instant_t now)
+{
+	engine_speed_record_load(&this->speed, percent, now);
+}
+
+void engine_set_speed_prior(engine_t *this, const engine_speed_prior_t *prior, instant_t now)
+{
+	engine_speed_set_prior(&this->speed, prior);
+	update_speed(this, now);
+}
+
+void engine_restore_speed(engine_t *this, const engine_speed_report_t *report, instant_t now)
+{
+	engine_speed_restore(&this->speed, report, now);
+	update_speed(this, now);
 }
 
 static void update_prefill_until(engine_t *this, instant_t now)
@@ -264,8 +400,11 @@
 {
 	if (request->prefill_done)
 		return;
-	update_estimates(this, request, now);
+	record_first_token(this, request, now);
+	update_means(this, request, now);
+	update_speed(this, now);
 	request->prefill_done = true;
+	request->prefill_before = this->prefill_total;
 	this->prefilling--;
 	this->last_first_token_at = now;
 	update_prefill_until(this, now);
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -8,7 +8,8 @@
 #define MAX_POOLS 16
 #define BACKLOG_BUCKETS 256
 #define TICKET_BUCKETS 1024
-#define LIST_GROWTH 64 /* elements added to a list that is full */
+#define MAX_MEDIAN_ENGINES 512 /* of which the median is taken */
+#define LIST_GROWTH 64	       /* elements added to a list that is full */
 /* Interval at which a router repeats a slot request that waits at its owner. */
 #define RESEND_INTERVAL (200 * USEC_PER_MSEC)
 /* Up to this reported utilization, an owner is assumed to have a free slot. */
@@ -27,6 +28,10 @@
 	bool since_start;	/* it was there when this router started */
 	instant_t rate_told_at; /* when the owner was last told of the limit; 0: not yet */
 	instant_t paused_until; /* this router sends it nothing before */
+	engine_speed_report_t speed; /* as its owner has told, so that all routers agree on it */
+	instant_t speed_at;	     /* when it did, 0: not yet */
+	uint64_t speed_serial;	     /* of our report of it to the others, 0: none */
+	double weight;		     /* its share of the prompt parts, 1: that of a median engine */
 } engine_state_t;
 
 /* Slot usage of a member's engines of a pool. */
@@ -54,6 +59,7 @@
 	uint64_t receipt_seq;	  /* newest message of the peer that we have confirmed */
 	instant_t receipt_at;	  /* when the next confirmation may be sent */
 	unsigned int engine_told; /* engines whose state was told in this round of reports */
+	uint64_t speed_serial;	  /* newest report of an engine's speed that the peer was sent */
 } peer_state_t;
 
 /* A prompt as the choice of its owner sees it; see prefill_plan.h. */
@@ -92,8 +98,10 @@
 	part_places_t places;		 /* of the prompt parts of this router's requests */
 	instant_t next_report_at;	 /* of all slots in use */
 	instant_t next_served_report_at; /* of the tokens served */
-	double pace_share; /* of the pace of cold engines that this router uses as an owner */
-	bool has_engines;  /* engines were set before */
+	double pace_share;     /* of the pace of cold engines that this router uses as an owner */
+	bool has_engines;      /* engines were set before */
+	uint64_t speed_serial; /* of the newest report of a speed */
+	bool speeds_differ;    /* engine_state_t.weight is not 1 everywhere */
 	bool stopping;
 	placement_stats_t stats;
 };
@@ -147,9 +155,12 @@
 	const placement_t *this, const slot_request_t *request, instant_t now);
 
 /* placement_warm_up.c: engines that are cold */
-/* Handles an ENTRY_ENGINE_STATE, of the engine's owner or for it. */
-void placement_handle_engine_state(
+/* Handles an ENTRY_ENGINE_STATE, of the engine's owner or for it, as far as it states that. */
+void placement_handle_warm_up(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* See placement_next_engine_state(). */
+bool placement_next_warm_up(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
 /* Begins a round of reports to the other routers. */
 void placement_tick_warm_up(placement_t *this, instant_t now);
 /* Takes up what a registration says, before it replaces `state->engine`. */
@@ -169,21 +180,41 @@
 bool placement_grant_is_too_old(
 	const placement_t *this, unsigned int owner, const engine_state_t *state, instant_t now);
 
+/* placement_speed.c: speeds of engines */
+/* Handles an ENTRY_ENGINE_STATE, as far as it states a speed. */
+void placement_handle_speed(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now);
+/* See placement_next_engine_state(). */
+bool placement_next_speed(
+	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now);
+/* Notes what this router's engines need; recomputes the medians and the engines' weights. */
+void placement_update_speeds(placement_t *this, instant_t now);
+/* Gives the engine's new owner its speed; `was_owner`: this router was the owner. */
+void placement_take_over_speed(
+	placement_t *this, engine_state_t *state, bool was_owner, instant_t now);
+
 /* placement_request.c: slot requests and the choice of their owner */
 bool placement_accepts_requests(const placement_t *this, unsigned int slot);
 /* Returns the slots taken per usable slot; a large number where none is usable. */
 double placement_utilization(placement_t *this, unsigned int slot, id_t32 pool, instant_t now);
-/* Returns whether the member in `slot` owns a usable engine of the pool, and of a version or 0. */
-bool placement_owns(const placement_t *this, unsigned int slot, id_t32 pool, id_t32 version);
+/* What an engine must have for a request. */
+typedef struct engine_need {
+	id_t32 pool;
+	id_t32 version;		     /* 0: any */
+	const region_set_t *regions; /* NULL: any */
+} engine_need_t;
+
+/* Returns whether the member in `slot` owns a usable engine that meets the need. */
+bool placement_owns(const placement_t *this, unsigned int slot, const engine_need_t *need);
 /*
  * Returns the engine that has probably cached the shared parts of the prompt; 0
  * when there is none or it is `engine` itself.
  */
 id_t32 placement_likely_source(
 	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now);
-bool placement_has_usable_engine(const placement_t *this, id_t32 pool, id_t32 version);
-/* Returns whether the engine may run requests of the pool that are bound to the version or 0. */
-bool placement_engine_fits(const placement_engine_t *engine, id_t32 pool, id_t32 version);
+bool placement_has_usable_engine(const placement_t *this, const placement_request_t *request);
+/* Returns whether the engine accepts new requests and meets the need. */
+bool placement_engine_fits(const placement_engine_t *engine, const engine_need_t *need);
 /* Returns whether this router may send the request to the engine now. */
 bool placement_may_use(
 	const engine_state_t *state, const placement_request_t *request, instant_t now);
--- a/src/core/placement_receive.c
+++ b/src/core/placement_receive.c
@@ -25,10 +25,10 @@
 static bool has_free_owner(placement_t *this, const slot_request_t *request, instant_t now)
 {
 	id_t32 pool = request->pool;
+	engine_need_t need = {pool, request->version, &request->regions};
 
 	for (unsigned int slot = 1; slot < this->members.count; slot++) {
-		if (placement_accepts_requests(this, slot) &&
-			placement_owns(this, slot, pool, request->version) &&
+		if (placement_accepts_requests(this, slot) && placement_owns(this, slot, &need) &&
 			placement_utilization(this, slot, pool, now) < UTILIZATION_FREE)
 			return true;
 	}
@@ -55,11 +55,12 @@
 static void handle_slot_request(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
-	message_entry_t reply = {.kind = ENTRY_NOT_OWNER, .ticket = entry->slot_request.ticket};
+	const slot_request_t *request = &entry->slot_request;
+	engine_need_t need = {request->pool, request->version, &request->regions};
+	message_entry_t reply = {.kind = ENTRY_NOT_OWNER, .ticket = request->ticket};
 	uint32_t wait_ms = 0;
 
-	if (this->stopping ||
-		!placement_owns(this, 0, entry->slot_request.pool, entry->slot_request.version)) {
+	if (this->stopping || !placement_owns(this, 0, &need)) {
 		placement_queue_entry(this, slot, &reply, now);
 		return;
 	}
@@ -111,7 +112,7 @@
 	placement_send_request(this, request, now);
 }
 
-/* An owner of an earlier build does not know that a request is bound to a version. */
+/* An owner of an earlier build does not know that a request is bound to a version or to regions. */
 static bool is_usable(
 	const placement_t *this, const placement_request_t *request, id_t32 engine, instant_t now)
 {
@@ -187,12 +188,15 @@
 static void handle_first_token(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	scheduler_record_first_token(this->scheduler, slot, entry->ticket, entry->source);
 	scheduler_first_token(this->scheduler, slot, entry->ticket, now);
 }
 
 static void handle_load(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	if (entry->source)
+		scheduler_record_slowness(this->scheduler, slot, entry->ticket, entry->source, now);
 	scheduler_load_report(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -205,6 +209,8 @@
 static void handle_end(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
+	scheduler_record_stream(this->scheduler, slot, entry->ticket, entry->value, entry->source,
+		entry->pause_ms * USEC_PER_MSEC, now);
 	scheduler_end(this->scheduler, slot, entry->ticket, entry->value, now);
 }
 
@@ -245,6 +251,13 @@
 		link_watch_confirmed(&this->peers[slot].link, entry->ticket);
 }
 
+static void handle_engine_state(
+	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
+{
+	placement_handle_warm_up(this, slot, entry, now);
+	placement_handle_speed(this, slot, entry, now);
+}
+
 static void (*const handlers[ENTRY_KINDS])(
 	placement_t *, unsigned int, const message_entry_t *, instant_t) = {
 	[ENTRY_SLOT_REQUEST] = handle_slot_request,
@@ -264,7 +277,7 @@
 	[ENTRY_SLOT_USAGE] = handle_slot_usage,
 	[ENTRY_RECEIPT] = handle_receipt,
 	[ENTRY_RATE_LIMIT] = placement_handle_rate_limit,
-	[ENTRY_ENGINE_STATE] = placement_handle_engine_state,
+	[ENTRY_ENGINE_STATE] = handle_engine_state,
 };
 
 void placement_handle_entry(
@@ -289,6 +302,8 @@
 		return false;
 	if (result == MESSAGE_STATUS_RESTARTED)
 		scheduler_forget_router(this->scheduler, *slot, now);
+	if (result == MESSAGE_STATUS_RESTARTED)
+		this->peers[*slot].speed_serial = 0;
 	members_set_stopping(&this->members, *slot, header->stopping);
 	this->peers[*slot].unresponsive = false;
 	return true;
--- a/src/core/placement_warm_up.c
+++ b/src/core/placement_warm_up.c
@@ -102,7 +102,7 @@
 		placement_make_message_due(this, state->owner, now);
 }
 
-void placement_handle_engine_state(
+void placement_handle_warm_up(
 	placement_t *this, unsigned int slot, const message_entry_t *entry, instant_t now)
 {
 	const engine_state_report_t *report = &entry->engine_state;
@@ -133,7 +133,7 @@
 	return state->owner == slot && state->heard_at && now < state->heard_at + TELL_TIME;
 }
 
-bool placement_next_engine_state(
+bool placement_next_warm_up(
 	placement_t *this, unsigned int slot, message_entry_t *entry, instant_t now)
 {
 	peer_state_t *peer = &this->peers[slot];
--- a/src/edge/entry_codec.c
+++ b/src/edge/entry_codec.c
@@ -93,6 +93,40 @@
 	return duration < NEVER_US ? (int64_t)duration : NEVER_US;
 }
 
+/*
+ * The fields of a slot request that have 32 bits at most carry a region each in their upper half,
+ * which routers of earlier builds do not read.  The last of them is the version, after the parts.
+ */
+static const unsigned int region_fields[] = {2, 3, 4, 5, 8, 9, 10};
+
+_Static_assert(REGION_SET_MAX == ARRAY_LEN(region_fields) + 1, "a field for each region");
+
+#define FLAG_LATE 1
+#define FLAG_MUST_QUEUE 2
+#define FLAG_RESTRICTED 4 /* to the regions that the request names */
+#define REGION_SHIFT 32
+
+static int64_t request_flags(const slot_request_t *request)
+{
+	return (request->is_late ? FLAG_LATE : 0) | (request->must_queue ? FLAG_MUST_QUEUE : 0) |
+	       (request->regions.restricted ? FLAG_RESTRICTED : 0);
+}
+
+static int64_t with_region(int64_t field, id_t32 region)
+{
+	return (int64_t)((uint64_t)field | (uint64_t)region << REGION_SHIFT);
+}
+
+static void put_regions(fields_t *fields, const region_set_t *regions)
+{
+	for (unsigned int i = 0; i < regions->count; i++) {
+		unsigned int at =
+			i < ARRAY_LEN(region_fields) ? region_fields[i] : fields->count - 1;
+
+		fields->value[at] = with_region(fields->value[at], regions->regions[i]);
+	}
+}
+
 static void put_slot_request(fields_t *fields, const slot_request_t *request, instant_t now)
 {
 	put_field(fields, (int64_t)request->ticket);
@@ -102,7 +136,7 @@
 	put_field(fields, request->request_fingerprint);
 	put_field(fields, time_left(request->first_token_deadline, now));
 	put_field(fields, time_left(request->deadline, now));
-	put_field(fields, request->is_late + 2 * request->must_queue);
+	put_field(fields, request_flags(request));
 	put_field(fields, request->work.prompt);
 	put_field(fields, request->work.answer);
 	for (unsigned int i = 0; i < request->work.chain.count; i++) {
@@ -110,8 +144,9 @@
 		put_field(fields, request->work.chain.tokens[i]);
 	}
 	/* One field more than pairs: routers of earlier builds do not read it. */
-	if (request->version)
+	if (request->version || request->regions.restricted)
 		put_field(fields, request->version);
+	put_regions(fields, &request->regions);
 }
 
 static void put_held_slot(fields_t *fields, const held_slot_t *slot)
@@ -151,8 +186,10 @@
 }
 
 /* Fields that routers of earlier versions neither send nor read. */
-static void put_part_fields(fields_t *fields, const message_entry_t *entry)
+static void put_late_fields(fields_t *fields, const message_entry_t *entry)
 {
+	if (entry->kind == ENTRY_END)
+		put_field(fields, entry->pause_ms);
 	if (entry->kind != ENTRY_PART_END)
 		return;
 	put_field(fields, entry->occasions);
@@ -218,7 +255,7 @@
 		put_field(&fields, entry->engine);
 		put_field(&fields, entry->value);
 		put_field(&fields, entry->source);
-		put_part_fields(&fields, entry);
+		put_late_fields(&fields, entry);
 		break;
 	}
 	write_fields(this, &fields);
@@ -333,6 +370,22 @@
 	return now + (left > 0 ? (uint64_t)left : 0);
 }
 
+static void add_region(region_set_t *regions, int64_t field)
+{
+	id_t32 region = (id_t32)((uint64_t)field >> REGION_SHIFT);
+
+	if (region)
+		region_set_add(regions, region);
+}
+
+static void get_regions(const fields_t *fields, region_set_t *regions)
+{
+	*regions = (region_set_t){.restricted = true};
+	for (unsigned int i = 0; i < ARRAY_LEN(region_fields); i++)
+		add_region(regions, fields->value[region_fields[i]]);
+	add_region(regions, fields->value[fields->count - 1]);
+}
+
 static bool get_slot_request(fields_t *fields, slot_request_t *request, instant_t now)
 {
 	unsigned int parts;
@@ -346,8 +399,8 @@
 	request->first_token_deadline = instant_from_time_left(get_field(fields), now);
 	request->deadline = instant_from_time_left(get_field(fields), now);
 	flags = get_field(fields);
-	request->is_late = flags & 1;
-	request->must_queue = flags & 2;
+	request->is_late = flags & FLAG_LATE;
+	request->must_queue = flags & FLAG_MUST_QUEUE;
 	request->work.prompt = (uint32_t)get_field(fields);
 	request->work.answer = (uint32_t)get_field(fields);
 	parts = (fields->count - fields->next) / 2;
@@ -359,6 +412,8 @@
 		request->work.chain.tokens[i] = (uint32_t)get_field(fields);
 	}
 	request->version = (id_t32)get_field(fields);
+	if (flags & FLAG_RESTRICTED)
+		get_regions(fields, &request->regions);
 	return true;
 }
 
@@ -482,6 +537,10 @@
 		entry->engine = (id_t32)get_field(&fields);
 		entry->value = (uint32_t)get_field(&fields);
 		entry->source = (id_t32)get_field(&fields);
+		if (entry->kind == ENTRY_END) {
+			entry->pause_ms = (uint32_t)get_field(&fields);
+			return true;
+		}
 		entry->occasions = (uint32_t)get_field(&fields);
 		entry->is_whole = get_field(&fields) != 0;
 		return true;
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -33,7 +33,8 @@
 static void report_load(call_t *call, const connection_response_t *response)
 {
 	if (response->has_load)
-		call_report_load(call, response->load_running + response->load_waiting);
+		call_report_load(
+			call, response->load_running + response->load_waiting, response->slowness);
 }
 
 static void note_malformed_limit(call_t *call)
@@ -225,8 +226,10 @@
 {
 	start_response(call);
 	caller_send_body(call->caller, data, len);
-	if (caller_is_write_blocked(call->caller) && call->connection)
-		endpoint_connection_pause(call->connection, true);
+	if (!caller_is_write_blocked(call->caller) || !call->connection)
+		return;
+	call->placement_request.was_held_up = true;
+	endpoint_connection_pause(call->connection, true);
 }
 
 static void record_event_gap(call_t *call)
--- a/src/gateway/endpoint_registry.c
+++ b/src/gateway/endpoint_registry.c
@@ -39,6 +39,7 @@
 	g_free(this->service);
 	g_free(this->address);
 	g_free(this->version);
+	g_free(this->failure_domain);
 	g_free(this);
 }
 
@@ -51,6 +52,11 @@
 	g_free(this->failure_domain);
 }
 
+bool registered_endpoint_takes_work(const registered_endpoint_t *this)
+{
+	return this->state == ENDPOINT_READY && !this->evacuated;
+}
+
 static void unref_endpoint(void *item)
 {
 	registered_endpoint_put(item);
@@ -152,6 +158,47 @@
 	g_hash_table_remove(this->by_name, endpoint->name);
 }
 
+/* Returns whether that changed anything. */
+static bool apply_evacuations(const endpoint_registry_t *this, registered_endpoint_t *endpoint)
+{
+	bool evacuated = this->options.evacuations && endpoint->domain_id &&
+			 evacuations_contain(this->options.evacuations, endpoint->domain_id);
+
+	if (evacuated == endpoint->evacuated)
+		return false;
+	endpoint->evacuated = evacuated;
+	return true;
+}
+
+unsigned int endpoint_registry_apply_evacuations(endpoint_registry_t *this)
+{
+	unsigned int changed = 0;
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		changed += apply_evacuations(this, item);
+	return changed;
+}
+
+static void set_domain(registered_endpoint_t *endpoint, const char *domain)
+{
+	g_free(endpoint->failure_domain);
+	endpoint->failure_domain = g_strdup(domain ? domain : "");
+	endpoint->domain_id = *endpoint->failure_domain ? name_id(endpoint->failure_domain) : 0;
+}
+
+/* Notes the registration's failure domain; returns whether that changed anything. */
+static bool apply_registration(const endpoint_registry_t *this, registered_endpoint_t *endpoint,
+	const endpoint_registration_t *registration)
+{
+	id_t32 domain_before = endpoint->domain_id;
+
+	set_domain(endpoint, registration->failure_domain);
+	return apply_evacuations(this, endpoint) || endpoint->domain_id != domain_before;
+}
+
 /* Returns whether it is another version than before. */
 static bool set_version(registered_endpoint_t *endpoint, const char *version)
 {
@@ -201,8 +248,11 @@
 {
 	registered_endpoint_t *endpoint = g_hash_table_lookup(this->by_name, registration->name);
 
-	if (endpoint && is_same_incarnation(endpoint, registration))
-		return update_endpoint(endpoint, registration, now);
+	if (endpoint && is_same_incarnation(endpoint, registration)) {
+		bool changed = apply_registration(this, endpoint, registration);
+
+		return update_endpoint(endpoint, registration, now) || changed;
+	}
 	if (endpoint && registration->era > endpoint->era &&
 		registration->incarnation < endpoint->incarnation)
 		return false;
@@ -212,6 +262,7 @@
 	endpoint->seen_at = now;
 	endpoint->seen_wall_ms = (uint64_t)(g_get_real_time() / 1000);
 	endpoint_warm_up_put(endpoint, registration, now);
+	apply_registration(this, endpoint, registration);
 	hold_if_departed(this, endpoint, now);
 	g_hash_table_insert(this->by_name, endpoint->name, endpoint);
 	g_hash_table_insert(this->by_id, GUINT_TO_POINTER(endpoint->id), endpoint);
@@ -295,3 +346,31 @@
 {
 	return g_hash_table_size(this->by_name);
 }
+
+unsigned int endpoint_registry_evacuated_count(const endpoint_registry_t *this)
+{
+	unsigned int count = 0;
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		count += ((const registered_endpoint_t *)item)->evacuated;
+	return count;
+}
+
+bool endpoint_registry_is_evacuated(const endpoint_registry_t *this, id_t32 service)
+{
+	GHashTableIter iter;
+	void *item;
+
+	g_hash_table_iter_init(&iter, this->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const registered_endpoint_t *endpoint = item;
+
+		if (endpoint->service_id == service && endpoint->evacuated &&
+			endpoint->state == ENDPOINT_READY)
+			return true;
+	}
+	return false;
+}
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "edge/clock.h"
 #include "edge/log.h"
 #include "edge/metrics.h"
@@ -59,6 +61,9 @@
 	metrics_append(out, "overload_pause", overload_is_paused(&this->overload, clock_now()));
 	metrics_append(out, "catalog_version", this->catalog ? this->catalog->version : 0);
 	metrics_append(out, "endpoints", endpoint_registry_count(this->endpoint_registry));
+	metrics_append(out, "evacuated_domains", evacuations_count(this->evacuations));
+	metrics_append(out, "endpoints_evacuated",
+		endpoint_registry_evacuated_count(this->endpoint_registry));
 	metrics_append(out, "callers", listener_caller_count(this->callers));
 	metrics_append(out, "callers_examined_total", listener_callers_examined(this->callers));
 	metrics_append(out, "endpoint_connections", this->open_connections);
@@ -71,6 +76,7 @@
 	metrics_append(out, "grants_declined_total", placement_counters->declined);
 	metrics_append(out, "endpoints_rate_limited", placement_rate_limited(placement));
 	metrics_append(out, "endpoints_cold", placement_cold(placement, clock_now()));
+	metrics_append(out, "engines_unequal", placement_unequal_engines(placement));
 	metrics_append(out, "owner_waiting", scheduler_waiting(placement_scheduler(placement)));
 	metrics_append(out, "owner_running", scheduler_running(placement_scheduler(placement)));
 	metrics_append(out, "owner_asked_total", scheduler_counters->slot_requests);
@@ -103,3 +109,29 @@
 			"amaranthwall_calls_total{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
 			reason_info((reason_t)i)->name, (guint64)this->outcomes[i]);
 }
+
+static void send_metrics(const gateway_t *this, caller_t *caller)
+{
+	GString *text = g_string_new(NULL);
+
+	gateway_write_metrics(this, text);
+	caller_send_response(
+		caller, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+/* Answers /metrics with the metrics and every other path with the readiness. */
+static void on_status_request(void *ctx, caller_t *caller, const caller_request_t *request)
+{
+	if (!strcmp(request->target->str, "/metrics"))
+		send_metrics(ctx, caller);
+	else
+		caller_send_response(caller, gateway_is_ready(ctx) ? 200 : 503, "", "", 0);
+}
+
+static void ignore_caller_event(void *exchange)
+{
+}
+
+const caller_ops_t gateway_status_ops = {
+	on_status_request, ignore_caller_event, ignore_caller_event};
