--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -37,8 +37,9 @@
 /* Slot usage of a member's engines of a pool. */
 typedef struct pool_usage {
 	id_t32 pool;
-	slot_usage_t received; /* as last received, plus the requests sent to the member since */
-	slot_usage_t sent;     /* of our own engines, as last sent to the member */
+	slot_usage_t received;	 /* as last received, plus the requests sent to the member since */
+	instant_t reading_until; /* according to `received` or a reply */
+	slot_usage_t sent;	 /* of our own engines, as last sent to the member */
 } pool_usage_t;
 
 /* What this router knows of a member, and the entries of the next message to it. */
@@ -61,6 +62,16 @@
 	uint64_t speed_serial;	  /* newest report of an engine's speed that the peer was sent */
 } peer_state_t;
 
+/* A prompt as the choice of its owner sees it; see prefill_plan.h. */
+typedef struct steering {
+	id_t32 pool;
+	uint32_t tokens;	/* to be read */
+	uint64_t fastest;	/* shortest prefill at an owner that accepts requests, 0: unknown */
+	uint64_t max_event_gap; /* of the pool's streams, 0: any */
+	bool avoids_pauses;	/* an owner with a free slot was avoided for its streams, ... */
+	bool avoids_reading;	/* ... or for the prompts that it reads */
+} steering_t;
+
 struct placement {
 	placement_options_t options;
 	const allocator_t *allocator;
@@ -125,6 +136,24 @@
 /* Counts a start without a grant, of which a router uses a part of its even share of the rate. */
 void placement_count_rate(placement_t *this, engine_state_t *state, instant_t now);
 
+/* placement_steer.c: owners by what they read, and how fast */
+steering_t placement_steering(
+	const placement_t *this, const placement_request_t *request, instant_t now);
+/*
+ * Returns `load`, the owner's, or more if it should be asked only when no other owner has a free
+ * slot: it reads for much longer than the prompt takes, or its streams would pause too long.
+ */
+double placement_steered_load(const placement_t *this, unsigned int slot, steering_t *steering,
+	double load, instant_t now);
+/* Returns whether the owner's engines read the prompt without too long pauses of their streams. */
+bool placement_bears_prompt(
+	const placement_t *this, unsigned int slot, const steering_t *steering, instant_t now);
+/* Counts the choice of an owner if others were avoided; `lowest`: the least load of all. */
+void placement_count_steered(placement_t *this, const steering_t *steering, double lowest);
+/* Returns how long, in ms, the prompt would wait for others that our engines read; 0: not much. */
+uint32_t placement_reading_wait_ms(
+	const placement_t *this, const slot_request_t *request, instant_t now);
+
 /* placement_warm_up.c: engines that are cold */
 /* Handles an ENTRY_ENGINE_STATE, of the engine's owner or for it, as far as it states that. */
 void placement_handle_warm_up(
--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -5,8 +5,10 @@
 #define REPLY_TIMEOUT (25 * USEC_PER_MSEC)    /* ten times a typical round trip */
 #define MAX_OWN_DELAY (500 * USEC_PER_MSEC)   /* most that our own slowness adds to it */
 #define MAX_REPLY_DELAY (200 * USEC_PER_MSEC) /* most that an owner's slowness adds to it */
-#define REPLY_DELAY_DECAY 8	/* part by which the known delay approaches a shorter one */
-#define MAX_REDIRECTS 2		/* after which an owner has to queue the request */
+#define REPLY_DELAY_DECAY 8 /* part by which the known delay approaches a shorter one */
+#define MAX_REDIRECTS 2	    /* after which an owner has to queue the request */
+/* A router whose turns take longer has its requests queued at once: a redirect costs it a turn. */
+#define SLOW_TURN (50 * USEC_PER_MSEC)
 #define MAX_OWNERS_TRIED 10	/* before a request is refused that no owner has decided on */
 #define MAX_CANDIDATES 3	/* engines that may have cached the shared parts of a prompt */
 #define UTILIZATION_NONE 1000.0 /* stands for an owner without a usable engine */
@@ -103,9 +105,12 @@
 				   : (double)hash;
 }
 
-/* Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing. */
+/*
+ * Finds the indexes of the engines that rank first for the prefix, by rendezvous hashing; with
+ * `steering` only of those whose streams bear the prompt.
+ */
 static unsigned int rank_engines(const placement_t *this, const placement_request_t *request,
-	uint64_t prefix, unsigned int *best)
+	uint64_t prefix, const steering_t *steering, instant_t now, unsigned int *best)
 {
 	double scores[MAX_CANDIDATES];
 	unsigned int count = 0;
@@ -115,7 +120,9 @@
 		double score;
 		unsigned int rank;
 
-		if (!fits(engine, request))
+		if (!fits(engine, request) ||
+			(steering && !placement_bears_prompt(
+					     this, this->engines[i].owner, steering, now)))
 			continue;
 		score = score_of(this, &this->engines[i], prefix);
 		for (rank = count; rank && scores[rank - 1] < score; rank--) {
@@ -164,8 +171,17 @@
 	return delay > REPLY_TIMEOUT ? load + (double)delay / DELAY_OF_FULL_OWNER : load;
 }
 
+/* The owner's load for this request: more where its prompt would wait or make others wait. */
+static double steered_load(
+	placement_t *this, unsigned int slot, steering_t *steering, instant_t now)
+{
+	return placement_steered_load(
+		this, slot, steering, owner_load(this, slot, steering->pool, now), now);
+}
+
 /* Returns the owner with the lowest load, a random one among equals; -1: none. */
-static int least_loaded_owner(placement_t *this, const placement_request_t *request, instant_t now)
+static int least_loaded_owner(
+	placement_t *this, const placement_request_t *request, steering_t *steering, instant_t now)
 {
 	unsigned int start = (unsigned int)(next_random(this) % this->members.count);
 	int best = -1;
@@ -178,7 +194,7 @@
 		if (!placement_accepts_requests(this, slot) ||
 			!owns_engine_for(this, slot, request, now))
 			continue;
-		load = owner_load(this, slot, request->pool, now);
+		load = steered_load(this, slot, steering, now);
 		if (best >= 0 && load >= best_load)
 			continue;
 		best = (int)slot;
@@ -217,7 +233,8 @@
 	if (!chain->count || shared_tokens(chain) < ENGINE_COPY_MIN_TOKENS)
 		return 0;
 	source = known_place(this, request, now);
-	if (!source && rank_engines(this, request, chain->hash[chain->count - 1], ranked))
+	if (!source &&
+		rank_engines(this, request, chain->hash[chain->count - 1], NULL, now, ranked))
 		source = this->engines[ranked[0]].engine.id;
 	return source == engine ? 0 : source;
 }
@@ -240,11 +257,14 @@
 	const prompt_chain_t *chain = &request->work.chain;
 	uint64_t prefix = chain->count ? chain->hash[chain->count - 1] : 0;
 	unsigned int ranked[MAX_CANDIDATES];
-	unsigned int count = prefix ? rank_engines(this, request, prefix, ranked) : 0;
-	int best = least_loaded_owner(this, request, now);
-	double lowest = best < 0 ? 0 : owner_load(this, (unsigned int)best, request->pool, now);
+	steering_t steering = placement_steering(this, request, now);
+	unsigned int count =
+		prefix ? rank_engines(this, request, prefix, &steering, now, ranked) : 0;
+	int best = least_loaded_owner(this, request, &steering, now);
+	double lowest = best < 0 ? 0 : steered_load(this, (unsigned int)best, &steering, now);
 	double bound = (lowest < UTILIZATION_LOW ? UTILIZATION_LOW : lowest) + UTILIZATION_MARGIN;
 
+	placement_count_steered(this, &steering, lowest);
 	if (lowest < UTILIZATION_FREE && bound > UTILIZATION_FREE)
 		bound = UTILIZATION_FREE;
 	for (unsigned int i = 0; i < count; i++) {
@@ -252,7 +272,7 @@
 
 		if (placement_accepts_requests(this, owner) &&
 			placement_may_use(&this->engines[ranked[i]], request, now) &&
-			owner_load(this, owner, request->pool, now) <=
+			steered_load(this, owner, &steering, now) <=
 				bound - i * UTILIZATION_RANK_STEP)
 			return (int)owner;
 	}
@@ -507,7 +527,8 @@
 				.version = request->version,
 				.regions = request->regions,
 				.is_late = request->is_late,
-				.must_queue = request->owners_tried > MAX_REDIRECTS,
+				.must_queue = request->owners_tried > MAX_REDIRECTS ||
+					      this->own_delay > SLOW_TURN,
 			},
 	};
 }
