The owners of usable engines are found in one walk over the engines

For each request the choice of the least loaded owner walked over all engines for each member: 85 times 94 steps.

--- a/src/core/placement_request.c
+++ b/src/core/placement_request.c
@@ -1,6 +1,7 @@
 #include "core/placement_internal.h"
 
 #include <math.h>
+#include <string.h>
 
 #define REPLY_TIMEOUT (25 * USEC_PER_MSEC)    /* ten times a typical round trip */
 #define MAX_OWN_DELAY (500 * USEC_PER_MSEC)   /* most that our own slowness adds to it */
@@ -150,16 +151,17 @@
 	return false;
 }
 
-/* Whether the member in `slot` owns an engine that this router may send the request to. */
-static bool owns_engine_for(const placement_t *this, unsigned int slot,
-	const placement_request_t *request, instant_t now)
+/* Notes which members own an engine that this router may send the request to. */
+static void find_owners(const placement_t *this, const placement_request_t *request, instant_t now,
+	bool owners[MEMBER_MAX])
 {
+	memset(owners, 0, this->members.count * sizeof(*owners));
 	for (unsigned int i = 0; i < this->engine_count; i++) {
-		if (this->engines[i].owner == slot &&
-			placement_may_use(&this->engines[i], request, now))
-			return true;
+		const engine_state_t *state = &this->engines[i];
+
+		if (state->owner < this->members.count && placement_may_use(state, request, now))
+			owners[state->owner] = true;
 	}
-	return false;
 }
 
 /* The owner's utilization, and more for one that replies late: it is busy, whatever it reports. */
@@ -186,13 +188,14 @@
 	unsigned int start = (unsigned int)(next_random(this) % this->members.count);
 	int best = -1;
 	double best_load = 0;
+	bool owners[MEMBER_MAX];
 
+	find_owners(this, request, now, owners);
 	for (unsigned int k = 0; k < this->members.count; k++) {
 		unsigned int slot = (start + k) % this->members.count;
 		double load;
 
-		if (!placement_accepts_requests(this, slot) ||
-			!owns_engine_for(this, slot, request, now))
+		if (!owners[slot] || !placement_accepts_requests(this, slot))
 			continue;
 		load = steered_load(this, slot, steering, now);
 		if (best >= 0 && load >= best_load)
