--- a/src/core/prefill_plan.c
+++ b/src/core/prefill_plan.c
@@ -117,9 +117,12 @@
 	uint64_t fastest, instant_t now)
 {
 	uint64_t own = prefill_plan_at(engine, work, source_prefill);
+	uint64_t reading = prefill_plan_reading(engine, prefill_plan_backlog(engine, now));
 
 	if (own > CROSSING_MIN_PREFILL && may_overtake(engine, now))
 		return false;
+	if (prefill_plan_goes_elsewhere(own, reading))
+		return false;
 	return engine->running == engine->prefilling ||
 	       prefill_plan_is_bearable(own, fastest, engine->limits.max_event_gap);
 }
--- a/src/core/sched_pool.c
+++ b/src/core/sched_pool.c
@@ -117,7 +117,7 @@
 {
 	return engine->model.running + reserved < sched_engine_usable_slots(engine, now) &&
 	       sched_engine_may_start(engine, now) &&
-	       prefill_plan_backlog(&engine->model, now) <= this->options->max_backlog &&
+	       engine_prefill_backlog(&engine->model, now) <= this->options->max_backlog &&
 	       engine_can_prefill(&engine->model, now);
 }
 
