Fuzz targets link what decode and the entry codec use now, and know the new fields

fuzz-decode, fuzz-note and fuzz-rows did not link since regions and cold times are decoded. What a response says of the cold time is reported where its other headers are, in call_relay.c, so that the registry's part needs no calls. The corpus gains the new fields.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -23,18 +23,18 @@
 	printf '\x03id: 1\ndata: a\n\nid: 2\ndata: b\n\n' >"$corpus/two"
 	;;
 decode)
-	sources="platform/decode.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/settings/*.c"
-	printf '{"version":7,"routes":[{"name":"r","host":"shop.example","prefix":"/a/","kind":"streaming","timeoutMs":12000,"maxAttempts":2,"resumable":true,"backends":[{"service":"m","weight":9}]}],"services":[{"name":"m","maxConns":9,"engine":{"slots":2,"kvCapacity":9,"stride":7}}],"limits":{"maxHeaderBytes":9},"tenants":[{"name":"w","apiKeys":["k"]}]}' >"$corpus/config"
-	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","born":7}' >"$corpus/entry"
+	sources="platform/decode.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/allocator.c src/edge/log.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/settings/*.c"
+	printf '{"version":7,"routes":[{"name":"r","host":"shop.example","prefix":"/a/","kind":"streaming","timeoutMs":12000,"maxAttempts":2,"resumable":true,"allowedRegions":["a","b"],"backends":[{"service":"m","weight":9}]}],"services":[{"name":"m","maxConns":9,"coldStartS":3.5,"coldPerS":12,"engine":{"slots":2,"kvCapacity":9,"stride":7}}],"limits":{"maxHeaderBytes":9},"tenants":[{"name":"w","apiKeys":["k"]}]}' >"$corpus/config"
+	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","coldRemainingMs":1500,"born":7}' >"$corpus/entry"
 	;;
 rows)
-	sources="platform/decode.c platform/row_store.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/gateway/store.c src/gateway/row_cache.c src/gateway/roster.c src/gateway/origin_rows.c src/core/stream_origins.c src/core/allocator.c src/edge/http_call.c src/edge/clock.c src/edge/log.c src/settings/*.c"
+	sources="platform/decode.c platform/row_store.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/gateway/store.c src/gateway/row_cache.c src/gateway/roster.c src/gateway/origin_rows.c src/core/stream_origins.c src/core/allocator.c src/edge/http_call.c src/edge/clock.c src/edge/log.c src/settings/*.c"
 	printf '{"rows":[{"table":"servers","part":"","key":"a","value":"e30=","ver":3},{"key":"b","deleted":true,"ver":4}],"ver":4,"hasMore":false}' >"$corpus/response"
-	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","born":7}' >"$corpus/entry"
+	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","coldRemainingMs":1500,"born":7}' >"$corpus/entry"
 	printf '{"address":"1.2.3.4:5","public_key":"0123456789012345678901234567890123456789","failure_domain":"z","incarnation":7}' >"$corpus/router"
 	;;
 note)
-	sources="src/edge/entry_codec.c src/core/allocator.c"
+	sources="src/edge/entry_codec.c src/core/region_set.c src/core/allocator.c"
 	printf '\x95\x01\x02\x03\x04\x00\x94\x02\x05\x06\x00\x94\x0f\x07\x08\x09' >"$corpus/entries"
 	;;
 esac
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -74,6 +74,28 @@
 	call_report_rate_limit(call, response->rate_limit);
 }
 
+static void note_malformed_cold_time(call_t *call)
+{
+	if (!call->endpoint->named_malformed_cold)
+		log_warn("endpoint-cold-malformed", "id=%s endpoint=%s", call->id,
+			call->endpoint->name);
+	call->endpoint->named_malformed_cold = true;
+}
+
+/* Another endpoint that has the address by now (421) speaks for itself only. */
+static void report_cold_time(call_t *call, const connection_response_t *response)
+{
+	if (response->cold_malformed)
+		note_malformed_cold_time(call);
+	if (!response->has_cold || response->cold_malformed || response->status == 421 ||
+		!(response->has_marker || response->not_run))
+		return;
+	call->endpoint->named_malformed_cold = false;
+	if (call->in_placement)
+		placement_warm_up_report(peers_placement(call->gateway->peers),
+			&call->placement_request, response->cold_left, call->sent_at, clock_now());
+}
+
 /* Another endpoint that has the address by now (421) speaks for itself only. */
 static void report_leaving(call_t *call, const connection_response_t *response)
 {
@@ -128,7 +150,7 @@
 
 	report_load(call, response);
 	report_limit(call, response);
-	endpoint_warm_up_report(call, response);
+	report_cold_time(call, response);
 	report_leaving(call, response);
 	report_pause(call, response);
 	part_watch_record_response(call->gateway->part_watch, call->endpoint->id, clock_now());
--- a/src/gateway/endpoint_warm_up.c
+++ b/src/gateway/endpoint_warm_up.c
@@ -1,9 +1,6 @@
 #include "gateway/endpoint_warm_up.h"
 
-#include "edge/clock.h"
 #include "edge/log.h"
-#include "gateway/call.h"
-#include "gateway/gateway.h"
 
 /* A registration reaches this router up to this long after it was written. */
 #define ROW_DELAY (1 * USEC_PER_SEC)
@@ -55,28 +52,6 @@
 	engine->cold_stated_at = endpoint->seen_at;
 }
 
-static void note_malformed(call_t *call)
-{
-	if (!call->endpoint->named_malformed_cold)
-		log_warn("endpoint-cold-malformed", "id=%s endpoint=%s", call->id,
-			call->endpoint->name);
-	call->endpoint->named_malformed_cold = true;
-}
-
-/* Another endpoint that has the address by now (421) speaks for itself only. */
-void endpoint_warm_up_report(call_t *call, const connection_response_t *response)
-{
-	if (response->cold_malformed)
-		note_malformed(call);
-	if (!response->has_cold || response->cold_malformed || response->status == 421 ||
-		!(response->has_marker || response->not_run))
-		return;
-	call->endpoint->named_malformed_cold = false;
-	if (call->in_placement)
-		placement_warm_up_report(peers_placement(call->gateway->peers),
-			&call->placement_request, response->cold_left, call->sent_at, clock_now());
-}
-
 void endpoint_warm_up_log(
 	const registered_endpoint_t *endpoint, const warm_up_t *warm_up, instant_t now)
 {
--- a/src/gateway/endpoint_warm_up.h
+++ b/src/gateway/endpoint_warm_up.h
@@ -8,8 +8,6 @@
 #include "gateway/endpoint_connection.h"
 #include "gateway/endpoint_registry.h"
 
-typedef struct call call_t;
-
 /*
  * Takes up how long a registration, newly written, says that its endpoint stays cold; returns
  * whether that changed anything.
@@ -22,8 +20,6 @@
  */
 void endpoint_warm_up_describe(const registered_endpoint_t *endpoint,
 	const catalog_service_t *service, instant_t loaded_at, placement_engine_t *engine);
-/* Reports what the response to a call says of the endpoint's cold time. */
-void endpoint_warm_up_report(call_t *call, const connection_response_t *response);
 /* Logs that the endpoint, NULL if it has left, is cold or warm from now on. */
 void endpoint_warm_up_log(
 	const registered_endpoint_t *endpoint, const warm_up_t *warm_up, instant_t now);
