--- a/standin/row_store_standin.c
+++ b/standin/row_store_standin.c
@@ -169,7 +169,6 @@
 	return respond_and_unlock(this, request, out);
 }
 
-/* Waits up to waitMs for rows that changed after the version `after`. */
 static void count_follower(row_store_standin_t *this, const char *table, int step)
 {
 	int count;
@@ -190,6 +189,7 @@
 	return (unsigned int)count;
 }
 
+/* Waits up to waitMs for rows that changed after the version `after`. */
 static enum MHD_Result wait_for_changes(row_store_standin_t *this, server_request_t *request)
 {
 	const char *table = server_query_value(request, "table");
