--- a/review/rig-2.c
+++ b/review/rig-2.c
@@ -200,15 +200,6 @@
 	start_thread(accept_loop, listener);
 }
 
-void rig_serve(void (*serve)(void *ctx, rig_conn_t *conn), void *ctx, char *address, size_t size)
-{
-	int fd = listen_at("127.0.0.1", 0, address, size);
-
-	if (fd < 0)
-		rig_end(RIG_CANNOT);
-	serve_on(fd, serve, ctx);
-}
-
 bool rig_connect(rig_conn_t *conn, const char *address, const rig_connect_options_t *options)
 {
 	static const rig_connect_options_t none;
@@ -981,8 +972,7 @@
 	if (!file || child_count == MAX_CHILDREN)
 		rig_end(RIG_CANNOT);
 	fprintf(file, settings_text, gateway->memory_mb ? gateway->memory_mb : 110.0, gateway->name,
-		gateway->zone, gateway->ip, gateway->ip, gateway->ip, gateway->ip,
-		gateway->store ? gateway->store : store.address);
+		gateway->zone, gateway->ip, gateway->ip, gateway->ip, gateway->ip, store.address);
 	fclose(file);
 	gateway->pid = fork();
 	if (gateway->pid < 0)
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -1,7 +1,7 @@
 #ifndef REVIEW_RIG_2_H
 #define REVIEW_RIG_2_H
 /*
- * rig-2 - what the scripts of review/6 to review/10 share
+ * rig-2 - what the scripts of review/6 and review/7 share
  *
  * Stand-ins of the platform's store, of replicas and of clients, as PROTOCOL.md describes them, and
  * the start of gateways with the command and the settings template of the deploy file.  All
@@ -85,9 +85,6 @@
 bool rig_printf(rig_conn_t *conn, const char *format, ...) __attribute__((format(printf, 2, 3)));
 void rig_conn_close(rig_conn_t *conn);
 
-/* Listens on a free port of 127.0.0.1; each connection is served by a thread of its own. */
-void rig_serve(void (*serve)(void *ctx, rig_conn_t *conn), void *ctx, char *address, size_t size);
-
 typedef struct rig_connect_options {
 	int receive_buffer; /* bytes, 0: the system's choice */
 	int max_segment;    /* bytes, 0: the system's choice */
@@ -131,7 +128,6 @@
 	const char *name;
 	const char *zone;
 	double memory_mb;
-	const char *store; /* address at which it reaches the store; NULL: the store's own */
 	pid_t pid;
 	char ip[16];
 	char front[32];
