--- a/review/rig-2.c
+++ b/review/rig-2.c
@@ -217,8 +217,8 @@
 		.read_rate = options->read_rate,
 		.slow_until = options->slow_s > 0 ? rig_now() + options->slow_s : 0};
 	if (options->timeout_ms)
-		timeout = (struct timeval){options->timeout_ms / 1000,
-			(options->timeout_ms % 1000) * 1000};
+		timeout = (struct timeval){
+			options->timeout_ms / 1000, (options->timeout_ms % 1000) * 1000};
 	setsockopt(conn->fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
 	setsockopt(conn->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	if (options->receive_buffer)
@@ -287,8 +287,8 @@
 	}
 	if (conn->read_rate) {
 		conn->read_began = conn->read_began > 0 ? conn->read_began : rig_now();
-		rig_sleep_until(conn->read_began +
-				(double)conn->read_total / (double)conn->read_rate);
+		rig_sleep_until(
+			conn->read_began + (double)conn->read_total / (double)conn->read_rate);
 	}
 	do
 		got = read(conn->fd, conn->bytes + conn->len, most);
@@ -632,7 +632,8 @@
 	for (unsigned int i = 0; i < store.count; i++) {
 		row_t *row = &store.rows[i];
 
-		if (row->value && !strcmp(row->table, table) && (!from || strcmp(row->key, from) > 0))
+		if (row->value && !strcmp(row->table, table) &&
+			(!from || strcmp(row->key, from) > 0))
 			rows[count++] = row;
 	}
 	qsort(rows, count, sizeof(*rows), by_key);
@@ -845,8 +846,7 @@
 
 	clock_gettime(CLOCK_REALTIME, &now);
 	replica->born = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-	replica->listen_fd =
-		listen_at("127.0.0.1", 0, replica->address, sizeof(replica->address));
+	replica->listen_fd = listen_at("127.0.0.1", 0, replica->address, sizeof(replica->address));
 	if (replica->listen_fd < 0)
 		rig_end(RIG_CANNOT);
 	serve_on(replica->listen_fd, serve_replica, replica);
@@ -936,8 +936,7 @@
 
 static void run_gateway(const char *settings, const char *log)
 {
-	static char *const arguments[] = {
-		"target/amaranthwall", "gateway", "--verbose", NULL};
+	static char *const arguments[] = {"target/amaranthwall", "gateway", "--verbose", NULL};
 	char variable[200];
 	char *environment[] = {variable, "PATH=/usr/bin:/bin", NULL};
 	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -966,7 +965,8 @@
 	}
 	snprintf(log, sizeof(log), "%s", gateway->settings);
 	memcpy(strstr(log, "settings-"), "log-", 4);
-	memmove(strstr(log, "log-") + 4, strstr(log, "log-") + 9, strlen(strstr(log, "log-") + 9) + 1);
+	memmove(strstr(log, "log-") + 4, strstr(log, "log-") + 9,
+		strlen(strstr(log, "log-") + 9) + 1);
 	strcpy(strstr(log, ".json"), ".txt");
 	file = fopen(gateway->settings, "w");
 	if (!file || child_count == MAX_CHILDREN)
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -14,7 +14,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define RIG_HELD 0   /* exit codes of a case */
+#define RIG_HELD 0 /* exit codes of a case */
 #define RIG_BROKEN 1
 #define RIG_CANNOT 2
 
@@ -86,10 +86,10 @@
 void rig_conn_close(rig_conn_t *conn);
 
 typedef struct rig_connect_options {
-	int receive_buffer; /* bytes, 0: the system's choice */
-	int max_segment;    /* bytes, 0: the system's choice */
-	unsigned int read_rate; /* bytes a second, 0: as fast as they come */
-	double slow_s;		/* for how long it reads so slowly, 0: to the end */
+	int receive_buffer;	 /* bytes, 0: the system's choice */
+	int max_segment;	 /* bytes, 0: the system's choice */
+	unsigned int read_rate;	 /* bytes a second, 0: as fast as they come */
+	double slow_s;		 /* for how long it reads so slowly, 0: to the end */
 	unsigned int timeout_ms; /* of reads, 0: 20 seconds */
 } rig_connect_options_t;
 
