--- a/review/rig-2.c
+++ b/review/rig-2.c
@@ -103,6 +103,14 @@
 	_exit(code);
 }
 
+static void end_signals(sigset_t *signals)
+{
+	sigemptyset(signals);
+	sigaddset(signals, SIGTERM);
+	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
+}
+
 static void *watch_time(void *limit)
 {
 	sleep_s((double)(uintptr_t)limit);
@@ -121,18 +129,35 @@
 	pthread_detach(thread);
 }
 
+/* A run that is ended early leaves nothing behind. */
+static void *watch_signals(void *arg)
+{
+	sigset_t signals;
+	int number;
+
+	end_signals(&signals);
+	sigwait(&signals, &number);
+	rig_record("ended early by signal %d", number);
+	rig_end(RIG_CANNOT);
+}
+
 void rig_begin(const char *record, unsigned int limit_s)
 {
+	sigset_t signals;
+
 	clock_gettime(CLOCK_MONOTONIC, &began);
 	record_file = fopen(record, "w");
 	if (!record_file)
 		_exit(RIG_CANNOT);
 	signal(SIGPIPE, SIG_IGN);
+	end_signals(&signals);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	snprintf(folder, sizeof(folder), "/tmp/review-XXXXXX");
 	if (!mkdtemp(folder))
 		rig_end(RIG_CANNOT);
 	rig_record("TROUBLE=%d", rig_trouble());
 	start_thread(watch_time, (void *)(uintptr_t)limit_s);
+	start_thread(watch_signals, NULL);
 }
 
 /* --- sockets ------------------------------------------------------------------ */
@@ -644,8 +669,7 @@
 	return text;
 }
 
-/* False: the answer is lost. */
-static bool feed_rows(const char *path, char **text)
+static char *feed_rows(const char *path)
 {
 	char *table = parameter(path, "table");
 	char *after_text = parameter(path, "after");
@@ -655,7 +679,7 @@
 	unsigned int count = 0;
 	struct timespec until;
 	uint64_t ver;
-	bool loses = false;
+	char *text;
 
 	clock_gettime(CLOCK_REALTIME, &until);
 	until.tv_nsec += (long)(atoi(wait_text) % 1000) * 1000000;
@@ -671,15 +695,12 @@
 			break;
 	}
 	qsort(rows, count, sizeof(*rows), by_ver);
-	*text = rows_json(rows, count, &ver);
-	if (count && store.options.loses)
-		loses = store.options.loses(table, ver);
-	store.counts.lost += loses;
+	text = rows_json(rows, count, &ver);
 	pthread_mutex_unlock(&store.lock);
 	free(table);
 	free(after_text);
 	free(wait_text);
-	return !loses;
+	return text;
 }
 
 /* The value of a member of the JSON object that begins at `at`, to be freed; NULL: none. */
@@ -775,24 +796,28 @@
 	while (goes_on && rig_read_request(conn, &request)) {
 		char *text = NULL;
 		int status = 200;
-		bool lost = false;
+		bool lost;
 
 		sleep_s(0.004);
 		if (!strncmp(request.head, "GET /rows-get?", 14))
 			text = get_rows(request.head);
 		else if (!strncmp(request.head, "GET /rows-feed?", 15))
-			lost = !feed_rows(request.head, &text);
+			text = feed_rows(request.head);
 		else if (!strncmp(request.head, "POST /rows-tx", 13))
 			status = transact(request.body, &text);
 		else if (asprintf(&text, "{}") >= 0)
 			status = 404;
 		rig_message_clear(&request);
+		lost = store.options.loses && store.options.loses();
 		if (!lost) {
 			goes_on = answer(conn, status, text);
 			continue;
 		}
 		/* It delivers nothing further, and ends when the caller closes it. */
 		free(text);
+		pthread_mutex_lock(&store.lock);
+		store.counts.lost++;
+		pthread_mutex_unlock(&store.lock);
 		while (fill(conn))
 			conn->len = 0;
 		goes_on = false;
@@ -939,8 +964,11 @@
 	static char *const arguments[] = {"target/amaranthwall", "gateway", "--verbose", NULL};
 	char variable[200];
 	char *environment[] = {variable, "PATH=/usr/bin:/bin", NULL};
+	sigset_t signals;
 	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+	end_signals(&signals);
+	sigprocmask(SIG_UNBLOCK, &signals, NULL);
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	snprintf(variable, sizeof(variable), "AMARANTHWALL_NODE_FILE=%s", settings);
 	dup2(fd, 1);
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -34,10 +34,10 @@
 
 typedef struct rig_store_options {
 	/*
-	 * Asked for each answer to a feed that has rows; true: the answer is lost.  Its connection
-	 * stays open and delivers nothing further.
+	 * Asked for each answer; true: it is lost.  Its connection stays open and delivers nothing
+	 * further.
 	 */
-	bool (*loses)(const char *table, uint64_t ver);
+	bool (*loses)(void);
 } rig_store_options_t;
 
 typedef struct rig_store_counts {
