What has no status of HTTP is no response: http_check judges bytes before the parser gets them

Cause: http_parser as Debian builds it leaves out its strict checks, whatever the macro in its header says, and endpoint_connection took each number that it gives for a status.

Why this works: the check follows the grammar byte by byte, so that what it passes has the form of a response whatever the parser would take. It also knows where a response ends; if the parser differs, the response is malformed.

Ruled out: another way round the parser; resumed streams and retries read through the same function.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 $(BUILD)/bodies: $(BUILD)/obj/bench/bodies.o $(BUILD)/obj/tests/program.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
 	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lcmocka $(LIBS)
 
-$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/program.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/obj/tests/fleet_sim.o $(BUILD)/obj/tests/mixed_load.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
+$(BUILD)/test_%: $(BUILD)/obj/tests/test_%.o $(BUILD)/obj/tests/harness.o $(BUILD)/obj/tests/gateway_fixture.o $(BUILD)/obj/tests/program.o $(BUILD)/obj/tests/raw_answers.o $(BUILD)/obj/tests/engine_sim.o $(BUILD)/obj/tests/fleet_sim.o $(BUILD)/obj/tests/mixed_load.o $(BUILD)/libstandin.a $(BUILD)/libinternal.a
 	$(CC) $(SAN) $(HARDEN_LINK) -o $@ $^ -lcmocka $(LIBS)
 
 test-programs: $(patsubst tests/%.c,$(BUILD)/%,$(TESTS))
--- /dev/null
+++ b/src/edge/http_check.c
@@ -0,0 +1,514 @@
+#include "edge/http_check.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define MIN_STATUS 100
+#define MAX_STATUS 599
+#define STATUS_DIGITS 3
+#define STATUS_SWITCHING_PROTOCOLS 101
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+#define CONTENT_LENGTH "Content-Length"
+#define TRANSFER_ENCODING "Transfer-Encoding"
+
+typedef enum check_state {
+	STATE_START, /* before the first byte */
+	STATE_PROTOCOL,
+	STATE_VERSION,
+	STATE_VERSION_END,
+	STATE_STATUS,
+	STATE_REASON,
+	STATE_START_LINE_LF,
+	STATE_LINE, /* before a line of the head or of the trailer */
+	STATE_NAME,
+	STATE_VALUE,
+	STATE_VALUE_LF,
+	STATE_HEAD_LF,
+	STATE_CHUNK_SIZE_START,
+	STATE_CHUNK_SIZE,
+	STATE_CHUNK_BLANK,
+	STATE_CHUNK_EXTENSION,
+	STATE_CHUNK_SIZE_LF,
+	STATE_CHUNK_DATA,
+	STATE_CHUNK_DATA_CR,
+	STATE_CHUNK_DATA_LF,
+	STATE_BODY,
+	STATE_BODY_UNTIL_CLOSE,
+	STATE_DONE,
+	STATE_COUNT,
+} check_state_t;
+
+static const char protocol[] = "HTTP/1.";
+
+/* --- characters -------------------------------------------------------- */
+
+static bool is_digit(unsigned char c)
+{
+	return c >= '0' && c <= '9';
+}
+
+static bool is_blank(unsigned char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+enum {
+	CHAR_TEXT = 1,	/* of field values, reason phrases and chunk extensions */
+	CHAR_TOKEN = 2, /* tchar of RFC 9110 */
+};
+
+#define TEXT CHAR_TEXT
+#define TOKEN (CHAR_TEXT | CHAR_TOKEN)
+
+static const unsigned char classes[256] = {
+	['\t'] = TEXT,
+	[' '] = TEXT,
+	['!'] = TOKEN,
+	['"'] = TEXT,
+	['#' ... '\''] = TOKEN,
+	['(' ... ')'] = TEXT,
+	['*' ... '+'] = TOKEN,
+	[','] = TEXT,
+	['-' ... '.'] = TOKEN,
+	['/'] = TEXT,
+	['0' ... '9'] = TOKEN,
+	[':' ... '@'] = TEXT,
+	['A' ... 'Z'] = TOKEN,
+	['[' ... ']'] = TEXT,
+	['^' ... 'z'] = TOKEN,
+	['{'] = TEXT,
+	['|'] = TOKEN,
+	['}'] = TEXT,
+	['~'] = TOKEN,
+	[0x80 ... 0xff] = TEXT,
+};
+
+#undef TEXT
+#undef TOKEN
+
+/* Number of leading characters that are of the class. */
+static size_t span(const char *data, size_t len, unsigned int class)
+{
+	size_t n = 0;
+
+	while (n < len && classes[(unsigned char)data[n]] & class)
+		n++;
+	return n;
+}
+
+static int hex_value(unsigned char c)
+{
+	if (is_digit(c))
+		return c - '0';
+	c |= 0x20;
+	return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+static void fail(http_check_t *this, http_fault_t fault)
+{
+	this->fault = fault;
+}
+
+/* --- start line -------------------------------------------------------- */
+
+static void check_protocol(http_check_t *this, unsigned char c)
+{
+	if (c != (unsigned char)protocol[this->matched]) {
+		fail(this, HTTP_FAULT_START_LINE);
+		return;
+	}
+	if (!protocol[++this->matched])
+		this->state = STATE_VERSION;
+}
+
+static void check_start(http_check_t *this, unsigned char c)
+{
+	this->state = STATE_PROTOCOL;
+	check_protocol(this, c);
+}
+
+static void check_version(http_check_t *this, unsigned char c)
+{
+	if (!is_digit(c))
+		fail(this, HTTP_FAULT_START_LINE);
+	this->is_http_1_0 = c == '0';
+	this->state = STATE_VERSION_END;
+}
+
+static void end_start_line(http_check_t *this, unsigned char c)
+{
+	if (c == '\r')
+		this->state = STATE_START_LINE_LF;
+	else if (c == '\n')
+		this->state = STATE_LINE;
+	else
+		fail(this, HTTP_FAULT_START_LINE);
+}
+
+static void check_version_end(http_check_t *this, unsigned char c)
+{
+	this->matched = 0;
+	this->state = STATE_STATUS;
+	if (c != ' ')
+		fail(this, HTTP_FAULT_START_LINE);
+}
+
+static bool is_status(unsigned int status)
+{
+	return status >= MIN_STATUS && status <= MAX_STATUS && status != STATUS_SWITCHING_PROTOCOLS;
+}
+
+/* The blank after the status may be missing if there is no reason phrase. */
+static void check_status(http_check_t *this, unsigned char c)
+{
+	if (this->matched < STATUS_DIGITS) {
+		this->matched++;
+		this->status = this->status * 10 + (unsigned int)(c - '0');
+		if (!is_digit(c) || (this->matched == STATUS_DIGITS && !is_status(this->status)))
+			fail(this, HTTP_FAULT_STATUS);
+		return;
+	}
+	if (c == ' ')
+		this->state = STATE_REASON;
+	else if (is_digit(c))
+		fail(this, HTTP_FAULT_STATUS);
+	else
+		end_start_line(this, c);
+}
+
+static void check_start_line_lf(http_check_t *this, unsigned char c)
+{
+	if (c == '\n')
+		this->state = STATE_LINE;
+	else
+		fail(this, HTTP_FAULT_START_LINE);
+}
+
+/* --- fields ------------------------------------------------------------ */
+
+static bool has_name(const http_check_t *this, const char *name, size_t len)
+{
+	return this->name_len == len && !strncasecmp(this->name, name, len);
+}
+
+/* Appends up to the size of `text`; a text that fills it is too long to be one that counts. */
+static void keep_text(char *text, unsigned int *text_len, const char *data, size_t len)
+{
+	size_t room = HTTP_CHECK_TEXT - *text_len;
+
+	if (len > room)
+		len = room;
+	memcpy(text + *text_len, data, len);
+	*text_len += (unsigned int)len;
+}
+
+static void trim_value(http_check_t *this)
+{
+	if (this->value_len == HTTP_CHECK_TEXT)
+		return;
+	while (this->value_len && is_blank((unsigned char)this->value[this->value_len - 1]))
+		this->value_len--;
+}
+
+static void parse_length(http_check_t *this)
+{
+	uint64_t length = 0;
+
+	trim_value(this);
+	for (unsigned int i = 0; i < this->value_len && !this->fault; i++) {
+		unsigned int digit = (unsigned int)(this->value[i] - '0');
+
+		length = length * 10 + digit;
+	}
+	this->has_length = true;
+	this->left = length;
+}
+
+/* No other coding is understood here, so that a body which has one would change its meaning. */
+static void parse_coding(http_check_t *this)
+{
+	static const char chunked[] = "chunked";
+
+	trim_value(this);
+	this->is_chunked |= this->value_len == strlen(chunked) &&
+			    !strncasecmp(this->value, chunked, this->value_len);
+}
+
+static void end_field(http_check_t *this)
+{
+	this->state = STATE_LINE;
+	if (this->in_trailer)
+		return;
+	if (has_name(this, CONTENT_LENGTH, strlen(CONTENT_LENGTH)))
+		parse_length(this);
+	else if (has_name(this, TRANSFER_ENCODING, strlen(TRANSFER_ENCODING)))
+		parse_coding(this);
+}
+
+static void check_name(http_check_t *this, unsigned char c)
+{
+	if (c == '\n')
+		this->state = STATE_LINE;
+	if (c != ':')
+		return;
+	this->state = STATE_VALUE;
+	this->value_len = 0;
+}
+
+static void check_value(http_check_t *this, unsigned char c)
+{
+	if (c == '\r')
+		this->state = STATE_VALUE_LF;
+	else if (c == '\n')
+		end_field(this);
+}
+
+static void check_value_lf(http_check_t *this, unsigned char c)
+{
+	if (c == '\n')
+		end_field(this);
+}
+
+/* --- end of the head --------------------------------------------------- */
+
+static bool is_response_without_body(const http_check_t *this)
+{
+	return http_check_is_interim(this) || this->status == STATUS_NO_CONTENT ||
+	       this->status == STATUS_NOT_MODIFIED;
+}
+
+static void end_head(http_check_t *this)
+{
+	if (is_response_without_body(this))
+		this->state = STATE_DONE;
+	else if (this->is_chunked)
+		this->state = STATE_CHUNK_SIZE_START;
+	else if (this->left)
+		this->state = STATE_BODY;
+	else if (this->has_length)
+		this->state = STATE_DONE;
+	else
+		this->state = STATE_BODY_UNTIL_CLOSE;
+}
+
+static void end_fields(http_check_t *this)
+{
+	if (this->in_trailer)
+		this->state = STATE_DONE;
+	else
+		end_head(this);
+}
+
+static void check_line(http_check_t *this, unsigned char c)
+{
+	this->name_len = 0;
+	this->state = STATE_NAME;
+	if (c == '\r')
+		this->state = STATE_HEAD_LF;
+	else if (c == '\n')
+		end_fields(this);
+	else
+		this->name[this->name_len++] = (char)c;
+}
+
+static void check_head_lf(http_check_t *this, unsigned char c)
+{
+	if (c == '\n')
+		end_fields(this);
+}
+
+/* --- chunks ------------------------------------------------------------ */
+
+static void add_size_digit(http_check_t *this, int digit)
+{
+	this->left = (this->left << 4) + (uint64_t)digit;
+}
+
+static void check_chunk_size_start(http_check_t *this, unsigned char c)
+{
+	int digit = hex_value(c);
+
+	this->left = 0;
+	this->state = STATE_CHUNK_SIZE;
+	if (digit >= 0)
+		add_size_digit(this, digit);
+}
+
+/* Some servers pad the size with blanks. */
+static void check_after_size(http_check_t *this, unsigned char c)
+{
+	if (c == '\r')
+		this->state = STATE_CHUNK_SIZE_LF;
+	else if (c == ';')
+		this->state = STATE_CHUNK_EXTENSION;
+	else if (is_blank(c))
+		this->state = STATE_CHUNK_BLANK;
+}
+
+static void check_chunk_size(http_check_t *this, unsigned char c)
+{
+	int digit = hex_value(c);
+
+	if (digit < 0)
+		check_after_size(this, c);
+	else
+		add_size_digit(this, digit);
+}
+
+static void check_chunk_extension(http_check_t *this, unsigned char c)
+{
+	if (c == '\r')
+		this->state = STATE_CHUNK_SIZE_LF;
+}
+
+static void check_chunk_size_lf(http_check_t *this, unsigned char c)
+{
+	this->in_trailer = !this->left;
+	this->state = this->left ? STATE_CHUNK_DATA : STATE_LINE;
+}
+
+static void check_chunk_data_cr(http_check_t *this, unsigned char c)
+{
+	this->state = STATE_CHUNK_DATA_LF;
+}
+
+static void check_chunk_data_lf(http_check_t *this, unsigned char c)
+{
+	this->state = STATE_CHUNK_SIZE_START;
+}
+
+/* --- the whole message ------------------------------------------------- */
+
+static void (*const checks[STATE_COUNT])(http_check_t *this, unsigned char c) = {
+	[STATE_START] = check_start,
+	[STATE_PROTOCOL] = check_protocol,
+	[STATE_VERSION] = check_version,
+	[STATE_VERSION_END] = check_version_end,
+	[STATE_STATUS] = check_status,
+	[STATE_REASON] = end_start_line,
+	[STATE_START_LINE_LF] = check_start_line_lf,
+	[STATE_LINE] = check_line,
+	[STATE_NAME] = check_name,
+	[STATE_VALUE] = check_value,
+	[STATE_VALUE_LF] = check_value_lf,
+	[STATE_HEAD_LF] = check_head_lf,
+	[STATE_CHUNK_SIZE_START] = check_chunk_size_start,
+	[STATE_CHUNK_SIZE] = check_chunk_size,
+	[STATE_CHUNK_BLANK] = check_after_size,
+	[STATE_CHUNK_EXTENSION] = check_chunk_extension,
+	[STATE_CHUNK_SIZE_LF] = check_chunk_size_lf,
+	[STATE_CHUNK_DATA_CR] = check_chunk_data_cr,
+	[STATE_CHUNK_DATA_LF] = check_chunk_data_lf,
+};
+
+static size_t skip_name(http_check_t *this, const char *data, size_t len)
+{
+	size_t n = span(data, len, CHAR_TOKEN);
+
+	keep_text(this->name, &this->name_len, data, n);
+	return n;
+}
+
+static size_t skip_value(http_check_t *this, const char *data, size_t len)
+{
+	size_t n = span(data, len, CHAR_TEXT);
+	size_t blanks = 0;
+
+	while (!this->value_len && blanks < n && is_blank((unsigned char)data[blanks]))
+		blanks++;
+	keep_text(this->value, &this->value_len, data + blanks, n - blanks);
+	return n;
+}
+
+/* Counts bytes of the body; returns how many there are. */
+static size_t skip_body(http_check_t *this, size_t len)
+{
+	if (this->state == STATE_BODY_UNTIL_CLOSE)
+		return len;
+	if (len > this->left)
+		len = (size_t)this->left;
+	this->left -= len;
+	if (!this->left)
+		this->state = this->state == STATE_BODY ? STATE_DONE : STATE_CHUNK_DATA_CR;
+	return len;
+}
+
+/* Skips characters that are sound in this state and don't end it; returns how many. */
+static size_t skip_run(http_check_t *this, const char *data, size_t len)
+{
+	switch ((check_state_t)this->state) {
+	case STATE_REASON:
+	case STATE_CHUNK_EXTENSION:
+		return span(data, len, CHAR_TEXT);
+	case STATE_NAME:
+		return skip_name(this, data, len);
+	case STATE_VALUE:
+		return skip_value(this, data, len);
+	case STATE_CHUNK_DATA:
+	case STATE_BODY:
+	case STATE_BODY_UNTIL_CLOSE:
+		return skip_body(this, len);
+	default:
+		return 0;
+	}
+}
+
+size_t http_check_feed(http_check_t *this, const char *data, size_t len)
+{
+	bool in_head = http_check_is_in_head(this);
+	size_t at = 0;
+
+	while (at < len && !this->fault && this->state != STATE_DONE &&
+		http_check_is_in_head(this) == in_head) {
+		size_t run = skip_run(this, data + at, len - at);
+
+		at += run;
+		if (run)
+			continue;
+		checks[this->state](this, (unsigned char)data[at]);
+		at += !this->fault;
+	}
+	return at;
+}
+
+void http_check_init(http_check_t *this)
+{
+	*this = (http_check_t){.state = STATE_START};
+}
+
+bool http_check_is_in_head(const http_check_t *this)
+{
+	return this->state < STATE_CHUNK_SIZE_START && !this->in_trailer;
+}
+
+void http_check_skip_body(http_check_t *this)
+{
+	this->state = STATE_DONE;
+}
+
+bool http_check_is_done(const http_check_t *this)
+{
+	return this->state == STATE_DONE;
+}
+
+bool http_check_ends_by_close(const http_check_t *this)
+{
+	return this->state == STATE_BODY_UNTIL_CLOSE;
+}
+
+bool http_check_is_interim(const http_check_t *this)
+{
+	return this->status >= 100 && this->status < 200;
+}
+
+const char *http_fault_name(http_fault_t fault)
+{
+	static const char *const names[HTTP_FAULT_COUNT] = {
+		[HTTP_FAULT_NONE] = "none",
+		[HTTP_FAULT_START_LINE] = "start-line",
+		[HTTP_FAULT_STATUS] = "status",
+	};
+
+	return names[fault];
+}
--- a/src/gateway/call_relay.c
+++ b/src/gateway/call_relay.c
@@ -388,6 +388,7 @@
 	log_info("link-failed", "id=%s endpoint=%s failure=%s", call->id, call->endpoint->name,
 		names[failure]);
 	report_failure_bound(call, failure);
+	call->gateway->malformed_responses += failure == CONNECTION_FAILURE_MALFORMED;
 	if (may_have_run &&
 		(failure == CONNECTION_FAILURE_RESET || failure == CONNECTION_FAILURE_ENDED))
 		record_endpoint_end(call);
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 
 #include "core/warm_up.h"
+#include "edge/http_check.h"
+#include "edge/log.h"
 #include "settings/address.h"
 
 #define READ_SIZE 16384
@@ -33,6 +35,7 @@
 	uv_connect_t connect;
 	uv_write_t write;
 	http_parser parser;
+	http_check_t check; /* of what the parser gets */
 	const endpoint_connection_options_t *options;
 	registered_endpoint_t *endpoint;
 	struct cds_list_head link; /* in the endpoint's idle list */
@@ -53,8 +56,9 @@
 	GString *header_name;
 	GString *header_value;
 	bool in_header_value;
-	bool id_mismatch; /* the response carries another request's id */
-	bool response_complete;
+	bool id_mismatch;	/* the response carries another request's id */
+	bool message_complete;	/* the response being read, whichever it is */
+	bool response_complete; /* the request's own */
 	bool keep_alive;
 	bool is_used; /* an exchange came before the current one */
 	bool paused;
@@ -261,6 +265,7 @@
 	this->in_header_value = false;
 	this->trailer_bytes = 0;
 	this->id_mismatch = false;
+	this->message_complete = false;
 	return 0;
 }
 
@@ -300,11 +305,6 @@
 	return 0;
 }
 
-static bool is_interim(const http_parser *parser)
-{
-	return parser->status_code >= 100 && parser->status_code < 200;
-}
-
 static int on_headers_complete(http_parser *parser)
 {
 	endpoint_connection_t *this = parser->data;
@@ -316,12 +316,14 @@
 		this->response.content_length = (int64_t)parser->content_length;
 	this->response.ends_by_close =
 		parser->content_length == UINT64_MAX && !(parser->flags & F_CHUNKED);
-	if (this->id_mismatch || is_interim(parser))
-		return 0;
-	this->ops->on_response(this->user, &this->response);
-	if (this->state != CONNECTION_BUSY)
-		return -1;
-	return this->is_head ? 1 : 0;
+	if (!this->id_mismatch && !http_check_is_interim(&this->check)) {
+		this->ops->on_response(this->user, &this->response);
+		if (this->state != CONNECTION_BUSY)
+			return -1;
+		if (this->is_head)
+			http_check_skip_body(&this->check);
+	}
+	return http_check_is_done(&this->check) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -339,7 +341,8 @@
 {
 	endpoint_connection_t *this = parser->data;
 
-	if (this->id_mismatch || is_interim(parser))
+	this->message_complete = true;
+	if (this->id_mismatch || http_check_is_interim(&this->check))
 		return 0;
 	this->response_complete = true;
 	if (!is_in_trailer(parser))
@@ -386,6 +389,28 @@
 	ops->on_end(user);
 }
 
+static void begin_response(endpoint_connection_t *this)
+{
+	http_check_init(&this->check);
+	this->message_complete = false;
+}
+
+static bool has_parser_error(const endpoint_connection_t *this)
+{
+	return HTTP_PARSER_ERRNO(&this->parser) != HPE_OK;
+}
+
+/* Whether the check and the parser differ about where the response ends. */
+static bool has_doubtful_end(const endpoint_connection_t *this)
+{
+	return this->message_complete != http_check_is_done(&this->check);
+}
+
+static bool is_malformed(const endpoint_connection_t *this)
+{
+	return this->check.fault || has_parser_error(this) || has_doubtful_end(this);
+}
+
 static connection_failure_t parse_failure(const endpoint_connection_t *this)
 {
 	enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
@@ -398,24 +423,55 @@
 	return CONNECTION_FAILURE_MALFORMED;
 }
 
+static const char *fault_name(const endpoint_connection_t *this)
+{
+	if (this->check.fault)
+		return http_fault_name(this->check.fault);
+	return has_parser_error(this) ? http_errno_name(HTTP_PARSER_ERRNO(&this->parser)) : "end";
+}
+
+static void fail_parsing(endpoint_connection_t *this)
+{
+	connection_failure_t failure = parse_failure(this);
+
+	if (failure == CONNECTION_FAILURE_MALFORMED)
+		log_warn("response-malformed", "id=%s endpoint=%s fault=%s", this->id,
+			this->endpoint->name, fault_name(this));
+	connection_fail(this, failure);
+}
+
+/* Handles bytes up to the end of a response; returns how many it used. */
+static size_t parse_bytes(endpoint_connection_t *this, const char *data, size_t len)
+{
+	size_t used = http_check_feed(&this->check, data, len);
+
+	if (this->check.fault)
+		return used;
+	http_parser_execute(&this->parser, &parser_settings, data, used);
+	if (this->state == CONNECTION_BUSY && !is_malformed(this) && this->message_complete &&
+		!this->response_complete)
+		begin_response(this); /* that was an interim one, or another request's */
+	return used;
+}
+
 static void process_bytes(endpoint_connection_t *this, const char *data, size_t len)
 {
-	size_t used;
+	size_t used = 0;
 
 	if (this->state != CONNECTION_BUSY) {
 		connection_close(this); /* unsolicited bytes on an idle connection */
 		return;
 	}
 	this->overhead += len;
-	used = http_parser_execute(&this->parser, &parser_settings, data, len);
+	while (used < len && this->state == CONNECTION_BUSY && !this->response_complete &&
+		!is_malformed(this))
+		used += parse_bytes(this, data + used, len - used);
 	if (this->state == CONNECTION_CLOSED)
 		return;
-	if (this->response_complete)
-		connection_finish_exchange(
-			this, used == len && !this->outgoing &&
-				      HTTP_PARSER_ERRNO(&this->parser) == HPE_OK);
-	else if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK || this->overhead > MAX_OVERHEAD)
-		connection_fail(this, parse_failure(this));
+	if (is_malformed(this) || (!this->response_complete && this->overhead > MAX_OVERHEAD))
+		fail_parsing(this);
+	else if (this->response_complete)
+		connection_finish_exchange(this, used == len && !this->outgoing);
 	else
 		update_buffered(this);
 }
@@ -571,6 +627,7 @@
 	this->overhead = 0;
 	this->response_complete = false;
 	this->keep_alive = false;
+	begin_response(this);
 	http_parser_init(&this->parser, HTTP_RESPONSE);
 	this->parser.data = this;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,6 +104,7 @@
 	buffer_pool_t buffers;	       /* parts of responses that are held, of all exchanges */
 	request_room_t room;	       /* what the requests of all callers hold */
 	uint64_t bounds_exceeded[BOUND_COUNT];
+	uint64_t malformed_responses;
 	retry_budget_options_t budget_options;
 	GHashTable *retry_budgets; /* service id -> retry_budget_t */
 	struct cds_list_head calls;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -109,6 +109,7 @@
 		row_cache_newest_version(this->row_cache, CACHED_ENDPOINTS).era);
 	metrics_append(out, "store_losses_total", this->store_losses);
 	metrics_append(out, "store_reader", this->reads_store);
+	metrics_append(out, "responses_malformed_total", this->malformed_responses);
 	metrics_append(out, "log_lines_dropped_total", log_dropped_lines());
 	write_buffer_metrics(this, out);
 	write_steering_metrics(placement_counters, out);
--- /dev/null
+++ b/tests/test_broken_heads.c
@@ -0,0 +1,179 @@
+/* threaded: broken_heads - what is no response in HTTP never reaches a caller as one */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "edge/log.h"
+#include "tests/gateway_fixture.h"
+#include "tests/raw_answers.h"
+
+#define WAIT_MS 5000
+#define OWN_FIELDS ENDPOINT_MARKER "Request-Id: %s\r\n"
+#define PIECE 7 /* bytes */
+
+/* Where the fault is: behind the head, a response may have begun, but does not look complete. */
+typedef enum fault_place {
+	FAULT_IN_HEAD,
+	FAULT_IN_BODY,
+} fault_place_t;
+
+typedef struct route {
+	const char *method;
+	const char *name;
+} route_t;
+
+static const route_t routes[] = {
+	{"GET", "status"}, {"POST", "order"}, {"POST", "note"}, {"POST", "draft"}};
+
+/* The target differs each time: a request that ends several endpoints is refused. */
+static char *ask(fixture_t *f, const route_t *route)
+{
+	static unsigned int number;
+	char *path = g_strdup_printf("/%s/%u", route->name, number++);
+	char *text =
+		fixture_format_request(route->method, path, "mine", "Connection: close\r\n", "");
+	char *response = fixture_send_and_read(f, text, WAIT_MS);
+
+	g_free(text);
+	g_free(path);
+	return response;
+}
+
+/* A rig of one router and one endpoint that sends what the test sets. */
+typedef struct rig {
+	fixture_t *fixture;
+	raw_sender_t sender;
+	fault_place_t place;
+	unsigned int broken; /* answers that were sent */
+	unsigned int passed; /* of them, those that reached a caller */
+} rig_t;
+
+static void rig_init(rig_t *this)
+{
+	memset(this, 0, sizeof(*this));
+	this->sender.own = OWN_FIELDS;
+	this->fixture = fixture_new();
+	fixture_add_endpoint(this->fixture, raw_sender_respond, &this->sender);
+	fixture_wait_ready(this->fixture, 1);
+}
+
+/* Checks that none of the answers passed, and ends the rig. */
+static void rig_finish(rig_t *this)
+{
+	fixture_delete(this->fixture);
+	if (this->passed)
+		fail_msg("%u of %u broken answers reached the caller", this->passed, this->broken);
+}
+
+static bool is_refused(const rig_t *this, const char *response)
+{
+	if (g_str_has_prefix(response, "HTTP/1.1 502 "))
+		return true;
+	return this->place == FAULT_IN_BODY &&
+	       strcasestr(response, "\r\nTransfer-Encoding: chunked\r\n") &&
+	       !g_str_has_suffix(response, "\r\n0\r\n\r\n");
+}
+
+static void try_broken(rig_t *this, const route_t *route, const char *name, const char *text)
+{
+	char *response;
+
+	this->sender.text = text;
+	response = ask(this->fixture, route);
+	this->broken++;
+	if (!is_refused(this, response)) {
+		this->passed++;
+		print_message("  %s, /%s/, pieces of %zu: %.60s\n", name, route->name,
+			this->sender.piece, response);
+	}
+	g_free(response);
+}
+
+static void check_sound(rig_t *this, const route_t *route, const raw_answer_t *answer)
+{
+	char *response;
+
+	this->sender.text = answer->text;
+	response = ask(this->fixture, route);
+	if (!g_str_has_prefix(response, "HTTP/1.1 2") || !strstr(response, "hello"))
+		fail_msg("%s, /%s/: %s", answer->name, route->name, response);
+	g_free(response);
+}
+
+/* On each kind of route, whole and in pieces, with a sound answer behind each of the others. */
+static void check_list(const raw_answer_t *list, fault_place_t place)
+{
+	rig_t rig;
+
+	rig_init(&rig);
+	rig.place = place;
+	for (const raw_answer_t *answer = list; answer->name; answer++) {
+		for (unsigned int i = 0; i < ARRAY_LEN(routes); i++) {
+			for (rig.sender.piece = 0; rig.sender.piece <= PIECE;
+				rig.sender.piece += PIECE)
+				try_broken(&rig, &routes[i], answer->name, answer->text);
+		}
+		rig.sender.piece = 0;
+		check_sound(&rig, &routes[0], raw_answers_sound);
+	}
+	rig_finish(&rig);
+}
+
+static void test_answer_without_a_status_is_no_answer(void **state)
+{
+	check_list(raw_answers_start_line, FAULT_IN_HEAD);
+}
+
+/* What is unusual, but sound, is served on each kind of route. */
+static void test_sound_answers_are_served(void **state)
+{
+	rig_t rig;
+
+	rig_init(&rig);
+	for (const raw_answer_t *answer = raw_answers_sound; answer->name; answer++) {
+		for (unsigned int i = 0; i < ARRAY_LEN(routes); i++) {
+			for (rig.sender.piece = 0; rig.sender.piece <= PIECE;
+				rig.sender.piece += PIECE)
+				check_sound(&rig, &routes[i], answer);
+		}
+	}
+	rig_finish(&rig);
+}
+
+/* A broken answer is a failure of its endpoint: it is counted, and another serves the request. */
+static void test_broken_answer_is_tried_again_elsewhere(void **state)
+{
+	raw_sender_t broken = {.own = OWN_FIELDS, .text = raw_answers_start_line[0].text};
+	raw_sender_t sound = {.own = OWN_FIELDS, .text = raw_answers_sound[0].text};
+	fixture_t *f = fixture_new();
+
+	fixture_add_endpoint(f, raw_sender_respond, &broken);
+	fixture_add_endpoint(f, raw_sender_respond, &sound);
+	fixture_wait_ready(f, 2);
+	for (unsigned int i = 0; i < 6; i++) {
+		char *response = ask(f, &routes[0]);
+
+		assert_non_null(strstr(response, "hello"));
+		g_free(response);
+	}
+	assert_true(fixture_wait_metric(
+		f, "responses_malformed_total", raw_endpoint_request_count(f->endpoints[0])));
+	assert_true(raw_endpoint_request_count(f->endpoints[0]) > 0);
+	fixture_delete(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_answer_without_a_status_is_no_answer),
+		cmocka_unit_test(test_sound_answers_are_served),
+		cmocka_unit_test(test_broken_answer_is_tried_again_elsewhere),
+	};
+
+	log_init("test", FALSE);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
