Names of fields are tokens, and values have no control characters

Cause: http_parser without its strict checks takes a blank for a character of a name, skips the byte behind the carriage return of the head's end, and does not look at the first character of a value.

Evidence: test_broken_heads on the commit before: 76 of 120 responses with a name that is none, 3 of 530 single characters and 16 of 64 values with control characters reached the caller; now 0 of each. The sound responses are still served; test_gateway and test_trailers pass.

Why this works: the rule is the grammar's token, not a list of bytes; the parser gets no byte of a line that breaks it.

--- a/src/edge/http_check.c
+++ b/src/edge/http_check.c
@@ -87,6 +87,11 @@
 #undef TEXT
 #undef TOKEN
 
+static bool is_token_char(unsigned char c)
+{
+	return classes[c] & CHAR_TOKEN;
+}
+
 /* Number of leading characters that are of the class. */
 static size_t span(const char *data, size_t len, unsigned int class)
 {
@@ -248,12 +253,12 @@
 
 static void check_name(http_check_t *this, unsigned char c)
 {
-	if (c == '\n')
-		this->state = STATE_LINE;
-	if (c != ':')
-		return;
-	this->state = STATE_VALUE;
-	this->value_len = 0;
+	if (c == ':') {
+		this->state = STATE_VALUE;
+		this->value_len = 0;
+	} else {
+		fail(this, HTTP_FAULT_NAME);
+	}
 }
 
 static void check_value(http_check_t *this, unsigned char c)
@@ -262,12 +267,16 @@
 		this->state = STATE_VALUE_LF;
 	else if (c == '\n')
 		end_field(this);
+	else
+		fail(this, HTTP_FAULT_VALUE);
 }
 
 static void check_value_lf(http_check_t *this, unsigned char c)
 {
 	if (c == '\n')
 		end_field(this);
+	else
+		fail(this, HTTP_FAULT_VALUE);
 }
 
 /* --- end of the head --------------------------------------------------- */
@@ -308,14 +317,18 @@
 		this->state = STATE_HEAD_LF;
 	else if (c == '\n')
 		end_fields(this);
-	else
+	else if (is_token_char(c))
 		this->name[this->name_len++] = (char)c;
+	else
+		fail(this, HTTP_FAULT_NAME);
 }
 
 static void check_head_lf(http_check_t *this, unsigned char c)
 {
 	if (c == '\n')
 		end_fields(this);
+	else
+		fail(this, HTTP_FAULT_NAME);
 }
 
 /* --- chunks ------------------------------------------------------------ */
@@ -508,6 +521,8 @@
 		[HTTP_FAULT_NONE] = "none",
 		[HTTP_FAULT_START_LINE] = "start-line",
 		[HTTP_FAULT_STATUS] = "status",
+		[HTTP_FAULT_NAME] = "field-name",
+		[HTTP_FAULT_VALUE] = "field-value",
 	};
 
 	return names[fault];
--- a/src/edge/http_check.h
+++ b/src/edge/http_check.h
@@ -20,6 +20,8 @@
 	HTTP_FAULT_NONE,
 	HTTP_FAULT_START_LINE, /* not the start line of an HTTP/1.x message */
 	HTTP_FAULT_STATUS,     /* not three digits from 100 to 599, or 101 */
+	HTTP_FAULT_NAME,       /* a field's name is no token */
+	HTTP_FAULT_VALUE,      /* a control character in a field's value */
 	HTTP_FAULT_COUNT,
 } http_fault_t;
 
--- a/tests/test_broken_heads.c
+++ b/tests/test_broken_heads.c
@@ -128,6 +128,47 @@
 	check_list(raw_answers_start_line, FAULT_IN_HEAD);
 }
 
+static void test_answer_with_a_broken_name_is_no_answer(void **state)
+{
+	check_list(raw_answers_names, FAULT_IN_HEAD);
+}
+
+static bool is_token_char(unsigned char c)
+{
+	return g_ascii_isalnum(c) || strchr("!#$%&'*+-.^_`|~", c);
+}
+
+/* Each character that no name has, at the beginning, in the middle and at the end. */
+static void test_only_tokens_are_names(void **state)
+{
+	static const char *const formats[] = {"%cX-Custom: 1", "X-Cu%cstom: 1", "X-Custom%c: 1"};
+	rig_t rig;
+
+	rig_init(&rig);
+	for (unsigned int c = 1; c <= UINT8_MAX; c++) {
+		if (is_token_char((unsigned char)c) || c == ':')
+			continue;
+		for (unsigned int i = 0; i < ARRAY_LEN(formats); i++) {
+			char *line = g_strdup_printf(formats[i], (int)c);
+			char *text = raw_answer_with_field(i % 2 ? 404 : 200, line);
+			char *name = g_strdup_printf("character %u at place %u", c, i);
+
+			/* A line feed before a name ends the head. */
+			if (c != '\n' || i)
+				try_broken(&rig, &routes[0], name, text);
+			g_free(name);
+			g_free(text);
+			g_free(line);
+		}
+	}
+	rig_finish(&rig);
+}
+
+static void test_answer_with_a_broken_value_is_no_answer(void **state)
+{
+	check_list(raw_answers_values, FAULT_IN_HEAD);
+}
+
 /* What is unusual, but sound, is served on each kind of route. */
 static void test_sound_answers_are_served(void **state)
 {
@@ -170,6 +211,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answer_without_a_status_is_no_answer),
+		cmocka_unit_test(test_answer_with_a_broken_name_is_no_answer),
+		cmocka_unit_test(test_only_tokens_are_names),
+		cmocka_unit_test(test_answer_with_a_broken_value_is_no_answer),
 		cmocka_unit_test(test_sound_answers_are_served),
 		cmocka_unit_test(test_broken_answer_is_tried_again_elsewhere),
 	};
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -89,6 +89,8 @@
 static void test_broken_responses_have_their_fault(void **state)
 {
 	check_broken(raw_answers_start_line, HTTP_FAULT_START_LINE, HTTP_FAULT_STATUS);
+	check_broken(raw_answers_names, HTTP_FAULT_NAME, HTTP_FAULT_NAME);
+	check_broken(raw_answers_values, HTTP_FAULT_VALUE, HTTP_FAULT_VALUE);
 }
 
 static void test_sound_responses_have_none(void **state)
