A body has one length: contradictory framing and broken chunks are no response

Cause: http_parser without its strict checks skips what stands behind a chunk's size and the two bytes behind a chunk, and reads an unknown coding until the end of the connection.

Why this works: the check knows from the head where the body ends, and reads each line between chunks.

--- a/src/edge/http_check.c
+++ b/src/edge/http_check.c
@@ -9,6 +9,7 @@
 #define STATUS_SWITCHING_PROTOCOLS 101
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
+#define MAX_LENGTH ((uint64_t)INT64_MAX) /* bytes, of a body or a chunk */
 #define CONTENT_LENGTH "Content-Length"
 #define TRANSFER_ENCODING "Transfer-Encoding"
 
@@ -221,9 +222,15 @@
 	uint64_t length = 0;
 
 	trim_value(this);
+	if (this->has_length || !this->value_len || this->value_len == HTTP_CHECK_TEXT) {
+		fail(this, HTTP_FAULT_LENGTH);
+		return;
+	}
 	for (unsigned int i = 0; i < this->value_len && !this->fault; i++) {
 		unsigned int digit = (unsigned int)(this->value[i] - '0');
 
+		if (digit > 9 || length > (MAX_LENGTH - digit) / 10)
+			fail(this, HTTP_FAULT_LENGTH);
 		length = length * 10 + digit;
 	}
 	this->has_length = true;
@@ -236,8 +243,10 @@
 	static const char chunked[] = "chunked";
 
 	trim_value(this);
-	this->is_chunked |= this->value_len == strlen(chunked) &&
-			    !strncasecmp(this->value, chunked, this->value_len);
+	if (this->is_chunked || this->value_len != strlen(chunked) ||
+		strncasecmp(this->value, chunked, this->value_len))
+		fail(this, HTTP_FAULT_LENGTH);
+	this->is_chunked = true;
 }
 
 static void end_field(http_check_t *this)
@@ -287,9 +296,18 @@
 	       this->status == STATUS_NOT_MODIFIED;
 }
 
+/* Interim responses and 204 must not name a body; a length of 0 does no harm. */
+static bool denies_its_body(const http_check_t *this)
+{
+	return (http_check_is_interim(this) || this->status == STATUS_NO_CONTENT) &&
+	       (this->is_chunked || this->left);
+}
+
 static void end_head(http_check_t *this)
 {
-	if (is_response_without_body(this))
+	if ((this->is_chunked && (this->has_length || this->is_http_1_0)) || denies_its_body(this))
+		fail(this, HTTP_FAULT_LENGTH);
+	else if (is_response_without_body(this))
 		this->state = STATE_DONE;
 	else if (this->is_chunked)
 		this->state = STATE_CHUNK_SIZE_START;
@@ -335,6 +353,8 @@
 
 static void add_size_digit(http_check_t *this, int digit)
 {
+	if (this->left > MAX_LENGTH >> 4)
+		fail(this, HTTP_FAULT_CHUNK);
 	this->left = (this->left << 4) + (uint64_t)digit;
 }
 
@@ -344,7 +364,9 @@
 
 	this->left = 0;
 	this->state = STATE_CHUNK_SIZE;
-	if (digit >= 0)
+	if (digit < 0)
+		fail(this, HTTP_FAULT_CHUNK);
+	else
 		add_size_digit(this, digit);
 }
 
@@ -357,6 +379,8 @@
 		this->state = STATE_CHUNK_EXTENSION;
 	else if (is_blank(c))
 		this->state = STATE_CHUNK_BLANK;
+	else
+		fail(this, HTTP_FAULT_CHUNK);
 }
 
 static void check_chunk_size(http_check_t *this, unsigned char c)
@@ -373,21 +397,29 @@
 {
 	if (c == '\r')
 		this->state = STATE_CHUNK_SIZE_LF;
+	else
+		fail(this, HTTP_FAULT_CHUNK);
 }
 
 static void check_chunk_size_lf(http_check_t *this, unsigned char c)
 {
+	if (c != '\n')
+		fail(this, HTTP_FAULT_CHUNK);
 	this->in_trailer = !this->left;
 	this->state = this->left ? STATE_CHUNK_DATA : STATE_LINE;
 }
 
 static void check_chunk_data_cr(http_check_t *this, unsigned char c)
 {
+	if (c != '\r')
+		fail(this, HTTP_FAULT_CHUNK);
 	this->state = STATE_CHUNK_DATA_LF;
 }
 
 static void check_chunk_data_lf(http_check_t *this, unsigned char c)
 {
+	if (c != '\n')
+		fail(this, HTTP_FAULT_CHUNK);
 	this->state = STATE_CHUNK_SIZE_START;
 }
 
@@ -523,6 +555,8 @@
 		[HTTP_FAULT_STATUS] = "status",
 		[HTTP_FAULT_NAME] = "field-name",
 		[HTTP_FAULT_VALUE] = "field-value",
+		[HTTP_FAULT_LENGTH] = "body-length",
+		[HTTP_FAULT_CHUNK] = "chunk",
 	};
 
 	return names[fault];
--- a/src/edge/http_check.h
+++ b/src/edge/http_check.h
@@ -22,6 +22,8 @@
 	HTTP_FAULT_STATUS,     /* not three digits from 100 to 599, or 101 */
 	HTTP_FAULT_NAME,       /* a field's name is no token */
 	HTTP_FAULT_VALUE,      /* a control character in a field's value */
+	HTTP_FAULT_LENGTH,     /* the fields that tell the body's length are invalid */
+	HTTP_FAULT_CHUNK,      /* chunks that are not separated as they should be */
 	HTTP_FAULT_COUNT,
 } http_fault_t;
 
--- a/tests/test_broken_heads.c
+++ b/tests/test_broken_heads.c
@@ -169,6 +169,16 @@
 	check_list(raw_answers_values, FAULT_IN_HEAD);
 }
 
+static void test_answer_with_contradictory_framing_is_no_answer(void **state)
+{
+	check_list(raw_answers_framing, FAULT_IN_HEAD);
+}
+
+static void test_answer_with_broken_chunks_does_not_look_complete(void **state)
+{
+	check_list(raw_answers_chunks, FAULT_IN_BODY);
+}
+
 /* What is unusual, but sound, is served on each kind of route. */
 static void test_sound_answers_are_served(void **state)
 {
@@ -207,6 +217,20 @@
 	fixture_delete(f);
 }
 
+/* A 304 names the length of a body that it does not have. */
+static void test_304_ends_with_its_head(void **state)
+{
+	rig_t rig;
+	char *response;
+
+	rig_init(&rig);
+	rig.sender.text = "HTTP/1.1 304 Not Modified\r\n{own}Content-Length: 5\r\n\r\n";
+	response = ask(rig.fixture, &routes[0]);
+	assert_true(g_str_has_prefix(response, "HTTP/1.1 304 "));
+	g_free(response);
+	rig_finish(&rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -214,8 +238,11 @@
 		cmocka_unit_test(test_answer_with_a_broken_name_is_no_answer),
 		cmocka_unit_test(test_only_tokens_are_names),
 		cmocka_unit_test(test_answer_with_a_broken_value_is_no_answer),
+		cmocka_unit_test(test_answer_with_contradictory_framing_is_no_answer),
+		cmocka_unit_test(test_answer_with_broken_chunks_does_not_look_complete),
 		cmocka_unit_test(test_sound_answers_are_served),
 		cmocka_unit_test(test_broken_answer_is_tried_again_elsewhere),
+		cmocka_unit_test(test_304_ends_with_its_head),
 	};
 
 	log_init("test", FALSE);
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -91,6 +91,8 @@
 	check_broken(raw_answers_start_line, HTTP_FAULT_START_LINE, HTTP_FAULT_STATUS);
 	check_broken(raw_answers_names, HTTP_FAULT_NAME, HTTP_FAULT_NAME);
 	check_broken(raw_answers_values, HTTP_FAULT_VALUE, HTTP_FAULT_VALUE);
+	check_broken(raw_answers_framing, HTTP_FAULT_LENGTH, HTTP_FAULT_NAME);
+	check_broken(raw_answers_chunks, HTTP_FAULT_CHUNK, HTTP_FAULT_NAME);
 }
 
 static void test_sound_responses_have_none(void **state)
@@ -115,6 +117,36 @@
 	}
 }
 
+typedef struct position {
+	const char *before;
+	const char *after;
+} position_t;
+
+/* A NUL byte has no place outside a body. */
+static void test_nul_is_a_fault_everywhere(void **state)
+{
+	static const position_t positions[] = {{"", OK}, {"HTTP/", "1.1 200 OK\r\n"},
+		{"HTTP/1.1 2", "00 OK\r\n"}, {"HTTP/1.1 200 O", "K\r\n"},
+		{"HTTP/1.1 200 OK\r", "\n"}, {OK, "X-A: 1\r\n"}, {OK "X", "-A: 1\r\n"},
+		{OK "X-A:", "1\r\n"}, {OK "X-A: 1\r", "\n"}, {OK "X-A: 1\r\n\r", "\n"},
+		{OK_CHUNKS, "1\r\n"}, {OK_CHUNKS "1", "\r\n"}, {OK_CHUNKS "1;a", "\r\n"},
+		{OK_CHUNKS "1\r\nb", "\r\n"}, {OK_CHUNKS "1\r\nb\r", "\n"},
+		{OK_CHUNKS "0\r\n", "\r\n"}, {OK_CHUNKS "0\r\nX", ": 1\r\n"},
+		{OK_CHUNKS "0\r\nX: ", "1\r\n"}};
+
+	for (unsigned int i = 0; i < ARRAY_LEN(positions); i++) {
+		GString *text = g_string_new(positions[i].before);
+		verdict_t verdict;
+
+		g_string_append_c(text, '\0');
+		g_string_append(text, positions[i].after);
+		verdict = judge_whole(text->str, text->len);
+		assert_int_not_equal(verdict.fault, HTTP_FAULT_NONE);
+		assert_int_equal(verdict.used, strlen(positions[i].before));
+		g_string_free(text, TRUE);
+	}
+}
+
 /* Bytes behind a message are not its own. */
 static void test_message_ends_where_its_length_says(void **state)
 {
@@ -152,6 +184,7 @@
 		cmocka_unit_test(test_broken_responses_have_their_fault),
 		cmocka_unit_test(test_sound_responses_have_none),
 		cmocka_unit_test(test_only_statuses_of_the_protocol_are_sound),
+		cmocka_unit_test(test_nul_is_a_fault_everywhere),
 		cmocka_unit_test(test_message_ends_where_its_length_says),
 		cmocka_unit_test(test_response_to_head_has_no_body),
 	};
