A response without a length is whole only if writing ended in order, too

Cause: the kernel reports an error of a connection once. If the pending write gets it, whose status on_written() ignored, the next read returns 0 and the socket has no error left, so that the reset passed for the end of the response. The same without an error: an endpoint that ends its side and closes over the unread upload resets the connection after its end of file.

Why this works: the failed write is remembered, the state of the connection outlasts its error, and such a response waits until the endpoint's host has acknowledged the request.

Ruled out: framed responses; resets that the read is told of.

--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -9,6 +9,7 @@
 #include "core/warm_up.h"
 #include "edge/http_check.h"
 #include "edge/log.h"
+#include "edge/tcp_end.h"
 #include "settings/address.h"
 
 #define READ_SIZE 16384
@@ -21,6 +22,7 @@
 #define MAX_SLOWNESS 10000			/* percent; a higher one is taken for an error */
 #define KEEPALIVE_PROBES 2
 #define MAX_IDLE_BUFFER 1024 /* bytes of each string that an idle connection keeps */
+#define END_POLL_MS 5	     /* between looks at what the endpoint has not acknowledged */
 
 typedef enum connection_state {
 	CONNECTION_CONNECTING,
@@ -59,6 +61,8 @@
 	bool id_mismatch;	/* the response carries another request's id */
 	bool message_complete;	/* the response being read, whichever it is */
 	bool response_complete; /* the request's own */
+	int write_error;	/* of libuv; 0: none */
+	bool read_ended;	/* the endpoint has ended its side */
 	bool keep_alive;
 	bool is_used; /* an exchange came before the current one */
 	bool paused;
@@ -476,34 +480,51 @@
 		update_buffered(this);
 }
 
-/* libuv may report a reset that follows data as end of file; the socket tells which it was. */
-static bool was_reset(const endpoint_connection_t *this)
-{
-	char byte;
-	int fd;
+/* --- end of the connection ---------------------------------------------- */
 
-	if (uv_fileno((const uv_handle_t *)&this->tcp, &fd))
-		return true;
-	return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
-}
+static void on_end_poll(uv_timer_t *timer);
 
-/* The end of the connection also ends a response without a length. */
-static void on_eof(endpoint_connection_t *this)
+/*
+ * The end of the connection also ends a response without a length, if the endpoint has taken all of
+ * the request: it may still reset the connection over the rest.
+ */
+static void process_end(endpoint_connection_t *this)
 {
-	if (this->state == CONNECTION_BUSY && was_reset(this)) {
-		connection_fail(this, CONNECTION_FAILURE_RESET);
+	int fd;
+
+	if (this->write_error || uv_fileno((const uv_handle_t *)&this->tcp, &fd) ||
+		tcp_end_was_reset(fd)) {
+		connection_fail(this, this->write_error == UV_ETIMEDOUT ? CONNECTION_FAILURE_SILENT
+									: CONNECTION_FAILURE_RESET);
 		return;
 	}
-	if (this->state == CONNECTION_BUSY)
-		http_parser_execute(&this->parser, &parser_settings, NULL, 0);
+	if (http_check_ends_by_close(&this->check) && (this->outgoing || tcp_end_is_pending(fd))) {
+		uv_timer_start(&this->timer, on_end_poll, END_POLL_MS, 0);
+		return;
+	}
+	http_parser_execute(&this->parser, &parser_settings, NULL, 0);
 	if (this->state == CONNECTION_CLOSED)
 		return;
-	if (this->state == CONNECTION_BUSY && this->response_complete)
+	if (this->response_complete)
 		connection_finish_exchange(this, false);
 	else
 		connection_fail(this, CONNECTION_FAILURE_ENDED);
 }
 
+static void on_end_poll(uv_timer_t *timer)
+{
+	process_end(timer->data);
+}
+
+static void on_eof(endpoint_connection_t *this)
+{
+	this->read_ended = true;
+	if (this->state == CONNECTION_BUSY)
+		process_end(this);
+	else
+		connection_close(this);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buffer)
 {
 	endpoint_connection_t *this = stream->data;
@@ -530,8 +551,13 @@
 {
 	endpoint_connection_t *this = write->data;
 
-	/* A write error is ignored: the read side reports it too, after any early response. */
 	drop_outgoing(this);
+	if (this->state != CONNECTION_BUSY)
+		return;
+	/* The response may have come before the error, so reading goes on. */
+	this->write_error = status;
+	if (this->read_ended)
+		process_end(this);
 }
 
 /* Removes `written` bytes from the start of the buffers; returns how many bytes are left. */
@@ -568,9 +594,11 @@
 	}
 	this->write.data = this;
 	if (!buffers[0].len)
-		uv_write(&this->write, stream, &buffers[1], 1, on_written);
+		this->write_error = uv_write(&this->write, stream, &buffers[1], 1, on_written);
 	else
-		uv_write(&this->write, stream, buffers, count, on_written);
+		this->write_error = uv_write(&this->write, stream, buffers, count, on_written);
+	if (this->write_error)
+		drop_outgoing(this);
 }
 
 static void set_silence_timeout(endpoint_connection_t *this)
@@ -626,6 +654,8 @@
 		this->outgoing_body = request_body_get(request->body);
 	this->overhead = 0;
 	this->response_complete = false;
+	this->write_error = 0;
+	this->read_ended = false;
 	this->keep_alive = false;
 	begin_response(this);
 	http_parser_init(&this->parser, HTTP_RESPONSE);
@@ -711,7 +741,7 @@
 
 void endpoint_connection_pause(endpoint_connection_t *this, bool paused)
 {
-	if (this->paused == paused || this->state != CONNECTION_BUSY)
+	if (this->paused == paused || this->state != CONNECTION_BUSY || this->read_ended)
 		return;
 	this->paused = paused;
 	if (paused)
--- a/standin/raw_endpoint.c
+++ b/standin/raw_endpoint.c
@@ -1,6 +1,7 @@
 #include "standin/raw_endpoint.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,6 +30,7 @@
 	unsigned int peak_open;
 	unsigned int requests;
 	unsigned int early_closes;
+	bool answers_early;
 	bool listens;
 	instant_t down_until; /* if it does not listen */
 	bool quit;
@@ -62,6 +64,15 @@
 		abort();
 }
 
+void raw_close_connection(int fd)
+{
+	int null = open("/dev/null", O_RDWR | O_CLOEXEC);
+
+	if (null < 0 || dup2(null, fd) < 0)
+		abort();
+	close(null);
+}
+
 char *raw_request_header(const raw_request_t *request, const char *name)
 {
 	char **lines = g_strsplit(request->head, "\r\n", 0);
@@ -86,9 +97,9 @@
 
 /*
  * Reads one request from `buffer`, then from the connection; false when the connection has
- * ended. Bytes after the request stay in `buffer`.
+ * ended. Bytes after the request, or after its head, stay in `buffer`.
  */
-static bool read_request(int fd, GString *buffer, raw_request_t *request)
+static bool read_request(int fd, GString *buffer, bool head_only, raw_request_t *request)
 {
 	char chunk[READ_SIZE];
 	char *end;
@@ -106,7 +117,7 @@
 	head_size = (size_t)(end - buffer->str) + 4;
 	request->head = g_strndup(buffer->str, head_size);
 	length = raw_request_header(request, "Content-Length");
-	body_size = length ? strtoul(length, NULL, 10) : 0;
+	body_size = length && !head_only ? strtoul(length, NULL, 10) : 0;
 	g_free(length);
 	while (buffer->len < head_size + body_size) {
 		ssize_t n = read(fd, chunk, sizeof(chunk));
@@ -130,7 +141,7 @@
 	raw_request_t request = {.connection = this->number};
 	bool open = true;
 
-	while (open && read_request(this->fd, buffer, &request)) {
+	while (open && read_request(this->fd, buffer, this->endpoint->answers_early, &request)) {
 		pthread_mutex_lock(&this->endpoint->lock);
 		request.number = this->endpoint->requests++;
 		pthread_mutex_unlock(&this->endpoint->lock);
@@ -249,6 +260,11 @@
 	return this;
 }
 
+void raw_endpoint_answer_early(raw_endpoint_t *this)
+{
+	this->answers_early = true;
+}
+
 void raw_endpoint_delete(raw_endpoint_t *this)
 {
 	if (!this)
--- a/standin/raw_endpoint.h
+++ b/standin/raw_endpoint.h
@@ -28,6 +28,11 @@
 
 /* Listens on a free port of 127.0.0.1. */
 raw_endpoint_t *raw_endpoint_new(raw_handler_t handler, void *ctx);
+/*
+ * Calls the handler as soon as a request's head is read; it reads the body, if any, and ends the
+ * connection.  To be called before the first request.
+ */
+void raw_endpoint_answer_early(raw_endpoint_t *this);
 /* Closes all connections and joins their threads. */
 void raw_endpoint_delete(raw_endpoint_t *this);
 const char *raw_endpoint_address(const raw_endpoint_t *this);
@@ -50,6 +55,8 @@
 void raw_endpoint_crash(raw_endpoint_t *this, unsigned int down_ms);
 /* Resets the TCP connection, as the kernel does when a process crashes. */
 void raw_reset_connection(int fd);
+/* Closes the socket under `fd`, which stays in use; what was not read resets the connection. */
+void raw_close_connection(int fd);
 /* Writes all of `text`; stops without an error if the connection fails. */
 void raw_write(int fd, const char *text);
 
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -15,6 +15,7 @@
 #define POLL_INTERVAL_MS 5
 #define MAX_AT_ONCE 64 /* of fixture_send_at_once() */
 #define FIXTURE_WARM ",\"coldRemainingMs\":0"
+#define DEFAULT_BODY_BYTES 65536
 #define FIRST_PORT 10000
 #define PORT_COUNT 9000 /* those of other tests begin at 19800 */
 #define PORTS_PER_PROCESS 211
@@ -57,11 +58,12 @@
 		"{\"version\":%u,\"routes\":[%s%s],\"services\":[{\"name\":\"shop\","
 		"\"healthPath\":\"/"
 		"health\",\"maxConns\":%u%s}],\"limits\":{\"maxHeaderBytes\":4096,"
-		"\"maxBodyBytes\":65536,\"headerTimeoutMs\":400,\"idleTimeoutMs\":%u},"
+		"\"maxBodyBytes\":%u,\"headerTimeoutMs\":400,\"idleTimeoutMs\":%u},"
 		"\"tenants\":[{\"name\":\"w1\",\"apiKeys\":[\"k1\",\"k1b\"]},"
 		"{\"name\":\"w2\",\"apiKeys\":[\"k2\"]}]}",
 		++this->config_version, routes, extra_routes, FIXTURE_MAX_CONNECTIONS,
-		this->service_fields ? this->service_fields : "", this->idle_timeout_ms);
+		this->service_fields ? this->service_fields : "", this->max_body_bytes,
+		this->idle_timeout_ms);
 
 	row_store_standin_put(this->store, "op", "config", text);
 	g_free(text);
@@ -184,6 +186,7 @@
 	this->owns_store = !options->store;
 	this->store = options->store ? options->store : row_store_standin_new("127.0.0.1:0");
 	this->idle_timeout_ms = options->idle_timeout_ms;
+	this->max_body_bytes = DEFAULT_BODY_BYTES;
 	this->settings = make_settings(this, options);
 	if (this->owns_store)
 		fixture_put_config(this, "");
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -28,6 +28,7 @@
 	char ready_address[32];	      /* where it serves /readiness and /metrics */
 	unsigned int config_version;  /* of the last configuration written */
 	unsigned int idle_timeout_ms; /* of the configurations written */
+	unsigned int max_body_bytes;  /* of the configurations written */
 	const char *service_fields; /* JSON that follows the last fixed one of the service; NULL */
 	bool stopped;		    /* the gateway's thread has ended */
 } fixture_t;
