Calls to the store read what http_check passes, not what libcurl forgives

Cause: libcurl forgives these, and reports nothing of it.

Why this works: http_response gets the bytes as they came, the body undecoded, so that one rule holds for all responses.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -28,7 +28,7 @@
 	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","coldRemainingMs":1500,"born":7}' >"$corpus/entry"
 	;;
 rows)
-	sources="platform/decode.c platform/row_store.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/gateway/store.c src/gateway/row_cache.c src/gateway/roster.c src/gateway/origin_rows.c src/core/stream_origins.c src/core/allocator.c src/edge/http_call.c src/edge/clock.c src/edge/log.c src/settings/*.c"
+	sources="platform/decode.c platform/row_store.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/gateway/store.c src/gateway/row_cache.c src/gateway/roster.c src/gateway/origin_rows.c src/core/stream_origins.c src/core/allocator.c src/edge/http_call.c src/edge/http_response.c src/edge/http_check.c src/edge/clock.c src/edge/log.c src/settings/*.c"
 	printf '{"rows":[{"table":"servers","part":"","key":"a","value":"e30=","ver":3},{"key":"b","deleted":true,"ver":4}],"ver":4,"hasMore":false}' >"$corpus/response"
 	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","coldRemainingMs":1500,"born":7}' >"$corpus/entry"
 	printf '{"address":"1.2.3.4:5","public_key":"0123456789012345678901234567890123456789","failure_domain":"z","incarnation":7}' >"$corpus/router"
@@ -40,6 +40,6 @@
 esac
 clang -std=gnu11 -g -O1 -D_GNU_SOURCE -Isrc -I. -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined \
 	$(pkg-config --cflags glib-2.0 libcurl libuv) -o build-fuzz/$name tests/fuzz_$name.c $sources \
-	$(pkg-config --libs glib-2.0 yajl libxxhash libcurl neon) -lmsgpackc -lurcu-bp -lurcu-common -lm
+	$(pkg-config --libs glib-2.0 yajl libxxhash libcurl neon) -lhttp_parser -lmsgpackc -lurcu-bp -lurcu-common -lm
 build-fuzz/$name -runs="${RUNS:-60000}" -seed=1 -max_len=4096 -verbosity=0 "$corpus"
 echo "fuzz $name: ${RUNS:-60000} inputs"
--- a/src/edge/http_call.c
+++ b/src/edge/http_call.c
@@ -10,19 +10,18 @@
 #include <sys/socket.h>
 
 #include "edge/clock.h"
+#include "edge/http_response.h"
+#include "edge/log.h"
 #include "settings/address.h"
 
-#define MAX_HEADER_BYTES 65536 /* of a response */
-
 typedef struct http_call {
 	const http_options_t *options;
 	CURLM *multi;
 	CURL *easy;
 	struct curl_slist *headers;
-	GString *response;
+	http_response_t response;
 	size_t max_response;
-	size_t header_bytes; /* received so far, interim responses included */
-	bool too_large;
+	bool is_bad; /* what was received is no response, or too large a one */
 	/* When the connection must be there, then when more of the response must have arrived. */
 	instant_t read_by;
 } http_call_t;
@@ -39,27 +38,20 @@
 	this->read_by = clock_now() + this->options->read_timeout_ms * USEC_PER_MSEC;
 }
 
-static size_t on_data(char *data, size_t size, size_t count, void *ctx)
+static bool is_too_large(const http_call_t *this)
 {
-	http_call_t *this = ctx;
-
-	extend_deadline(this);
-	if (this->response->len + size * count > this->max_response) {
-		this->too_large = true;
-		return 0;
-	}
-	g_string_append_len(this->response, data, (gssize)(size * count));
-	return size * count;
+	return this->response.head_too_large || this->response.body->len > this->max_response;
 }
 
-static size_t on_header(char *data, size_t size, size_t count, void *ctx)
+/* Of a body, libcurl passes the bytes as they came; see CURLOPT_HTTP_TRANSFER_DECODING. */
+static size_t on_bytes(char *data, size_t size, size_t count, void *ctx)
 {
 	http_call_t *this = ctx;
 
 	extend_deadline(this);
-	this->header_bytes += size * count;
-	this->too_large |= this->header_bytes > MAX_HEADER_BYTES;
-	return this->too_large ? 0 : size * count;
+	this->is_bad =
+		!http_response_feed(&this->response, data, size * count) || is_too_large(this);
+	return this->is_bad ? 0 : size * count;
 }
 
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
@@ -119,9 +111,10 @@
 	curl_easy_setopt(this->easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
 	curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, on_connected);
 	curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
-	curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(this->easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+	curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, on_bytes);
 	curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
-	curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, on_bytes);
 	curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
 	if (options->body_len || strcmp(options->method, "GET")) {
 		curl_easy_setopt(
@@ -143,7 +136,8 @@
 
 	this->read_by = clock_now() + this->options->connect_timeout_ms * USEC_PER_MSEC;
 	curl_multi_add_handle(this->multi, this->easy);
-	while (curl_multi_perform(this->multi, &running) == CURLM_OK && running) {
+	while (curl_multi_perform(this->multi, &running) == CURLM_OK && running &&
+		!this->response.complete) {
 		uint64_t left = instant_left(this->read_by, clock_now());
 
 		if (!left)
@@ -151,16 +145,22 @@
 		curl_multi_poll(this->multi, NULL, 0,
 			(int)((left + USEC_PER_MSEC - 1) / USEC_PER_MSEC), NULL);
 	}
+	if (this->is_bad || this->response.complete)
+		return !this->is_bad;
 	message = curl_multi_info_read(this->multi, &queued);
-	return message && message->msg == CURLMSG_DONE && message->data.result == CURLE_OK;
+	return message && message->msg == CURLMSG_DONE && message->data.result == CURLE_OK &&
+	       http_response_end(&this->response);
 }
 
 static http_result_t result_of(const http_call_t *this, bool complete)
 {
 	curl_off_t connect_time = 0;
 
-	if (this->too_large)
+	if (this->is_bad && is_too_large(this))
 		return HTTP_TOO_LARGE;
+	if (this->is_bad)
+		log_warn("response-malformed", "address=%s fault=%s", this->options->address,
+			http_response_fault(&this->response));
 	if (complete)
 		return HTTP_OK;
 	curl_easy_getinfo(this->easy, CURLINFO_CONNECT_TIME_T, &connect_time);
@@ -169,11 +169,8 @@
 
 static char *copy_header(const http_call_t *this, const char *name)
 {
-	struct curl_header *header;
-
-	if (curl_easy_header(this->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
-		return NULL;
-	return g_strdup(header->value);
+	return this->response.head_complete ? g_strdup(http_response_header(&this->response, name))
+					    : NULL;
 }
 
 http_result_t http_call(
@@ -185,11 +182,10 @@
 http_result_t http_call_with_header(const http_options_t *options, size_t max_response,
 	GString *response, int *status, const char *name, char **value)
 {
-	http_call_t this = {.options = options, .response = response, .max_response = max_response};
+	http_call_t this = {.options = options, .max_response = max_response};
 	char ip[INET_ADDRSTRLEN];
 	http_result_t result;
 	uint16_t port;
-	long code = 0;
 
 	if (value)
 		*value = NULL;
@@ -197,16 +193,17 @@
 		return HTTP_NOT_SENT;
 	this.multi = curl_multi_init();
 	this.easy = curl_easy_init();
+	http_response_init(&this.response, response);
 	set_options(&this);
 	result = result_of(&this, perform(&this));
-	curl_easy_getinfo(this.easy, CURLINFO_RESPONSE_CODE, &code);
-	if (code)
-		*status = (int)code;
+	if (this.response.head_complete)
+		*status = (int)http_response_status(&this.response);
 	if (value)
 		*value = copy_header(&this, name);
 	curl_multi_remove_handle(this.multi, this.easy);
 	curl_easy_cleanup(this.easy);
 	curl_multi_cleanup(this.multi);
 	curl_slist_free_all(this.headers);
+	http_response_clear(&this.response);
 	return result;
 }
