Requests pass http_check, too: what is none gets 400 and reaches no endpoint

Requests of another protocol, with a blank in or behind the name of a field, with lines that continue or with broken chunks were taken and sent on.

Cause: the same lenient parser reads requests.

--- a/src/edge/http_check.c
+++ b/src/edge/http_check.c
@@ -15,6 +15,8 @@
 
 typedef enum check_state {
 	STATE_START, /* before the first byte */
+	STATE_METHOD,
+	STATE_TARGET,
 	STATE_PROTOCOL,
 	STATE_VERSION,
 	STATE_VERSION_END,
@@ -93,6 +95,11 @@
 	return classes[c] & CHAR_TOKEN;
 }
 
+static bool is_text_char(unsigned char c)
+{
+	return classes[c] & CHAR_TEXT;
+}
+
 /* Number of leading characters that are of the class. */
 static size_t span(const char *data, size_t len, unsigned int class)
 {
@@ -128,10 +135,33 @@
 		this->state = STATE_VERSION;
 }
 
+/* Empty lines before a request line are ignored, as RFC 9112 asks for. */
 static void check_start(http_check_t *this, unsigned char c)
 {
-	this->state = STATE_PROTOCOL;
-	check_protocol(this, c);
+	if (this->kind != HTTP_CHECK_REQUEST) {
+		this->state = STATE_PROTOCOL;
+		check_protocol(this, c);
+	} else if (is_token_char(c)) {
+		this->state = STATE_METHOD;
+	} else if (c != '\r' && c != '\n') {
+		fail(this, HTTP_FAULT_START_LINE);
+	}
+}
+
+static void check_method(http_check_t *this, unsigned char c)
+{
+	if (c == ' ')
+		this->state = STATE_TARGET;
+	else if (!is_token_char(c))
+		fail(this, HTTP_FAULT_START_LINE);
+}
+
+static void check_target(http_check_t *this, unsigned char c)
+{
+	if (c == ' ')
+		this->state = STATE_PROTOCOL;
+	else if (!is_text_char(c) || c == '\t')
+		fail(this, HTTP_FAULT_START_LINE);
 }
 
 static void check_version(http_check_t *this, unsigned char c)
@@ -154,6 +184,10 @@
 
 static void check_version_end(http_check_t *this, unsigned char c)
 {
+	if (this->kind == HTTP_CHECK_REQUEST) {
+		end_start_line(this, c);
+		return;
+	}
 	this->matched = 0;
 	this->state = STATE_STATUS;
 	if (c != ' ')
@@ -313,7 +347,7 @@
 		this->state = STATE_CHUNK_SIZE_START;
 	else if (this->left)
 		this->state = STATE_BODY;
-	else if (this->has_length)
+	else if (this->has_length || this->kind == HTTP_CHECK_REQUEST)
 		this->state = STATE_DONE;
 	else
 		this->state = STATE_BODY_UNTIL_CLOSE;
@@ -427,6 +461,8 @@
 
 static void (*const checks[STATE_COUNT])(http_check_t *this, unsigned char c) = {
 	[STATE_START] = check_start,
+	[STATE_METHOD] = check_method,
+	[STATE_TARGET] = check_target,
 	[STATE_PROTOCOL] = check_protocol,
 	[STATE_VERSION] = check_version,
 	[STATE_VERSION_END] = check_version_end,
@@ -517,9 +553,9 @@
 	return at;
 }
 
-void http_check_init(http_check_t *this)
+void http_check_init(http_check_t *this, http_check_kind_t kind)
 {
-	*this = (http_check_t){.state = STATE_START};
+	*this = (http_check_t){.kind = kind, .state = STATE_START};
 }
 
 bool http_check_is_in_head(const http_check_t *this)
--- a/src/edge/http_check.h
+++ b/src/edge/http_check.h
@@ -1,7 +1,7 @@
 #ifndef EDGE_HTTP_CHECK_H
 #define EDGE_HTTP_CHECK_H
 /*
- * http_check - decides whether bytes are a response of HTTP/1.x, as they arrive
+ * http_check - decides whether bytes are a message of HTTP/1.x, as they arrive
  *
  * The one place where the project decides this: whatever reads a message passes its bytes here
  * first and hands only checked bytes to its parser, which may be more lenient (Debian builds
@@ -27,9 +27,15 @@
 	HTTP_FAULT_COUNT,
 } http_fault_t;
 
+typedef enum http_check_kind {
+	HTTP_CHECK_REQUEST,
+	HTTP_CHECK_RESPONSE,
+} http_check_kind_t;
+
 #define HTTP_CHECK_TEXT 32 /* bytes that are kept of a name, and of a value, to compare them */
 
 typedef struct http_check {
+	http_check_kind_t kind;
 	http_fault_t fault;
 	unsigned int state;
 	unsigned int status; /* of a response; interim responses included */
@@ -45,7 +51,7 @@
 	unsigned int value_len;
 } http_check_t;
 
-void http_check_init(http_check_t *this);
+void http_check_init(http_check_t *this, http_check_kind_t kind);
 /*
  * Checks bytes up to the end of the head, then up to that of the message; returns how many of
  * them belong to it and are sound.  After a fault, or the message's end, it returns 0.
--- a/src/edge/http_response.c
+++ b/src/edge/http_response.c
@@ -87,7 +87,7 @@
 
 static void begin_message(http_response_t *this)
 {
-	http_check_init(&this->check);
+	http_check_init(&this->check, HTTP_CHECK_RESPONSE);
 	http_parser_init(&this->parser, HTTP_RESPONSE);
 	this->parser.data = this;
 	clear_fields(this);
--- a/src/gateway/caller_internal.h
+++ b/src/gateway/caller_internal.h
@@ -3,6 +3,7 @@
 /* caller_internal - what the files of caller share: the connection, and reading from it */
 #include <http_parser.h>
 
+#include "edge/http_check.h"
 #include "gateway/caller.h"
 
 #define CALLER_READ_SIZE 16384
@@ -19,6 +20,7 @@
 	caller_group_t *group;
 	struct cds_list_head link; /* in its group's list */
 	http_parser parser;
+	http_check_t check; /* of what the parser gets */
 	caller_state_t state;
 	caller_wait_t wait;
 	caller_request_t request;
--- a/src/gateway/caller_parse.c
+++ b/src/gateway/caller_parse.c
@@ -213,6 +213,7 @@
 
 void caller_parser_init(caller_t *this)
 {
+	http_check_init(&this->check, HTTP_CHECK_REQUEST);
 	http_parser_init(&this->parser, HTTP_REQUEST);
 	this->parser.data = this;
 }
@@ -239,7 +240,8 @@
 {
 	unsigned int status = this->error_status ? this->error_status : 400;
 
-	log_info("http-request-rejected", "status=%u parser=%s", status,
+	log_info("http-request-rejected", "status=%u fault=%s parser=%s", status,
+		http_fault_name(this->check.fault),
 		http_errno_name(HTTP_PARSER_ERRNO(&this->parser)));
 	if (this->group->room && (status == 503 || status == 408))
 		log_ended(this, status);
@@ -280,17 +282,42 @@
 	group->ops->on_request(group->ctx, this, &this->request);
 }
 
+static bool has_parser_error(const caller_t *this)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&this->parser);
+
+	return error != HPE_OK && error != HPE_PAUSED;
+}
+
+/* Also if the check and the parser differ about where the request ends. */
+static bool is_malformed(const caller_t *this)
+{
+	return this->check.fault || has_parser_error(this) ||
+	       this->request_complete != http_check_is_done(&this->check);
+}
+
 /* Parses up to the end of a request; returns the number of bytes that were used. */
 static size_t parse(caller_t *this, const char *data, size_t len)
 {
-	size_t used;
+	size_t used = 0;
 
+	if (http_check_is_done(&this->check))
+		http_check_init(&this->check, HTTP_CHECK_REQUEST);
 	http_parser_pause(&this->parser, 0);
-	used = http_parser_execute(&this->parser, &parser_settings, data, len);
-	if (this->state == CALLER_CLOSED || this->request_complete)
+	while (used < len && this->state != CALLER_CLOSED && !this->request_complete &&
+		!is_malformed(this)) {
+		size_t sound = http_check_feed(&this->check, data + used, len - used);
+
+		if (!this->check.fault)
+			http_parser_execute(&this->parser, &parser_settings, data + used, sound);
+		used += sound;
+	}
+	if (this->state == CALLER_CLOSED)
 		return used;
-	if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK)
-		caller_reject_request(this);
+	if (!is_malformed(this))
+		return this->request_complete ? used : len;
+	this->request_complete = false;
+	caller_reject_request(this);
 	return len;
 }
 
--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -395,7 +395,7 @@
 
 static void begin_response(endpoint_connection_t *this)
 {
-	http_check_init(&this->check);
+	http_check_init(&this->check, HTTP_CHECK_RESPONSE);
 	this->message_complete = false;
 }
 
--- a/tests/test_http_check.c
+++ b/tests/test_http_check.c
@@ -22,20 +22,21 @@
 } verdict_t;
 
 /* Feeds the message in pieces of this size at most, but for the first one. */
-static verdict_t judge(const char *data, size_t len, size_t first, size_t piece)
+static verdict_t judge(
+	http_check_kind_t kind, const char *data, size_t len, size_t first, size_t piece)
 {
 	verdict_t verdict = {HTTP_FAULT_NONE};
 	http_check_t check;
 	size_t end = first;
 
-	http_check_init(&check);
+	http_check_init(&check, kind);
 	while (verdict.used < len && !check.fault && !http_check_is_done(&check)) {
 		end = MIN(MAX(end, verdict.used + 1), len);
 		verdict.used += http_check_feed(&check, data + verdict.used, end - verdict.used);
 		if (verdict.used == end)
 			end += piece;
 		if (http_check_is_done(&check) && http_check_is_interim(&check))
-			http_check_init(&check);
+			http_check_init(&check, kind);
 	}
 	verdict.fault = check.fault;
 	verdict.status = check.status;
@@ -43,9 +44,9 @@
 	return verdict;
 }
 
-static verdict_t judge_whole(const char *data, size_t len)
+static verdict_t judge_whole(http_check_kind_t kind, const char *data, size_t len)
 {
-	return judge(data, len, len, len);
+	return judge(kind, data, len, len, len);
 }
 
 static void assert_same(const verdict_t *a, const verdict_t *b, const char *name, size_t at)
@@ -62,10 +63,10 @@
 	verdict_t verdict;
 
 	g_string_replace(text, "{own}", "X-Own: 1\r\n", 0);
-	verdict = judge_whole(text->str, text->len);
+	verdict = judge_whole(HTTP_CHECK_RESPONSE, text->str, text->len);
 	for (size_t at = 1; at < text->len; at++) {
-		verdict_t split = judge(text->str, text->len, at, text->len);
-		verdict_t pieces = judge(text->str, text->len, at, at);
+		verdict_t split = judge(HTTP_CHECK_RESPONSE, text->str, text->len, at, text->len);
+		verdict_t pieces = judge(HTTP_CHECK_RESPONSE, text->str, text->len, at, at);
 
 		assert_same(&verdict, &split, answer->name, at);
 		assert_same(&verdict, &pieces, answer->name, at);
@@ -109,7 +110,7 @@
 {
 	for (unsigned int status = 0; status < 1000; status++) {
 		char *text = g_strdup_printf("HTTP/1.1 %03u\r\nContent-Length: 0\r\n\r\n", status);
-		verdict_t verdict = judge_whole(text, strlen(text));
+		verdict_t verdict = judge_whole(HTTP_CHECK_RESPONSE, text, strlen(text));
 		bool is_sound = status >= 100 && status <= 599 && status != 101;
 
 		assert_int_equal(verdict.fault, is_sound ? HTTP_FAULT_NONE : HTTP_FAULT_STATUS);
@@ -140,7 +141,7 @@
 
 		g_string_append_c(text, '\0');
 		g_string_append(text, positions[i].after);
-		verdict = judge_whole(text->str, text->len);
+		verdict = judge_whole(HTTP_CHECK_RESPONSE, text->str, text->len);
 		assert_int_not_equal(verdict.fault, HTTP_FAULT_NONE);
 		assert_int_equal(verdict.used, strlen(positions[i].before));
 		g_string_free(text, TRUE);
@@ -157,7 +158,7 @@
 
 	for (unsigned int i = 0; i < ARRAY_LEN(messages); i++) {
 		char *text = g_strconcat(messages[i], "HTTP/1.1 500 Next\r\n\r\n", NULL);
-		verdict_t verdict = judge_whole(text, strlen(text));
+		verdict_t verdict = judge_whole(HTTP_CHECK_RESPONSE, text, strlen(text));
 
 		assert_true(verdict.is_whole);
 		assert_int_equal(verdict.used, strlen(messages[i]));
@@ -170,7 +171,7 @@
 	const char *text = OK "Content-Length: 9\r\n\r\n";
 	http_check_t check;
 
-	http_check_init(&check);
+	http_check_init(&check, HTTP_CHECK_RESPONSE);
 	assert_int_equal(http_check_feed(&check, text, strlen(text)), strlen(text));
 	assert_false(http_check_is_in_head(&check));
 	assert_false(http_check_is_done(&check));
