fuzz_http: the verdict of http_check does not depend on pieces, and http_parser agrees with it

A check that is too strict is not found (tried with a wrong size of chunks): the lists of sound messages are for that.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -61,6 +61,7 @@
 run fuzz-message scripts/fuzz.sh message
 run fuzz-text scripts/fuzz.sh text
 run fuzz-events scripts/fuzz.sh events
+run fuzz-http scripts/fuzz.sh http
 run fuzz-decode scripts/fuzz.sh decode
 run fuzz-note scripts/fuzz.sh note
 run fuzz-rows scripts/fuzz.sh rows
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -22,6 +22,16 @@
 	sources="src/gateway/event_stream.c"
 	printf '\x03id: 1\ndata: a\n\nid: 2\ndata: b\n\n' >"$corpus/two"
 	;;
+http)
+	sources="src/edge/http_check.c"
+	printf '\x03HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabc' >"$corpus/length"
+	printf '\x7fHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX-B: 2\r\n\r\n' >"$corpus/chunks"
+	printf '\x0bHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12 \r\nabcdefghijklmnopqr\r\n00\r\n\r\n' >"$corpus/sizes"
+	printf '\x05HTTP/1.0 404 Not Found\n\nabc' >"$corpus/close"
+	printf '\x09HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n' >"$corpus/interim"
+	printf '\x83POST /a HTTP/1.1\r\nHost: b\r\nContent-Length: 3\r\n\r\nabc' >"$corpus/request"
+	printf '\xffPUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n' >"$corpus/upload"
+	;;
 decode)
 	sources="platform/decode.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/allocator.c src/edge/log.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/settings/*.c"
 	printf '{"version":7,"routes":[{"name":"r","host":"shop.example","prefix":"/a/","kind":"streaming","timeoutMs":12000,"maxAttempts":2,"resumable":true,"allowedRegions":["a","b"],"backends":[{"service":"m","weight":9}]}],"services":[{"name":"m","maxConns":9,"coldStartS":3.5,"coldPerS":12,"engine":{"slots":2,"kvCapacity":9,"stride":7}}],"limits":{"maxHeaderBytes":9},"tenants":[{"name":"w","apiKeys":["k"]}]}' >"$corpus/config"
