--- a/tests/raw_answers.c
+++ b/tests/raw_answers.c
@@ -181,9 +181,15 @@
 	{NULL, NULL},
 };
 
+void raw_sender_set(raw_sender_t *this, const char *text, size_t piece)
+{
+	__atomic_store_n(&this->text, text, __ATOMIC_SEQ_CST);
+	__atomic_store_n(&this->piece, piece, __ATOMIC_SEQ_CST);
+}
+
 static GString *format_answer(const raw_sender_t *this, const char *id)
 {
-	GString *text = g_string_new(this->text);
+	GString *text = g_string_new(__atomic_load_n(&this->text, __ATOMIC_SEQ_CST));
 	GString *own = g_string_new(NULL);
 
 	g_string_printf(own, this->own, id);
@@ -208,9 +214,10 @@
 {
 	const raw_sender_t *this = ctx;
 	GString *text = format_answer(this, request->id);
+	size_t piece = __atomic_load_n(&this->piece, __ATOMIC_SEQ_CST);
 
-	if (this->piece)
-		write_in_pieces(fd, text->str, this->piece);
+	if (piece)
+		write_in_pieces(fd, text->str, piece);
 	else
 		raw_write(fd, text->str);
 	g_string_free(text, TRUE);
--- a/tests/raw_answers.h
+++ b/tests/raw_answers.h
@@ -23,14 +23,17 @@
 extern const raw_answer_t raw_answers_chunks[]; /* whose heads are sound */
 extern const raw_answer_t raw_answers_sound[];
 
-/* What a server sends to each request; the test sets it while no request is under way. */
+/* What a server sends to each request. */
 typedef struct raw_sender {
 	const char *own;  /* format of the own fields, with %s for the request's id */
-	const char *text; /* of a raw_answer_t */
-	size_t piece;	  /* bytes that are written at a time; 0: all */
+	const char *text; /* of a raw_answer_t; accessed atomically */
+	size_t piece;	  /* bytes that are written at a time, 0: all; accessed atomically */
 	bool resets;	  /* at the end, instead of closing in order */
 } raw_sender_t;
 
+/* Sets what is sent from now on. */
+void raw_sender_set(raw_sender_t *this, const char *text, size_t piece);
+
 /* A handler for raw_endpoint_new() whose ctx is a raw_sender_t; it ends the connection. */
 bool raw_sender_respond(void *ctx, int fd, const raw_request_t *request);
 /* A 200 or 404 with this field line after its own fields; the caller frees it. */
--- a/tests/test_broken_heads.c
+++ b/tests/test_broken_heads.c
@@ -47,6 +47,7 @@
 typedef struct rig {
 	fixture_t *fixture;
 	raw_sender_t sender;
+	size_t piece; /* bytes that are sent at a time, 0: all */
 	fault_place_t place;
 	unsigned int broken; /* answers that were sent */
 	unsigned int passed; /* of them, those that reached a caller */
@@ -82,13 +83,13 @@
 {
 	char *response;
 
-	this->sender.text = text;
+	raw_sender_set(&this->sender, text, this->piece);
 	response = ask(this->fixture, route);
 	this->broken++;
 	if (!is_refused(this, response)) {
 		this->passed++;
-		print_message("  %s, /%s/, pieces of %zu: %.60s\n", name, route->name,
-			this->sender.piece, response);
+		print_message("  %s, /%s/, pieces of %zu: %.60s\n", name, route->name, this->piece,
+			response);
 	}
 	g_free(response);
 }
@@ -97,7 +98,7 @@
 {
 	char *response;
 
-	this->sender.text = answer->text;
+	raw_sender_set(&this->sender, answer->text, this->piece);
 	response = ask(this->fixture, route);
 	if (!g_str_has_prefix(response, "HTTP/1.1 2") || !strstr(response, "hello"))
 		fail_msg("%s, /%s/: %s", answer->name, route->name, response);
@@ -113,11 +114,10 @@
 	rig.place = place;
 	for (const raw_answer_t *answer = list; answer->name; answer++) {
 		for (unsigned int i = 0; i < ARRAY_LEN(routes); i++) {
-			for (rig.sender.piece = 0; rig.sender.piece <= PIECE;
-				rig.sender.piece += PIECE)
+			for (rig.piece = 0; rig.piece <= PIECE; rig.piece += PIECE)
 				try_broken(&rig, &routes[i], answer->name, answer->text);
 		}
-		rig.sender.piece = 0;
+		rig.piece = 0;
 		check_sound(&rig, &routes[0], raw_answers_sound);
 	}
 	rig_finish(&rig);
@@ -187,8 +187,7 @@
 	rig_init(&rig);
 	for (const raw_answer_t *answer = raw_answers_sound; answer->name; answer++) {
 		for (unsigned int i = 0; i < ARRAY_LEN(routes); i++) {
-			for (rig.sender.piece = 0; rig.sender.piece <= PIECE;
-				rig.sender.piece += PIECE)
+			for (rig.piece = 0; rig.piece <= PIECE; rig.piece += PIECE)
 				check_sound(&rig, &routes[i], answer);
 		}
 	}
@@ -224,7 +223,8 @@
 	char *response;
 
 	rig_init(&rig);
-	rig.sender.text = "HTTP/1.1 304 Not Modified\r\n{own}Content-Length: 5\r\n\r\n";
+	raw_sender_set(
+		&rig.sender, "HTTP/1.1 304 Not Modified\r\n{own}Content-Length: 5\r\n\r\n", 0);
 	response = ask(rig.fixture, &routes[0]);
 	assert_true(g_str_has_prefix(response, "HTTP/1.1 304 "));
 	g_free(response);
--- a/tests/test_read_answers.c
+++ b/tests/test_read_answers.c
@@ -48,17 +48,19 @@
 	reader_t reader;
 	raw_endpoint_t *server;
 	raw_sender_t sender;
+	size_t piece; /* bytes that are sent at a time, 0: all */
 	http_header_t header;
 	http_options_t options;
 	unsigned int broken;
 	unsigned int passed;
 } rig_t;
 
-static void rig_init(rig_t *this, reader_t reader)
+static void rig_init(rig_t *this, reader_t reader, bool resets)
 {
 	memset(this, 0, sizeof(*this));
 	this->reader = reader;
 	this->sender.own = "X-Request-Id: %s\r\n";
+	this->sender.resets = resets;
 	this->server = raw_endpoint_new(raw_sender_respond, &this->sender);
 	this->header = (http_header_t){"Request-Id", ID};
 	this->options = (http_options_t){
@@ -81,7 +83,7 @@
 
 static bool read_answer(rig_t *this, const char *text, GString *body)
 {
-	this->sender.text = text;
+	raw_sender_set(&this->sender, text, this->piece);
 	return this->reader(&this->options, body);
 }
 
@@ -92,8 +94,7 @@
 	this->broken++;
 	if (read_answer(this, answer->text, body)) {
 		this->passed++;
-		print_message(
-			"  %s, pieces of %zu: %s\n", answer->name, this->sender.piece, body->str);
+		print_message("  %s, pieces of %zu: %s\n", answer->name, this->piece, body->str);
 	}
 	g_string_free(body, TRUE);
 }
@@ -103,7 +104,7 @@
 	GString *body = g_string_new(NULL);
 
 	if (!read_answer(this, answer->text, body) || strcmp(body->str, BODY))
-		fail_msg("%s, pieces of %zu: %s", answer->name, this->sender.piece, body->str);
+		fail_msg("%s, pieces of %zu: %s", answer->name, this->piece, body->str);
 	g_string_free(body, TRUE);
 }
 
@@ -112,9 +113,9 @@
 {
 	rig_t rig;
 
-	rig_init(&rig, reader);
+	rig_init(&rig, reader, false);
 	for (; list->name; list++) {
-		for (rig.sender.piece = 0; rig.sender.piece <= PIECE; rig.sender.piece += PIECE)
+		for (rig.piece = 0; rig.piece <= PIECE; rig.piece += PIECE)
 			check(&rig, list);
 	}
 	rig_finish(&rig);
@@ -197,8 +198,7 @@
 	unsigned int passed = 0;
 	rig_t rig;
 
-	rig_init(&rig, reader);
-	rig.sender.resets = true;
+	rig_init(&rig, reader, true);
 	if (is_long)
 		raw_endpoint_answer_early(rig.server);
 	rig.options.method = "POST";
