--- a/src/edge/http_check.c
+++ b/src/edge/http_check.c
@@ -60,14 +60,15 @@
 enum {
 	CHAR_TEXT = 1,	/* of field values, reason phrases and chunk extensions */
 	CHAR_TOKEN = 2, /* tchar of RFC 9110 */
+	CHAR_TARGET = 4,
 };
 
-#define TEXT CHAR_TEXT
-#define TOKEN (CHAR_TEXT | CHAR_TOKEN)
+#define TEXT (CHAR_TEXT | CHAR_TARGET)
+#define TOKEN (CHAR_TEXT | CHAR_TARGET | CHAR_TOKEN)
 
 static const unsigned char classes[256] = {
-	['\t'] = TEXT,
-	[' '] = TEXT,
+	['\t'] = CHAR_TEXT,
+	[' '] = CHAR_TEXT,
 	['!'] = TOKEN,
 	['"'] = TEXT,
 	['#' ... '\''] = TOKEN,
@@ -151,17 +152,15 @@
 
 static void check_method(http_check_t *this, unsigned char c)
 {
-	if (c == ' ')
-		this->state = STATE_TARGET;
-	else if (!is_token_char(c))
+	this->state = STATE_TARGET;
+	if (c != ' ')
 		fail(this, HTTP_FAULT_START_LINE);
 }
 
 static void check_target(http_check_t *this, unsigned char c)
 {
-	if (c == ' ')
-		this->state = STATE_PROTOCOL;
-	else if (!is_text_char(c) || c == '\t')
+	this->state = STATE_PROTOCOL;
+	if (c != ' ')
 		fail(this, HTTP_FAULT_START_LINE);
 }
 
@@ -233,6 +232,18 @@
 	return this->name_len == len && !strncasecmp(this->name, name, len);
 }
 
+/* The field that is named, of those that tell a body's length; a trailer tells none. */
+static http_field_t framing_field(const http_check_t *this)
+{
+	if (this->in_trailer)
+		return HTTP_FIELD_OTHER;
+	if (has_name(this, CONTENT_LENGTH, strlen(CONTENT_LENGTH)))
+		return HTTP_FIELD_LENGTH;
+	if (has_name(this, TRANSFER_ENCODING, strlen(TRANSFER_ENCODING)))
+		return HTTP_FIELD_CODING;
+	return HTTP_FIELD_OTHER;
+}
+
 /* Appends up to the size of `text`; a text that fills it is too long to be one that counts. */
 static void keep_text(char *text, unsigned int *text_len, const char *data, size_t len)
 {
@@ -287,11 +298,9 @@
 static void end_field(http_check_t *this)
 {
 	this->state = STATE_LINE;
-	if (this->in_trailer)
-		return;
-	if (has_name(this, CONTENT_LENGTH, strlen(CONTENT_LENGTH)))
+	if (this->field == HTTP_FIELD_LENGTH)
 		parse_length(this);
-	else if (has_name(this, TRANSFER_ENCODING, strlen(TRANSFER_ENCODING)))
+	else if (this->field == HTTP_FIELD_CODING)
 		parse_coding(this);
 }
 
@@ -299,6 +308,7 @@
 {
 	if (c == ':') {
 		this->state = STATE_VALUE;
+		this->field = framing_field(this);
 		this->value_len = 0;
 	} else {
 		fail(this, HTTP_FAULT_NAME);
@@ -511,6 +521,8 @@
 	size_t n = span(data, len, CHAR_TEXT);
 	size_t blanks = 0;
 
+	if (this->field == HTTP_FIELD_OTHER)
+		return n;
 	while (!this->value_len && blanks < n && is_blank((unsigned char)data[blanks]))
 		blanks++;
 	keep_text(this->value, &this->value_len, data + blanks, n - blanks);
@@ -541,6 +553,10 @@
 static size_t skip_run(http_check_t *this, const char *data, size_t len)
 {
 	switch ((check_state_t)this->state) {
+	case STATE_METHOD:
+		return span(data, len, CHAR_TOKEN);
+	case STATE_TARGET:
+		return span(data, len, CHAR_TARGET);
 	case STATE_REASON:
 		return span(data, len, CHAR_TEXT);
 	case STATE_NAME:
--- a/src/edge/http_check.h
+++ b/src/edge/http_check.h
@@ -32,6 +32,12 @@
 	HTTP_CHECK_RESPONSE,
 } http_check_kind_t;
 
+typedef enum http_field {
+	HTTP_FIELD_OTHER,
+	HTTP_FIELD_LENGTH, /* Content-Length */
+	HTTP_FIELD_CODING, /* Transfer-Encoding */
+} http_field_t;
+
 #define HTTP_CHECK_TEXT 32 /* bytes that are kept of a name, and of a value, to compare them */
 
 typedef struct http_check {
@@ -47,6 +53,7 @@
 	uint64_t left;	      /* of the body or of the chunk */
 	char name[HTTP_CHECK_TEXT];
 	unsigned int name_len;
+	http_field_t field;
 	char value[HTTP_CHECK_TEXT];
 	unsigned int value_len;
 } http_check_t;
