--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -23,7 +23,7 @@
 	printf '\x03id: 1\ndata: a\n\nid: 2\ndata: b\n\n' >"$corpus/two"
 	;;
 http)
-	sources="src/edge/http_check.c"
+	sources="src/edge/http_check.c src/edge/http_chunks.c src/edge/http_chars.c"
 	printf '\x03HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabc' >"$corpus/length"
 	printf '\x7fHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX-B: 2\r\n\r\n' >"$corpus/chunks"
 	printf '\x0bHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12 \r\nabcdefghijklmnopqr\r\n00\r\n\r\n' >"$corpus/sizes"
@@ -38,7 +38,7 @@
 	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","coldRemainingMs":1500,"born":7}' >"$corpus/entry"
 	;;
 rows)
-	sources="platform/decode.c platform/row_store.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/gateway/store.c src/gateway/row_cache.c src/gateway/roster.c src/gateway/origin_rows.c src/core/stream_origins.c src/core/allocator.c src/edge/http_call.c src/edge/http_response.c src/edge/http_check.c src/edge/clock.c src/edge/log.c src/settings/*.c"
+	sources="platform/decode.c platform/row_store.c src/core/region_set.c src/core/warm_up.c src/core/rate_limit.c src/core/evacuation.c src/gateway/endpoint_warm_up.c src/core/buffer_pool.c src/gateway/catalog.c src/gateway/endpoint_registry.c src/gateway/store.c src/gateway/row_cache.c src/gateway/roster.c src/gateway/origin_rows.c src/core/stream_origins.c src/core/allocator.c src/edge/http_call.c src/edge/http_response.c src/edge/http_check.c src/edge/http_chunks.c src/edge/http_chars.c src/edge/clock.c src/edge/log.c src/settings/*.c"
 	printf '{"rows":[{"table":"servers","part":"","key":"a","value":"e30=","ver":3},{"key":"b","deleted":true,"ver":4}],"ver":4,"hasMore":false}' >"$corpus/response"
 	printf '{"service":"m","address":"1.2.3.4:5","zone":"z","slots":2,"state":"ready","coldRemainingMs":1500,"born":7}' >"$corpus/entry"
 	printf '{"address":"1.2.3.4:5","public_key":"0123456789012345678901234567890123456789","failure_domain":"z","incarnation":7}' >"$corpus/router"
--- a/src/edge/http_check.c
+++ b/src/edge/http_check.c
@@ -3,13 +3,14 @@
 #include <string.h>
 #include <strings.h>
 
+#include "edge/http_chars.h"
+
 #define MIN_STATUS 100
 #define MAX_STATUS 599
 #define STATUS_DIGITS 3
 #define STATUS_SWITCHING_PROTOCOLS 101
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
-#define MAX_LENGTH ((uint64_t)INT64_MAX) /* bytes, of a body or a chunk */
 #define CONTENT_LENGTH "Content-Length"
 #define TRANSFER_ENCODING "Transfer-Encoding"
 
@@ -28,18 +29,10 @@
 	STATE_VALUE,
 	STATE_VALUE_LF,
 	STATE_HEAD_LF,
-	STATE_CHUNK_SIZE_START,
-	STATE_CHUNK_SIZE,
-	STATE_CHUNK_BLANK,
-	STATE_CHUNK_EXTENSION,
-	STATE_CHUNK_SIZE_LF,
-	STATE_CHUNK_DATA,
-	STATE_CHUNK_DATA_CR,
-	STATE_CHUNK_DATA_LF,
+	STATE_CHUNKS,
 	STATE_BODY,
 	STATE_BODY_UNTIL_CLOSE,
 	STATE_DONE,
-	STATE_FAULT,
 	STATE_COUNT,
 } check_state_t;
 
@@ -57,69 +50,6 @@
 	return c == ' ' || c == '\t';
 }
 
-enum {
-	CHAR_TEXT = 1,	/* of field values, reason phrases and chunk extensions */
-	CHAR_TOKEN = 2, /* tchar of RFC 9110 */
-	CHAR_TARGET = 4,
-};
-
-#define TEXT (CHAR_TEXT | CHAR_TARGET)
-#define TOKEN (CHAR_TEXT | CHAR_TARGET | CHAR_TOKEN)
-
-static const unsigned char classes[256] = {
-	['\t'] = CHAR_TEXT,
-	[' '] = CHAR_TEXT,
-	['!'] = TOKEN,
-	['"'] = TEXT,
-	['#' ... '\''] = TOKEN,
-	['(' ... ')'] = TEXT,
-	['*' ... '+'] = TOKEN,
-	[','] = TEXT,
-	['-' ... '.'] = TOKEN,
-	['/'] = TEXT,
-	['0' ... '9'] = TOKEN,
-	[':' ... '@'] = TEXT,
-	['A' ... 'Z'] = TOKEN,
-	['[' ... ']'] = TEXT,
-	['^' ... 'z'] = TOKEN,
-	['{'] = TEXT,
-	['|'] = TOKEN,
-	['}'] = TEXT,
-	['~'] = TOKEN,
-	[0x80 ... 0xff] = TEXT,
-};
-
-#undef TEXT
-#undef TOKEN
-
-static bool is_token_char(unsigned char c)
-{
-	return classes[c] & CHAR_TOKEN;
-}
-
-static bool is_text_char(unsigned char c)
-{
-	return classes[c] & CHAR_TEXT;
-}
-
-/* Number of leading characters that are of the class. */
-static size_t span(const char *data, size_t len, unsigned int class)
-{
-	size_t n = 0;
-
-	while (n < len && classes[(unsigned char)data[n]] & class)
-		n++;
-	return n;
-}
-
-static int hex_value(unsigned char c)
-{
-	if (is_digit(c))
-		return c - '0';
-	c |= 0x20;
-	return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
-}
-
 static void fail(http_check_t *this, http_fault_t fault)
 {
 	this->fault = fault;
@@ -143,7 +73,7 @@
 	if (this->kind != HTTP_CHECK_REQUEST) {
 		this->state = STATE_PROTOCOL;
 		check_protocol(this, c);
-	} else if (is_token_char(c)) {
+	} else if (http_char_is(c, HTTP_CHAR_TOKEN)) {
 		this->state = STATE_METHOD;
 	} else if (c != '\r' && c != '\n') {
 		fail(this, HTTP_FAULT_START_LINE);
@@ -275,7 +205,7 @@
 	for (unsigned int i = 0; i < this->value_len && !this->fault; i++) {
 		unsigned int digit = (unsigned int)(this->value[i] - '0');
 
-		if (digit > 9 || length > (MAX_LENGTH - digit) / 10)
+		if (digit > 9 || length > (HTTP_MAX_LENGTH - digit) / 10)
 			fail(this, HTTP_FAULT_LENGTH);
 		length = length * 10 + digit;
 	}
@@ -355,7 +285,7 @@
 	else if (is_response_without_body(this))
 		this->state = STATE_DONE;
 	else if (this->is_chunked)
-		this->state = STATE_CHUNK_SIZE_START;
+		this->state = STATE_CHUNKS;
 	else if (this->left)
 		this->state = STATE_BODY;
 	else if (this->has_length || this->kind == HTTP_CHECK_REQUEST)
@@ -380,7 +310,7 @@
 		this->state = STATE_HEAD_LF;
 	else if (c == '\n')
 		end_fields(this);
-	else if (is_token_char(c))
+	else if (http_char_is(c, HTTP_CHAR_TOKEN))
 		this->name[this->name_len++] = (char)c;
 	else
 		fail(this, HTTP_FAULT_NAME);
@@ -394,101 +324,6 @@
 		fail(this, HTTP_FAULT_NAME);
 }
 
-/* --- chunks ------------------------------------------------------------ */
-
-/* Some servers pad the size with blanks. */
-static check_state_t state_after_size(unsigned char c)
-{
-	switch (c) {
-	case '\r':
-		return STATE_CHUNK_SIZE_LF;
-	case ';':
-		return STATE_CHUNK_EXTENSION;
-	case ' ':
-	case '\t':
-		return STATE_CHUNK_BLANK;
-	default:
-		return STATE_FAULT;
-	}
-}
-
-static check_state_t state_in_extension(unsigned char c)
-{
-	if (c == '\r')
-		return STATE_CHUNK_SIZE_LF;
-	return is_text_char(c) ? STATE_CHUNK_EXTENSION : STATE_FAULT;
-}
-
-static check_state_t add_size_digit(uint64_t *left, int digit)
-{
-	if (*left > MAX_LENGTH >> 4)
-		return STATE_FAULT;
-	*left = (*left << 4) + (uint64_t)digit;
-	return STATE_CHUNK_SIZE;
-}
-
-/* The state after a character of the lines between chunks; `left` is the size that they name. */
-static check_state_t check_chunk_line(check_state_t state, unsigned char c, uint64_t *left)
-{
-	int digit;
-
-	switch (state) {
-	case STATE_CHUNK_DATA_CR:
-		return c == '\r' ? STATE_CHUNK_DATA_LF : STATE_FAULT;
-	case STATE_CHUNK_DATA_LF:
-		return c == '\n' ? STATE_CHUNK_SIZE_START : STATE_FAULT;
-	case STATE_CHUNK_SIZE_START:
-		digit = hex_value(c);
-		*left = 0;
-		return digit < 0 ? STATE_FAULT : add_size_digit(left, digit);
-	case STATE_CHUNK_SIZE:
-		digit = hex_value(c);
-		return digit < 0 ? state_after_size(c) : add_size_digit(left, digit);
-	case STATE_CHUNK_BLANK:
-		return state_after_size(c);
-	case STATE_CHUNK_EXTENSION:
-		return state_in_extension(c);
-	case STATE_CHUNK_SIZE_LF:
-		if (c != '\n')
-			return STATE_FAULT;
-		return *left ? STATE_CHUNK_DATA : STATE_LINE;
-	default:
-		return STATE_FAULT;
-	}
-}
-
-static bool is_in_chunks(check_state_t state)
-{
-	return state >= STATE_CHUNK_SIZE_START && state <= STATE_CHUNK_DATA_LF;
-}
-
-/* Has no memory access but the bytes, as a body may have a line for each of its bytes. */
-static size_t check_chunks(http_check_t *this, const char *data, size_t len)
-{
-	check_state_t state = (check_state_t)this->state;
-	uint64_t left = this->left;
-	size_t at = 0;
-
-	while (at < len && is_in_chunks(state)) {
-		size_t run = left < len - at ? (size_t)left : len - at;
-
-		if (state == STATE_CHUNK_DATA) {
-			left -= run;
-			at += run;
-			state = left ? STATE_CHUNK_DATA : STATE_CHUNK_DATA_CR;
-		} else {
-			state = check_chunk_line(state, (unsigned char)data[at], &left);
-			at += state != STATE_FAULT;
-		}
-	}
-	if (state == STATE_FAULT)
-		fail(this, HTTP_FAULT_CHUNK);
-	this->state = state;
-	this->left = left;
-	this->in_trailer = state == STATE_LINE;
-	return at;
-}
-
 /* --- the whole message ------------------------------------------------- */
 
 static void (*const checks[STATE_COUNT])(http_check_t *this, unsigned char c) = {
@@ -510,7 +345,7 @@
 
 static size_t skip_name(http_check_t *this, const char *data, size_t len)
 {
-	size_t n = span(data, len, CHAR_TOKEN);
+	size_t n = http_chars_span(data, len, HTTP_CHAR_TOKEN);
 
 	keep_text(this->name, &this->name_len, data, n);
 	return n;
@@ -518,7 +353,7 @@
 
 static size_t skip_value(http_check_t *this, const char *data, size_t len)
 {
-	size_t n = span(data, len, CHAR_TEXT);
+	size_t n = http_chars_span(data, len, HTTP_CHAR_TEXT);
 	size_t blanks = 0;
 
 	if (this->field == HTTP_FIELD_OTHER)
@@ -542,11 +377,19 @@
 
 static size_t check_body(http_check_t *this, const char *data, size_t len)
 {
+	size_t at;
+
 	if (this->state == STATE_BODY_UNTIL_CLOSE)
 		return len;
 	if (this->state == STATE_BODY)
 		return skip_body(this, len);
-	return check_chunks(this, data, len);
+	at = http_chunks_feed(&this->chunks, data, len);
+	if (http_chunks_have_fault(&this->chunks))
+		fail(this, HTTP_FAULT_CHUNK);
+	this->in_trailer = http_chunks_are_done(&this->chunks);
+	if (this->in_trailer)
+		this->state = STATE_LINE;
+	return at;
 }
 
 /* Skips characters that are sound in this state and don't end it; returns how many. */
@@ -554,11 +397,11 @@
 {
 	switch ((check_state_t)this->state) {
 	case STATE_METHOD:
-		return span(data, len, CHAR_TOKEN);
+		return http_chars_span(data, len, HTTP_CHAR_TOKEN);
 	case STATE_TARGET:
-		return span(data, len, CHAR_TARGET);
+		return http_chars_span(data, len, HTTP_CHAR_TARGET);
 	case STATE_REASON:
-		return span(data, len, CHAR_TEXT);
+		return http_chars_span(data, len, HTTP_CHAR_TEXT);
 	case STATE_NAME:
 		return skip_name(this, data, len);
 	case STATE_VALUE:
@@ -573,7 +416,7 @@
 {
 	size_t at = 0;
 
-	while (at < len && !this->fault && this->state < STATE_CHUNK_SIZE_START) {
+	while (at < len && !this->fault && this->state < STATE_CHUNKS) {
 		size_t run = skip_run(this, data + at, len - at);
 
 		at += run;
@@ -603,11 +446,12 @@
 void http_check_init(http_check_t *this, http_check_kind_t kind)
 {
 	*this = (http_check_t){.kind = kind, .state = STATE_START};
+	http_chunks_init(&this->chunks);
 }
 
 bool http_check_is_in_head(const http_check_t *this)
 {
-	return this->state < STATE_CHUNK_SIZE_START && !this->in_trailer;
+	return this->state < STATE_CHUNKS && !this->in_trailer;
 }
 
 void http_check_skip_body(http_check_t *this)
--- a/src/edge/http_check.h
+++ b/src/edge/http_check.h
@@ -16,6 +16,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "edge/http_chunks.h"
+
 typedef enum http_fault {
 	HTTP_FAULT_NONE,
 	HTTP_FAULT_START_LINE, /* not the start line of an HTTP/1.x message */
@@ -50,7 +52,8 @@
 	bool has_length;
 	bool is_chunked;
 	unsigned int matched; /* characters of the protocol's name, digits of the status */
-	uint64_t left;	      /* of the body or of the chunk */
+	uint64_t left;	      /* of a body that has a length */
+	http_chunks_t chunks;
 	char name[HTTP_CHECK_TEXT];
 	unsigned int name_len;
 	http_field_t field;
--- a/tests/fuzz_http.c
+++ b/tests/fuzz_http.c
@@ -102,7 +102,9 @@
 	reader_init(&pieces, kind);
 	if (feed(&whole, message, size - 1, size) !=
 			feed(&pieces, message, size - 1, (data[0] & 0x7fU) + 1) ||
-		whole.check.fault != pieces.check.fault || whole.check.state != pieces.check.state)
+		whole.check.fault != pieces.check.fault ||
+		whole.check.state != pieces.check.state ||
+		whole.check.chunks.state != pieces.check.chunks.state)
 		abort();
 	if (whole.check.fault && http_check_feed(&whole.check, message, size - 1))
 		abort(); /* it goes on after a fault */
