--- a/src/gateway/endpoint_connection.c
+++ b/src/gateway/endpoint_connection.c
@@ -6,7 +6,6 @@
 #include <strings.h>
 #include <sys/socket.h>
 
-#include "core/warm_up.h"
 #include "edge/http_check.h"
 #include "edge/log.h"
 #include "edge/tcp_end.h"
@@ -18,8 +17,6 @@
 #define MAX_OVERHEAD (1 << 20)
 #define DEFAULT_IDLE_TIMEOUT (4 * USEC_PER_SEC) /* if the endpoint announces none */
 #define IDLE_MARGIN (1 * USEC_PER_SEC)		/* closes this long before the endpoint would */
-#define MAX_RETRY_AFTER_S 3600			/* a longer one is taken for an error */
-#define MAX_SLOWNESS 10000			/* percent; a higher one is taken for an error */
 #define KEEPALIVE_PROBES 2
 #define MAX_IDLE_BUFFER 1024 /* bytes of each string that an idle connection keeps */
 #define END_POLL_MS 5	     /* between looks at what the endpoint has not acknowledged */
@@ -173,79 +170,21 @@
 	this->idle_timeout -= this->idle_timeout > IDLE_MARGIN ? IDLE_MARGIN : this->idle_timeout;
 }
 
-static void parse_load(connection_response_t *response, const char *value)
-{
-	unsigned int running;
-	unsigned int waiting;
-	unsigned int slots;
-	unsigned int slowness = 0;
-
-	if (sscanf(value, "%u,%u,%u,%u", &running, &waiting, &slots, &slowness) < 3)
-		return;
-	response->has_load = true;
-	response->load_running = running;
-	response->load_waiting = waiting;
-	response->slowness = slowness <= MAX_SLOWNESS ? slowness : 0;
-}
-
-static void parse_rate_limit(connection_response_t *response, const char *value)
-{
-	uint32_t rate;
-
-	if (!rate_limit_parse(value, &rate))
-		response->rate_limit_malformed = true;
-	else if (rate < response->rate_limit)
-		response->rate_limit = rate;
-}
-
-static void parse_cold_left(connection_response_t *response, const char *value)
-{
-	response->has_cold = true;
-	response->cold_malformed |= !warm_up_parse_ms(value, &response->cold_left);
-}
-
-/* Seconds, with a fraction or without; 0 for a date or anything else. */
-static double parse_retry_after(const char *value)
-{
-	char *end;
-	double seconds = g_ascii_strtod(value, &end);
-
-	return end != value && !*end && seconds > 0 && seconds <= MAX_RETRY_AFTER_S ? seconds : 0;
-}
-
 static void process_header(endpoint_connection_t *this)
 {
 	const header_names_t *names = this->options->header_names;
-	connection_response_t *response = &this->response;
 	const char *name = this->header_name->str;
 	const char *value = this->header_value->str;
 
 	if (!this->header_name->len)
 		return;
 	if (!strcasecmp(name, names->request_id)) {
-		response->id_matches = !strcmp(value, this->id);
-		this->id_mismatch |= !response->id_matches;
-	} else if (!strcasecmp(name, names->response_marker)) {
-		response->has_marker = true;
-	} else if (!strcasecmp(name, names->not_run)) {
-		response->not_run = true;
-	} else if (!strcasecmp(name, names->leaving)) {
-		response->is_leaving = !strcmp(value, "1");
-	} else if (!strcasecmp(name, names->load)) {
-		parse_load(response, value);
-	} else if (!strcasecmp(name, names->rate_limit)) {
-		parse_rate_limit(response, value);
-	} else if (!strcasecmp(name, names->cold_left_ms)) {
-		parse_cold_left(response, value);
-	} else if (!strcasecmp(name, "Content-Encoding")) {
-		response->is_encoded = strcasecmp(value, "identity") != 0;
-	} else if (!strcasecmp(name, "Retry-After")) {
-		response->retry_after_s = parse_retry_after(value);
+		this->response.id_matches = !strcmp(value, this->id);
+		this->id_mismatch |= !this->response.id_matches;
 	} else if (!strcasecmp(name, "Keep-Alive")) {
 		parse_keep_alive(this, value);
 	}
-	if (!header_is_hop_by_hop(name) && strcasecmp(name, "Proxy-Authenticate"))
-		g_string_append_printf(response->headers, "%s: %s\r\n", name, value);
+	connection_response_add_header(&this->response, names, name, value);
 	g_string_truncate(this->header_name, 0);
 	g_string_truncate(this->header_value, 0);
 }
@@ -253,17 +192,11 @@
 static int on_message_begin(http_parser *parser)
 {
 	endpoint_connection_t *this = parser->data;
-	GString *headers = this->response.headers;
 
 	if (this->response_complete || this->state != CONNECTION_BUSY)
 		return -1; /* unsolicited bytes */
-	g_string_truncate(headers, 0);
-	this->response = (connection_response_t){
-		.headers = headers,
-		.content_length = -1,
-		.rate_limit = RATE_NONE,
-		.on_used_connection = this->is_used,
-	};
+	connection_response_reset(&this->response);
+	this->response.on_used_connection = this->is_used;
 	g_string_truncate(this->header_name, 0);
 	g_string_truncate(this->header_value, 0);
 	this->in_header_value = false;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -14,9 +14,8 @@
 #include <http_parser.h>
 #include <uv.h>
 
-#include "core/rate_limit.h"
+#include "gateway/connection_response.h"
 #include "gateway/endpoint_registry.h"
-#include "gateway/header_names.h"
 #include "gateway/request_body.h"
 
 typedef enum connection_failure {
@@ -30,30 +29,6 @@
 	CONNECTION_FAILURE_MEMORY,    /* ended to keep the process within its memory */
 } connection_failure_t;
 
-typedef struct connection_response {
-	unsigned int status;
-	GString *headers;	 /* "Name: value\r\n" each, without hop-by-hop headers */
-	bool id_matches;	 /* the request's id was present */
-	bool has_marker;	 /* the marker of the endpoint's own responses was present */
-	bool on_used_connection; /* other exchanges came before on the connection */
-	bool not_run;		 /* the endpoint did not execute the request */
-	double retry_after_s;	 /* the endpoint wants nothing from this router for so long; 0: none
-				    named */
-	bool is_leaving;	 /* the endpoint takes no further requests */
-	bool has_load;
-	unsigned int load_running;
-	unsigned int load_waiting;
-	unsigned int slowness;	   /* of its machine, percent of the usual time; 0: not stated */
-	uint32_t rate_limit;	   /* lowest named, see rate_limit.h; RATE_NONE: none */
-	bool rate_limit_malformed; /* one was named that can't be read */
-	bool has_cold;		   /* it said how long the endpoint stays cold */
-	bool cold_malformed;	   /* it did, in a way that can't be read */
-	uint64_t cold_left;	   /* microseconds, UINT64_MAX: until told otherwise */
-	bool is_encoded;	   /* the body has a content encoding */
-	int64_t content_length;	   /* -1: unknown */
-	bool ends_by_close;	   /* the body has neither a length nor chunks */
-} connection_response_t;
-
 typedef struct endpoint_connection endpoint_connection_t;
 
 typedef struct endpoint_connection_ops {
