--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -21,7 +21,7 @@
 typedef enum http_result {
 	HTTP_OK,	 /* the response header or, from http_call(), the whole response was read */
 	HTTP_NOT_SENT,	 /* no byte of the request was sent */
-	HTTP_INCOMPLETE, /* the request may have been sent; the response is incomplete */
+	HTTP_INCOMPLETE, /* the request may have been sent; no whole response came */
 	HTTP_TOO_LARGE,	 /* the response's head or its body is over its limit */
 } http_result_t;
 
--- a/src/edge/http_check.h
+++ b/src/edge/http_check.h
@@ -3,11 +3,11 @@
 /*
  * http_check - decides whether bytes are a message of HTTP/1.x, as they arrive
  *
- * The one place where the project decides this: whatever reads a message passes its bytes here
- * first and hands only checked bytes to its parser, which may be more lenient (Debian builds
- * http_parser without its strict checks).  Grammar: RFC 9112, without the obsolete folding of
- * field lines; a line of the head may also end with a single LF.  A status is 100 to 599, and no
- * 101, as no request here asks for another protocol.
+ * The one place where the project decides this: all that read responses, and the gateway for its
+ * callers' requests, pass bytes here first and hand only checked ones to their parser, which may
+ * be more lenient (Debian builds http_parser without its strict checks).  Grammar: RFC 9112,
+ * without the obsolete folding of field lines; a line of the head may also end with a single LF.
+ * A status is 100 to 599, and no 101, as no request here asks for another protocol.
  *
  * A check holds no memory of its own.  After the head, only the lines between chunks are read;
  * bytes of a body are counted.
