--- a/review/rig-3.c
+++ b/review/rig-3.c
@@ -218,7 +218,7 @@
 	char *key = g_strdup_printf("i-%u", replica);
 	char *text = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"uy-sur-a\","
 				     "\"version\":\"v1\",\"slots\":6,\"state\":\"%s\","
-				     "\"coldRemainingMs\":0,\"sequence\":1,\"born\":1}",
+				     "\"coldRemainingMs\":0,\"sequence\":1,\"born\":1770000000000}",
 		service, raw_endpoint_address(this->replicas[replica]), state);
 
 	row_store_standin_put(this->store, "servers", key, text);
