--- a/review/14/case.c
+++ b/review/14/case.c
@@ -13,7 +13,8 @@
 #define CONTACT_MS 3000
 #define LATE_MS 5300	/* the lost heartbeat is done so long after it was sent (1 to 6 s) */
 #define DRAINS_MS 3200	/* the replica reports that it drains, after the lost heartbeat */
-#define EXIT_MS 8000	/* the replica's entry is removed */
+#define EXIT_MS 5950	/* it exits: drainMs and a little longer after its report */
+#define DOWN_MS 60000
 #define WORK_MS 100	/* of a request */
 #define PAUSE_MS 20	/* between two requests of a client */
 #define CLIENTS 20	/* enough to use the 6 slots of each replica */
@@ -29,6 +30,7 @@
 static rig_t *rig;
 static replica_t replicas[REPLICAS];
 static bool stopping;
+static unsigned int broken_off; /* orders that ended with 502: nobody knows whether they ran */
 
 static bool respond(void *ctx, int fd, const raw_request_t *request)
 {
@@ -54,10 +56,11 @@
 /* One request on a connection of its own; returns the status, 0: none. */
 static unsigned int ask(unsigned int router, const char *id)
 {
-	char *request = g_strdup_printf("GET /check/1 HTTP/1.1\r\nHost: " RIG_HOST
+	char *request = g_strdup_printf("POST /booking/1 HTTP/1.1\r\nHost: " RIG_HOST
 					"\r\nRequest-Id: %s\r\n"
 					"Authorization: Bearer " RIG_KEY "\r\n"
-					"Connection: close\r\nDeadline-Ms: 1000\r\n\r\n",
+					"Connection: close\r\nDeadline-Ms: 1000\r\n"
+					"Content-Length: 2\r\n\r\n{}",
 		id);
 	int fd = rig_connect(rig->routers[router].caller_address, 0);
 	char answer[1024] = "";
@@ -80,10 +83,16 @@
 	unsigned int sent = 0;
 
 	while (!__atomic_load_n(&stopping, __ATOMIC_SEQ_CST)) {
+		unsigned int status;
 		char id[32];
 
 		g_snprintf(id, sizeof(id), "c%u-%u", number, sent++);
-		served += ask(number % 2, id) == 200;
+		status = ask(number % 2, id);
+		served += status == 200;
+		if (status != 200)
+			rig_record("client %u: %s status=%u", number, id, status);
+		if (status == 502)
+			__atomic_add_fetch(&broken_off, 1, __ATOMIC_SEQ_CST);
 		sleep_ms(PAUSE_MS);
 	}
 	rig_record("client %u: sent %u, served %u", number, sent, served);
@@ -146,8 +155,10 @@
 		else
 			next += HEARTBEAT_MS * USEC_PER_MSEC;
 	}
+	raw_endpoint_crash(rig->replicas[0], DOWN_MS);
+	rig_record("replica 0 exits");
 	rig_unregister(rig, 0);
-	sleep_ms(500);
+	sleep_ms(1000);
 }
 
 int main(int argc, char **argv)
@@ -174,6 +185,7 @@
 	for (unsigned int i = 0; i < REPLICAS; i++)
 		rig_record("replica %u ran %u requests", i, replicas[i].runs);
 	late = replicas[0].late;
+	rig_record("%u orders ended with 502", broken_off);
 	rig_record("%u requests reached the draining replica later than drainMs: DRAIN is %s", late,
 		late ? "broken" : "kept");
 	rig_end(rig, late ? CASE_BROKEN : CASE_HELD);
