--- a/review/14/case.c
+++ b/review/14/case.c
@@ -107,8 +107,15 @@
 		"\"sequence\":%u,\"born\":1770000000000}",
 		raw_endpoint_address(rig->replicas[replica]), state, sequence);
 
-	row_store_standin_put(rig->store, "servers", key, text);
-	rig_record("store: entry of replica %u is %s, sequence %u%s", replica, state, sequence, note);
+	static char stored[REPLICAS][16]; /* states */
+
+	/* "The entry changes when more than `sequence` changes." */
+	if (strcmp(stored[replica], state))
+		row_store_standin_put(rig->store, "servers", key, text);
+	else
+		note = " (only the sequence is new: the entry stays)";
+	g_strlcpy(stored[replica], state, sizeof(stored[replica]));
+	rig_record("store: heartbeat of replica %u: %s, sequence %u%s", replica, state, sequence, note);
 	g_free(text);
 	g_free(key);
 }
--- a/review/rig-3.c
+++ b/review/rig-3.c
@@ -122,6 +122,10 @@
 		int fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 		/* A script that is ended early leaves nothing behind. */
+		sigset_t none;
+
+		sigemptyset(&none);
+		sigprocmask(SIG_SETMASK, &none, NULL);
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
@@ -297,6 +301,28 @@
 
 /* --- start and end ---------------------------------------------------------- */
 
+/* A script that is told to end early ends its processes and removes its folder. */
+static void *wait_for_end(void *ctx)
+{
+	sigset_t *signals = ctx;
+	int number;
+
+	sigwait(signals, &number);
+	rig_fail("ended early");
+}
+
+static void handle_early_end(void)
+{
+	static sigset_t signals;
+	pthread_t thread;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	pthread_create(&thread, NULL, wait_for_end, &signals);
+}
+
 rig_t *rig_new(const char *folder)
 {
 	rig_t *this = g_new0(rig_t, 1);
@@ -316,6 +342,7 @@
 	if (!mkdtemp(work_folder))
 		rig_fail("temporary folder");
 	signal(SIGPIPE, SIG_IGN);
+	handle_early_end();
 	http_init();
 	this->store = row_store_standin_new("127.0.0.1:0");
 	if (!this->store)
